--- /dev/null
+++ b/include/wrenswitch/core/time.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace wrenswitch {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A point on a monotonic time scale of one process, in microseconds. Decision code is handed the
+/// time and never reads a clock, so that tests and experiments can run in virtual time. Instants of
+/// two processes must not be compared.
+using instant = std::chrono::time_point<std::chrono::steady_clock, microseconds>;
+
+/// The present instant on the process's monotonic clock.
+inline instant monotonic_now() {
+    return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
+}
+
+/// A length of time as a number of seconds.
+constexpr double as_seconds(microseconds length) {
+    constexpr double microseconds_a_second = 1e6;
+    return static_cast<double>(length.count()) / microseconds_a_second;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/drivers/event_loop.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "wrenswitch/core/time.hpp"
+
+struct event_base;
+
+namespace wrenswitch {
+
+/// A timer that runs until it is destroyed.
+class timer {
+public:
+    virtual ~timer() = default;
+};
+
+/// The one event loop of a process. All of the fleet's code runs on it, one step at a time.
+class event_loop {
+public:
+    event_loop();
+    ~event_loop();
+    event_loop(const event_loop&) = delete;
+    event_loop& operator=(const event_loop&) = delete;
+
+    /// Calls a function once, after a time. It cannot be called off; it must look whether it is
+    /// still wanted.
+    void call_after(microseconds delay, std::function<void()> action);
+
+    /// Calls a function again and again until the timer is destroyed.
+    std::unique_ptr<timer> call_every(microseconds period, std::function<void()> action);
+
+    /// Calls a function whenever a file descriptor can be read, until the result is destroyed.
+    std::unique_ptr<timer> call_when_readable(int descriptor, std::function<void()> action);
+
+    /// Calls a function at SIGTERM and SIGINT in place of ending the process.
+    void on_stop_signal(std::function<void()> action);
+
+    /// Runs until stop() is called.
+    void run();
+
+    /// Makes run() return.
+    void stop();
+
+    /// libevent's own handle, for the other drivers.
+    event_base* base() const { return base_; }
+
+private:
+    event_base* base_;
+    std::unique_ptr<timer> terminate_;
+    std::unique_ptr<timer> interrupt_;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/scripts/generate_proto.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Writes proto/generated anew. Only needed after a change of a .proto file.
+set -euo pipefail
+cd "$(dirname "$0")/../proto"
+protoc --cpp_out=generated log.proto ledger.proto control.proto bus.proto
--- /dev/null
+++ b/src/core/metrics.cpp
@@ -0,0 +1,110 @@
+#include "wrenswitch/core/metrics.hpp"
+
+// Boost 1.74's quantile header needs <sstream> before it, whatever the alphabet says.
+// clang-format off
+#include <sstream>
+#include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+// clang-format on
+
+namespace wrenswitch {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> kept_probabilities{0.5, 0.95, 0.99};
+constexpr std::string_view prefix = "wrenswitch_";
+
+using accumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
+
+template <typename Map>
+auto& entry_of(Map& map, std::string_view name) {
+    const auto found = map.find(name);
+    if (found != map.end()) {
+        return found->second;
+    }
+    return map[std::string(name)];
+}
+
+/// A metric's name without its labels, as the TYPE line needs it.
+std::string base_name(const std::string& name) {
+    return name.substr(0, name.find('{'));
+}
+
+template <typename Map>
+void write_values(std::ostringstream& out, const Map& map, std::string_view type) {
+    std::string last_base;
+    for (const auto& [name, value] : map) {
+        const std::string base = base_name(name);
+        if (base != last_base) {
+            out << "# TYPE " << prefix << base << ' ' << type << '\n';
+            last_base = base;
+        }
+        out << prefix << name << ' ' << value << '\n';
+    }
+}
+
+}  // namespace
+
+struct quantile_metric::accumulators {
+    accumulator set{acc::extended_p_square_probabilities = kept_probabilities};
+};
+
+quantile_metric::quantile_metric() : accumulators_(std::make_unique<accumulators>()) {}
+quantile_metric::~quantile_metric() = default;
+quantile_metric::quantile_metric(quantile_metric&&) noexcept = default;
+quantile_metric& quantile_metric::operator=(quantile_metric&&) noexcept = default;
+
+void quantile_metric::observe(double value) {
+    accumulators_->set(value);
+}
+
+std::uint64_t quantile_metric::count() const {
+    return acc::count(accumulators_->set);
+}
+
+double quantile_metric::quantile(double probability) const {
+    if (count() == 0) {
+        return 0.0;
+    }
+    return acc::quantile(accumulators_->set, acc::quantile_probability = probability);
+}
+
+double quantile_metric::sum() const {
+    return acc::sum(accumulators_->set);
+}
+
+std::uint64_t& metrics::counter(std::string_view name) {
+    return entry_of(counters_, name);
+}
+
+double& metrics::gauge(std::string_view name) {
+    return entry_of(gauges_, name);
+}
+
+quantile_metric& metrics::quantiles(std::string_view name) {
+    return entry_of(quantiles_, name);
+}
+
+std::string metrics::to_prometheus_text() const {
+    std::ostringstream out;
+    write_values(out, counters_, "counter");
+    write_values(out, gauges_, "gauge");
+    for (const auto& [name, metric] : quantiles_) {
+        out << "# TYPE " << prefix << name << " summary\n";
+        for (const double probability : kept_probabilities) {
+            out << prefix << name << "{quantile=\"" << probability << "\"} "
+                << metric.quantile(probability) << '\n';
+        }
+        out << prefix << name << "_sum " << metric.sum() << '\n';
+        out << prefix << name << "_count " << metric.count() << '\n';
+    }
+    return out.str();
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/drivers/http_server.cpp
@@ -0,0 +1,366 @@
+#include "wrenswitch/drivers/http_server.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <evhtp/evhtp.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace wrenswitch {
+namespace {
+
+constexpr int listen_backlog = 1024;
+constexpr unsigned status_payload_too_large = 413;
+constexpr unsigned status_headers_too_large = 431;
+constexpr unsigned status_bad_request = 400;
+
+using buffer_pointer = std::unique_ptr<evbuffer, decltype(&evbuffer_free)>;
+
+/// evhtp takes hooks of every signature as one type and casts them back.
+template <typename Function>
+evhtp_hook as_hook(Function function) {
+    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+}
+
+buffer_pointer buffer_of(std::string_view bytes) {
+    buffer_pointer buffer(evbuffer_new(), &evbuffer_free);
+    evbuffer_add(buffer.get(), bytes.data(), bytes.size());
+    return buffer;
+}
+
+std::string unescaped(std::string_view text) {
+    std::string out;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        const bool escape = text[index] == '%' && index + 2 < text.size() &&
+                            std::isxdigit(static_cast<unsigned char>(text[index + 1])) != 0 &&
+                            std::isxdigit(static_cast<unsigned char>(text[index + 2])) != 0;
+        if (!escape) {
+            out.push_back(text[index] == '+' ? ' ' : text[index]);
+            continue;
+        }
+        constexpr int hexadecimal = 16;
+        out.push_back(
+            static_cast<char>(std::stoi(std::string(text.substr(index + 1, 2)), nullptr, hexadecimal)));
+        index += 2;
+    }
+    return out;
+}
+
+class evhtp_exchange final : public http_exchange,
+                             public std::enable_shared_from_this<evhtp_exchange> {
+public:
+    explicit evhtp_exchange(evhtp_request_t* request) : request_(request) {
+        method_ = htparser_get_methodstr(request->conn->parser);
+        path_ = request->uri->path->full == nullptr ? "/" : request->uri->path->full;
+        if (request->uri->query_raw != nullptr) {
+            query_ = reinterpret_cast<const char*>(request->uri->query_raw);
+        }
+        body_.resize(evbuffer_get_length(request->buffer_in));
+        evbuffer_remove(request->buffer_in, body_.data(), body_.size());
+        evhtp_header_t* header = nullptr;
+        TAILQ_FOREACH(header, request->headers_in, next) {
+            headers_.push_back({std::string(header->key, header->klen),
+                                std::string(header->val, header->vlen)});
+        }
+    }
+
+    /// Pauses evhtp's handling, so that a reply may come later, and keeps watch on the peer.
+    void hold() {
+        keep_alive_ = shared_from_this();
+        evhtp_request_set_hook(request_, evhtp_hook_on_request_fini,
+                               as_hook(&evhtp_exchange::on_finished), this);
+        evhtp_connection_set_hook(request_->conn, evhtp_hook_on_event,
+                                  as_hook(&evhtp_exchange::on_event), this);
+        evhtp_request_pause(request_);
+        // A pause stops all reading, which would hide that the peer went away.
+        bufferevent_enable(request_->conn->bev, EV_READ);
+    }
+
+    std::string_view method() const override { return method_; }
+    std::string_view path() const override { return path_; }
+    std::string_view body() const override { return body_; }
+
+    std::string query(std::string_view name) const override {
+        std::string_view rest = query_;
+        while (!rest.empty()) {
+            const std::string_view pair = rest.substr(0, rest.find('&'));
+            rest.remove_prefix(std::min(pair.size() + 1, rest.size()));
+            const std::size_t equals = pair.find('=');
+            if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+                return unescaped(pair.substr(equals + 1));
+            }
+        }
+        return {};
+    }
+
+    std::string_view header(std::string_view name) const override {
+        for (const http_header& item : headers_) {
+            const bool same = std::equal(
+                item.name.begin(), item.name.end(), name.begin(), name.end(),
+                [](unsigned char left, unsigned char right) {
+                    return std::tolower(left) == std::tolower(right);
+                });
+            if (same) {
+                return item.value;
+            }
+        }
+        return {};
+    }
+
+    void reply(unsigned status, const std::vector<http_header>& headers,
+               std::string_view body) override {
+        if (request_ == nullptr || answered_) {
+            return;
+        }
+        answered_ = true;
+        add_headers(headers);
+        const std::string length = std::to_string(body.size());
+        evhtp_headers_add_header(request_->headers_out,
+                                 evhtp_header_new("Content-Length", length.c_str(), 1, 1));
+        const buffer_pointer bytes = buffer_of(body);
+        evbuffer_add_buffer(request_->buffer_out, bytes.get());
+        evhtp_send_reply(request_, static_cast<evhtp_res>(status));
+        finish();
+    }
+
+    void start_stream(unsigned status, const std::vector<http_header>& headers) override {
+        if (request_ == nullptr || answered_) {
+            return;
+        }
+        answered_ = true;
+        add_headers(headers);
+        evhtp_send_reply_chunk_start(request_, static_cast<evhtp_res>(status));
+    }
+
+    void send_piece(std::string_view piece) override {
+        if (request_ == nullptr || piece.empty()) {
+            return;
+        }
+        const buffer_pointer bytes = buffer_of(piece);
+        evhtp_send_reply_chunk(request_, bytes.get());
+    }
+
+    void end_stream() override {
+        if (request_ == nullptr) {
+            return;
+        }
+        evhtp_send_reply_chunk_end(request_);
+        finish();
+    }
+
+    void cut() override {
+        if (request_ != nullptr) {
+            shutdown(bufferevent_getfd(request_->conn->bev), SHUT_RDWR);
+        }
+    }
+
+    std::size_t unsent_bytes() const override {
+        if (request_ == nullptr) {
+            return 0;
+        }
+        return evbuffer_get_length(bufferevent_get_output(request_->conn->bev));
+    }
+
+    bool closed() const override { return request_ == nullptr; }
+
+    void on_closed(std::function<void()> action) override { on_closed_ = std::move(action); }
+
+private:
+    static evhtp_res on_finished(evhtp_request_t*, void* argument) {
+        auto* self = static_cast<evhtp_exchange*>(argument);
+        const std::shared_ptr<evhtp_exchange> alive = std::move(self->keep_alive_);
+        self->detach();
+        return EVHTP_RES_OK;
+    }
+
+    static void on_event(evhtp_connection_t* connection, short events, void* argument) {
+        if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0) {
+            return;
+        }
+        evhtp_connection_unset_hook(connection, evhtp_hook_on_event);
+        auto* self = static_cast<evhtp_exchange*>(argument);
+        const std::shared_ptr<evhtp_exchange> alive = self->keep_alive_;
+        if (alive == nullptr || self->request_ == nullptr || self->finished_) {
+            return;
+        }
+        // evhtp frees a paused connection only once it is resumed.
+        evhtp_request_t* request = self->request_;
+        self->detach();
+        evhtp_request_resume(request);
+    }
+
+    void detach() {
+        request_ = nullptr;
+        const auto action = std::exchange(on_closed_, {});
+        if (action && !finished_) {
+            action();
+        }
+    }
+
+    void finish() {
+        finished_ = true;
+        evhtp_connection_unset_hook(request_->conn, evhtp_hook_on_event);
+        evhtp_request_t* request = request_;
+        request_ = nullptr;
+        evhtp_request_resume(request);
+    }
+
+    void add_headers(const std::vector<http_header>& headers) {
+        for (const http_header& item : headers) {
+            evhtp_headers_add_header(
+                request_->headers_out,
+                evhtp_header_new(item.name.c_str(), item.value.c_str(), 1, 1));
+        }
+    }
+
+    evhtp_request_t* request_;
+    std::string method_;
+    std::string path_;
+    std::string query_;
+    std::string body_;
+    std::vector<http_header> headers_;
+    std::function<void()> on_closed_;
+    std::shared_ptr<evhtp_exchange> keep_alive_;
+    bool answered_ = false;
+    bool finished_ = false;
+};
+
+class evhtp_server final : public http_server {
+public:
+    evhtp_server(event_loop& loop, const http_server_settings& settings, http_handler handler)
+        : handler_(std::move(handler)),
+          settings_(settings),
+          server_(evhtp_new(loop.base(), nullptr)) {
+        evhtp_set_gencb(server_, &evhtp_server::on_request, this);
+        evhtp_set_post_accept_cb(server_, &evhtp_server::on_accept, this);
+        evhtp_set_max_body_size(server_, settings.most_body_bytes);
+        evhtp_enable_flag(server_, EVHTP_FLAG_ENABLE_NODELAY);
+    }
+
+    ~evhtp_server() override {
+        stop_listening();
+        evhtp_free(server_);
+    }
+    evhtp_server(const evhtp_server&) = delete;
+    evhtp_server& operator=(const evhtp_server&) = delete;
+
+    result<void> bind() {
+        const bool with_tls = !settings_.certificate_file.empty();
+        if (with_tls) {
+            tls_.pemfile = settings_.certificate_file.data();
+            tls_.privfile = settings_.private_key_file.data();
+            if (evhtp_ssl_init(server_, &tls_) != 0) {
+                return failed(error_code::bad_input, "TLS cannot be set up with certificate " +
+                                                         settings_.certificate_file + ".");
+            }
+        }
+        const int bound = evhtp_bind_socket(server_, settings_.address.c_str(), settings_.port,
+                                            listen_backlog);
+        if (bound != 0) {
+            return failed(error_code::unavailable, "Address " + settings_.address + ":" +
+                                                       std::to_string(settings_.port) +
+                                                       " cannot be bound.");
+        }
+        listening_ = true;
+        return outcome::success();
+    }
+
+    std::uint16_t port() const override {
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        getsockname(evconnlistener_get_fd(server_->server), reinterpret_cast<sockaddr*>(&address),
+                    &length);
+        return ntohs(address.sin_port);
+    }
+
+    void stop_listening() override {
+        if (std::exchange(listening_, false)) {
+            evhtp_unbind_socket(server_);
+        }
+    }
+
+private:
+    static void on_request(evhtp_request_t* request, void* argument) {
+        auto* self = static_cast<evhtp_server*>(argument);
+        const auto exchange = std::make_shared<evhtp_exchange>(request);
+        exchange->hold();
+        self->handler_(exchange);
+    }
+
+    static evhtp_res on_accept(evhtp_connection_t* connection, void* argument) {
+        const int yes = 1;
+        setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
+                                  as_hook(&evhtp_server::on_headers),
+                                  argument);
+        return EVHTP_RES_OK;
+    }
+
+    /// Refuses a request by its head, before its body is taken in.
+    static evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers,
+                                void* argument) {
+        const auto* self = static_cast<evhtp_server*>(argument);
+        std::size_t bytes = 0;
+        evhtp_header_t* header = nullptr;
+        TAILQ_FOREACH(header, headers, next) { bytes += header->klen + header->vlen; }
+        if (bytes > self->settings_.most_header_bytes) {
+            return refuse(request, status_headers_too_large, "The headers are too large.");
+        }
+        const char* length = evhtp_header_find(headers, "Content-Length");
+        if (length == nullptr) {
+            return EVHTP_RES_OK;
+        }
+        constexpr int decimal = 10;
+        char* end = nullptr;
+        const unsigned long long announced = std::strtoull(length, &end, decimal);
+        if (end == length || *end != '\0') {
+            return refuse(request, status_bad_request, "Content-Length is not a number.");
+        }
+        if (announced > self->settings_.most_body_bytes) {
+            return refuse(request, status_payload_too_large, "The body is too large.");
+        }
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res refuse(evhtp_request_t* request, unsigned status, std::string_view message) {
+        const std::string body = R"({"error":{"message":")" + std::string(message) +
+                                 R"(","type":"invalid_request_error","ran":"not_run"}})";
+        const std::string reply = "HTTP/1.1 " + std::to_string(status) +
+                                  " Refused\r\nConnection: close\r\n"
+                                  "Content-Type: application/json\r\nContent-Length: " +
+                                  std::to_string(body.size()) + "\r\n\r\n" + body;
+        // evhtp drops the connection for any status but OK; what is written now still goes out.
+        bufferevent* stream = request->conn->bev;
+        evbuffer* output = bufferevent_get_output(stream);
+        evbuffer_add(output, reply.data(), reply.size());
+        evbuffer_write(output, bufferevent_getfd(stream));
+        return EVHTP_RES_ERROR;
+    }
+
+    http_handler handler_;
+    http_server_settings settings_;
+    evhtp_ssl_cfg_t tls_{};
+    evhtp_t* server_;
+    bool listening_ = false;
+};
+
+}  // namespace
+
+result<std::unique_ptr<http_server>> http_server::start(event_loop& loop,
+                                                        const http_server_settings& settings,
+                                                        http_handler handler) {
+    auto server = std::make_unique<evhtp_server>(loop, settings, std::move(handler));
+    const result<void> bound = server->bind();
+    if (!bound) {
+        return bound.error();
+    }
+    return std::unique_ptr<http_server>(std::move(server));
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/entry/caller_request.cpp
@@ -0,0 +1,253 @@
+#include "roles/entry/caller_request.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace wrenswitch {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view services_prefix = "/v1/services/";
+constexpr std::size_t prefix_bytes = 256;
+constexpr std::size_t longest_key = 255;
+
+/// What a model may add to a message for its role and for delimiters, in tokens.
+constexpr tokens tokens_a_message = 16;
+constexpr tokens default_max_tokens = 256;
+constexpr tokens most_max_tokens = 1'000'000;
+constexpr std::int64_t longest_deadline_ms = 86'400'000;
+
+api_error bad_request(std::string code, std::string message) {
+    return {400, std::move(code), std::move(message), request_fate::not_run, microseconds(0)};
+}
+
+/// Reads a header that must be a whole number, if it is there.
+result<std::optional<std::int64_t>> number_header(const http_exchange& exchange,
+                                                  std::string_view name, std::int64_t least,
+                                                  std::int64_t most) {
+    const std::string_view text = exchange.header(name);
+    if (text.empty()) {
+        return std::optional<std::int64_t>();
+    }
+    std::int64_t value = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool good = problem == std::errc{} && end == text.data() + text.size() &&
+                      value >= least && value <= most;
+    if (!good) {
+        return failed(error_code::bad_input,
+                      "Header " + std::string(name) + ": found \"" + std::string(text) +
+                          "\"; allowed: a whole number from " + std::to_string(least) + " to " +
+                          std::to_string(most) + ".");
+    }
+    return std::optional<std::int64_t>(value);
+}
+
+/// The texts of a prompt, however the request writes it.
+std::vector<std::string_view> prompt_texts(const json& body, bool chat) {
+    std::vector<std::string_view> texts;
+    if (!chat) {
+        texts.emplace_back(body.at("prompt").get_ref<const std::string&>());
+        return texts;
+    }
+    for (const json& message : body.at("messages")) {
+        texts.emplace_back(message.at("content").get_ref<const std::string&>());
+    }
+    return texts;
+}
+
+std::optional<api_error> check_prompt(const json& body, bool chat) {
+    if (!chat) {
+        if (!body.contains("prompt") || !body["prompt"].is_string()) {
+            return bad_request("bad_prompt", "/prompt: found nothing usable; allowed: a text.");
+        }
+        return std::nullopt;
+    }
+    if (!body.contains("messages") || !body["messages"].is_array() || body["messages"].empty()) {
+        return bad_request("bad_messages",
+                           "/messages: found nothing usable; allowed: a list of messages.");
+    }
+    std::size_t index = 0;
+    for (const json& message : body["messages"]) {
+        const bool good = message.is_object() && message.contains("content") &&
+                          message["content"].is_string() && message.contains("role") &&
+                          message["role"].is_string();
+        if (!good) {
+            return bad_request("bad_messages",
+                               "/messages/" + std::to_string(index) +
+                                   ": allowed: an object with a role and a content, both texts.");
+        }
+        ++index;
+    }
+    return std::nullopt;
+}
+
+/// Fills in what concerns a completion.
+std::optional<api_error> read_completion(const http_exchange& exchange,
+                                         const configuration& config, caller_request& request) {
+    const bool chat = exchange.path() == "/v1/chat/completions";
+    json body = json::parse(exchange.body(), nullptr, false);
+    if (!body.is_object()) {
+        return bad_request("bad_json", "The body is not a JSON object.");
+    }
+    if (!body.contains("model") || !body["model"].is_string()) {
+        return bad_request("bad_model", "/model: found nothing usable; allowed: a model's name.");
+    }
+    request.service = body["model"].get<std::string>();
+    const service* known = config.find_service(request.service);
+    if (known == nullptr || !known->model) {
+        api_error error = bad_request("model_not_found", "There is no model " + request.service + ".");
+        error.status = 404;
+        return error;
+    }
+    if (auto problem = check_prompt(body, chat)) {
+        return problem;
+    }
+    const char* limit_name =
+        body.contains("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+    tokens max_tokens = default_max_tokens;
+    if (body.contains(limit_name) && !body[limit_name].is_null()) {
+        const json& value = body[limit_name];
+        const bool good = value.is_number_integer() && value.get<tokens>() >= 1 &&
+                          value.get<tokens>() <= most_max_tokens;
+        if (!good) {
+            return bad_request("bad_max_tokens",
+                               "/" + std::string(limit_name) +
+                                   ": allowed: a whole number from 1 to 1000000.");
+        }
+        max_tokens = value.get<tokens>();
+    }
+    if (body.contains("stream") && !body["stream"].is_boolean()) {
+        return bad_request("bad_stream", "/stream: allowed: true or false.");
+    }
+    request.streamed = body.value("stream", false);
+
+    // No tokenizer makes more tokens than there are bytes.
+    tokens prompt_bound = 0;
+    std::string beginning;
+    for (const std::string_view text : prompt_texts(body, chat)) {
+        prompt_bound += static_cast<tokens>(text.size()) + tokens_a_message;
+        if (beginning.size() < prefix_bytes) {
+            beginning.append(text.substr(0, prefix_bytes - beginning.size()));
+        }
+    }
+    request.bound = prompt_bound + max_tokens;
+    request.prefix = spread_hash(beginning);
+    request.path = exchange.path();
+    request.content_type = "application/json";
+    // The target must be told the limit, since the reservation relies on it.
+    body["max_tokens"] = max_tokens;
+    if (request.streamed) {
+        body["stream_options"] = {{"include_usage", true}};
+    }
+    request.body = body.dump();
+    return std::nullopt;
+}
+
+/// Fills in what concerns a call of a plain service.
+std::optional<api_error> read_plain_call(const http_exchange& exchange,
+                                         const configuration& config, caller_request& request) {
+    std::string_view rest = exchange.path().substr(services_prefix.size());
+    const std::size_t slash = rest.find('/');
+    request.service = rest.substr(0, slash);
+    const service* known = config.find_service(request.service);
+    if (known == nullptr || known->model) {
+        api_error error =
+            bad_request("service_not_found", "There is no service " + request.service + ".");
+        error.status = 404;
+        return error;
+    }
+    request.model = false;
+    request.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
+    request.content_type = exchange.header("Content-Type");
+    request.body = exchange.body();
+    request.repeatable = known->repeatable;
+    request.fixed_cost = known->tokens_per_call;
+    request.bound = known->tokens_per_call;
+    return std::nullopt;
+}
+
+std::string_view bearer_key(const http_exchange& exchange) {
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = exchange.header("Authorization");
+    if (header.substr(0, scheme.size()) != scheme) {
+        return {};
+    }
+    return header.substr(scheme.size());
+}
+
+std::optional<api_error> read_headers(const http_exchange& exchange,
+                                      const caller_request_context& context,
+                                      const client_account& account, caller_request& request) {
+    constexpr std::int64_t least_urgent = 7;
+    const auto priority = number_header(exchange, "X-Priority", 0, least_urgent);
+    const auto deadline = number_header(exchange, "X-Deadline-Ms", 1, longest_deadline_ms);
+    const auto last_seen = number_header(exchange, "Last-Event-ID", 0, INT32_MAX);
+    for (const auto* item : {&priority, &deadline, &last_seen}) {
+        if (!*item) {
+            return bad_request("bad_header", item->error().message);
+        }
+    }
+    const auto asked = static_cast<std::uint32_t>(priority.value().value_or(account.priority));
+    request.priority = std::max(asked, account.priority);
+    request.deadline = deadline.value() ? milliseconds(*deadline.value()) : context.default_deadline;
+    request.from_chunk =
+        last_seen.value() ? static_cast<std::uint32_t>(*last_seen.value()) + 1 : 0;
+    return std::nullopt;
+}
+
+void set_digests(const http_exchange& exchange, random_source& random, caller_request& request) {
+    const std::string_view given = exchange.header("Idempotency-Key");
+    request.keyed = !given.empty();
+    const std::string own = std::to_string(random.next_id<std::uint64_t>()) + "/" +
+                            std::to_string(request.number);
+    const std::array<std::string_view, 3> key_parts{request.client_account,
+                                                    request.keyed ? "caller" : "fleet",
+                                                    request.keyed ? given : std::string_view(own)};
+    request.key = digest_of(key_parts);
+    const std::array<std::string_view, 3> body_parts{request.service, request.path, request.body};
+    request.body_digest = digest_of(body_parts);
+}
+
+}  // namespace
+
+const client_account* authenticate(const http_exchange& exchange, const configuration& config) {
+    const std::string_view key = bearer_key(exchange);
+    if (key.empty()) {
+        return nullptr;
+    }
+    return config.find_by_key(sha256_hex(key));
+}
+
+caller_request_result read_caller_request(const http_exchange& exchange,
+                                          const caller_request_context& context) {
+    const client_account* account = authenticate(exchange, context.config);
+    if (account == nullptr) {
+        return api_error{401, "bad_key", "The key is missing or not known.", request_fate::not_run,
+                         microseconds(0)};
+    }
+    if (exchange.header("Idempotency-Key").size() > longest_key) {
+        return bad_request("bad_header", "Idempotency-Key: allowed: at most 255 letters.");
+    }
+    caller_request request;
+    request.number = context.random.next_id<std::uint64_t>();
+    request.client_account = account->name;
+    request.budget = account->budget;
+    request.method = exchange.method();
+    if (auto problem = read_headers(exchange, context, *account, request)) {
+        return *problem;
+    }
+    const bool plain = exchange.path().substr(0, services_prefix.size()) == services_prefix;
+    const auto problem = plain ? read_plain_call(exchange, context.config, request)
+                               : read_completion(exchange, context.config, request);
+    if (problem) {
+        return *problem;
+    }
+    set_digests(exchange, context.random, request);
+    return request;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/entry/entry.cpp
@@ -0,0 +1,518 @@
+#include "roles/entry/entry.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "wrenswitch/core/log.hpp"
+#include "wrenswitch/drivers/ledger_codec.hpp"
+#include "wrenswitch/roles/entry.hpp"
+
+namespace wrenswitch {
+namespace {
+
+constexpr microseconds tick_period = milliseconds(500);
+constexpr microseconds pump_period = milliseconds(20);
+
+/// A watched process, and a guard that has work of this entry's, is asked after so much silence.
+constexpr microseconds ping_after = seconds(1);
+
+/// A guard that is silent for so long while it has work of this entry's is given up.
+constexpr microseconds guard_lost_after = seconds(4);
+
+constexpr double saved_retries = 20.0;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_method_not_allowed = 405;
+
+}  // namespace
+
+entry::entry(event_loop& loop, const entry_settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      timeline_(settings.process.timeline_events),
+      retries_(settings.retry_share, saved_retries) {}
+
+entry::~entry() = default;
+
+result<void> entry::start() {
+    log_ = make_http_log_service(loop_, settings_.process.log);
+    auto bus = message_bus::open(loop_, settings_.process.bus);
+    if (!bus) {
+        return bus.error();
+    }
+    bus_ = std::move(bus.value());
+    bus_->on_message([this](const message_origin& origin, const wire::Envelope& message) {
+        on_message(origin, message);
+    });
+
+    control_replica_hooks hooks;
+    hooks.applied = [this](const control_record& record, const control_effect& effect, log_offset) {
+        on_control_applied(record, effect);
+    };
+    hooks.caught_up = [this] { on_control_caught_up(); };
+    hooks.restored = [this] { on_control_restored(); };
+    control_ = std::make_unique<control_replica>(loop_, *log_, settings_.process.snapshot_records,
+                                                 random_, metrics_, std::move(hooks));
+    picker_settings routing = settings_.routing;
+    routing.subset_seed = random_.next_id<std::uint64_t>();
+    picker_ = std::make_unique<target_picker>(routing, random_);
+    fleet_ = std::make_unique<fleet_view>(settings_, control_->state(), *picker_);
+    homes_ = std::make_unique<home_desk>(
+        settings_, home_desk_parts{loop_, *log_, *bus_, *control_, *fleet_, random_, metrics_,
+                                   timeline_});
+    operators_ = std::make_unique<operator_desk>(
+        settings_, operator_desk_parts{loop_, *control_, *fleet_, *homes_, random_});
+
+    auto callers = http_server::start(
+        loop_, settings_.callers,
+        [this](const http_exchange_pointer& exchange) { handle_caller(exchange); });
+    if (!callers) {
+        return callers.error();
+    }
+    caller_server_ = std::move(callers.value());
+    auto operators = http_server::start(
+        loop_, settings_.operators,
+        [this](const http_exchange_pointer& exchange) { handle_operator(exchange); });
+    if (!operators) {
+        return operators.error();
+    }
+    operator_server_ = std::move(operators.value());
+
+    control_->start();
+    tick_ = loop_.call_every(tick_period, [this] { tick(); });
+    pump_timer_ = loop_.call_every(pump_period, [this] {
+        homes_->pump(monotonic_now());
+        send_marks();
+    });
+    log_event(log_level::information, "listening",
+              {{"bus", bus_->endpoint()},
+               {"caller_port", std::to_string(caller_server_->port())},
+               {"operator_port", std::to_string(operator_server_->port())}});
+    return outcome::success();
+}
+
+void entry::register_self() {
+    own_ = random_.next_id<incarnation_id>();
+    control_->set_writer(own_);
+    registration self;
+    self.role = member_role::entry;
+    self.host = settings_.process.host;
+    self.region = settings_.process.region;
+    self.failure_domain = settings_.process.failure_domain;
+    self.endpoint = bus_->endpoint();
+    self.operator_address =
+        settings_.operators.address + ":" + std::to_string(operator_server_->port());
+    control_->submit(register_record{self});
+    registering_ = true;
+}
+
+void entry::on_control_caught_up() {
+    if (!registering_ && !active_ && !closing_) {
+        register_self();
+    }
+    if (std::exchange(fleet_changed_, false)) {
+        fleet_->rebuild();
+    }
+}
+
+void entry::on_control_restored() {
+    fleet_changed_ = true;
+    if (active_ && !control_->state().is_active(own_)) {
+        on_own_fence();
+    }
+}
+
+void entry::on_control_applied(const control_record& record, const control_effect& effect) {
+    if (!effect.applied) {
+        return;
+    }
+    fleet_changed_ = fleet_changed_ || effect.membership_changed || effect.was_configuration;
+    const bool own_registration = registering_ && record.writer == own_ &&
+                                  std::holds_alternative<register_record>(record.kind);
+    if (own_registration) {
+        registering_ = false;
+        active_ = true;
+        fleet_->set_own(own_);
+        fleet_->rebuild();
+        homes_->restart(own_);
+        log_event(log_level::information, "entry_active",
+                  {{"incarnation", std::to_string(raw(own_))}});
+    }
+    if (effect.was_configuration) {
+        timeline_.add(timeline_kind::configuration_applied, "", {}, {},
+                      std::string(name_of(effect.outcome)) + " version " +
+                          std::to_string(control_->state().config().version()));
+    }
+    if (const auto* fence = std::get_if<fence_record>(&record.kind)) {
+        timeline_.add(timeline_kind::fence_applied, "", {}, {},
+                      std::to_string(raw(fence->incarnation)));
+        homes_->on_fence(fence->incarnation);
+        if (fence->incarnation == own_ && active_) {
+            on_own_fence();
+        }
+    }
+}
+
+/// Being fenced is no failure: what this entry held is being reclaimed, and it begins anew.
+void entry::on_own_fence() {
+    log_event(log_level::warning, "entry_fenced", {{"incarnation", std::to_string(raw(own_))}});
+    metrics_.counter("own_fences_total") += 1;
+    active_ = false;
+    closing_ = false;
+    register_self();
+}
+
+bool entry::ready() const {
+    return active_ && drained_ == nullptr && control_->live() && homes_->ready();
+}
+
+request_flow* entry::flow(std::uint64_t request) {
+    const auto found = flows_.find(request);
+    return found == flows_.end() ? nullptr : found->second.get();
+}
+
+void entry::on_message(const message_origin& origin, const wire::Envelope& message) {
+    const incarnation_id sender{message.sender()};
+    fleet_->heard(monotonic_now(), sender);
+    const auto with_flow = [this](std::uint64_t request, const auto& action) {
+        const auto found = flows_.find(request);
+        if (found != flows_.end()) {
+            const std::shared_ptr<request_flow> kept = found->second;
+            action(*kept);
+        }
+    };
+    switch (message.body_case()) {
+        case wire::Envelope::kReserveRequest:
+            homes_->on_reserve(origin, message.reserve_request());
+            return;
+        case wire::Envelope::kReserveReply: {
+            const wire::ReserveReply& reply = message.reserve_reply();
+            if (flow(reply.request()) == nullptr && reply.outcome() == wire::RESERVE_GRANTED) {
+                wire::Envelope release;
+                release.set_sender(raw(own_));
+                release.mutable_release_ticket()->set_ticket(reply.ticket().ticket());
+                bus_->send(reply.ticket().holder_endpoint(), release);
+                return;
+            }
+            with_flow(reply.request(), [&](request_flow& item) { item.on_reserve_reply(reply); });
+            return;
+        }
+        case wire::Envelope::kStarted:
+            homes_->started(ticket_id{message.started().ticket()},
+                            incarnation_id{message.started().guard()},
+                            message.started().guard_endpoint());
+            return;
+        case wire::Envelope::kReleaseTicket:
+            homes_->release(ticket_id{message.release_ticket().ticket()});
+            return;
+        case wire::Envelope::kAccepted:
+            with_flow(message.accepted().request(), [&](request_flow& item) {
+                item.on_accepted(sender, message.accepted());
+            });
+            return;
+        case wire::Envelope::kRefused:
+            with_flow(message.refused().request(), [&](request_flow& item) {
+                item.on_refused(sender, message.refused());
+            });
+            return;
+        case wire::Envelope::kAnswerChunk:
+            with_flow(message.answer_chunk().request(),
+                      [&](request_flow& item) { item.on_chunk(message.answer_chunk()); });
+            return;
+        case wire::Envelope::kAnswerEnd:
+            with_flow(message.answer_end().request(), [&](request_flow& item) {
+                item.on_end(sender, message.answer_end());
+            });
+            return;
+        case wire::Envelope::kChargeReport:
+            homes_->on_charges(origin, message.charge_report());
+            return;
+        case wire::Envelope::kVoidReply: {
+            homes_->on_void_reply(message.void_reply());
+            const auto flows = flows_;
+            for (const auto& [number, item] : flows) {
+                item->on_void_reply(message.void_reply());
+            }
+            return;
+        }
+        case wire::Envelope::kMarkReport:
+            collect_mark(message.mark_report());
+            return;
+        case wire::Envelope::kPing: {
+            wire::Envelope answer;
+            answer.set_sender(raw(own_));
+            answer.mutable_pong()->set_sender(raw(own_));
+            answer.mutable_pong()->set_control_offset(raw(control_->position()));
+            bus_->answer(origin, answer);
+            return;
+        }
+        case wire::Envelope::kPong:
+            on_pong(message.pong());
+            return;
+        default:
+            metrics_.counter("unexpected_messages_total") += 1;
+    }
+}
+
+void entry::on_pong(const wire::Pong& pong) {
+    if (pong.has_load()) {
+        picker_->reported(incarnation_id{pong.sender()}, decode_load(pong.load()));
+    }
+}
+
+void entry::handle_caller(const http_exchange_pointer& exchange) {
+    const std::string_view path = exchange->path();
+    const bool work = path == "/v1/chat/completions" || path == "/v1/completions" ||
+                      path.substr(0, 13) == "/v1/services/";
+    if (work) {
+        start_request(exchange);
+    } else if (path == "/v1/models") {
+        list_models(exchange);
+    } else if (path == "/healthz") {
+        exchange->reply(ready() ? 200 : status_unavailable, {{"Content-Type", "application/json"}},
+                        ready() ? R"({"ready":true})" : R"({"ready":false})");
+    } else {
+        const api_error error{status_not_found, "unknown_path", "There is nothing at this path.",
+                              request_fate::not_run, microseconds(0)};
+        error.send(*exchange, "");
+    }
+}
+
+void entry::start_request(const http_exchange_pointer& exchange) {
+    const bool completion = exchange->path().substr(0, 13) != "/v1/services/";
+    if (completion && exchange->method() != "POST") {
+        const api_error error{status_method_not_allowed, "bad_method", "Only POST is allowed here.",
+                              request_fate::not_run, microseconds(0)};
+        error.send(*exchange, "");
+        return;
+    }
+    if (!active_ || drained_ != nullptr) {
+        const api_error error{status_unavailable, "not_ready",
+                              "This entry takes no requests now; another one will.",
+                              request_fate::not_run, seconds(1)};
+        error.send(*exchange, "");
+        return;
+    }
+    caller_request_result request = read_caller_request(
+        *exchange, {control_->state().config(), random_, settings_.default_deadline});
+    if (!request) {
+        metrics_.counter("requests_refused_total{code=\"" + request.error().code + "\"}") += 1;
+        request.error().send(*exchange, "");
+        return;
+    }
+    const request_flow_parts parts{loop_,    *bus_,    *fleet_,   *homes_,   *picker_, retries_,
+                                   random_,  metrics_, timeline_, settings_, own_};
+    const std::uint64_t number = request.value().number;
+    auto made = std::make_shared<request_flow>(
+        parts, std::move(request.value()), exchange, [this](std::uint64_t ended) {
+            flows_.erase(ended);
+            finish_drain_if_idle();
+        });
+    flows_[number] = made;
+    made->start();
+}
+
+void entry::list_models(const http_exchange_pointer& exchange) {
+    if (authenticate(*exchange, control_->state().config()) == nullptr) {
+        const api_error error{401, "bad_key", "The key is missing or not known.",
+                              request_fate::not_run, microseconds(0)};
+        error.send(*exchange, "");
+        return;
+    }
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& [name, value] : control_->state().config().services()) {
+        if (value.model) {
+            list.push_back({{"id", name}, {"object", "model"}, {"owned_by", "wrenswitch"}});
+        }
+    }
+    const nlohmann::json body = {{"object", "list"}, {"data", list}};
+    exchange->reply(200, {{"Content-Type", "application/json"}}, body.dump());
+}
+
+void entry::handle_operator(const http_exchange_pointer& exchange) {
+    const http_header json_type{"Content-Type", "application/json"};
+    if (exchange->path() == "/v1/operator/commands") {
+        operators_->handle(exchange);
+    } else if (exchange->path() == "/metrics") {
+        update_gauges(monotonic_now());
+        exchange->reply(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                        metrics_.to_prometheus_text());
+    } else if (exchange->path() == "/healthz") {
+        exchange->reply(ready() ? 200 : status_unavailable, {json_type},
+                        ready() ? R"({"ready":true})" : R"({"ready":false})");
+    } else if (exchange->path() == "/timeline") {
+        exchange->reply(200, {json_type},
+                        timeline_.to_json("entry " + settings_.process.host,
+                                          exchange->query("request")));
+    } else {
+        exchange->reply(status_not_found, {json_type}, R"({"error":{"message":"Unknown path."}})");
+    }
+}
+
+void entry::tick() {
+    const instant now = monotonic_now();
+    control_->tick(now);
+    homes_->tick(now);
+    if (active_) {
+        watch(now);
+        watch_guards_in_use(now);
+        mark_guard_fences();
+    }
+    finish_drain_if_idle();
+}
+
+void entry::send_ping(incarnation_id to) {
+    wire::Envelope message;
+    message.set_sender(raw(own_));
+    message.mutable_ping()->set_sender(raw(own_));
+    message.mutable_ping()->set_control_offset(raw(control_->position()));
+    bus_->send(fleet_->endpoint_of(to), message);
+}
+
+void entry::watch(instant now) {
+    for (const incarnation_id id : fleet_->watched()) {
+        const microseconds silence = now - fleet_->last_heard(id);
+        if (silence < ping_after) {
+            continue;
+        }
+        send_ping(id);
+        const bool silent_for_too_long = silence >= settings_.fence_after &&
+                                         control_->log_healthy(now) &&
+                                         control_->state().is_active(id);
+        if (silent_for_too_long && fences_sent_.insert(id).second) {
+            log_event(log_level::warning, "silent_process_fenced",
+                      {{"incarnation", std::to_string(raw(id))},
+                       {"endpoint", fleet_->endpoint_of(id)}});
+            metrics_.counter("fences_sent_total") += 1;
+            control_->submit(fence_record{id});
+        }
+    }
+}
+
+void entry::watch_guards_in_use(instant now) {
+    std::set<incarnation_id> in_use;
+    for (const auto& [number, item] : flows_) {
+        const bool at_guard =
+            item->phase() == flow_phase::accepted || item->phase() == flow_phase::joining;
+        if (at_guard) {
+            in_use.insert(item->guard());
+        }
+    }
+    for (const incarnation_id guard : in_use) {
+        const microseconds silence = now - fleet_->last_heard(guard);
+        if (silence >= ping_after) {
+            send_ping(guard);
+        }
+        if (silence < guard_lost_after) {
+            continue;
+        }
+        metrics_.counter("guards_lost_total") += 1;
+        const auto flows = flows_;
+        for (const auto& [number, item] : flows) {
+            item->on_guard_lost(guard);
+        }
+    }
+}
+
+void entry::mark_guard_fences() {
+    const member* self = control_->state().find(own_);
+    if (self == nullptr || !control_->idle()) {
+        return;
+    }
+    marks_record marks;
+    for (const auto& [fenced, fence] : control_->state().fences()) {
+        const member* known = control_->state().find(fenced);
+        const bool wanted = known != nullptr && known->self.role == member_role::guard &&
+                            fence.offset > self->registered_at &&
+                            fence.marked_by.count(own_) == 0 && homes_->cleared_of(fenced);
+        if (wanted) {
+            marks.marks.push_back({fenced, own_, {}});
+            homes_->forget_guard(fenced);
+        }
+    }
+    if (!marks.marks.empty()) {
+        control_->submit(std::move(marks));
+    }
+}
+
+void entry::collect_mark(const wire::MarkReport& report) {
+    fence_mark mark{incarnation_id{report.fenced()}, incarnation_id{report.marker()}, {}};
+    const auto& fences = control_->state().fences();
+    const auto fence = fences.find(mark.fenced);
+    const bool known = fence != fences.end() && fence->second.marked_by.count(mark.marker) > 0;
+    const bool queued = std::any_of(marks_.begin(), marks_.end(), [&mark](const fence_mark& item) {
+        return item.fenced == mark.fenced && item.marker == mark.marker;
+    });
+    if (known || queued) {
+        return;
+    }
+    for (const wire::Charge& item : report.charges()) {
+        mark.charges.push_back(decode_charge(item, incarnation_id{}));
+    }
+    marks_.push_back(std::move(mark));
+}
+
+void entry::send_marks() {
+    if (marks_.empty() || !active_ || !control_->idle()) {
+        return;
+    }
+    control_->submit(marks_record{std::exchange(marks_, {})});
+}
+
+void entry::update_gauges(instant now) {
+    metrics_.gauge("requests_under_way") = static_cast<double>(flows_.size());
+    metrics_.gauge("control_offset") = static_cast<double>(raw(control_->position()));
+    metrics_.gauge("configuration_version") =
+        static_cast<double>(control_->state().config().version());
+    metrics_.gauge("log_healthy") = control_->log_healthy(now) ? 1.0 : 0.0;
+    metrics_.gauge("bus_sent_bytes") = static_cast<double>(bus_->bytes_sent());
+    metrics_.gauge("bus_received_bytes") = static_cast<double>(bus_->bytes_received());
+}
+
+void entry::drain(std::function<void()> done) {
+    drained_ = std::move(done);
+    drain_until_ = monotonic_now() + settings_.process.longest_drain;
+    timeline_.add(timeline_kind::drain_started, "", {}, {}, "");
+    log_event(log_level::information, "drain_started",
+              {{"requests", std::to_string(flows_.size())}});
+    caller_server_->stop_listening();
+    homes_->start_drain();
+    finish_drain_if_idle();
+}
+
+void entry::finish_drain_if_idle() {
+    if (drained_ == nullptr) {
+        return;
+    }
+    const bool empty = flows_.empty() && homes_->idle();
+    if (empty && active_ && !closing_) {
+        closing_ = true;
+        control_->submit(close_record{});
+        return;
+    }
+    const bool closed = closing_ && control_->idle();
+    if (!closed && monotonic_now() < drain_until_ && active_) {
+        return;
+    }
+    log_event(log_level::information, "drain_ended",
+              {{"closed", closed ? "yes" : "no"}, {"requests", std::to_string(flows_.size())}});
+    const auto ended = std::exchange(drained_, nullptr);
+    ended();
+}
+
+int run_entry(const entry_settings& settings) {
+    event_loop loop;
+    entry process(loop, settings);
+    const result<void> started = process.start();
+    if (!started) {
+        constexpr int exit_unavailable = 3;
+        log_event(log_level::error, "start_failed", {{"finding", started.error().message}});
+        return exit_unavailable;
+    }
+    loop.on_stop_signal([&loop, &process] { process.drain([&loop] { loop.stop(); }); });
+    loop.run();
+    return 0;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/entry/entry.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "roles/entry/entry_settings.hpp"
+#include "roles/entry/fleet_view.hpp"
+#include "roles/entry/home_desk.hpp"
+#include "roles/entry/operator_desk.hpp"
+#include "roles/entry/request_flow.hpp"
+#include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/core/timeline.hpp"
+#include "wrenswitch/drivers/control_replica.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+#include "wrenswitch/drivers/http_server.hpp"
+#include "wrenswitch/drivers/message_bus.hpp"
+
+namespace wrenswitch {
+
+/// The process on an entry host: callers' and operators' server, home of budgets, and router.
+class entry {
+public:
+    entry(event_loop& loop, const entry_settings& settings);
+    ~entry();
+    entry(const entry&) = delete;
+    entry& operator=(const entry&) = delete;
+
+    /// Binds and begins to read the control stream. An error if an address is taken.
+    result<void> start();
+
+    /// Takes no new requests; calls the hook once all have ended and all grants are back.
+    void drain(std::function<void()> done);
+
+private:
+    void on_message(const message_origin& origin, const wire::Envelope& message);
+    void on_pong(const wire::Pong& pong);
+    void handle_caller(const http_exchange_pointer& exchange);
+    void handle_operator(const http_exchange_pointer& exchange);
+    void start_request(const http_exchange_pointer& exchange);
+    void list_models(const http_exchange_pointer& exchange);
+    bool ready() const;
+
+    void register_self();
+    void on_control_applied(const control_record& record, const control_effect& effect);
+    void on_control_caught_up();
+    void on_control_restored();
+    void on_own_fence();
+    void tick();
+    void watch(instant now);
+    void watch_guards_in_use(instant now);
+    void send_ping(incarnation_id to);
+    void mark_guard_fences();
+    void collect_mark(const wire::MarkReport& report);
+    void send_marks();
+    void update_gauges(instant now);
+    void finish_drain_if_idle();
+    request_flow* flow(std::uint64_t request);
+
+    event_loop& loop_;
+    const entry_settings& settings_;
+    random_source random_;
+    metrics metrics_;
+    timeline timeline_;
+    retry_budget retries_;
+    std::unique_ptr<log_service> log_;
+    std::unique_ptr<message_bus> bus_;
+    std::unique_ptr<control_replica> control_;
+    std::unique_ptr<target_picker> picker_;
+    std::unique_ptr<fleet_view> fleet_;
+    std::unique_ptr<home_desk> homes_;
+    std::unique_ptr<operator_desk> operators_;
+    std::unique_ptr<http_server> caller_server_;
+    std::unique_ptr<http_server> operator_server_;
+    incarnation_id own_{};
+    bool registering_ = false;
+    bool active_ = false;
+    bool closing_ = false;
+    bool fleet_changed_ = false;
+    instant drain_until_{};
+    std::function<void()> drained_;
+    std::unordered_map<std::uint64_t, std::shared_ptr<request_flow>> flows_;
+    std::map<incarnation_id, instant> last_ping_;
+    /// Marks that came from guards and are not appended yet.
+    std::vector<fence_mark> marks_;
+    std::set<incarnation_id> fences_sent_;
+    std::unique_ptr<timer> tick_;
+    std::unique_ptr<timer> pump_timer_;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/entry/entry_settings.cpp
@@ -0,0 +1,108 @@
+#include "roles/entry/entry_settings.hpp"
+
+#include <array>
+
+#include "wrenswitch/roles/entry.hpp"
+
+namespace wrenswitch {
+namespace {
+
+constexpr std::int64_t most_port = 65'535;
+constexpr std::int64_t most_body_bytes = 1LL << 30;
+constexpr std::int64_t day_ms = 86'400'000;
+constexpr std::size_t sha256_letters = 64;
+constexpr std::array<std::string_view, 2> scope_names{"region", "failure_domain"};
+constexpr std::array<std::string_view, 4> policy_names{"even_split", "demand_share",
+                                                       "capped_reserve", "shared_reserve"};
+constexpr std::array<std::string_view, 4> routing_names{"random", "least_loaded", "two_choices",
+                                                        "expected_wait"};
+
+template <std::size_t Size>
+std::size_t index_of(const std::array<std::string_view, Size>& names, std::string_view name) {
+    for (std::size_t index = 0; index < Size; ++index) {
+        if (names[index] == name) {
+            return index;
+        }
+    }
+    return 0;
+}
+
+/// Reads keys written as "role:sha256".
+std::vector<operator_key> read_operator_keys(settings_reader& reader, findings& problems) {
+    constexpr std::array<std::string_view, 3> roles{"read", "change", "release"};
+    std::vector<operator_key> keys;
+    std::size_t place = 0;
+    for (const std::string& text : reader.texts_or_empty("operator_keys")) {
+        const std::size_t colon = text.find(':');
+        const std::string role = text.substr(0, colon);
+        const std::string sha256 = colon == std::string::npos ? "" : text.substr(colon + 1);
+        bool known = false;
+        for (const std::string_view name : roles) {
+            known = known || name == role;
+        }
+        if (!known || sha256.size() != sha256_letters) {
+            problems.add("/operator_keys/" + std::to_string(place), "\"" + text + "\"",
+                         "read, change or release, a colon and the key's SHA-256 in 64 digits");
+        }
+        keys.push_back({static_cast<operator_role>(index_of(roles, role)), sha256});
+        ++place;
+    }
+    return keys;
+}
+
+http_server_settings read_server(settings_reader& reader, const std::string& prefix) {
+    http_server_settings server;
+    server.address = reader.text_or(prefix + "_address", "127.0.0.1");
+    server.port =
+        static_cast<std::uint16_t>(reader.integer_or(prefix + "_port", 0, 0, most_port));
+    server.certificate_file = reader.text_or(prefix + "_certificate_file", "");
+    server.private_key_file = reader.text_or(prefix + "_private_key_file", "");
+    return server;
+}
+
+std::string optional_choice(settings_reader& reader, std::string_view name,
+                            std::span<const std::string_view> allowed, std::string_view fallback) {
+    if (reader.text_or(name, "").empty()) {
+        return std::string(fallback);
+    }
+    return reader.choice(name, allowed);
+}
+
+}  // namespace
+
+std::shared_ptr<const entry_settings> read_entry_settings(std::string_view text,
+                                                          findings& problems) {
+    settings_reader reader = settings_reader::parse(text, problems);
+    auto settings = std::make_shared<entry_settings>();
+    settings->process = read_process_settings(reader, problems);
+    settings->callers = read_server(reader, "caller");
+    settings->callers.most_body_bytes = static_cast<std::size_t>(
+        reader.integer_or("most_body_bytes", 4LL << 20, 1, most_body_bytes));
+    settings->operators = read_server(reader, "operator");
+    settings->operator_keys = read_operator_keys(reader, problems);
+    settings->scope = static_cast<home_scope>(
+        index_of(scope_names, optional_choice(reader, "home_scope", scope_names, "region")));
+    settings->policy =
+        optional_choice(reader, "grant_policy", policy_names, settings->policy);
+    settings->grants.reserve_share =
+        reader.number_or("reserve_share", settings->grants.reserve_share, 0.0, 1.0);
+    settings->grants.cut_off_horizon =
+        milliseconds(reader.integer_or("cut_off_horizon_ms", 3'600'000, 1000, day_ms));
+    settings->grants.working_horizon =
+        milliseconds(reader.integer_or("working_horizon_ms", 20'000, 1000, day_ms));
+    settings->routing.policy = static_cast<routing_policy>(index_of(
+        routing_names, optional_choice(reader, "routing_policy", routing_names, "expected_wait")));
+    settings->routing.subset_size =
+        static_cast<std::size_t>(reader.integer_or("target_subset", 12, 1, 10'000));
+    settings->routing.failure_domain = settings->process.failure_domain;
+    settings->settle_period = milliseconds(reader.integer_or("settle_period_ms", 1000, 10, 60'000));
+    settings->token_wait = milliseconds(reader.integer_or("token_wait_ms", 400, 0, 60'000));
+    settings->fence_after = milliseconds(reader.integer_or("fence_after_ms", 5000, 500, day_ms));
+    settings->default_deadline =
+        milliseconds(reader.integer_or("default_deadline_ms", 60'000, 100, day_ms));
+    settings->retry_share = reader.number_or("retry_share", settings->retry_share, 0.0, 1.0);
+    reader.finish();
+    return settings;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/guard/guard.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "drivers/bus_codec.hpp"
+#include "roles/guard/guard_settings.hpp"
+#include "roles/guard/target_call.hpp"
+#include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/core/timeline.hpp"
+#include "wrenswitch/decision/guard/charge_book.hpp"
+#include "wrenswitch/drivers/control_replica.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+#include "wrenswitch/drivers/http_server.hpp"
+#include "wrenswitch/drivers/message_bus.hpp"
+
+namespace wrenswitch {
+
+/// The process beside a target: the only way to it.
+class guard {
+public:
+    guard(event_loop& loop, const guard_settings& settings);
+
+    /// Binds and begins to read the control stream. An error if an address is taken.
+    result<void> start();
+
+    /// Takes no new work; calls the hook once all is ended and reported, or time is up.
+    void drain(std::function<void()> done);
+
+private:
+    /// Who wants an answer: an entry's request, over the connection it came by.
+    struct listener {
+        message_origin origin;
+        std::uint64_t request = 0;
+        attempt_id attempt{};
+    };
+
+    /// An attempt that waits or runs.
+    struct attempt_state {
+        wire::Dispatch dispatch;
+        ticket used;
+        std::vector<listener> listeners;
+        std::string request_name;
+        std::unique_ptr<target_call> call;
+        unsigned status = 0;
+        std::string content_type;
+        std::uint32_t next_chunk = 0;
+        bool started = false;
+    };
+
+    /// A dispatch that came before the records it depends on.
+    struct early_dispatch {
+        message_origin origin;
+        wire::Dispatch dispatch;
+        instant until{};
+    };
+
+    void on_message(const message_origin& origin, const wire::Envelope& message);
+    void on_dispatch(const message_origin& origin, const wire::Dispatch& dispatch);
+    void take_in(const message_origin& origin, const wire::Dispatch& dispatch);
+    refusal_reason reason_against(const wire::Dispatch& dispatch) const;
+    void on_join(const message_origin& origin, const wire::Join& join);
+    void on_cancel(const wire::Cancel& cancel);
+    void on_void(const message_origin& origin, const wire::VoidRequest& request);
+    void on_charge_ack(const wire::ChargeAck& ack);
+    void on_ping(const message_origin& origin, const wire::Ping& ping);
+
+    void pump();
+    void start_attempt(const queued_request& next);
+    void on_head(attempt_id id, unsigned status, std::string_view content_type);
+    void on_piece(attempt_id id, std::string_view piece);
+    void on_end(attempt_id id, const target_end& end);
+    void send_end(const listener& to, std::uint32_t chunks, bool whole, tokens cost);
+    void send_chunk(const listener& to, std::uint32_t index, unsigned status,
+                    std::string_view content_type, std::string_view data);
+    void refuse(const message_origin& origin, std::uint64_t request, attempt_id attempt,
+                refusal_reason reason);
+    void refuse_queued(const queued_request& item, refusal_reason reason);
+    void accept(const listener& to, bool started);
+    wire::LoadReport load() const;
+
+    void on_control_applied(const control_record& record, const control_effect& effect);
+    void on_control_caught_up();
+    void register_self();
+    void tick();
+    void report_charges();
+    void send_charges(const std::vector<charge>& list);
+    void send_marks();
+    void retry_early();
+    void poll_target_load();
+    std::string home_of(const charge& owed) const;
+    std::string any_entry() const;
+    void finish_drain_if_idle();
+    void handle_http(const http_exchange_pointer& exchange);
+
+    event_loop& loop_;
+    const guard_settings& settings_;
+    random_source random_;
+    metrics metrics_;
+    timeline timeline_;
+    std::unique_ptr<log_service> log_;
+    std::unique_ptr<message_bus> bus_;
+    std::unique_ptr<http_server> server_;
+    std::unique_ptr<control_replica> control_;
+    std::unique_ptr<charge_book> book_;
+    std::unique_ptr<concurrency_limiter> limiter_;
+    admission_queue queue_;
+    answer_buffer answers_;
+    http_client target_;
+    incarnation_id own_{};
+    bool registering_ = false;
+    bool active_ = false;
+    bool leaving_ = false;
+    bool closing_ = false;
+    instant drain_until_{};
+    std::function<void()> drained_;
+    std::unordered_map<attempt_id, attempt_state> attempts_;
+    /// The attempt that makes the answer to a key, while it runs.
+    std::unordered_map<digest, attempt_id> running_keys_;
+    std::deque<early_dispatch> early_;
+    std::unordered_map<ticket_id, std::string> holder_endpoints_;
+    unsigned target_failures_ = 0;
+    instant target_down_until_{};
+    double target_batch_ = -1.0;
+    double target_queue_ = -1.0;
+    double target_memory_ = -1.0;
+    std::unique_ptr<http_call> load_call_;
+    std::unique_ptr<timer> tick_;
+    std::unique_ptr<timer> charge_timer_;
+    std::unique_ptr<timer> load_timer_;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/guard/guard_settings.cpp
@@ -0,0 +1,51 @@
+#include "roles/guard/guard_settings.hpp"
+
+#include "wrenswitch/roles/guard.hpp"
+
+namespace wrenswitch {
+namespace {
+
+constexpr std::int64_t most_port = 65'535;
+constexpr std::int64_t most_concurrency = 100'000;
+constexpr std::int64_t most_queue = 1'000'000;
+constexpr std::int64_t most_buffer_bytes = 1LL << 32;
+constexpr std::int64_t longest_keep_ms = 86'400'000;
+
+}  // namespace
+
+std::shared_ptr<const guard_settings> read_guard_settings(std::string_view text,
+                                                          findings& problems) {
+    settings_reader reader = settings_reader::parse(text, problems);
+    auto settings = std::make_shared<guard_settings>();
+    settings->process = read_process_settings(reader, problems);
+    settings->service = reader.text("service");
+    settings->target = read_address(reader, "target", problems);
+    settings->operator_address = reader.text_or("operator_address", "127.0.0.1");
+    settings->operator_port =
+        static_cast<std::uint16_t>(reader.integer_or("operator_port", 0, 0, most_port));
+    settings->limiter = reader.text_or("limiter", settings->limiter);
+    if (!limiter_named(settings->limiter, {})) {
+        problems.add("/limiter", settings->limiter, "static, aimd, gradient or token_pace");
+    }
+    limiter_settings& limits = settings->limits;
+    limits.least = static_cast<unsigned>(
+        reader.integer_or("least_concurrency", limits.least, 1, most_concurrency));
+    limits.most = static_cast<unsigned>(
+        reader.integer_or("most_concurrency", limits.most, 1, most_concurrency));
+    limits.initial = static_cast<unsigned>(
+        reader.integer_or("initial_concurrency", limits.initial, 1, most_concurrency));
+    if (limits.least > limits.most) {
+        problems.add("/least_concurrency", std::to_string(limits.least),
+                     "at most most_concurrency");
+    }
+    settings->admission.most_queued =
+        static_cast<std::size_t>(reader.integer_or("queue_length", 256, 0, most_queue));
+    settings->answers.most_bytes = static_cast<std::size_t>(
+        reader.integer_or("answer_buffer_bytes", 32LL << 20, 0, most_buffer_bytes));
+    settings->answers.keep_ended_for =
+        milliseconds(reader.integer_or("answer_keep_ms", 300'000, 0, longest_keep_ms));
+    reader.finish();
+    return settings;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/guard/guard_settings.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "roles/shared/platform_settings.hpp"
+#include "wrenswitch/decision/guard/admission_queue.hpp"
+#include "wrenswitch/decision/guard/answer_buffer.hpp"
+#include "wrenswitch/decision/limits/concurrency_limiter.hpp"
+
+namespace wrenswitch {
+
+/// The settings of a guard.
+struct guard_settings {
+    process_settings process;
+    std::string service;
+    http_address target;
+    std::string operator_address = "127.0.0.1";
+    std::uint16_t operator_port = 0;
+    std::string limiter = "token_pace";
+    limiter_settings limits;
+    admission_settings admission;
+    answer_buffer_settings answers;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/tests/core/placeholder.cpp
@@ -0,0 +1,1 @@
+#include <boost/test/unit_test.hpp>
