Begin a reply only after evhtp has parsed the request

Cause: a streamed reply that began inside evhtp's request callback was dropped with its connection: the callback had paused the request, and evhtp takes any other status after it for a parse error. Ruled out: the chunked encoding and the client, since curl saw an empty reply too. Handlers now run one turn of the loop later.

--- a/src/drivers/http_server.cpp
+++ b/src/drivers/http_server.cpp
@@ -234,7 +234,8 @@
 class evhtp_server final : public http_server {
 public:
     evhtp_server(event_loop& loop, const http_server_settings& settings, http_handler handler)
-        : handler_(std::move(handler)),
+        : loop_(loop),
+          handler_(std::move(handler)),
           settings_(settings),
           server_(evhtp_new(loop.base(), nullptr)) {
         evhtp_set_gencb(server_, &evhtp_server::on_request, this);
@@ -244,6 +245,7 @@
     }
 
     ~evhtp_server() override {
+        *alive_ = false;
         stop_listening();
         evhtp_free(server_);
     }
@@ -290,7 +292,12 @@
         auto* self = static_cast<evhtp_server*>(argument);
         const auto exchange = std::make_shared<evhtp_exchange>(request);
         exchange->hold();
-        self->handler_(exchange);
+        // evhtp drops a connection whose reply begins while the request is still being parsed.
+        self->loop_.call_after(microseconds(0), [alive = self->alive_, self, exchange] {
+            if (*alive && !exchange->closed()) {
+                self->handler_(exchange);
+            }
+        });
     }
 
     static evhtp_res on_accept(evhtp_connection_t* connection, void* argument) {
@@ -343,11 +350,13 @@
         return EVHTP_RES_ERROR;
     }
 
+    event_loop& loop_;
     http_handler handler_;
     http_server_settings settings_;
     evhtp_ssl_cfg_t tls_{};
     evhtp_t* server_;
     bool listening_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace
