--- /dev/null
+++ b/tests/core/settings_reader_test.cpp
@@ -0,0 +1,44 @@
+#include "wrenswitch/core/settings_reader.hpp"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace wrenswitch;
+
+struct settings_fixture {
+    findings problems;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(settings_reader_test, settings_fixture)
+
+BOOST_AUTO_TEST_CASE(settings_with_several_mistakes_get_all_findings) {
+    settings_reader reader =
+        settings_reader::parse(R"({"port": 70000, "host": "", "spare": 1, "list": [1]})", problems);
+    reader.integer("port", 0, 65535);
+    reader.text("host");
+    reader.text("region");
+    reader.texts_or_empty("list");
+    reader.finish();
+    BOOST_REQUIRE(problems.items().size() == 5U);
+    BOOST_TEST(problems.items()[0].place == "/port");
+    BOOST_TEST(problems.items()[0].allowed == "a whole number from 0 to 65535");
+    BOOST_TEST(problems.items()[2].found == "nothing");
+    BOOST_TEST(problems.items()[4].place == "/spare");
+}
+
+BOOST_AUTO_TEST_CASE(settings_that_are_not_json_name_the_byte) {
+    settings_reader::parse("{\"a\": ", problems);
+    BOOST_REQUIRE(problems.items().size() == 1U);
+    BOOST_TEST(problems.items()[0].place.substr(0, 5) == "byte ");
+}
+
+BOOST_AUTO_TEST_CASE(settings_that_are_no_object_are_a_finding) {
+    settings_reader::parse("[1, 2]", problems);
+    BOOST_TEST(problems.items().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/decision/guard/admission_queue_test.cpp
@@ -0,0 +1,68 @@
+#include "wrenswitch/decision/guard/admission_queue.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace wrenswitch;
+
+struct queue_fixture {
+    admission_queue queue{{3, seconds(2)}};
+    instant now{};
+    std::uint64_t next = 1;
+    std::optional<queued_request> displaced;
+
+    refusal_reason push(const char* account, std::uint32_t priority, tokens bound = 10) {
+        return queue.push(
+            {attempt_id{next++}, account, priority, bound, now, now + seconds(30)}, displaced);
+    }
+
+    std::uint64_t pop() { return raw(queue.pop(now)->attempt); }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(admission_queue_test, queue_fixture)
+
+BOOST_AUTO_TEST_CASE(pop_takes_the_most_urgent_first) {
+    push("a", 3);
+    push("a", 1);
+    BOOST_TEST(pop() == 2U);
+    BOOST_TEST(pop() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(pop_takes_one_that_waited_long_before_a_more_urgent_one) {
+    push("a", 2);
+    now += seconds(5);
+    push("b", 1);
+    BOOST_TEST(pop() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(pop_lets_accounts_take_turns_by_tokens) {
+    push("large", 1, 1000);
+    push("large", 1, 1000);
+    push("small", 1, 10);
+    BOOST_TEST(pop() == 1U);
+    BOOST_TEST(pop() == 3U);
+    BOOST_TEST(pop() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(push_into_a_full_queue_is_refused_unless_it_is_more_urgent) {
+    push("a", 1);
+    push("a", 2);
+    push("a", 2);
+    BOOST_TEST((push("a", 2) == refusal_reason::queue_full));
+    BOOST_TEST((push("a", 0) == refusal_reason::none));
+    BOOST_REQUIRE(displaced.has_value());
+    BOOST_TEST(displaced->priority == 2U);
+    BOOST_TEST(queue.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(take_hopeless_removes_what_cannot_meet_its_deadline) {
+    push("a", 1);
+    now += seconds(29);
+    BOOST_TEST(queue.take_hopeless(now, seconds(2)).size() == 1U);
+    BOOST_TEST(queue.size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
