Specify budgets and single runs in Promela, with broken variants

A void that a restarted guard takes says nothing of its predecessor: the entry and the home already compare incarnations, now as variant ANY_INCARNATION.

--- /dev/null
+++ b/spec/checks.sh
@@ -0,0 +1,14 @@
+# What must hold and what must fail; read by scripts/check_models.sh.
+check budget.pml holds
+check budget.pml fails -DNO_MARKS
+check budget.pml fails -DVOUCH
+check budget.pml fails -DEARLY_WORK
+check budget.pml fails -DNO_KEYS
+check budget.pml fails -DNO_SECOND_COPY
+check budget.pml fails -DSETTLE_TWICE
+check requests.pml holds
+check requests.pml fails -DNO_CLAIM
+check requests.pml fails -DNO_VOID
+check requests.pml fails -DEARLY_ANSWER
+check requests.pml fails -DANY_INCARNATION
+check requests.pml fails -DOLD_TICKETS
