Refuse tickets that are older than the guard's registration

Cause: a guard that restarts has forgotten which tickets its predecessor voided, so a dispatch that another process held back could still run after a home had freed the ticket; Spin shows it (requests.pml -DOLD_TICKETS). A ticket now carries how far its home had read the control stream, and a guard that registered later refuses it as not run; the entry tries another.

--- a/include/wrenswitch/decision/guard/refusal.hpp
+++ b/include/wrenswitch/decision/guard/refusal.hpp
@@ -26,6 +26,8 @@
     wrong_service,
     /// The caller went away before it ran.
     cancelled,
+    /// The ticket was issued before the guard registered.
+    predates,
 };
 
 /// The name of a reason as counters and replies show it.
--- a/include/wrenswitch/decision/home/budget_home.hpp
+++ b/include/wrenswitch/decision/home/budget_home.hpp
@@ -83,6 +83,9 @@
     /// The offset up to which guards must have read before they take a ticket.
     void set_least_control_offset(log_offset offset) { least_control_offset_ = offset; }
 
+    /// How far this process has read the control stream, for the tickets that it issues.
+    void set_control_offset(log_offset offset) { control_offset_ = offset; }
+
     /// Another writer settled a charge in this shard.
     void observe_settlement(instant now, budget_id budget, tokens amount);
 
@@ -189,6 +192,7 @@
     std::uint64_t settlements_queued_ = 0;
     std::uint64_t settlements_applied_ = 0;
     log_offset least_control_offset_{};
+    log_offset control_offset_{};
     bool batch_under_way_ = false;
     bool log_reachable_ = true;
     bool draining_ = false;
--- a/include/wrenswitch/decision/home/ticket.hpp
+++ b/include/wrenswitch/decision/home/ticket.hpp
@@ -21,6 +21,9 @@
     /// A guard that has read less of the control stream than this refuses the ticket: it might be
     /// fenced without knowing it.
     log_offset least_control_offset{};
+    /// How far the home had read the control stream when it issued the ticket. A guard that
+    /// registered later refuses it: a predecessor of that guard may have voided the ticket.
+    log_offset issued_control_offset{};
 };
 
 }  // namespace wrenswitch
--- a/src/decision/guard/charge_book.cpp
+++ b/src/decision/guard/charge_book.cpp
@@ -11,6 +11,9 @@
     if (control_offset < offered.least_control_offset) {
         return refusal_reason::behind;
     }
+    if (offered.issued_control_offset < control_.find(own_)->registered_at) {
+        return refusal_reason::predates;
+    }
     if (voided_.count(offered.id) > 0) {
         return refusal_reason::voided;
     }
--- a/src/decision/guard/refusal.cpp
+++ b/src/decision/guard/refusal.cpp
@@ -5,9 +5,10 @@
 namespace wrenswitch {
 
 std::string_view name_of(refusal_reason reason) {
-    constexpr std::array<std::string_view, 12> names{
+    constexpr std::array<std::string_view, 13> names{
         "none",   "queue_full",      "deadline",    "leaving",        "fenced",        "behind",
-        "voided", "repeated_ticket", "target_down", "no_answer_kept", "wrong_service", "cancelled"};
+        "voided", "repeated_ticket", "target_down", "no_answer_kept", "wrong_service", "cancelled",
+                                                  "predates"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
@@ -19,6 +20,7 @@
         case refusal_reason::behind:
         case refusal_reason::target_down:
         case refusal_reason::wrong_service:
+        case refusal_reason::predates:
             return true;
         default:
             return false;
--- a/src/decision/home/budget_home.cpp
+++ b/src/decision/home/budget_home.cpp
@@ -118,7 +118,8 @@
                             budget,
                             ask.key,
                             ask.bound,
-                            least_control_offset_};
+                            least_control_offset_,
+                            control_offset_};
     account_of(budget).reserved += ask.bound;
     issued_ticket issued;
     issued.value = answer.granted;
--- a/src/drivers/bus_codec.cpp
+++ b/src/drivers/bus_codec.cpp
@@ -10,7 +10,7 @@
 using refusal_pair = std::pair<refusal_reason, wire::RefusalReason>;
 using outcome_pair = std::pair<reservation_outcome, wire::ReserveOutcome>;
 
-constexpr std::array<refusal_pair, 11> refusals{{
+constexpr std::array<refusal_pair, 12> refusals{{
     {refusal_reason::queue_full, wire::REFUSAL_QUEUE_FULL},
     {refusal_reason::deadline, wire::REFUSAL_DEADLINE},
     {refusal_reason::leaving, wire::REFUSAL_LEAVING},
@@ -22,6 +22,7 @@
     {refusal_reason::no_answer_kept, wire::REFUSAL_NO_ANSWER_KEPT},
     {refusal_reason::wrong_service, wire::REFUSAL_WRONG_SERVICE},
     {refusal_reason::cancelled, wire::REFUSAL_CANCELLED},
+    {refusal_reason::predates, wire::REFUSAL_PREDATES},
 }};
 
 constexpr std::array<outcome_pair, 8> outcomes{{
@@ -60,6 +61,7 @@
     out.set_key_low(value.key.low);
     out.set_bound(value.bound);
     out.set_least_control_offset(raw(value.least_control_offset));
+    out.set_issued_control_offset(raw(value.issued_control_offset));
 }
 
 ticket decode_ticket(const wire::Ticket& in) {
@@ -69,7 +71,8 @@
             budget_id{in.budget()},
             digest{in.key_high(), in.key_low()},
             in.bound(),
-            log_offset{in.least_control_offset()}};
+            log_offset{in.least_control_offset()},
+            log_offset{in.issued_control_offset()}};
 }
 
 wire::RefusalReason encode_refusal(refusal_reason reason) {
--- a/src/roles/entry/home_desk.cpp
+++ b/src/roles/entry/home_desk.cpp
@@ -146,6 +146,7 @@
         done(answer);
     };
     target.home->set_log_reachable(target.replica->log_healthy(now));
+    target.home->set_control_offset(parts_.control.position());
     // The answer may come while the ask is being made, so the hook is put in place first.
     target.parked[numbered.request] = told;
     const std::optional<reservation_answer> answer = target.home->reserve(now, numbered);
@@ -329,6 +330,7 @@
     }
     for (auto& [index, item] : shards_) {
         item->home->set_log_reachable(item->replica->log_healthy(now));
+        item->home->set_control_offset(parts_.control.position());
         item->replica->tick(now);
         std::vector<waiting_ask> still;
         for (waiting_ask& waiting : item->early) {
--- a/tests/decision/guard/charge_book_test.cpp
+++ b/tests/decision/guard/charge_book_test.cpp
@@ -30,6 +30,7 @@
         made.id = ticket_id{id};
         made.holder = home;
         made.bound = 100;
+        made.issued_control_offset = log_offset{2};
         return made;
     }
 
@@ -68,6 +69,12 @@
     BOOST_TEST((start(later) == refusal_reason::behind));
 }
 
+BOOST_AUTO_TEST_CASE(ticket_issued_before_the_guard_registered_is_refused) {
+    ticket early = ticket_of(1);
+    early.issued_control_offset = log_offset{1};
+    BOOST_TEST((start(early) == refusal_reason::predates));
+}
+
 BOOST_AUTO_TEST_CASE(ticket_at_a_guard_that_is_fenced_itself_is_refused) {
     append(home, fence_record{guard});
     BOOST_TEST((start(ticket_of(1)) == refusal_reason::fenced));
