--- a/src/main/wrenload/main.cpp
+++ b/src/main/wrenload/main.cpp
@@ -13,13 +13,14 @@
 
 const std::map<std::string, subcommand, std::less<>>& subcommands() {
     using namespace wrenswitch::load;
-    static const std::map<std::string, subcommand, std::less<>> all{{"run", run_load}};
+    static const std::map<std::string, subcommand, std::less<>> all{
+        {"run", run_load}, {"policy-budget", run_policy_budget}};
     return all;
 }
 
 void print_usage(std::ostream& out) {
     out << "Open-loop load and experiments.\n"
-           "Usage: wrenload run [options]\n"
+           "Usage: wrenload run|policy-budget [options]\n"
            "       wrenload SUBCOMMAND --help shows its options.\n";
 }
 
