Give way to the first waiter and size reserves by long-run shares

Causes, each seen in the experiment before it was changed: - near a budget's end every home kept its own part, so that a last request that needed all of it was refused everywhere. Now what is free goes to the home that waits first in the ledger, also from homes that wait too. - a two-minute estimate of a small budget's demand is mostly chance, and demand in an hour is not that of the hour before.

--- a/include/wrenswitch/decision/home/budget_home.hpp
+++ b/include/wrenswitch/decision/home/budget_home.hpp
@@ -31,8 +31,9 @@
     grant_policy policy;
     /// The number of homes that a budget can have.
     unsigned homes = 1;
-    /// How long the estimate of demand remembers.
-    microseconds demand_memory = seconds(120);
+    /// How long the estimates of demand remember: for bursts, and for a home's share of demand.
+    microseconds recent_memory = seconds(60);
+    microseconds demand_memory = seconds(1800);
     /// After this, a ticket of which nothing was heard is asked for at the guards.
     microseconds ticket_doubt_after = seconds(30);
     /// What a first request is assumed to need, so that a budget is drawn on before it comes.
@@ -89,6 +90,9 @@
     /// Another writer settled a charge in this shard.
     void observe_settlement(instant now, budget_id budget, tokens amount);
 
+    /// Another home's request waits for tokens of this budget.
+    void need_seen(instant now, budget_id budget) { consult_policy(now, budget); }
+
     /// To be called after records were applied to the ledger.
     void ledger_changed(instant now);
 
@@ -137,6 +141,7 @@
         bool drawing = false;
         /// What requests cost lately, as a share of their bounds.
         double cost_share = 1.0;
+        demand_estimator recent_demand;
         demand_estimator demand;
         demand_estimator demand_of_all;
     };
@@ -158,6 +163,7 @@
     account& account_of(budget_id budget);
     std::optional<reservation_answer> answer_from_key(const reservation_ask& ask) const;
     reservation_answer grant(instant now, const reservation_ask& ask, budget_id budget);
+    void note_demand(instant now, account& local, tokens amount);
     void note_refused_demand(instant now, const reservation_ask& ask, budget_id budget);
     reservation_answer refusal_of(const reservation_ask& ask, budget_id budget) const;
     bool can_never_pay(const reservation_ask& ask, const budget_state& budget) const;
--- a/include/wrenswitch/decision/home/grant_policy.hpp
+++ b/include/wrenswitch/decision/home/grant_policy.hpp
@@ -18,12 +18,17 @@
     tokens free = 0;
     /// What all homes together hold.
     tokens held_by_all = 0;
-    /// What requests wait for here, and at other homes.
+    /// What requests wait for here.
     tokens need = 0;
-    tokens need_elsewhere = 0;
-    /// Tokens a second that are asked for here, and that are settled by all homes.
+    /// What the first home in the ledger's queue waits for, if that is another one.
+    tokens first_need_elsewhere = 0;
+    /// Tokens a second that are asked for here: lately, and over a longer time.
+    double recent_demand = 0.0;
     double demand = 0.0;
+    /// What all homes settle over the longer time.
     double demand_of_all = 0.0;
+    /// How long the longer time is.
+    microseconds demand_memory{0};
     /// The largest reservation seen lately.
     tokens largest_bound = 0;
     /// The number of homes that a budget can have: one a region or failure domain.
@@ -45,8 +50,9 @@
 struct grant_policy_settings {
     /// How long the held tokens should last while the log can be reached.
     microseconds working_horizon = seconds(20);
-    /// How long they should last when it cannot.
-    microseconds cut_off_horizon = seconds(3600);
+    /// How long they should last when it cannot. Longer than the cut-offs that are expected, since
+    /// demand in one hour is not that of the hour before.
+    microseconds cut_off_horizon = seconds(7200);
     /// The share of what is left that all homes together may hold back against a cut-off. Higher
     /// serves a cut-off longer; lower leaves fewer tokens in doubt after a crash.
     double reserve_share = 0.9;
--- a/src/decision/home/budget_home.cpp
+++ b/src/decision/home/budget_home.cpp
@@ -173,7 +173,12 @@
 void budget_home::note_refused_demand(instant now, const reservation_ask& ask, budget_id budget) {
     account& local = account_of(budget);
     const double expected = local.cost_share * static_cast<double>(ask.bound);
-    local.demand.add(now, static_cast<tokens>(expected));
+    note_demand(now, local, static_cast<tokens>(expected));
+}
+
+void budget_home::note_demand(instant now, account& local, tokens amount) {
+    local.recent_demand.add(now, amount);
+    local.demand.add(now, amount);
 }
 
 void budget_home::answer_parked(std::size_t index, const reservation_answer& answer) {
@@ -277,7 +282,7 @@
     local.reserved -= issued->value.bound;
     local.unsettled += ended.amount;
     unsettled_[ended.ticket] = ended.amount;
-    local.demand.add(now, ended.amount);
+    note_demand(now, local, ended.amount);
     const double share = static_cast<double>(ended.amount) /
                          static_cast<double>(std::max<tokens>(issued->value.bound, 1));
     local.cost_share += cost_share_weight * (share - local.cost_share);
@@ -441,7 +446,7 @@
     if (decision.give_back > 0 && view.free >= decision.give_back) {
         local.returning = decision.give_back;
         pending_.emplace_back(return_operation{budget, decision.give_back});
-        urgent_ = urgent_ || view.need_elsewhere > 0;
+        urgent_ = urgent_ || view.first_need_elsewhere > 0;
     }
 }
 
@@ -456,10 +461,14 @@
         view.held_by_all += item.outstanding;
     }
     view.need = local.need;
-    for (const waiting_need& item : state.waiting) {
-        view.need_elsewhere += item.holder == settings_.incarnation ? 0 : item.need;
+    const bool other_first =
+        !state.waiting.empty() && state.waiting.front().holder != settings_.incarnation;
+    if (other_first) {
+        view.first_need_elsewhere = state.waiting.front().need;
     }
+    view.recent_demand = local.recent_demand.rate(now);
     view.demand = local.demand.rate(now);
+    view.demand_memory = settings_.demand_memory;
     view.demand_of_all = local.demand_of_all.rate(now);
     view.largest_bound = std::max(local.largest_bound, settings_.assumed_bound);
     view.homes = settings_.homes;
@@ -560,8 +569,9 @@
     if (found != accounts_.end()) {
         return found->second;
     }
+    const demand_estimator recent(settings_.recent_memory);
     const demand_estimator fresh(settings_.demand_memory);
-    account local{0, 0, 0, 0, 0, 0, false, 1.0, fresh, fresh};
+    account local{0, 0, 0, 0, 0, 0, false, 1.0, recent, fresh, fresh};
     return accounts_.emplace(budget, local).first->second;
 }
 
--- a/src/experiment/budget_run.cpp
+++ b/src/experiment/budget_run.cpp
@@ -44,9 +44,9 @@
 }
 
 double budget_score::false_share_in_cut() const {
-    return requests_in_cut == 0 ? 0.0
-                                : static_cast<double>(refused_falsely_in_cut) /
-                                      static_cast<double>(requests_in_cut);
+    return requests_in_cut == 0
+               ? 0.0
+               : static_cast<double>(refused_falsely_in_cut) / static_cast<double>(requests_in_cut);
 }
 
 double budget_score::false_share_outside() const {
@@ -71,8 +71,8 @@
     microseconds up_at{0};
     microseconds crash_at{-1};
     std::vector<microseconds> crashes;
-    incarnation_id dead{};
-    microseconds dead_since{0};
+    /// Incarnations that crashed and are not reclaimed yet, with the time of the crash.
+    std::vector<std::pair<incarnation_id, microseconds>> dead;
 };
 
 struct budget_run::running_request {
@@ -162,9 +162,9 @@
     for (unsigned index = 0; index < scenario_.bursts; ++index) {
         truth& budget = budgets_[random_.below(budgets_.size())];
         budget.burst.begin = random_time();
-        budget.burst.end = budget.burst.begin +
-                           microseconds(static_cast<std::int64_t>(
-                               random_.unit() * static_cast<double>(longest_burst.count())));
+        budget.burst.end =
+            budget.burst.begin + microseconds(static_cast<std::int64_t>(
+                                     random_.unit() * static_cast<double>(longest_burst.count())));
         budget.burst_site = random_.below(sites_.size());
     }
     for (const auto& where : sites_) {
@@ -215,8 +215,7 @@
     }
     where.waiting.clear();
     where.up = false;
-    where.dead = where.incarnation;
-    where.dead_since = now;
+    where.dead.emplace_back(where.incarnation, now);
     where.up_at = now + successor_after;
     where.home.reset();
 }
@@ -295,6 +294,10 @@
                 where.home->observe_settlement(instant(now), settle->settled.budget,
                                                settle->settled.amount);
             }
+            const auto* draw = std::get_if<draw_operation>(&operation);
+            if (draw != nullptr && draw->need > 0 && batch.writer != where.incarnation) {
+                where.home->need_seen(instant(now), draw->budget);
+            }
         }
         const bool own = batch.writer == where.incarnation && !where.batch.empty() &&
                          batch.sequence == where.sequence;
@@ -368,8 +371,8 @@
 
 void budget_run::begin(site& where, std::size_t budget, const ticket& granted, microseconds now) {
     // The bound is at least 1.5 times the cost, whatever the draws; the cost is derived anew.
-    const double share = 1.0 / (least_bound_factor +
-                                random_.unit() * (most_bound_factor - least_bound_factor));
+    const double share =
+        1.0 / (least_bound_factor + random_.unit() * (most_bound_factor - least_bound_factor));
     running_request request;
     request.used = granted;
     request.budget = budget;
@@ -395,8 +398,9 @@
 }
 
 void budget_run::end_requests(microseconds now) {
-    const auto ended = std::partition(running_.begin(), running_.end(),
-                                      [now](const running_request& item) { return item.ends > now; });
+    const auto ended =
+        std::partition(running_.begin(), running_.end(),
+                       [now](const running_request& item) { return item.ends > now; });
     for (auto item = ended; item != running_.end(); ++item) {
         truth& known = budgets_[item->budget];
         known.reserved -= item->used.bound;
@@ -430,8 +434,8 @@
     for (const auto& [id, ended] : unsettled_) {
         const site& where = *sites_[ended.site];
         // A charge of a dead holder waits for its reclaim, which lists it.
-        const bool waits = ended.used.holder != where.incarnation &&
-                           !ledger_.is_closed(ended.used.holder);
+        const bool waits =
+            ended.used.holder != where.incarnation && !ledger_.is_closed(ended.used.holder);
         if (!waits) {
             report(ended, now);
         }
@@ -440,36 +444,37 @@
 
 void budget_run::reclaim_due(microseconds now) {
     for (const auto& where : sites_) {
-        const bool due = where->dead != incarnation_id{} && where->up &&
-                         now - where->dead_since >= fence_after + marks_after &&
-                         reaches_log(*where, now);
-        if (!due) {
+        if (!where->up || !reaches_log(*where, now)) {
             continue;
         }
-        reclaim_operation reclaim;
-        reclaim.holder = where->dead;
-        const auto list = [&](const running_request& item, bool running) {
-            if (item.used.holder != where->dead) {
-                return;
+        std::erase_if(where->dead, [&](const auto& dead) {
+            const bool due = now - dead.second >= fence_after + marks_after;
+            if (due) {
+                where->home->enqueue(reclaim_of(dead.first));
             }
-            charge value;
-            value.budget = item.used.budget;
-            value.holder = item.used.holder;
-            value.key = item.used.key;
-            value.ticket = item.used.id;
-            value.amount = running ? item.used.bound : item.cost;
-            value.running = running;
-            reclaim.charges.push_back(value);
-        };
-        for (const running_request& item : running_) {
-            list(item, true);
-        }
-        for (const auto& [id, item] : unsettled_) {
-            list(item, false);
+            return due;
+        });
+    }
+}
+
+/// What all guards' marks would list of a holder.
+reclaim_operation budget_run::reclaim_of(incarnation_id holder) const {
+    reclaim_operation reclaim;
+    reclaim.holder = holder;
+    const auto list = [&](const running_request& item, bool runs) {
+        if (item.used.holder != holder) {
+            return;
         }
-        where->home->enqueue(reclaim);
-        where->dead = incarnation_id{};
+        reclaim.charges.push_back({item.used.budget, holder, item.used.key, item.used.id,
+                                   runs ? item.used.bound : item.cost, runs});
+    };
+    for (const running_request& item : running_) {
+        list(item, true);
+    }
+    for (const auto& [id, item] : unsettled_) {
+        list(item, false);
     }
+    return reclaim;
 }
 
 void budget_run::sample_doubt() {
@@ -478,9 +483,10 @@
     for (const truth& known : budgets_) {
         limits += static_cast<double>(known.limit);
         for (const holding& item : ledger_.find(known.id)->holdings) {
-            const bool alive = std::any_of(sites_.begin(), sites_.end(), [&item](const auto& where) {
-                return where->up && where->incarnation == item.holder;
-            });
+            const bool alive =
+                std::any_of(sites_.begin(), sites_.end(), [&item](const auto& where) {
+                    return where->up && where->incarnation == item.holder;
+                });
             doubt += alive ? 0.0 : static_cast<double>(item.outstanding);
         }
     }
@@ -500,9 +506,9 @@
         score_.unbacked += state.unbacked;
         score_.unbilled += std::abs(known.spent - state.billed - state.burnt);
         if (known.requests > 0) {
-            score_.worst_budget = std::max(
-                score_.worst_budget, static_cast<double>(known.refused_falsely) /
-                                         static_cast<double>(known.requests));
+            score_.worst_budget =
+                std::max(score_.worst_budget, static_cast<double>(known.refused_falsely) /
+                                                  static_cast<double>(known.requests));
         }
     }
     score_.overspend = std::max<tokens>(score_.overspend, 0);
--- a/src/experiment/budget_run.hpp
+++ b/src/experiment/budget_run.hpp
@@ -71,6 +71,7 @@
     void crash(site& where, microseconds now);
     void revive(site& where, microseconds now);
     void reclaim_due(microseconds now);
+    reclaim_operation reclaim_of(incarnation_id holder) const;
     double rate_of(const site& where, std::size_t budget, microseconds now) const;
     bool reaches_log(const site& where, microseconds now) const;
     void sample_doubt();
--- a/src/roles/entry/home_desk.cpp
+++ b/src/roles/entry/home_desk.cpp
@@ -247,6 +247,10 @@
         if (const auto* settle = std::get_if<settle_operation>(&operation)) {
             target.home->observe_settlement(now, settle->settled.budget, settle->settled.amount);
         }
+        const auto* draw = std::get_if<draw_operation>(&operation);
+        if (draw != nullptr && draw->need > 0 && batch.writer != own_) {
+            target.home->need_seen(now, draw->budget);
+        }
     }
     if (own && !target.batch.empty()) {
         const std::vector<ledger_operation> sent = std::exchange(target.batch, {});
