Measure slopes, and bound what the control state remembers

Marks of a complete fence are dropped now, 1,024 fences and 2,048 members that are gone are remembered; fenced guards are kept, since later fences depend on them.

--- a/include/wrenswitch/decision/control/control_state.hpp
+++ b/include/wrenswitch/decision/control/control_state.hpp
@@ -55,7 +55,7 @@
     incarnation_id fenced{};
     log_offset offset{};
     std::set<incarnation_id> awaited;
-    /// Who has marked it.
+    /// Who has marked it, while that matters: for the fence of an entry until it is complete.
     std::set<incarnation_id> marked_by;
     /// All charges that the marks listed.
     std::vector<charge> charges;
@@ -105,6 +105,9 @@
     /// True if the incarnation was fenced.
     bool is_fenced(incarnation_id incarnation) const;
 
+    /// True if a mark by this process for this fence would still tell something.
+    bool wants_mark(incarnation_id fenced, incarnation_id marker) const;
+
     /// All fences that are remembered, by the incarnation that they fence.
     const std::map<incarnation_id, fence_state>& fences() const { return fences_; }
 
@@ -141,6 +144,8 @@
     change_outcome apply_change(const change_set& set);
     bool must_mark(const member& guard, const member& fenced_entry) const;
     void forget_old_fences();
+    void forget_old_members();
+    bool may_be_forgotten(const member& known) const;
 
     configuration configuration_;
     std::map<incarnation_id, member> members_;
--- a/src/decision/control/control_state.cpp
+++ b/src/decision/control/control_state.cpp
@@ -1,13 +1,19 @@
 #include "wrenswitch/decision/control/control_state.hpp"
 
+#include <algorithm>
+
 namespace wrenswitch {
 namespace {
 
 /// How many operators' changes are remembered for repeats: more than a day's at the design size.
 constexpr std::size_t remembered_operations = 4096;
 
-/// How many complete fences are remembered: two weeks' at 290 restarts a day.
-constexpr std::size_t remembered_fences = 4096;
+/// How many fences are remembered beyond those that are open: months' at 10 failures a day.
+constexpr std::size_t remembered_fences = 1024;
+
+/// How many members that are gone are remembered: a week's at 290 restarts a day. Who asks for an
+/// older one finds it unknown, which is refused as well.
+constexpr std::size_t remembered_gone_members = 2048;
 
 }  // namespace
 
@@ -99,6 +105,46 @@
         return;
     }
     members_[writer] = member{writer, self, offset, false, {}};
+    forget_old_members();
+}
+
+bool control_state::may_be_forgotten(const member& known) const {
+    if (known.closed) {
+        return true;
+    }
+    // A fenced guard must be remembered: fences of entries that did not mark it wait for it.
+    const auto fence = fences_.find(known.incarnation);
+    return known.fenced() && known.self.role == member_role::entry &&
+           (fence == fences_.end() || fence->second.complete());
+}
+
+void control_state::forget_old_members() {
+    std::vector<const member*> gone;
+    if (members_.size() <= remembered_gone_members) {
+        return;
+    }
+    for (const auto& [id, known] : members_) {
+        if (may_be_forgotten(known)) {
+            gone.push_back(&known);
+        }
+    }
+    if (gone.size() <= remembered_gone_members) {
+        return;
+    }
+    std::sort(gone.begin(), gone.end(), [](const member* left, const member* right) {
+        return left->registered_at < right->registered_at;
+    });
+    // A quarter at a time, so that the search is not made at every registration.
+    constexpr std::size_t part = 4;
+    gone.resize(gone.size() / part);
+    std::vector<incarnation_id> names;
+    names.reserve(gone.size());
+    for (const member* known : gone) {
+        names.push_back(known->incarnation);
+    }
+    for (const incarnation_id name : names) {
+        members_.erase(name);
+    }
 }
 
 void control_state::apply_close(incarnation_id writer) {
@@ -155,11 +201,28 @@
         return;
     }
     fence_state& fence = found->second;
-    if (!fence.marked_by.insert(mark.marker).second) {
+    if (!wants_mark(mark.fenced, mark.marker)) {
         return;
     }
+    fence.marked_by.insert(mark.marker);
     fence.awaited.erase(mark.marker);
     fence.charges.insert(fence.charges.end(), mark.charges.begin(), mark.charges.end());
+    const member* fenced = find(mark.fenced);
+    const bool of_entry = fenced == nullptr || fenced->self.role == member_role::entry;
+    if (of_entry && fence.complete()) {
+        fence.marked_by.clear();
+    }
+}
+
+bool control_state::wants_mark(incarnation_id fenced, incarnation_id marker) const {
+    const auto found = fences_.find(fenced);
+    if (found == fences_.end()) {
+        return false;
+    }
+    const member* known = find(fenced);
+    const bool of_guard = known != nullptr && known->self.role == member_role::guard;
+    return of_guard ? found->second.marked_by.count(marker) == 0
+                    : found->second.awaited.count(marker) > 0;
 }
 
 change_outcome control_state::apply_change(const change_set& set) {
--- a/src/main/wrenload/main.cpp
+++ b/src/main/wrenload/main.cpp
@@ -14,13 +14,16 @@
 const std::map<std::string, subcommand, std::less<>>& subcommands() {
     using namespace wrenswitch::load;
     static const std::map<std::string, subcommand, std::less<>> all{
-        {"run", run_load}, {"policy-budget", run_policy_budget}};
+        {"run", run_load},
+        {"policy-budget", run_policy_budget},
+        {"policy-limits", run_policy_limits},
+        {"slopes", run_slopes}};
     return all;
 }
 
 void print_usage(std::ostream& out) {
     out << "Open-loop load and experiments.\n"
-           "Usage: wrenload run|policy-budget [options]\n"
+           "Usage: wrenload run|policy-budget|policy-limits|slopes [options]\n"
            "       wrenload SUBCOMMAND --help shows its options.\n";
 }
 
--- a/src/roles/entry/entry.cpp
+++ b/src/roles/entry/entry.cpp
@@ -422,7 +422,8 @@
         const member* known = control_->state().find(fenced);
         const bool wanted = known != nullptr && known->self.role == member_role::guard &&
                             fence.offset > self->registered_at &&
-                            fence.marked_by.count(own_) == 0 && homes_->cleared_of(fenced);
+                            control_->state().wants_mark(fenced, own_) &&
+                            homes_->cleared_of(fenced);
         if (wanted) {
             marks.marks.push_back({fenced, own_, {}});
             homes_->forget_guard(fenced);
@@ -435,13 +436,11 @@
 
 void entry::collect_mark(const wire::MarkReport& report) {
     fence_mark mark{incarnation_id{report.fenced()}, incarnation_id{report.marker()}, {}};
-    const auto& fences = control_->state().fences();
-    const auto fence = fences.find(mark.fenced);
-    const bool known = fence != fences.end() && fence->second.marked_by.count(mark.marker) > 0;
+    const bool wanted = control_->state().wants_mark(mark.fenced, mark.marker);
     const bool queued = std::any_of(marks_.begin(), marks_.end(), [&mark](const fence_mark& item) {
         return item.fenced == mark.fenced && item.marker == mark.marker;
     });
-    if (known || queued) {
+    if (!wanted || queued) {
         return;
     }
     for (const wire::Charge& item : report.charges()) {
--- a/tests/decision/control/control_state_test.cpp
+++ b/tests/decision/control/control_state_test.cpp
@@ -103,6 +103,28 @@
     BOOST_TEST(control.fences().at(entry_one).charges.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(members_that_are_gone_are_forgotten_but_never_active_ones_or_fenced_guards) {
+    append(entry_two, fence_record{guard_one});
+    for (std::uint64_t number = 100; number < 10'100; ++number) {
+        const incarnation_id id{number};
+        join(id, member_role::entry);
+        append(id, close_record{});
+    }
+    BOOST_TEST(control.members().size() < 4000U);
+    BOOST_TEST((control.find(incarnation_id{100}) == nullptr));
+    BOOST_TEST(control.is_active(entry_one));
+    BOOST_TEST(control.is_fenced(guard_one));
+    BOOST_TEST(!control.is_active(incarnation_id{100}));
+}
+
+BOOST_AUTO_TEST_CASE(fence_that_is_complete_takes_little_room) {
+    append(entry_two, fence_record{entry_one});
+    mark(entry_one, guard_one);
+    mark(entry_one, guard_two);
+    BOOST_TEST(control.fences().at(entry_one).marked_by.empty());
+    BOOST_TEST(!control.wants_mark(entry_one, guard_one));
+}
+
 BOOST_AUTO_TEST_CASE(fence_repeated_keeps_its_first_offset) {
     append(entry_two, fence_record{entry_one});
     const log_offset first = control.find(entry_one)->fenced_at;
