Refuse a request at once if it would wait too long at its target

Cause: after a burst or a loss of capacity the guard's queue stood for up to a minute, since only a caller's own deadline took requests out of it.

--- a/include/wrenswitch/decision/guard/admission_queue.hpp
+++ b/include/wrenswitch/decision/guard/admission_queue.hpp
@@ -29,6 +29,8 @@
 /// How much may wait, and how waiting changes a request's place.
 struct admission_settings {
     std::size_t most_queued = 256;
+    /// A request is refused at once if those before it would keep it waiting for longer.
+    microseconds most_wait = milliseconds(500);
     /// After each such time of waiting a request counts as one class more urgent.
     microseconds ageing_step = seconds(2);
 };
@@ -44,6 +46,9 @@
     /// that waits, which is then returned through `displaced`.
     refusal_reason push(queued_request request, std::optional<queued_request>& displaced);
 
+    /// How long a request of this class would wait, by the pace at which requests left lately.
+    microseconds expected_wait(std::uint32_t priority) const;
+
     /// The next request to run, or nothing.
     std::optional<queued_request> pop(instant now);
 
@@ -60,6 +65,7 @@
     std::size_t size() const { return waiting_.size(); }
 
 private:
+    void note_pop(instant now);
     std::uint32_t class_of(const queued_request& request, instant now) const;
 
     admission_settings settings_;
@@ -67,6 +73,10 @@
     /// Tokens given to each client account, the basis for taking turns.
     std::map<std::string, double, std::less<>> served_;
     double served_floor_ = 0.0;
+    /// The average time between two requests that left while others waited; zero if not known.
+    double pop_interval_us_ = 0.0;
+    instant last_pop_{};
+    bool waited_at_last_pop_ = false;
 };
 
 }  // namespace wrenswitch
--- a/src/decision/guard/admission_queue.cpp
+++ b/src/decision/guard/admission_queue.cpp
@@ -10,11 +10,17 @@
 /// Accounts beyond this number are forgotten and start again at the floor.
 constexpr std::size_t most_accounts = 4096;
 
+/// How much the latest interval counts in the average.
+constexpr double interval_weight = 0.05;
+
 }  // namespace
 
 refusal_reason admission_queue::push(queued_request request,
                                      std::optional<queued_request>& displaced) {
     displaced.reset();
+    if (expected_wait(request.priority) > settings_.most_wait) {
+        return refusal_reason::queue_full;
+    }
     if (waiting_.size() < settings_.most_queued) {
         waiting_.push_back(std::move(request));
         return refusal_reason::none;
@@ -59,6 +65,7 @@
                          });
     queued_request chosen = std::move(*next);
     waiting_.erase(next);
+    note_pop(now);
     // An account that was idle starts at the level of the one served now, not at its old one, so
     // that idleness saves up no credit.
     served_floor_ = served_of(chosen);
@@ -69,6 +76,25 @@
     return chosen;
 }
 
+microseconds admission_queue::expected_wait(std::uint32_t priority) const {
+    const auto ahead =
+        std::count_if(waiting_.begin(), waiting_.end(),
+                      [priority](const queued_request& item) { return item.priority <= priority; });
+    return microseconds(static_cast<std::int64_t>(static_cast<double>(ahead) * pop_interval_us_));
+}
+
+/// Only intervals in which somebody waited tell the pace of the target.
+void admission_queue::note_pop(instant now) {
+    if (waited_at_last_pop_) {
+        const auto interval = static_cast<double>((now - last_pop_).count());
+        pop_interval_us_ = pop_interval_us_ == 0.0
+                               ? interval
+                               : pop_interval_us_ + interval_weight * (interval - pop_interval_us_);
+    }
+    last_pop_ = now;
+    waited_at_last_pop_ = !waiting_.empty();
+}
+
 bool admission_queue::remove(attempt_id attempt) {
     const auto erased = std::erase_if(
         waiting_, [attempt](const queued_request& item) { return item.attempt == attempt; });
--- a/src/experiment/limiter_run.cpp
+++ b/src/experiment/limiter_run.cpp
@@ -52,8 +52,12 @@
     return list;
 }
 
-limiter_run::limiter_run(limiter_factory limiter, std::uint64_t seed)
-    : random_(seed), speed_(engine_speed_used()), engine_(speed_), limiter_(limiter()) {}
+limiter_run::limiter_run(limiter_factory limiter, microseconds most_wait, std::uint64_t seed)
+    : random_(seed),
+      speed_(engine_speed_used()),
+      engine_(speed_),
+      queue_({512, most_wait, seconds(2)}),
+      limiter_(limiter()) {}
 
 const limiter_phase& limiter_run::phase_at(microseconds now) const {
     static const std::vector<limiter_phase> all = phases();
--- a/src/experiment/limiter_run.hpp
+++ b/src/experiment/limiter_run.hpp
@@ -39,7 +39,7 @@
 /// One engine behind one guard's queue and limiter, in virtual time with seeded arrivals.
 class limiter_run {
 public:
-    limiter_run(limiter_factory limiter, std::uint64_t seed);
+    limiter_run(limiter_factory limiter, microseconds most_wait, std::uint64_t seed);
 
     limiter_score run();
 
@@ -66,7 +66,7 @@
     random_source random_;
     stand::engine_speed speed_;
     stand::batch_engine engine_;
-    admission_queue queue_{{512, seconds(2)}};
+    admission_queue queue_;
     std::unique_ptr<concurrency_limiter> limiter_;
     std::unordered_map<std::uint64_t, request_state> requests_;
     limiter_score score_;
--- a/src/main/wrenload/policy_limits.cpp
+++ b/src/main/wrenload/policy_limits.cpp
@@ -81,6 +81,8 @@
     TCLAP::ValueArg<unsigned> seeds("", "seeds", "Runs, with seeds from the first on.", false, 8,
                                     "number", command);
     TCLAP::ValueArg<unsigned> first("s", "seed", "The first seed.", false, 1, "number", command);
+    TCLAP::ValueArg<unsigned> wait("w", "most-wait-ms", "Expected wait beyond which is refused.",
+                                   false, 500, "milliseconds", command);
     TCLAP::SwitchArg as_json("j", "json", "Print JSON.", command);
     command.parse(words);
 
@@ -111,7 +113,8 @@
     for (const auto& [name, factory] : compared) {
         const auto scores = experiment::parallel_runs<limiter_score>(
             seeds.getValue(), [&, made = factory](std::size_t index) {
-                return limiter_run(made, first.getValue() + index).run();
+                return limiter_run(made, milliseconds(wait.getValue()), first.getValue() + index)
+                    .run();
             });
         rows.push_back(summary_of(name, scores));
         if (!as_json.getValue()) {
--- a/src/roles/guard/guard_settings.cpp
+++ b/src/roles/guard/guard_settings.cpp
@@ -40,6 +40,8 @@
     }
     settings->admission.most_queued =
         static_cast<std::size_t>(reader.integer_or("queue_length", 256, 0, most_queue));
+    settings->admission.most_wait =
+        milliseconds(reader.integer_or("most_wait_ms", 500, 1, longest_keep_ms));
     settings->answers.most_bytes = static_cast<std::size_t>(
         reader.integer_or("answer_buffer_bytes", 32LL << 20, 0, most_buffer_bytes));
     settings->answers.keep_ended_for =
--- a/tests/decision/guard/admission_queue_test.cpp
+++ b/tests/decision/guard/admission_queue_test.cpp
@@ -7,7 +7,7 @@
 using namespace wrenswitch;
 
 struct queue_fixture {
-    admission_queue queue{{3, seconds(2)}};
+    admission_queue queue{{3, seconds(4), seconds(2)}};
     instant now{};
     std::uint64_t next = 1;
     std::optional<queued_request> displaced;
@@ -58,6 +58,19 @@
     BOOST_TEST(queue.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(push_behind_a_long_wait_is_refused_at_once_unless_it_is_more_urgent) {
+    push("a", 1);
+    push("a", 1);
+    push("a", 1);
+    pop();
+    now += seconds(3);
+    pop();
+    push("a", 1);
+    BOOST_TEST((queue.expected_wait(1) == seconds(6)));
+    BOOST_TEST((push("a", 1) == refusal_reason::queue_full));
+    BOOST_TEST((push("a", 0) == refusal_reason::none));
+}
+
 BOOST_AUTO_TEST_CASE(take_hopeless_removes_what_cannot_meet_its_deadline) {
     push("a", 1);
     now += seconds(29);
