--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -29,6 +29,7 @@
 run_step "format" check_format
 run_step "lint" scripts/lint.sh
 run_step "layers" scripts/check_layers.sh
+run_step "examples" scripts/check_examples.sh
 run_step "models" scripts/check_models.sh
 for test in core decision drivers live; do
     run_step "test $test" build/release/test_$test --log_level=warning
