Read a shard only at its first home, and ping less often

Cause: worked out from the slopes, an entry at the design size read and sent 3,138 bytes/s for control, of 2,048 allowed: two entries a region read each shard, an operator's question made an entry read all 128 for good, and watched processes were pinged each second. Now the second home reads on demand, shards without use are given up after 30 s with what they hold, and pings are a third of fence_after_ms apart.

--- a/include/wrenswitch/decision/home/budget_home.hpp
+++ b/include/wrenswitch/decision/home/budget_home.hpp
@@ -112,8 +112,9 @@
     /// Adds an operation that somebody else wants appended, such as a reclaim.
     void enqueue(ledger_operation operation);
 
-    /// Stops drawing and returns all that is free. Once idle() holds, the holder may be closed.
-    void start_drain();
+    /// Stops drawing and returns all that is free, or draws again. Once idle() holds while
+    /// draining, the holder may be closed.
+    void set_draining(bool draining) { draining_ = draining; }
 
     /// True if no ticket is out and no operation waits.
     bool idle() const;
--- a/src/decision/home/budget_home.cpp
+++ b/src/decision/home/budget_home.cpp
@@ -534,10 +534,6 @@
     pending_.push_back(std::move(operation));
 }
 
-void budget_home::start_drain() {
-    draining_ = true;
-}
-
 bool budget_home::idle() const {
     return tickets_.size() == 0 && parked_.empty() && pending_.empty() && !batch_under_way_;
 }
--- a/src/roles/entry/entry.cpp
+++ b/src/roles/entry/entry.cpp
@@ -14,9 +14,12 @@
 constexpr microseconds tick_period = milliseconds(500);
 constexpr microseconds pump_period = milliseconds(20);
 
-/// A watched process, and a guard that has work of this entry's, is asked after so much silence.
+/// A guard that has work of this entry's is asked after so much silence.
 constexpr microseconds ping_after = seconds(1);
 
+/// A watched process is asked so often before it is fenced.
+constexpr int asks_before_fence = 2;
+
 /// A guard that is silent for so long while it has work of this entry's is given up.
 constexpr microseconds guard_lost_after = seconds(4);
 
@@ -370,7 +373,7 @@
 void entry::watch(instant now) {
     for (const incarnation_id id : fleet_->watched()) {
         const microseconds silence = now - fleet_->last_heard(id);
-        if (silence < ping_after) {
+        if (silence < settings_.fence_after / (asks_before_fence + 1)) {
             continue;
         }
         send_ping(id);
--- a/src/roles/entry/fleet_view.cpp
+++ b/src/roles/entry/fleet_view.cpp
@@ -125,11 +125,8 @@
 }
 
 bool fleet_view::serves(shard_index shard) const {
-    constexpr std::size_t homes_ready = 2;
     const std::vector<incarnation_id>& order = order_of(shard);
-    const auto end =
-        order.begin() + static_cast<std::ptrdiff_t>(std::min(homes_ready, order.size()));
-    return std::find(order.begin(), end, own_) != end;
+    return !order.empty() && order.front() == own_;
 }
 
 std::string fleet_view::endpoint_of(incarnation_id incarnation) const {
--- a/src/roles/entry/fleet_view.hpp
+++ b/src/roles/entry/fleet_view.hpp
@@ -28,7 +28,7 @@
     /// gone come last.
     std::vector<incarnation_id> homes_of(shard_index shard, instant now) const;
 
-    /// True if this entry is among the first two homes of a shard.
+    /// True if this entry is the first home of a shard.
     bool serves(shard_index shard) const;
 
     /// The number of homes that a budget can have.
--- a/src/roles/entry/home_desk.cpp
+++ b/src/roles/entry/home_desk.cpp
@@ -17,6 +17,9 @@
 /// After this, a ticket of which nothing was heard is asked for at the guards.
 constexpr microseconds ticket_doubt_after = seconds(30);
 
+/// How long a shard that this entry does not serve is read after its last use.
+constexpr microseconds unused_shard_kept = seconds(30);
+
 constexpr std::uint32_t unreachable_retry_ms = 5000;
 
 reservation_answer unreachable() {
@@ -90,6 +93,7 @@
 home_desk::desk_shard& home_desk::shard(shard_index index) {
     const auto known = shards_.find(index);
     if (known != shards_.end()) {
+        known->second->last_used = monotonic_now();
         return *known->second;
     }
     auto made = std::make_unique<desk_shard>();
@@ -113,8 +117,9 @@
     shards_.emplace(index, std::move(made));
     start_home(*target);
     if (draining_) {
-        target->home->start_drain();
+        target->home->set_draining(true);
     }
+    target->last_used = monotonic_now();
     target->replica->start();
     return *target;
 }
@@ -147,6 +152,7 @@
     };
     target.home->set_log_reachable(target.replica->log_healthy(now));
     target.home->set_control_offset(parts_.control.position());
+    target.home->set_draining(draining_);
     // The answer may come while the ask is being made, so the hook is put in place first.
     target.parked[numbered.request] = told;
     const std::optional<reservation_answer> answer = target.home->reserve(now, numbered);
@@ -352,9 +358,31 @@
         ask_for_unclear(*item, now);
         reclaim_fenced(*item, now);
     }
+    retire_unused(now);
     pump(now);
 }
 
+bool home_desk::keeps_no_state(const desk_shard& target) const {
+    return target.home->idle() && target.early.empty() && target.parked.empty() &&
+           target.operator_operations.empty() && !target.replica->busy() &&
+           target.replica->state().budgets_of(own_).empty();
+}
+
+/// A shard that was read for an operator's question, or served in place of a home that is back, is
+/// given up: each costs about a kilobyte a second to read at the design size.
+void home_desk::retire_unused(instant now) {
+    std::erase_if(shards_, [&](const auto& item) {
+        desk_shard& target = *item.second;
+        const bool unused = !parts_.fleet.serves(item.first) && target.replica->live() &&
+                            now - target.last_used > unused_shard_kept;
+        if (!unused) {
+            return false;
+        }
+        target.home->set_draining(true);
+        return keeps_no_state(target);
+    });
+}
+
 void home_desk::ask_for_unclear(desk_shard& target, instant now) {
     const std::vector<incarnation_id>& guards = parts_.fleet.guards();
     const std::vector<ticket_id> unclear = target.home->take_unclear(now, guards);
@@ -403,14 +431,14 @@
 void home_desk::start_drain() {
     draining_ = true;
     for (auto& [index, item] : shards_) {
-        item->home->start_drain();
+        item->home->set_draining(true);
     }
 }
 
 bool home_desk::idle() const {
     return std::all_of(shards_.begin(), shards_.end(), [this](const auto& item) {
         const desk_shard& target = *item.second;
-        return target.home->idle() && target.replica->state().budgets_of(own_).empty();
+        return keeps_no_state(target);
     });
 }
 
--- a/src/roles/entry/home_desk.hpp
+++ b/src/roles/entry/home_desk.hpp
@@ -103,6 +103,8 @@
         std::unique_ptr<budget_home> home;
         std::vector<ledger_operation> batch;
         instant last_append{};
+        /// When somebody last asked for something here.
+        instant last_used{};
         /// Asks that came before the replica was read to its end.
         std::vector<waiting_ask> early;
         std::unordered_map<std::uint64_t, answer_hook> parked;
@@ -118,6 +120,8 @@
     void on_caught_up(desk_shard& target);
     void reserve_at(desk_shard& target, const reservation_ask& ask, answer_hook done);
     void acknowledge(const std::vector<ticket_id>& settled);
+    bool keeps_no_state(const desk_shard& target) const;
+    void retire_unused(instant now);
     void ask_for_unclear(desk_shard& target, instant now);
     void reclaim_fenced(desk_shard& target, instant now);
     void note_operator_outcomes(desk_shard& target, const ledger_batch& batch,
--- a/tests/decision/home/budget_home_test.cpp
+++ b/tests/decision/home/budget_home_test.cpp
@@ -292,7 +292,7 @@
     home.tick(now);
     flush();
     BOOST_TEST(ledger.find(budget)->outstanding_of(own) > 0);
-    home.start_drain();
+    home.set_draining(true);
     home.tick(now);
     flush();
     BOOST_TEST(ledger.find(budget)->outstanding_of(own) == 0);
