Decide calls that may not be repeated under a key grant, not by the log

Cause: a claim had to be read back before each run, so a frost alarm was refused for as long as the log was down. One holder a shard now has the key grant by log order and writes its claims behind; others send such requests to it. If it dies, the grant goes on with its reclaim, so only after every guard has listed what it had started: the next holder then knows each key that ran, and answers unknown for it.

--- a/include/wrenswitch/decision/home/budget_home.hpp
+++ b/include/wrenswitch/decision/home/budget_home.hpp
@@ -106,8 +106,7 @@
     std::vector<ledger_operation> take_batch();
 
     /// The batch was applied. Returns the tickets whose charges are in the ledger for good.
-    std::vector<ticket_id> batch_applied(instant now, std::span<const ledger_operation> batch,
-                                         std::span<const operation_outcome> outcomes);
+    std::vector<ticket_id> batch_applied(instant now, std::span<const ledger_operation> batch);
 
     /// Adds an operation that somebody else wants appended, such as a reclaim.
     void enqueue(ledger_operation operation);
@@ -151,8 +150,8 @@
         reservation_ask ask;
         budget_id budget{};
         instant until{};
-        /// Set while a claim of its key is on its way to the log.
-        ticket_id claim{};
+        /// True while it waits for the key grant and not for tokens.
+        bool for_keys = false;
     };
 
     struct exposure {
@@ -168,11 +167,15 @@
     void note_refused_demand(instant now, const reservation_ask& ask, budget_id budget);
     reservation_answer refusal_of(const reservation_ask& ask, budget_id budget) const;
     bool can_never_pay(const reservation_ask& ask, const budget_state& budget) const;
-    void park(instant now, const reservation_ask& ask, budget_id budget, ticket_id claim);
-    void park_claim(instant now, const reservation_ask& ask, budget_id budget);
+    void park(instant now, const reservation_ask& ask, budget_id budget, bool for_keys);
+    bool holds_keys() const { return ledger_.key_holder() == settings_.incarnation; }
+    std::optional<reservation_answer> answer_without_keys(instant now, const reservation_ask& ask,
+                                                          budget_id budget);
+    bool may_have_run(const digest& key) const;
+    void consult_keys();
+    void keys_answered(instant now);
     void serve_parked(instant now, budget_id budget);
     void answer_parked(std::size_t index, const reservation_answer& answer);
-    void claim_answered(instant now, const claim_key_operation& claim, operation_outcome outcome);
     void consult_policy(instant now, budget_id budget);
     void settle_at_bound(const issued_ticket& issued);
     void enqueue_settlement(const charge& settled);
@@ -189,8 +192,10 @@
     ticket_table tickets_;
     request_keys keys_;
     std::deque<parked_ask> parked_;
-    /// Claims of this home that were accepted and have not led to a run.
+    /// Keys that were claimed here and certainly did not run.
     std::unordered_set<digest> unused_claims_;
+    /// Keys that were claimed here and whose claim is not in the ledger yet.
+    std::unordered_set<digest> unwritten_claims_;
     /// What is charged but not yet in the fold, by ticket. A ticket stands here once only, so that
     /// a repeated report cannot free tokens twice.
     std::unordered_map<ticket_id, tokens> unsettled_;
@@ -204,6 +209,8 @@
     bool log_reachable_ = true;
     bool draining_ = false;
     bool urgent_ = false;
+    /// The key grant is being asked for or given back.
+    bool keys_under_way_ = false;
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/home/reservation.hpp
+++ b/include/wrenswitch/decision/home/reservation.hpp
@@ -46,6 +46,8 @@
     in_progress,
     /// A request that may not be repeated may have run.
     unknown_outcome,
+    /// Another incarnation decides about requests that may not be repeated; ask it.
+    keys_elsewhere,
 };
 
 /// The name of an outcome as replies show it.
@@ -57,6 +59,8 @@
     ticket granted;
     std::string guard_endpoint;
     incarnation_id guard{};
+    /// With keys_elsewhere: whom to ask, or zero if nobody decides now.
+    incarnation_id key_holder{};
     microseconds retry_after{0};
 };
 
--- a/include/wrenswitch/decision/ledger/ledger_operation.hpp
+++ b/include/wrenswitch/decision/ledger/ledger_operation.hpp
@@ -58,7 +58,15 @@
     std::vector<charge> charges;
 };
 
-/// Claims the right to run a request that may not be repeated, for one ticket.
+/// Asks for the shard's key grant: the right to decide which requests that may not be repeated run.
+/// One holder has it at a time, until it releases it, closes or is reclaimed.
+struct hold_keys_operation {};
+
+/// Gives the key grant back. All claims of the writer stand before it.
+struct release_keys_operation {};
+
+/// Writes down that a request that may not be repeated was given this ticket. The holder of the key
+/// grant writes it behind: until then, it and the guards are the witnesses.
 struct claim_key_operation {
     digest key;
     ticket_id ticket{};
@@ -66,7 +74,8 @@
 
 using ledger_operation =
     std::variant<set_budget_operation, draw_operation, return_operation, settle_operation,
-                 close_holder_operation, reclaim_operation, claim_key_operation>;
+                 close_holder_operation, reclaim_operation, claim_key_operation,
+                 hold_keys_operation, release_keys_operation>;
 
 /// One record of a ledger stream. A writer numbers its batches from 1 and appends one at a time, so
 /// a second copy of a batch is known by its number.
@@ -94,6 +103,8 @@
     refused_closed_holder,
     refused_exceeds_holding,
     refused_key_claimed,
+    /// Another holder has the key grant.
+    refused_keys_held,
 };
 
 /// The name of an outcome as logs and replies show it.
--- a/include/wrenswitch/decision/ledger/ledger_state.hpp
+++ b/include/wrenswitch/decision/ledger/ledger_state.hpp
@@ -50,6 +50,9 @@
 
     const key_memory& keys() const { return keys_; }
 
+    /// The holder of the key grant, or zero.
+    incarnation_id key_holder() const { return key_holder_; }
+
     /// The number of the last batch of this writer that was applied, or zero.
     std::uint64_t last_sequence_of(incarnation_id writer) const;
 
@@ -61,7 +64,8 @@
 
     /// Puts back what a snapshot held.
     void restore(std::unordered_map<budget_id, budget_state> budgets,
-                 std::unordered_map<incarnation_id, ledger_writer> writers, key_memory keys);
+                 std::unordered_map<incarnation_id, ledger_writer> writers, key_memory keys,
+                 incarnation_id key_holder);
 
 private:
     struct visitor;
@@ -72,7 +76,10 @@
     operation_outcome apply_settle(const charge& settled);
     operation_outcome apply_close(incarnation_id holder);
     operation_outcome apply_reclaim(const reclaim_operation& operation);
-    operation_outcome apply_claim(const claim_key_operation& operation);
+    operation_outcome apply_claim(incarnation_id writer, const claim_key_operation& operation);
+    operation_outcome apply_hold_keys(incarnation_id writer);
+    operation_outcome apply_release_keys(incarnation_id writer);
+    void close_holder(incarnation_id holder);
 
     tokens take_from_grant(budget_state& budget, const charge& settled);
     void keep_running(budget_state& budget, const charge& listed);
@@ -82,6 +89,7 @@
     std::unordered_map<budget_id, budget_state> budgets_;
     std::unordered_map<incarnation_id, ledger_writer> writers_;
     key_memory keys_;
+    incarnation_id key_holder_{};
 };
 
 }  // namespace wrenswitch
--- a/src/decision/home/budget_home.cpp
+++ b/src/decision/home/budget_home.cpp
@@ -14,6 +14,9 @@
 /// How soon a caller may ask again when the log is out.
 constexpr microseconds unreachable_retry = seconds(10);
 
+/// How soon a caller may ask again when nobody decides about keys now.
+constexpr microseconds keys_retry = seconds(2);
+
 /// At most this many operations go into one record.
 constexpr std::size_t most_operations_a_batch = 2000;
 
@@ -52,12 +55,11 @@
     account& local = account_of(budget);
     local.largest_bound = std::max(local.largest_bound, ask.bound);
     if (!ask.repeatable) {
-        if (unused_claims_.count(ask.key) == 0) {
-            if (!log_reachable_) {
-                return refused(reservation_outcome::budget_unreachable, unreachable_retry);
-            }
-            park_claim(now, ask, budget);
-            return std::nullopt;
+        if (!holds_keys()) {
+            return answer_without_keys(now, ask, budget);
+        }
+        if (may_have_run(ask.key)) {
+            return refused(reservation_outcome::unknown_outcome, microseconds(0));
         }
     }
     if (free_of(budget) >= ask.bound) {
@@ -67,7 +69,7 @@
         note_refused_demand(now, ask, budget);
         return refusal_of(ask, budget);
     }
-    park(now, ask, budget, ticket_id{});
+    park(now, ask, budget, false);
     consult_policy(now, budget);
     return std::nullopt;
 }
@@ -126,7 +128,12 @@
     issued.issued_at = now;
     issued.repeatable = ask.repeatable;
     tickets_.add(std::move(issued));
-    unused_claims_.erase(ask.key);
+    if (!ask.repeatable) {
+        // Written behind: until then this home and the guard are the witnesses.
+        unused_claims_.erase(ask.key);
+        unwritten_claims_.insert(ask.key);
+        pending_.emplace_back(claim_key_operation{ask.key, answer.granted.id});
+    }
     if (ask.keyed || !ask.repeatable) {
         // Neither can fail: answer_from_key was asked just before, or the asker replaces its own.
         const bool replaced = ask.replaces != ticket_id{} &&
@@ -156,18 +163,73 @@
     return refused(reservation_outcome::budget_exhausted, exhausted_retry);
 }
 
-void budget_home::park(instant now, const reservation_ask& ask, budget_id budget, ticket_id claim) {
-    parked_.push_back({ask, budget, now + ask.wait, claim});
-    if (claim == ticket_id{}) {
+void budget_home::park(instant now, const reservation_ask& ask, budget_id budget, bool for_keys) {
+    parked_.push_back({ask, budget, now + ask.wait, for_keys});
+    if (!for_keys) {
         account_of(budget).need += ask.bound;
     }
 }
 
-void budget_home::park_claim(instant now, const reservation_ask& ask, budget_id budget) {
-    const auto claim = random_.next_id<ticket_id>();
-    park(now, ask, budget, claim);
-    pending_.emplace_back(claim_key_operation{ask.key, claim});
-    urgent_ = true;
+/// Only the holder of the key grant decides about requests that may not be repeated.
+std::optional<reservation_answer> budget_home::answer_without_keys(instant now,
+                                                                   const reservation_ask& ask,
+                                                                   budget_id budget) {
+    const bool nobody = ledger_.key_holder() == incarnation_id{};
+    if (nobody && log_reachable_ && !draining_ && ask.wait > microseconds(0)) {
+        consult_keys();
+        park(now, ask, budget, true);
+        return std::nullopt;
+    }
+    reservation_answer answer = refused(reservation_outcome::keys_elsewhere, keys_retry);
+    answer.key_holder = ledger_.key_holder();
+    return answer;
+}
+
+/// What the ledger and this home know of a key. A dead holder's keys are in the ledger: its grant
+/// went on only after every guard had listed what it had started.
+bool budget_home::may_have_run(const digest& key) const {
+    if (unused_claims_.count(key) > 0) {
+        return false;
+    }
+    const key_facts facts = ledger_.keys().facts_of(key);
+    return facts.billed || facts.claimed_by != ticket_id{} || unwritten_claims_.count(key) > 0;
+}
+
+/// Asks for the key grant if nobody has it, or gives it back when draining.
+void budget_home::consult_keys() {
+    if (keys_under_way_) {
+        return;
+    }
+    const bool nobody = ledger_.key_holder() == incarnation_id{};
+    if (!draining_ && nobody && !ledger_.budgets().empty()) {
+        keys_under_way_ = true;
+        urgent_ = true;
+        pending_.emplace_back(hold_keys_operation{});
+        return;
+    }
+    const bool all_written = tickets_.size() == 0 && parked_.empty() && unwritten_claims_.empty();
+    if (draining_ && holds_keys() && all_written) {
+        keys_under_way_ = true;
+        urgent_ = true;
+        pending_.emplace_back(release_keys_operation{});
+    }
+}
+
+/// Somebody has the key grant now, mostly this home.
+void budget_home::keys_answered(instant now) {
+    keys_under_way_ = false;
+    std::vector<parked_ask> waiting;
+    for (const parked_ask& item : parked_) {
+        if (item.for_keys) {
+            waiting.push_back(item);
+        }
+    }
+    std::erase_if(parked_, [](const parked_ask& item) { return item.for_keys; });
+    for (const parked_ask& item : waiting) {
+        if (const auto answer = reserve(now, item.ask)) {
+            on_answer_(item.ask.request, *answer);
+        }
+    }
 }
 
 void budget_home::note_refused_demand(instant now, const reservation_ask& ask, budget_id budget) {
@@ -184,7 +246,7 @@
 void budget_home::answer_parked(std::size_t index, const reservation_answer& answer) {
     const parked_ask done = parked_[index];
     parked_.erase(parked_.begin() + static_cast<std::ptrdiff_t>(index));
-    if (done.claim == ticket_id{}) {
+    if (!done.for_keys) {
         account_of(done.budget).need -= done.ask.bound;
     }
     on_answer_(done.ask.request, answer);
@@ -195,7 +257,7 @@
     while (index < parked_.size()) {
         const parked_ask& item = parked_[index];
         const bool payable =
-            item.budget == budget && item.claim == ticket_id{} && free_of(budget) >= item.ask.bound;
+            item.budget == budget && !item.for_keys && free_of(budget) >= item.ask.bound;
         if (!payable) {
             ++index;
             continue;
@@ -205,31 +267,6 @@
     }
 }
 
-void budget_home::claim_answered(instant now, const claim_key_operation& claim,
-                                 operation_outcome outcome) {
-    const auto found =
-        std::find_if(parked_.begin(), parked_.end(),
-                     [&claim](const parked_ask& item) { return item.claim == claim.ticket; });
-    const bool accepted = outcome == operation_outcome::accepted;
-    if (accepted) {
-        unused_claims_.insert(claim.key);
-    }
-    if (found == parked_.end()) {
-        return;
-    }
-    const auto index = static_cast<std::size_t>(found - parked_.begin());
-    if (!accepted) {
-        // Somebody claimed the key before. Whether that run happened, only that home can tell.
-        answer_parked(index, refused(reservation_outcome::unknown_outcome, microseconds(0)));
-        return;
-    }
-    found->claim = ticket_id{};
-    account_of(found->budget).need += found->ask.bound;
-    const budget_id budget = found->budget;
-    serve_parked(now, budget);
-    consult_policy(now, budget);
-}
-
 result<void> budget_home::started(ticket_id id, incarnation_id guard, std::string guard_endpoint) {
     issued_ticket* issued = tickets_.find(id);
     if (issued == nullptr) {
@@ -396,8 +433,6 @@
             ++index;
             continue;
         }
-        // A claim that is on its way may still be accepted, after which nobody can run the key; the
-        // request itself did not run.
         const parked_ask late = parked_[index];
         note_refused_demand(now, late.ask, late.budget);
         answer_parked(index, refusal_of(late.ask, late.budget));
@@ -405,6 +440,7 @@
     for (const auto& [budget, state] : ledger_.budgets()) {
         consult_policy(now, budget);
     }
+    consult_keys();
 }
 
 void budget_home::consult_policy(instant now, budget_id budget) {
@@ -490,12 +526,10 @@
 }
 
 std::vector<ticket_id> budget_home::batch_applied(instant now,
-                                                  std::span<const ledger_operation> batch,
-                                                  std::span<const operation_outcome> outcomes) {
+                                                  std::span<const ledger_operation> batch) {
     batch_under_way_ = false;
     std::vector<ticket_id> settled;
     for (std::size_t index = 0; index < batch.size(); ++index) {
-        const operation_outcome outcome = outcomes[index];
         if (const auto* settle = std::get_if<settle_operation>(&batch[index])) {
             ++settlements_applied_;
             settled.push_back(settle->settled.ticket);
@@ -508,7 +542,10 @@
             account& local = account_of(back->budget);
             local.returning = 0;
         } else if (const auto* claim = std::get_if<claim_key_operation>(&batch[index])) {
-            claim_answered(now, *claim, outcome);
+            unwritten_claims_.erase(claim->key);
+        } else if (std::holds_alternative<hold_keys_operation>(batch[index]) ||
+                   std::holds_alternative<release_keys_operation>(batch[index])) {
+            keys_answered(now);
         }
     }
     return settled;
--- a/src/decision/ledger/ledger_operation.cpp
+++ b/src/decision/ledger/ledger_operation.cpp
@@ -5,7 +5,7 @@
 namespace wrenswitch {
 
 std::string_view name_of(operation_outcome outcome) {
-    constexpr std::array<std::string_view, 12> names{
+    constexpr std::array<std::string_view, 13> names{
         "accepted",
         "partly_granted",
         "already_settled",
@@ -18,6 +18,7 @@
         "refused_closed_holder",
         "refused_exceeds_holding",
         "refused_key_claimed",
+        "refused_keys_held",
     };
     return names.at(static_cast<std::size_t>(outcome));
 }
--- a/src/decision/ledger/ledger_state.cpp
+++ b/src/decision/ledger/ledger_state.cpp
@@ -64,7 +64,13 @@
         return state.apply_reclaim(operation);
     }
     operation_outcome operator()(const claim_key_operation& operation) const {
-        return state.apply_claim(operation);
+        return state.apply_claim(writer, operation);
+    }
+    operation_outcome operator()(const hold_keys_operation&) const {
+        return state.apply_hold_keys(writer);
+    }
+    operation_outcome operator()(const release_keys_operation&) const {
+        return state.apply_release_keys(writer);
     }
 };
 
@@ -112,10 +118,11 @@
 
 void ledger_state::restore(std::unordered_map<budget_id, budget_state> budgets,
                            std::unordered_map<incarnation_id, ledger_writer> writers,
-                           key_memory keys) {
+                           key_memory keys, incarnation_id key_holder) {
     budgets_ = std::move(budgets);
     writers_ = std::move(writers);
     keys_ = std::move(keys);
+    key_holder_ = key_holder;
 }
 
 operation_outcome ledger_state::apply_set_budget(const set_budget_operation& operation) {
@@ -244,9 +251,16 @@
     if (is_closed(holder)) {
         return operation_outcome::refused_closed_holder;
     }
+    close_holder(holder);
+    return operation_outcome::accepted;
+}
+
+void ledger_state::close_holder(incarnation_id holder) {
     release_holdings(holder);
     writers_[holder].closed = true;
-    return operation_outcome::accepted;
+    if (key_holder_ == holder) {
+        key_holder_ = incarnation_id{};
+    }
 }
 
 operation_outcome ledger_state::apply_reclaim(const reclaim_operation& operation) {
@@ -264,8 +278,7 @@
             apply_settle(listed);
         }
     }
-    release_holdings(operation.holder);
-    writers_[operation.holder].closed = true;
+    close_holder(operation.holder);
     return operation_outcome::accepted;
 }
 
@@ -281,6 +294,12 @@
     }
     budget.running.push_back(listed);
     budget.running.back().amount = covered;
+    // Whoever holds the key grant next must know that this key has run.
+    key_facts facts = keys_.facts_of(listed.key);
+    if (facts.claimed_by == ticket_id{}) {
+        facts.claimed_by = listed.ticket;
+        keys_.put(listed.key, facts);
+    }
 }
 
 void ledger_state::release_holdings(incarnation_id holder) {
@@ -294,7 +313,30 @@
     }
 }
 
-operation_outcome ledger_state::apply_claim(const claim_key_operation& operation) {
+operation_outcome ledger_state::apply_hold_keys(incarnation_id writer) {
+    if (is_closed(writer)) {
+        return operation_outcome::refused_closed_holder;
+    }
+    if (key_holder_ != incarnation_id{} && key_holder_ != writer) {
+        return operation_outcome::refused_keys_held;
+    }
+    key_holder_ = writer;
+    return operation_outcome::accepted;
+}
+
+operation_outcome ledger_state::apply_release_keys(incarnation_id writer) {
+    if (key_holder_ != writer) {
+        return operation_outcome::refused_keys_held;
+    }
+    key_holder_ = incarnation_id{};
+    return operation_outcome::accepted;
+}
+
+operation_outcome ledger_state::apply_claim(incarnation_id writer,
+                                            const claim_key_operation& operation) {
+    if (key_holder_ != writer) {
+        return operation_outcome::refused_keys_held;
+    }
     key_facts facts = keys_.facts_of(operation.key);
     if (facts.claimed_by == operation.ticket) {
         return operation_outcome::accepted;
--- a/src/drivers/bus_codec.cpp
+++ b/src/drivers/bus_codec.cpp
@@ -25,7 +25,7 @@
     {refusal_reason::predates, wire::REFUSAL_PREDATES},
 }};
 
-constexpr std::array<outcome_pair, 8> outcomes{{
+constexpr std::array<outcome_pair, 9> outcomes{{
     {reservation_outcome::granted, wire::RESERVE_GRANTED},
     {reservation_outcome::join, wire::RESERVE_JOIN},
     {reservation_outcome::budget_exhausted, wire::RESERVE_BUDGET_EXHAUSTED},
@@ -34,6 +34,7 @@
     {reservation_outcome::key_reused, wire::RESERVE_KEY_REUSED},
     {reservation_outcome::in_progress, wire::RESERVE_IN_PROGRESS},
     {reservation_outcome::unknown_outcome, wire::RESERVE_UNKNOWN_OUTCOME},
+    {reservation_outcome::keys_elsewhere, wire::RESERVE_KEYS_ELSEWHERE},
 }};
 
 template <typename Pairs, typename Value>
--- a/src/drivers/ledger_codec.cpp
+++ b/src/drivers/ledger_codec.cpp
@@ -49,6 +49,8 @@
         target.set_key_low(operation.key.low);
         target.set_ticket(raw(operation.ticket));
     }
+    void operator()(const hold_keys_operation&) const { out.mutable_hold_keys(); }
+    void operator()(const release_keys_operation&) const { out.mutable_release_keys(); }
 };
 
 result<ledger_operation> decode_operation(const wire::LedgerOperation& in, incarnation_id writer) {
@@ -79,6 +81,10 @@
             return ledger_operation(
                 claim_key_operation{digest{in.claim_key().key_high(), in.claim_key().key_low()},
                                     ticket_id{in.claim_key().ticket()}});
+        case wire::LedgerOperation::kHoldKeys:
+            return ledger_operation(hold_keys_operation{});
+        case wire::LedgerOperation::kReleaseKeys:
+            return ledger_operation(release_keys_operation{});
         case wire::LedgerOperation::KIND_NOT_SET:
             break;
     }
@@ -230,6 +236,7 @@
 std::string encode_ledger_snapshot(const ledger_state& state, log_offset as_of) {
     wire::LedgerSnapshot snapshot;
     snapshot.set_as_of(raw(as_of));
+    snapshot.set_key_holder(raw(state.key_holder()));
     // In the order of identifiers, so that equal states give equal bytes.
     std::map<budget_id, const budget_state*> budgets;
     for (const auto& [id, budget] : state.budgets()) {
@@ -277,7 +284,8 @@
     key_memory keys(ledger_state::default_key_generation);
     keys.restore(std::move(younger), std::move(older));
     ledger_state state;
-    state.restore(std::move(budgets), std::move(writers), std::move(keys));
+    state.restore(std::move(budgets), std::move(writers), std::move(keys),
+                  incarnation_id{snapshot.key_holder()});
     return state;
 }
 
--- a/src/experiment/slopes.cpp
+++ b/src/experiment/slopes.cpp
@@ -142,8 +142,8 @@
     // What the first tick drew is granted, so that the next ones see a home at rest.
     std::uint64_t sequence = ledger->last_sequence_of(own);
     for (auto batch = home->take_batch(); !batch.empty(); batch = home->take_batch()) {
-        const auto outcomes = ledger->apply({own, ++sequence, batch});
-        home->batch_applied(instant{}, batch, outcomes);
+        ledger->apply({own, ++sequence, batch});
+        home->batch_applied(instant{}, batch);
     }
     figures["home_tick_us_a_budget"] =
         microseconds_a_call(100, [&](std::size_t index) { home->tick(instant(seconds(index))); }) /
--- a/src/roles/entry/home_desk.cpp
+++ b/src/roles/entry/home_desk.cpp
@@ -175,6 +175,7 @@
             encode_ticket(answer.granted, *reply.mutable_ticket());
         }
         reply.set_guard_endpoint(answer.guard_endpoint);
+        reply.set_key_holder(raw(answer.key_holder));
         const auto wait = std::chrono::duration_cast<milliseconds>(answer.retry_after).count();
         reply.set_retry_after_ms(static_cast<std::uint32_t>(wait));
         parts_.bus.answer(origin, message);
@@ -260,7 +261,7 @@
     }
     if (own && !target.batch.empty()) {
         const std::vector<ledger_operation> sent = std::exchange(target.batch, {});
-        acknowledge(target.home->batch_applied(now, sent, outcomes));
+        acknowledge(target.home->batch_applied(now, sent));
     }
     note_operator_outcomes(target, batch, outcomes);
     target.home->ledger_changed(now);
@@ -365,7 +366,8 @@
 bool home_desk::keeps_no_state(const desk_shard& target) const {
     return target.home->idle() && target.early.empty() && target.parked.empty() &&
            target.operator_operations.empty() && !target.replica->busy() &&
-           target.replica->state().budgets_of(own_).empty();
+           target.replica->state().budgets_of(own_).empty() &&
+           target.replica->state().key_holder() != own_;
 }
 
 /// A shard that was read for an operator's question, or served in place of a home that is back, is
--- a/src/roles/entry/request_flow.cpp
+++ b/src/roles/entry/request_flow.cpp
@@ -20,6 +20,7 @@
 constexpr microseconds longest_backoff = milliseconds(500);
 constexpr unsigned most_tries = 4;
 constexpr unsigned most_homes = 3;
+constexpr unsigned most_key_redirects = 3;
 constexpr microseconds overload_retry = seconds(1);
 
 /// A caller that leaves so much untaken is cut off.
@@ -98,7 +99,12 @@
              request_fate::not_run, overload_retry);
         return;
     }
-    home_ = *next;
+    reserve_at(*next);
+}
+
+void request_flow::reserve_at(incarnation_id home) {
+    phase_ = flow_phase::reserving;
+    home_ = home;
     tried_homes_.push_back(home_);
     ++step_;
     if (home_ == parts_.own) {
@@ -160,6 +166,7 @@
     answer.outcome = decode_outcome(reply.outcome());
     answer.granted = decode_ticket(reply.ticket());
     answer.guard_endpoint = reply.guard_endpoint();
+    answer.key_holder = incarnation_id{reply.key_holder()};
     answer.retry_after = milliseconds(reply.retry_after_ms());
     on_reservation(answer);
 }
@@ -182,11 +189,27 @@
             tried_homes_.clear();
             after(in_progress_wait, &request_flow::reserve);
             return;
+        case reservation_outcome::keys_elsewhere:
+            go_to_key_holder(answer);
+            return;
         default:
             refuse_reservation(answer);
     }
 }
 
+void request_flow::go_to_key_holder(const reservation_answer& answer) {
+    const bool reachable = answer.key_holder != incarnation_id{} &&
+                           parts_.fleet.control().is_active(answer.key_holder);
+    if (!reachable || key_redirects_ >= most_key_redirects) {
+        fail(status_unavailable, "keys_unreachable",
+             "Whoever decides about calls that may not be repeated cannot be reached now.",
+             request_fate::not_run, answer.retry_after);
+        return;
+    }
+    ++key_redirects_;
+    reserve_at(answer.key_holder);
+}
+
 void request_flow::refuse_reservation(const reservation_answer& answer) {
     parts_.events.add(timeline_kind::reservation_refused, name_, {}, {},
                       std::string(name_of(answer.outcome)));
--- a/src/roles/entry/request_flow.hpp
+++ b/src/roles/entry/request_flow.hpp
@@ -83,6 +83,8 @@
 private:
     reservation_ask ask() const;
     void reserve();
+    void reserve_at(incarnation_id home);
+    void go_to_key_holder(const reservation_answer& answer);
     void on_reservation(const reservation_answer& answer);
     void refuse_reservation(const reservation_answer& answer);
     void dispatch();
@@ -121,6 +123,7 @@
     ticket_id replaces_{};
     std::vector<incarnation_id> tried_guards_;
     unsigned tries_ = 0;
+    unsigned key_redirects_ = 0;
     attempt_id attempt_{};
     incarnation_id guard_{};
     std::string guard_endpoint_;
