--- a/src/experiment/limiter_run.cpp
+++ b/src/experiment/limiter_run.cpp
@@ -52,7 +52,7 @@
     return list;
 }
 
-limiter_run::limiter_run(limiter_factory limiter, microseconds most_wait, std::uint64_t seed)
+limiter_run::limiter_run(const limiter_factory& limiter, microseconds most_wait, std::uint64_t seed)
     : random_(seed),
       speed_(engine_speed_used()),
       engine_(speed_),
--- a/src/experiment/limiter_run.hpp
+++ b/src/experiment/limiter_run.hpp
@@ -39,7 +39,7 @@
 /// One engine behind one guard's queue and limiter, in virtual time with seeded arrivals.
 class limiter_run {
 public:
-    limiter_run(limiter_factory limiter, microseconds most_wait, std::uint64_t seed);
+    limiter_run(const limiter_factory& limiter, microseconds most_wait, std::uint64_t seed);
 
     limiter_score run();
 
