--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -32,7 +32,7 @@
 run_step "examples" scripts/check_examples.sh
 run_step "models" scripts/check_models.sh
 for test in core decision drivers live; do
-    run_step "test $test" build/release/test_$test --log_level=warning
+    run_step "test $test" build/release/test_$test --log_level=warning --color_output=no
 done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
