Use the shared exit codes and drop an unused parameter

Found on reading the whole change again: entries, guards and the stand-ins each wrote exit codes again that core/exit_codes.hpp has, and the budget experiment's refuse() took a site that it ignored.

--- a/src/experiment/budget_run.cpp
+++ b/src/experiment/budget_run.cpp
@@ -211,7 +211,7 @@
 
 void budget_run::crash(site& where, microseconds now) {
     for (const auto& [request, ask] : where.waiting) {
-        refuse(where, ask.first, ask.second, now);
+        refuse(ask.first, ask.second, now);
     }
     where.waiting.clear();
     where.up = false;
@@ -345,7 +345,7 @@
     ask.bound = static_cast<tokens>(static_cast<double>(cost) * factor);
     ask.wait = token_wait;
     if (!where.up) {
-        refuse(where, budget, ask.bound, now);
+        refuse(budget, ask.bound, now);
         return;
     }
     where.waiting[ask.request] = {budget, ask.bound};
@@ -365,7 +365,7 @@
     if (answer.outcome == reservation_outcome::granted) {
         begin(where, budget, answer.granted, now_);
     } else {
-        refuse(where, budget, bound, now_);
+        refuse(budget, bound, now_);
     }
 }
 
@@ -384,8 +384,7 @@
     (void)where.home->started(granted.id, incarnation_id{~1ULL}, "guard");
 }
 
-void budget_run::refuse(site& where, std::size_t budget, tokens bound, microseconds now) {
-    (void)where;
+void budget_run::refuse(std::size_t budget, tokens bound, microseconds now) {
     truth& known = budgets_[budget];
     const bool affordable = known.limit - known.spent - known.reserved >= bound;
     if (!affordable) {
--- a/src/experiment/budget_run.hpp
+++ b/src/experiment/budget_run.hpp
@@ -64,7 +64,7 @@
     void arrive(site& where, std::size_t budget, microseconds now);
     void answered(site& where, std::uint64_t request, const reservation_answer& answer);
     void begin(site& where, std::size_t budget, const ticket& granted, microseconds now);
-    void refuse(site& where, std::size_t budget, tokens bound, microseconds now);
+    void refuse(std::size_t budget, tokens bound, microseconds now);
     void end_requests(microseconds now);
     void report(const running_request& ended, microseconds now);
     void retry_reports(microseconds now);
--- a/src/main/wrenstand/main.cpp
+++ b/src/main/wrenstand/main.cpp
@@ -10,6 +10,7 @@
 #include "stand/log_stand.hpp"
 #include "stand/service_stand.hpp"
 #include "stand/weight_store_stand.hpp"
+#include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 
@@ -17,9 +18,6 @@
 
 using namespace wrenswitch;
 
-constexpr int exit_bad_command = 2;
-constexpr int exit_unavailable = 3;
-
 using port_list = std::vector<std::uint16_t>;
 
 /// A stand-in that runs, whatever its kind, with the ports it serves.
--- a/src/roles/entry/entry.cpp
+++ b/src/roles/entry/entry.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/drivers/ledger_codec.hpp"
 #include "wrenswitch/roles/entry.hpp"
@@ -505,13 +506,12 @@
     entry process(loop, settings);
     const result<void> started = process.start();
     if (!started) {
-        constexpr int exit_unavailable = 3;
         log_event(log_level::error, "start_failed", {{"finding", started.error().message}});
         return exit_unavailable;
     }
     loop.on_stop_signal([&loop, &process] { process.drain([&loop] { loop.stop(); }); });
     loop.run();
-    return 0;
+    return exit_done;
 }
 
 }  // namespace wrenswitch
--- a/src/roles/guard/guard.cpp
+++ b/src/roles/guard/guard.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/roles/guard.hpp"
 
@@ -638,13 +639,12 @@
     guard process(loop, settings);
     const result<void> started = process.start();
     if (!started) {
-        constexpr int exit_unavailable = 3;
         log_event(log_level::error, "start_failed", {{"finding", started.error().message}});
         return exit_unavailable;
     }
     loop.on_stop_signal([&loop, &process] { process.drain([&loop] { loop.stop(); }); });
     loop.run();
-    return 0;
+    return exit_done;
 }
 
 }  // namespace wrenswitch
