--- a/include/wrenswitch/core/error.hpp
+++ b/include/wrenswitch/core/error.hpp
@@ -9,6 +9,8 @@
 /// What kind of failure an error is, for code that reacts to it.
 enum class error_code {
     bad_input,
+    /// More than a limit allows.
+    too_large,
     not_found,
     conflict,
     unavailable,
--- /dev/null
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wrenswitch/core/ids.hpp"
+#include "wrenswitch/core/time.hpp"
+#include "wrenswitch/core/tokens.hpp"
+
+namespace wrenswitch {
+
+/// What may be done with a request that was already sent to a target.
+enum class request_kind {
+    /// It may run again.
+    repeatable,
+    /// It runs once at the most.
+    single_run,
+    /// It runs once at the most and answers with a stream of events.
+    stream,
+    /// A stream that may go on at another target behind the last event that came.
+    resumable_stream,
+};
+
+/// True if a request of this kind may be sent again after it may have run.
+bool may_repeat(request_kind kind);
+
+/// True if the answer is a stream of events.
+bool is_stream(request_kind kind);
+
+/// One part of the traffic of a route.
+struct route_split {
+    std::string service;
+    double weight = 1.0;
+};
+
+/// Where requests of one host and path prefix go, and how.
+struct gateway_route {
+    std::string name;
+    std::string host;
+    std::string path_prefix;
+    request_kind kind = request_kind::single_run;
+    std::vector<route_split> splits;
+    microseconds timeout = seconds(60);
+    /// The time to the answer, or to a stream's first event, that callers pay for.
+    microseconds objective = seconds(1);
+    /// The longest pause between events that callers pay for; zero if none is given.
+    microseconds pause_objective{};
+    /// The number of targets that one request may be sent to.
+    unsigned most_attempts = 1;
+    /// 0 is the most urgent.
+    unsigned priority = 0;
+    /// Open to callers without a key.
+    bool is_public = false;
+};
+
+/// What a model engine of a service can hold.
+struct engine_shape {
+    unsigned slots = 0;
+    tokens memory = 0;
+    /// The tokens in one event of a stream, at most.
+    tokens tokens_per_event = 1;
+};
+
+/// A set of targets that are alike.
+struct gateway_service {
+    std::string name;
+    std::string health_path;
+    /// Connections that one target takes from all entries together.
+    std::size_t most_connections = 64;
+    /// Given if the targets are model engines.
+    std::optional<engine_shape> engine;
+};
+
+/// A client account, its keys and its prepaid budget.
+struct gateway_account {
+    std::string name;
+    std::vector<std::string> keys;
+    unsigned priority = 0;
+    /// No budget means that nothing is counted.
+    std::optional<tokens> prepaid;
+};
+
+/// What callers may send.
+struct gateway_limits {
+    std::size_t most_header_bytes = 32U * 1024U;
+    std::size_t most_body_bytes = 4U * 1024U * 1024U;
+    microseconds head_timeout = seconds(5);
+    microseconds idle_timeout = seconds(60);
+};
+
+/// Everything that operators set for a gateway, as one version.
+struct gateway_configuration {
+    std::uint64_t version = 0;
+    std::vector<gateway_route> routes;
+    std::vector<gateway_service> services;
+    std::vector<gateway_account> accounts;
+    gateway_limits limits;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/ids.hpp"
+#include "wrenswitch/core/time.hpp"
+#include "wrenswitch/core/tokens.hpp"
+#include "wrenswitch/decision/grants/grant_table.hpp"
+
+namespace wrenswitch {
+
+/// How much a process draws ahead of need.
+struct grant_policy_settings {
+    /// How long the tokens in hand should last at the present demand.
+    microseconds horizon = seconds(3);
+    /// The part of what is left of a budget that all hosts together may hold unspent. It is what a
+    /// loss of every process at once can make unusable.
+    double held_share = 0.2;
+    /// How long the estimate of demand remembers.
+    microseconds demand_memory = seconds(3);
+    /// Drawn before any demand was seen, so that a first request need not wait.
+    tokens first_draw = 4096;
+    /// A surplus must last this long before it is given back.
+    microseconds surplus_patience = seconds(4);
+};
+
+/// What became of a wish to spend.
+enum class reserve_outcome {
+    reserved,
+    /// Not now: the tokens in hand don't suffice, and the budget may still hold enough.
+    short_of_tokens,
+    /// Never, unless the budget is raised: what is left can't hold the amount.
+    exhausted,
+};
+
+/// The name of an outcome as logs show it.
+std::string_view name_of(reserve_outcome outcome);
+
+/// One process's hold on the prepaid budgets: it spends only what the grant table says it was
+/// granted, so it needs no clock and no connection to stay within every budget.
+class grant_holder {
+public:
+    /// The table must outlive the holder.
+    grant_holder(std::string host, incarnation_id incarnation, grant_policy_settings policy,
+                 const grant_table& table);
+
+    /// Sets an account's budget. Without one its tokens aren't counted.
+    void set_limit(const std::string& account, tokens limit);
+    void remove_limit(const std::string& account);
+
+    /// Sets an amount aside, the most that a request can cost.
+    reserve_outcome reserve(instant now, const std::string& account, tokens amount);
+
+    /// Turns a part of what was set aside into spent tokens.
+    void spend(instant now, const std::string& account, tokens amount);
+
+    /// Frees a part of what was set aside.
+    void release(const std::string& account, tokens amount);
+
+    /// A request waits for this much; zero if none does.
+    void set_waiting(const std::string& account, tokens amount);
+
+    /// The records to append now at the end of the log that the table was read from. Empty if all
+    /// is as it should be.
+    std::vector<grant_record> compose(instant now);
+
+    /// The end of the log that the last records were composed for is taken, by them or by others'
+    /// records, so that none of them can still be appended.
+    void resolved();
+
+    /// True if a request waits, or hands run low: a reason not to wait for the next tick.
+    bool urgent() const;
+
+    /// Gives back all that is free and draws no more, for a planned stop.
+    void set_draining(bool draining) { draining_ = draining; }
+
+    /// The tokens in hand that nothing is set aside for.
+    tokens free(const std::string& account) const;
+
+    /// What is set aside for requests.
+    tokens reserved(const std::string& account) const;
+
+    /// The most that may be left of a budget: its limit less what is spent for certain.
+    tokens left_at_most(const std::string& account) const;
+
+private:
+    struct account_state {
+        tokens limit = 0;
+        tokens reserved = 0;
+        /// By this process.
+        tokens spent = 0;
+        tokens waiting = 0;
+        /// Given back by a record whose fate isn't known yet; not to be spent.
+        tokens returning = 0;
+        tokens largest_request = 0;
+        double demand_per_second = 0.0;
+        instant demand_at{};
+        /// Since when there was more in hand than wanted.
+        instant surplus_since{};
+        bool surplus = false;
+    };
+
+    grant_key key_of(const std::string& account) const { return {account, host_}; }
+    tokens granted_here(const std::string& account) const;
+    tokens free(const std::string& account, const account_state& state) const;
+    void note_demand(instant now, account_state& state, tokens amount) const;
+    tokens wanted_in_hand(const std::string& account, const account_state& state) const;
+    tokens change_for(instant now, const std::string& account, account_state& state) const;
+    tokens surplus_change(instant now, account_state& state, tokens surplus, bool at_once) const;
+
+    std::string host_;
+    incarnation_id incarnation_;
+    grant_policy_settings policy_;
+    const grant_table& table_;
+    std::map<std::string, account_state> accounts_;
+    bool draining_ = false;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/drivers/grant_ledger.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/decision/grants/grant_table.hpp"
+#include "wrenswitch/drivers/keyed_follower.hpp"
+
+namespace wrenswitch {
+
+/// A grant record as a record of a keyed log, and back. Nothing if the record is damaged.
+keyed_record encode_grant(const grant_record& record);
+std::optional<grant_record> decode_grant(const keyed_record& record);
+
+/// What a ledger calls.
+struct grant_ledger_hooks {
+    /// Records to append at the end of what the table holds.
+    std::function<std::vector<grant_record>()> compose;
+    /// The table changed, or an append's fate is settled.
+    std::function<void()> changed;
+    /// The end that the last records were composed for is taken.
+    std::function<void()> resolved;
+    std::function<void(bool reachable)> reachable;
+};
+
+/// The table of grants as its log has it, and the one way to append to it. An append names the end
+/// of the log as it was read; if another writer was faster it is composed anew.
+class grant_ledger {
+public:
+    grant_ledger(event_loop& loop, keyed_log& log, std::string name, metrics& counters,
+                 grant_ledger_hooks hooks);
+    ~grant_ledger();
+    grant_ledger(const grant_ledger&) = delete;
+    grant_ledger& operator=(const grant_ledger&) = delete;
+
+    void start() { follower_.start(); }
+
+    const grant_table& table() const { return table_; }
+    bool live() const { return follower_.live(); }
+    std::uint64_t position() const { return follower_.position(); }
+
+    /// Appends what there is to append, unless an append is under way.
+    void append_if_due();
+
+private:
+    void on_changed(const keyed_record& record);
+    void on_caught_up();
+    void on_appended(std::uint64_t at, const std::vector<keyed_record>& records,
+                     const result<std::uint64_t>& end);
+    void settle(std::uint64_t position);
+
+    event_loop& loop_;
+    keyed_log& log_;
+    std::string name_;
+    metrics& counters_;
+    grant_ledger_hooks hooks_;
+    grant_table table_;
+    keyed_follower follower_;
+    bool appending_ = false;
+    /// The end that the last records were composed for, while their fate is open.
+    std::optional<std::uint64_t> open_at_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/drivers/ingress_server.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/error.hpp"
+#include "wrenswitch/core/time.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+#include "wrenswitch/drivers/message_head.hpp"
+
+namespace wrenswitch {
+
+/// What callers may send and how long they may take; read anew for each message.
+struct ingress_limits {
+    std::size_t most_header_bytes = 32U * 1024U;
+    std::size_t most_body_bytes = 4U * 1024U * 1024U;
+    /// From the first byte of a head to its end, and the longest pause inside a body.
+    microseconds head_timeout = seconds(5);
+    /// How long a connection may rest between requests.
+    microseconds idle_timeout = seconds(60);
+};
+
+/// One whole request and its answer. Once the peer is gone, writing does nothing.
+class ingress_exchange {
+public:
+    virtual ~ingress_exchange() = default;
+
+    virtual const message_head& head() const = 0;
+    virtual std::string_view body() const = 0;
+    /// When the last byte of the request was read.
+    virtual instant received() const = 0;
+
+    /// Sends a whole answer.
+    virtual void answer(unsigned status, const std::vector<http_header>& headers,
+                        std::string_view body) = 0;
+
+    /// Begins an answer whose body comes in pieces, in chunks.
+    virtual void begin_answer(unsigned status, const std::vector<http_header>& headers) = 0;
+    virtual void send_piece(std::string_view piece) = 0;
+    virtual void end_answer() = 0;
+
+    /// Ends the connection, so that the peer sees that the answer is not whole.
+    virtual void cut() = 0;
+
+    /// Bytes that the peer has not taken yet.
+    virtual std::size_t unsent_bytes() const = 0;
+
+    /// Called once if the peer goes away before the answer has ended.
+    virtual void on_closed(std::function<void()> action) = 0;
+};
+
+using ingress_exchange_pointer = std::shared_ptr<ingress_exchange>;
+using ingress_handler = std::function<void(const ingress_exchange_pointer&)>;
+using ingress_limits_source = std::function<ingress_limits()>;
+
+/// A strict HTTP/1.1 server for requests that are passed on: heads are kept as they came, one
+/// request is read at a time, malformed ones get their status and a closed connection.
+class ingress_server {
+public:
+    /// Binds and serves. An error if the address cannot be bound.
+    static result<std::unique_ptr<ingress_server>> start(event_loop& loop, const std::string& host,
+                                                         std::uint16_t port,
+                                                         ingress_limits_source limits,
+                                                         ingress_handler handler);
+
+    virtual ~ingress_server() = default;
+
+    /// The port that is bound, which port 0 leaves to the system.
+    virtual std::uint16_t port() const = 0;
+
+    /// Ends each connection after its present answer; new ones still get one request answered.
+    virtual void begin_drain() = 0;
+
+    /// Takes no new connections and ends those that rest.
+    virtual void stop_listening() = 0;
+
+    /// Connections that are open.
+    virtual std::size_t connections() const = 0;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/drivers/keyed_log.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/error.hpp"
+#include "wrenswitch/core/time.hpp"
+
+namespace wrenswitch {
+
+/// One record of a keyed log.
+struct keyed_record {
+    std::string key;
+    /// Nothing if the record drops the key.
+    std::optional<std::string> value;
+    std::uint64_t offset = 0;
+};
+
+/// A stretch of a keyed log.
+struct keyed_page {
+    /// The offset that the next append will get.
+    std::uint64_t end = 0;
+    std::vector<keyed_record> records;
+};
+
+/// A log whose records have keys, and which keeps the newest record of each key for good. Offsets
+/// count from 0, without gaps.
+class keyed_log {
+public:
+    using page_hook = std::function<void(result<keyed_page>)>;
+    /// Told the offset behind the appended records.
+    using append_hook = std::function<void(result<std::uint64_t>)>;
+
+    virtual ~keyed_log() = default;
+
+    /// The newest record of each key. The page's end is that of the log before the first was read,
+    /// so that reading on from there misses nothing.
+    virtual void newest(std::string_view log, page_hook done) = 0;
+
+    /// Reads records from an offset on, waiting for one for so long if there are none. An error of
+    /// code expired means that the offset is no longer kept.
+    virtual void read(std::string_view log, std::uint64_t from, microseconds wait,
+                      page_hook done) = 0;
+
+    /// Appends all the records if the log ends at this offset, or none. An error of code conflict
+    /// means that it doesn't; of any other, that the records may have been appended, or may still
+    /// be as long as the log ends there.
+    virtual void append(std::string_view log, std::uint64_t at,
+                        std::span<const keyed_record> records, append_hook done) = 0;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/findings.hpp"
+#include "wrenswitch/decision/gateway/gateway_configuration.hpp"
+#include "wrenswitch/decision/gateway/target_pool.hpp"
+#include "wrenswitch/decision/grants/grant_holder.hpp"
+#include "wrenswitch/drivers/http_client.hpp"
+#include "wrenswitch/drivers/keyed_log.hpp"
+#include "wrenswitch/drivers/message_bus.hpp"
+#include "wrenswitch/drivers/message_head.hpp"
+#include "wrenswitch/drivers/service_channel.hpp"
+
+namespace wrenswitch {
+
+/// The names and formats in which a platform speaks to a gateway. It holds no decision: everything
+/// here is how something is called or written.
+struct gateway_dialect {
+    /// Names of headers.
+    std::string request_id;
+    std::string deadline_ms;
+    std::string key;
+    std::string account;
+    std::string expected_target;
+    std::string last_event;
+    std::string urgency;
+    std::string not_run;
+    std::string signature;
+    std::string load;
+    /// Headers that only the gateway may set: dropped from what callers send.
+    std::vector<std::string> set_by_gateway;
+    /// Headers that a proper request has once at the most.
+    std::vector<std::string> given_once;
+    /// Headers that are passed on even if a caller's Connection header names them.
+    std::vector<std::string> always_passed;
+    /// What a request says of its prompt. Without a prompt all is zero.
+    std::function<result<prompt_shape>(const message_head&)> read_prompt;
+    /// What a target says of its load in an answer.
+    std::function<std::optional<load_report>(std::string_view)> read_load;
+
+    /// The keyed logs, and the key under which the configuration stands.
+    std::string configuration_log;
+    std::string configuration_key;
+    std::string target_log;
+    std::string grant_log;
+    std::function<result<gateway_configuration>(std::string_view)> read_configuration;
+    std::function<result<gateway_target>(std::string_view id, std::string_view value)> read_target;
+    /// The keyed log behind a channel to the platform's service.
+    std::function<std::unique_ptr<keyed_log>(service_channel&)> make_log;
+    /// A cheap call that shows whether the service answers.
+    std::function<http_request()> probe;
+    /// The path at which the platform asks whether the gateway takes connections.
+    std::string ready_path;
+};
+
+/// What a gateway is told in its settings file.
+struct gateway_settings {
+    std::string host;
+    std::string failure_domain;
+    http_address listen;
+    /// Where readiness and metrics are served.
+    http_address admin;
+    http_address service;
+    message_bus_settings bus;
+    /// The port at which a relay listens beside an engine's target; zero if there are none.
+    std::uint16_t relay_port = 0;
+    /// How long a planned stop may take.
+    microseconds longest_drain = seconds(8);
+    /// How long connections are still taken after a stop began, until the platform knows.
+    microseconds listen_after_stop = milliseconds(3500);
+    /// Retries as a share of first tries, and how many may come at once.
+    double retry_share = 0.1;
+    double retry_burst = 5.0;
+    /// How long a request waits for tokens before it is refused.
+    microseconds token_wait = milliseconds(300);
+    grant_policy_settings grants;
+    /// Lines of routine a second; failures have as many again.
+    unsigned log_lines_per_second = 50;
+};
+
+/// Reads a gateway's settings. Nothing if there are findings.
+std::optional<gateway_settings> read_gateway_settings(std::string_view text, findings& problems);
+
+/// Runs a gateway until it is told to stop. Returns the exit code.
+int run_gateway(const gateway_settings& settings, const gateway_dialect& dialect);
+
+}  // namespace wrenswitch
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -2,7 +2,7 @@
 # Installs what the build and the tests need on Debian 12. Does nothing if it is all there.
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
-    libevent-dev libevhtp-dev libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev
+    libevent-dev libevhtp-dev libhttp-parser-dev libzmq3-dev cppzmq-dev libprotobuf-dev libboost-dev
     libboost-test-dev libtclap-dev libeasyloggingpp-dev nlohmann-json3-dev libxxhash-dev
     libssl-dev spin curl)
 missing=()
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -6,6 +6,8 @@
     switch (code) {
         case error_code::bad_input:
             return "bad_input";
+        case error_code::too_large:
+            return "too_large";
         case error_code::not_found:
             return "not_found";
         case error_code::conflict:
--- /dev/null
+++ b/src/decision/grants/grant_holder.cpp
@@ -0,0 +1,210 @@
+#include "wrenswitch/decision/grants/grant_holder.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wrenswitch {
+namespace {
+
+/// A process draws again once this part of what it wants in hand is gone.
+constexpr double refill_at = 0.6;
+
+/// Hands may hold this multiple of what is wanted before it counts as a surplus.
+constexpr double surplus_factor = 2.0;
+
+/// What a host keeps, in parts of the horizon, while another host waits for tokens.
+constexpr double kept_while_others_wait = 0.1;
+
+tokens part_of(tokens whole, double part) {
+    return static_cast<tokens>(std::llround(static_cast<double>(whole) * part));
+}
+
+}  // namespace
+
+std::string_view name_of(reserve_outcome outcome) {
+    switch (outcome) {
+        case reserve_outcome::reserved:
+            return "reserved";
+        case reserve_outcome::short_of_tokens:
+            return "short_of_tokens";
+        case reserve_outcome::exhausted:
+            return "exhausted";
+    }
+    return "unnamed";
+}
+
+grant_holder::grant_holder(std::string host, incarnation_id incarnation,
+                           grant_policy_settings policy, const grant_table& table)
+    : host_(std::move(host)), incarnation_(incarnation), policy_(policy), table_(table) {}
+
+void grant_holder::set_limit(const std::string& account, tokens limit) {
+    accounts_[account].limit = limit;
+}
+
+void grant_holder::remove_limit(const std::string& account) {
+    const auto found = accounts_.find(account);
+    if (found != accounts_.end()) {
+        found->second.limit = 0;
+    }
+}
+
+tokens grant_holder::granted_here(const std::string& account) const {
+    const grant own = table_.find(key_of(account));
+    return own.holder == incarnation_ ? own.granted - own.base : 0;
+}
+
+tokens grant_holder::free(const std::string& account, const account_state& state) const {
+    return granted_here(account) - state.spent - state.reserved - state.returning;
+}
+
+tokens grant_holder::free(const std::string& account) const {
+    const auto found = accounts_.find(account);
+    return found == accounts_.end() ? 0 : free(account, found->second);
+}
+
+tokens grant_holder::reserved(const std::string& account) const {
+    const auto found = accounts_.find(account);
+    return found == accounts_.end() ? 0 : found->second.reserved;
+}
+
+tokens grant_holder::left_at_most(const std::string& account) const {
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end()) {
+        return 0;
+    }
+    const grant own = table_.find(key_of(account));
+    const bool is_ours = own.holder == incarnation_;
+    // What the table holds of this process is older than what the process knows itself.
+    const tokens spent_by_others = table_.spent(account) - own.spent;
+    const tokens spent_here = (is_ours ? own.base : own.granted) + found->second.spent;
+    return found->second.limit - spent_by_others - spent_here;
+}
+
+reserve_outcome grant_holder::reserve(instant now, const std::string& account, tokens amount) {
+    account_state& state = accounts_[account];
+    state.largest_request = std::max(state.largest_request, amount);
+    if (free(account, state) >= amount) {
+        state.reserved += amount;
+        return reserve_outcome::reserved;
+    }
+    note_demand(now, state, 0);
+    return left_at_most(account) < amount ? reserve_outcome::exhausted
+                                          : reserve_outcome::short_of_tokens;
+}
+
+void grant_holder::spend(instant now, const std::string& account, tokens amount) {
+    account_state& state = accounts_[account];
+    state.reserved -= amount;
+    state.spent += amount;
+    note_demand(now, state, amount);
+}
+
+void grant_holder::release(const std::string& account, tokens amount) {
+    accounts_[account].reserved -= amount;
+}
+
+void grant_holder::set_waiting(const std::string& account, tokens amount) {
+    accounts_[account].waiting = amount;
+}
+
+/// An average over the memory in which old demand fades evenly.
+void grant_holder::note_demand(instant now, account_state& state, tokens amount) const {
+    if (state.demand_at == instant{}) {
+        state.demand_at = now;
+    }
+    const double memory = as_seconds(policy_.demand_memory);
+    const double passed = as_seconds(now - state.demand_at);
+    state.demand_at = now;
+    state.demand_per_second *= std::exp(-passed / memory);
+    state.demand_per_second += static_cast<double>(amount) / memory;
+}
+
+tokens grant_holder::wanted_in_hand(const std::string& account, const account_state& state) const {
+    const tokens available = state.limit - table_.granted(account);
+    const tokens held = std::max<tokens>(0, free(account, state));
+    const auto hosts = static_cast<double>(std::max<std::size_t>(1, table_.hosts(account)));
+    const double horizon = as_seconds(policy_.horizon);
+    const bool others_wait = table_.wanted_by_others(account, host_) > available;
+    const double span = others_wait ? horizon * kept_while_others_wait : horizon;
+    const auto by_demand = static_cast<tokens>(std::llround(state.demand_per_second * span));
+    const tokens first = others_wait ? 0 : std::max(policy_.first_draw, state.largest_request);
+    const tokens share = part_of(std::max<tokens>(0, available) + held, policy_.held_share / hosts);
+    return std::min(by_demand + first, std::max<tokens>(share, 0));
+}
+
+tokens grant_holder::surplus_change(instant now, account_state& state, tokens surplus,
+                                    bool at_once) const {
+    if (!state.surplus) {
+        state.surplus = true;
+        state.surplus_since = now;
+    }
+    const bool patient = now - state.surplus_since < policy_.surplus_patience;
+    return patient && !at_once ? 0 : -surplus;
+}
+
+/// What to draw, or, if negative, what to give back.
+tokens grant_holder::change_for(instant now, const std::string& account,
+                                account_state& state) const {
+    const tokens held = free(account, state) + state.returning;
+    if (draining_) {
+        return -std::max<tokens>(0, held);
+    }
+    const tokens available = std::max<tokens>(0, state.limit - table_.granted(account));
+    const tokens wanted = wanted_in_hand(account, state);
+    const tokens missing = state.waiting + wanted - held;
+    if (state.waiting > held || held < part_of(wanted, refill_at)) {
+        state.surplus = false;
+        return std::min(std::max<tokens>(missing, 0), available);
+    }
+    const bool others_wait = table_.wanted_by_others(account, host_) > available;
+    const double factor = others_wait ? 1.0 : surplus_factor;
+    const tokens surplus = held - state.waiting - part_of(wanted, factor);
+    if (surplus <= 0) {
+        state.surplus = false;
+        return 0;
+    }
+    return surplus_change(now, state, surplus, others_wait);
+}
+
+std::vector<grant_record> grant_holder::compose(instant now) {
+    std::vector<grant_record> records;
+    for (auto& [account, state] : accounts_) {
+        note_demand(now, state, 0);
+        const tokens change = change_for(now, account, state);
+        state.returning = std::max(state.returning, -change);
+        const grant present = table_.find(key_of(account));
+        const tokens wanted = std::max<tokens>(
+            0, state.waiting - std::max<tokens>(0, free(account, state) + change));
+        const bool wish_changed = present.holder == incarnation_ && present.wanted != wanted;
+        if (change == 0 && !wish_changed) {
+            continue;
+        }
+        grant next = present;
+        next.base = present.holder == incarnation_ ? present.base : present.granted;
+        next.holder = incarnation_;
+        next.granted = present.granted + change;
+        next.spent = next.base + state.spent;
+        next.wanted = wanted;
+        records.push_back({key_of(account), next});
+    }
+    return records;
+}
+
+void grant_holder::resolved() {
+    for (auto& [account, state] : accounts_) {
+        state.returning = 0;
+    }
+}
+
+bool grant_holder::urgent() const {
+    for (const auto& [account, state] : accounts_) {
+        const tokens held = free(account, state);
+        const tokens available = state.limit - table_.granted(account);
+        if (state.waiting > held && available > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/drivers/grant_ledger.cpp
@@ -0,0 +1,133 @@
+#include "wrenswitch/drivers/grant_ledger.hpp"
+
+#include <grants.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "wrenswitch/core/log.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// Between account and host in a record's key. Hosts have none in their names.
+constexpr char key_separator = '|';
+
+}  // namespace
+
+keyed_record encode_grant(const grant_record& record) {
+    wire::Grant value;
+    value.set_holder(raw(record.value.holder));
+    value.set_base(record.value.base);
+    value.set_granted(record.value.granted);
+    value.set_spent(record.value.spent);
+    value.set_wanted(record.value.wanted);
+    return {record.key.account + key_separator + record.key.host, value.SerializeAsString(), 0};
+}
+
+std::optional<grant_record> decode_grant(const keyed_record& record) {
+    const std::size_t separator = record.key.rfind(key_separator);
+    wire::Grant value;
+    const bool good = separator != std::string::npos && record.value &&
+                      value.ParseFromString(*record.value) && value.granted() >= value.base() &&
+                      value.base() >= 0;
+    if (!good) {
+        return std::nullopt;
+    }
+    grant_record decoded;
+    decoded.key = {record.key.substr(0, separator), record.key.substr(separator + 1)};
+    decoded.value = {incarnation_id{value.holder()}, value.base(), value.granted(), value.spent(),
+                     value.wanted()};
+    return decoded;
+}
+
+grant_ledger::grant_ledger(event_loop& loop, keyed_log& log, std::string name, metrics& counters,
+                           grant_ledger_hooks hooks)
+    : loop_(loop),
+      log_(log),
+      name_(std::move(name)),
+      counters_(counters),
+      hooks_(std::move(hooks)),
+      follower_(loop, log, {.log = name_},
+                {[this](const keyed_record& record) { on_changed(record); },
+                 [this] { on_caught_up(); },
+                 [this](bool reachable) { hooks_.reachable(reachable); }}) {}
+
+grant_ledger::~grant_ledger() {
+    *alive_ = false;
+}
+
+void grant_ledger::on_changed(const keyed_record& record) {
+    if (!record.value) {
+        const std::size_t separator = record.key.rfind(key_separator);
+        if (separator != std::string::npos) {
+            table_.remove({record.key.substr(0, separator), record.key.substr(separator + 1)});
+        }
+        return;
+    }
+    const std::optional<grant_record> decoded = decode_grant(record);
+    if (!decoded) {
+        counters_.counter("grant_records_damaged_total") += 1;
+        log_event(log_level::error, "grant_record_damaged",
+                  {{"key", record.key}, {"offset", std::to_string(record.offset)}});
+        return;
+    }
+    table_.apply(*decoded);
+}
+
+/// Forgets an append whose place is taken: whatever stands there, it can't come any more.
+void grant_ledger::settle(std::uint64_t position) {
+    if (open_at_ && position > *open_at_) {
+        open_at_.reset();
+        hooks_.resolved();
+    }
+}
+
+void grant_ledger::on_caught_up() {
+    settle(follower_.position());
+    hooks_.changed();
+}
+
+void grant_ledger::append_if_due() {
+    if (appending_ || !follower_.live()) {
+        return;
+    }
+    const std::vector<grant_record> wanted = hooks_.compose();
+    if (wanted.empty()) {
+        return;
+    }
+    std::vector<keyed_record> records;
+    records.reserve(wanted.size());
+    for (const grant_record& record : wanted) {
+        records.push_back(encode_grant(record));
+    }
+    const std::uint64_t at = follower_.position();
+    appending_ = true;
+    open_at_ = at;
+    counters_.counter("grant_appends_total") += 1;
+    log_.append(name_, at, records,
+                [this, at, records, alive = alive_](const result<std::uint64_t>& end) {
+                    if (*alive) {
+                        on_appended(at, records, end);
+                    }
+                });
+}
+
+void grant_ledger::on_appended(std::uint64_t at, const std::vector<keyed_record>& records,
+                               const result<std::uint64_t>& end) {
+    appending_ = false;
+    if (end) {
+        follower_.appended(at, records);
+        settle(follower_.position());
+        hooks_.changed();
+        return;
+    }
+    if (end.error().code == error_code::conflict) {
+        counters_.counter("grant_append_conflicts_total") += 1;
+    } else {
+        counters_.counter("grant_append_failures_total") += 1;
+    }
+    follower_.look_now();
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/drivers/ingress_connection.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <event2/bufferevent.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "wrenswitch/drivers/ingress_server.hpp"
+#include "wrenswitch/drivers/message_parser.hpp"
+
+namespace wrenswitch {
+
+class ingress_connection;
+
+/// What all connections of one server share.
+struct ingress_context {
+    event_loop& loop;
+    ingress_limits_source limits;
+    ingress_handler handler;
+    std::function<void(ingress_connection*)> on_gone;
+    bool draining = false;
+};
+
+/// One caller's connection: reads one request at a time and writes its answer.
+class ingress_connection : public std::enable_shared_from_this<ingress_connection> {
+public:
+    ingress_connection(ingress_context& context, bufferevent* stream);
+    ~ingress_connection();
+    ingress_connection(const ingress_connection&) = delete;
+    ingress_connection& operator=(const ingress_connection&) = delete;
+
+    void start();
+
+    /// Ends the connection now if no request is being read or answered.
+    void close_if_idle();
+
+    /// Writes to the peer as an exchange asks; `last` ends the answer.
+    void write(std::string_view bytes);
+    void finish_answer(bool keep);
+    void abort();
+    bool open() const { return stream_ != nullptr; }
+    bool keeps_alive() const { return keep_alive_ && !context_.draining; }
+    std::size_t unsent_bytes() const;
+
+private:
+    enum class phase { idle, reading, answering, lingering };
+
+    static void on_readable(bufferevent*, void* self);
+    static void on_written(bufferevent*, void* self);
+    static void on_event(bufferevent*, short what, void* self);
+
+    message_parser make_parser();
+    void read_available();
+    result<void> head_arrived(message_head head);
+    bool head_is_overdue() const;
+    void body_arrived(std::string_view piece);
+    void request_complete();
+    void refuse(unsigned status);
+    void peer_gone();
+    void linger();
+    void close();
+    void set_read_timeout(microseconds length);
+    void timed_out();
+
+    ingress_context& context_;
+    bufferevent* stream_;
+    ingress_limits limits_;
+    message_parser parser_;
+    phase phase_ = phase::idle;
+    message_head head_;
+    std::string body_;
+    bool keep_alive_ = true;
+    /// When the first byte of the present request came.
+    instant reading_since_{};
+    /// Tells the exchange that the peer went away.
+    std::function<void()> gone_hook_;
+    friend class connection_exchange;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/drivers/keyed_follower.cpp
@@ -0,0 +1,157 @@
+#include "wrenswitch/drivers/keyed_follower.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wrenswitch {
+
+keyed_follower::keyed_follower(event_loop& loop, keyed_log& log, keyed_follower_settings settings,
+                               keyed_follower_hooks hooks)
+    : loop_(loop),
+      log_(log),
+      settings_(std::move(settings)),
+      hooks_(std::move(hooks)),
+      retry_(settings_.first_retry) {}
+
+keyed_follower::~keyed_follower() {
+    *alive_ = false;
+}
+
+void keyed_follower::start() {
+    read_all();
+}
+
+void keyed_follower::read_all() {
+    const std::uint64_t number = ++read_number_;
+    log_.newest(settings_.log, [this, number, alive = alive_](const result<keyed_page>& page) {
+        if (*alive && number == read_number_) {
+            on_all(page);
+        }
+    });
+}
+
+void keyed_follower::read_next(microseconds hold) {
+    const std::uint64_t number = ++read_number_;
+    log_.read(settings_.log, position_, hold,
+              [this, number, alive = alive_](const result<keyed_page>& page) {
+                  if (*alive && number == read_number_) {
+                      on_page(page);
+                  }
+              });
+}
+
+void keyed_follower::look_now() {
+    if (live_) {
+        read_next(microseconds(0));
+    }
+}
+
+void keyed_follower::on_all(const result<keyed_page>& page) {
+    if (!page) {
+        failed_once();
+        return;
+    }
+    answered();
+    // An answer that is older than what was read before says nothing new.
+    if (!live_ || page.value().end >= position_) {
+        drop_missing(page.value());
+        for (const keyed_record& record : page.value().records) {
+            apply(record);
+        }
+        position_ = page.value().end;
+    }
+    live_ = true;
+    hooks_.caught_up();
+    read_next(settings_.hold);
+}
+
+/// Keys that were there before and aren't any more were dropped by records that are gone.
+void keyed_follower::drop_missing(const keyed_page& page) {
+    std::set<std::string, std::less<>> present;
+    for (const keyed_record& record : page.records) {
+        present.insert(record.key);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, offset] : offsets_) {
+        if (!present.contains(key)) {
+            missing.push_back(key);
+        }
+    }
+    for (const std::string& key : missing) {
+        offsets_.erase(key);
+        hooks_.changed({key, std::nullopt, page.end});
+    }
+}
+
+void keyed_follower::on_page(const result<keyed_page>& page) {
+    if (!page && page.error().code == error_code::expired) {
+        read_all();
+        return;
+    }
+    if (!page) {
+        failed_once();
+        return;
+    }
+    answered();
+    for (const keyed_record& record : page.value().records) {
+        if (record.offset >= position_) {
+            apply(record);
+            position_ = record.offset + 1;
+        }
+    }
+    hooks_.caught_up();
+    read_next(settings_.hold);
+}
+
+void keyed_follower::apply(const keyed_record& record) {
+    const auto known = offsets_.find(record.key);
+    if (known != offsets_.end() && known->second >= record.offset) {
+        return;
+    }
+    if (record.value) {
+        offsets_[record.key] = record.offset;
+    } else {
+        offsets_.erase(record.key);
+    }
+    hooks_.changed(record);
+}
+
+void keyed_follower::appended(std::uint64_t at, std::span<const keyed_record> records) {
+    if (at != position_) {
+        return;
+    }
+    for (keyed_record record : std::vector<keyed_record>(records.begin(), records.end())) {
+        record.offset = position_;
+        apply(record);
+        position_ += 1;
+    }
+}
+
+void keyed_follower::failed_once() {
+    if (std::exchange(reachable_, false)) {
+        hooks_.reachable(false);
+    }
+    const std::uint64_t number = ++read_number_;
+    loop_.call_after(retry_, [this, number, alive = alive_] {
+        if (!*alive || number != read_number_) {
+            return;
+        }
+        if (live_) {
+            read_next(settings_.hold);
+        } else {
+            read_all();
+        }
+    });
+    retry_ = std::min(retry_ * 2, settings_.longest_retry);
+}
+
+void keyed_follower::answered() {
+    retry_ = settings_.first_retry;
+    last_answer_ = monotonic_now();
+    if (!std::exchange(reachable_, true)) {
+        hooks_.reachable(true);
+    }
+}
+
+}  // namespace wrenswitch
--- a/src/drivers/message_bus.cpp
+++ b/src/drivers/message_bus.cpp
@@ -69,7 +69,6 @@
         }
         inbound_watch_ =
             loop_.call_when_readable(inbound_.get(zmq::sockopt::fd), [this] { drain_inbound(); });
-        retry_timer_ = loop_.call_every(retry_period, [this] { flush_waiting(); });
         return outcome::success();
     }
 
@@ -83,6 +82,7 @@
         if (!handed_over) {
             link.waiting.push_back({message, monotonic_now() + longest_wait});
             ++waiting_count_;
+            plan_flush();
         }
         // Sending takes the edge that ZeroMQ's descriptor would signal for messages come in.
         drain_later();
@@ -222,10 +222,24 @@
         return true;
     }
 
-    void flush_waiting() {
-        if (waiting_count_ == 0) {
+    /// Runs only while messages wait: a timer that never rests would wake an idle process.
+    void plan_flush() {
+        if (std::exchange(flush_planned_, true)) {
             return;
         }
+        loop_.call_after(retry_period, [this, alive = alive_] {
+            if (!*alive) {
+                return;
+            }
+            flush_planned_ = false;
+            flush_waiting();
+            if (waiting_count_ > 0) {
+                plan_flush();
+            }
+        });
+    }
+
+    void flush_waiting() {
         const instant now = monotonic_now();
         std::deque<std::pair<std::string, wire::Envelope>> given_up;
         for (auto& [endpoint, link] : links_) {
@@ -334,13 +348,13 @@
     std::unique_ptr<timer> authenticator_watch_;
     zmq::socket_t inbound_;
     std::unique_ptr<timer> inbound_watch_;
-    std::unique_ptr<timer> retry_timer_;
     std::string endpoint_;
     std::map<std::string, std::unique_ptr<outbound_link>> links_;
     message_hook on_message_;
     undelivered_hook on_undelivered_;
     std::size_t waiting_count_ = 0;
     bool drain_planned_ = false;
+    bool flush_planned_ = false;
     std::uint64_t bytes_sent_ = 0;
     std::uint64_t bytes_received_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/drivers/upstream_connection.cpp
@@ -0,0 +1,234 @@
+#include "drivers/upstream_connection.hpp"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <charconv>
+#include <utility>
+
+namespace wrenswitch {
+namespace {
+
+/// A kept connection isn't used in the last part of the time that the peer keeps it.
+constexpr microseconds idle_margin = milliseconds(600);
+
+/// The longest head of an answer that is read.
+constexpr std::size_t most_answer_head_bytes = 64U * 1024U;
+
+void set_socket_options(evutil_socket_t socket, const upstream_pool_settings& settings) {
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto timeout = static_cast<unsigned>(
+        std::chrono::duration_cast<milliseconds>(settings.unacknowledged_timeout).count());
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+/// The seconds in "timeout=5, max=100".
+std::optional<unsigned> keep_alive_seconds(std::string_view value) {
+    constexpr std::string_view name = "timeout=";
+    const std::size_t at = value.find(name);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = value.substr(at + name.size());
+    unsigned number = 0;
+    const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    return problem == std::errc{} ? std::optional(number) : std::nullopt;
+}
+
+}  // namespace
+
+upstream_connection::upstream_connection(event_loop& loop, const http_address& address,
+                                         const upstream_pool_settings& settings,
+                                         change_hook on_change)
+    : loop_(loop),
+      settings_(settings),
+      on_change_(std::move(on_change)),
+      parser_(message_kind::answer, {most_answer_head_bytes},
+              {[this](const message_head& head) { return head_arrived(head); },
+               [this](std::string_view piece) {
+                   if (!skipping_ && hooks_) {
+                       hooks_->on_piece(piece);
+                   }
+               },
+               [this] { answer_done_ = true; }}) {
+    connect(address);
+}
+
+upstream_connection::~upstream_connection() {
+    if (stream_ != nullptr) {
+        bufferevent_free(stream_);
+    }
+}
+
+void upstream_connection::connect(const http_address& address) {
+    sockaddr_in peer{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &peer.sin_addr);
+    stream_ = bufferevent_socket_new(loop_.base(), -1,
+                                     BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(stream_, &on_readable, nullptr, &on_event, this);
+    const auto micros = settings_.connect_timeout.count();
+    constexpr std::int64_t microseconds_a_second = 1'000'000;
+    const timeval wait{micros / microseconds_a_second, micros % microseconds_a_second};
+    bufferevent_set_timeouts(stream_, nullptr, &wait);
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    bufferevent_socket_connect(stream_, reinterpret_cast<sockaddr*>(&peer), sizeof peer);
+}
+
+void upstream_connection::begin(std::string bytes, bool bodyless, upstream_hooks hooks) {
+    hooks_ = std::move(hooks);
+    parser_.expect_no_body(bodyless);
+    skipping_ = false;
+    answer_done_ = false;
+    sent_ = false;
+    unsent_ = std::move(bytes);
+    if (connected_) {
+        connected();
+    }
+}
+
+void upstream_connection::connected() {
+    connected_ = true;
+    bufferevent_set_timeouts(stream_, nullptr, nullptr);
+    if (!hooks_) {
+        return;
+    }
+    sent_ = true;
+    bufferevent_write(stream_, unsent_.data(), unsent_.size());
+    unsent_ = {};
+}
+
+void upstream_connection::on_readable(bufferevent*, void* self) {
+    const auto connection = static_cast<upstream_connection*>(self)->shared_from_this();
+    connection->read_available();
+}
+
+void upstream_connection::on_event(bufferevent*, short what, void* self) {
+    const auto connection = static_cast<upstream_connection*>(self)->shared_from_this();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        set_socket_options(bufferevent_getfd(connection->stream_), connection->settings_);
+        connection->connected();
+        return;
+    }
+    if (!connection->connected_) {
+        connection->fail(upstream_failure::not_sent);
+        return;
+    }
+    connection->ended_by_peer((what & BEV_EVENT_EOF) != 0);
+}
+
+void upstream_connection::read_available() {
+    while (stream_ != nullptr) {
+        evbuffer* input = bufferevent_get_input(stream_);
+        const std::size_t length = evbuffer_get_length(input);
+        if (length == 0) {
+            return;
+        }
+        if (!hooks_) {
+            // Bytes that nobody asked for: what follows can't be trusted.
+            close();
+            return;
+        }
+        const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
+        const result<std::size_t> taken = parser_.feed({data, length});
+        if (stream_ == nullptr) {
+            return;
+        }
+        if (!taken) {
+            fail(upstream_failure::malformed);
+            return;
+        }
+        evbuffer_drain(input, taken.value());
+        if (answer_done_) {
+            answer_complete();
+        }
+    }
+}
+
+result<void> upstream_connection::head_arrived(const message_head& head) {
+    note_keep_alive(head);
+    if (!hooks_) {
+        return failed(error_code::conflict, "No call waits for an answer.");
+    }
+    skipping_ = !hooks_->belongs(head);
+    if (!skipping_) {
+        hooks_->on_head(head);
+    }
+    return outcome::success();
+}
+
+void upstream_connection::note_keep_alive(const message_head& head) {
+    reusable_ = head.keep_alive;
+    const std::optional<unsigned> limit = keep_alive_seconds(head.header("Keep-Alive"));
+    if (limit) {
+        peer_idle_limit_ = seconds(*limit);
+    }
+}
+
+void upstream_connection::answer_complete() {
+    answer_done_ = false;
+    if (skipping_) {
+        skipping_ = false;
+        if (!reusable_) {
+            fail(upstream_failure::malformed);
+        }
+        return;
+    }
+    // The whole request must have left, too: an early answer may leave a body half sent.
+    const bool all_sent = evbuffer_get_length(bufferevent_get_output(stream_)) == 0;
+    const upstream_hooks hooks = std::move(*std::exchange(hooks_, std::nullopt));
+    rests_since_ = monotonic_now();
+    if (!reusable_ || !all_sent) {
+        close();
+    } else {
+        on_change_(*this);
+    }
+    hooks.on_end();
+}
+
+void upstream_connection::ended_by_peer(bool cleanly) {
+    if (cleanly && hooks_ && !skipping_ && parser_.end_of_input()) {
+        reusable_ = false;
+        answer_complete();
+        return;
+    }
+    fail(upstream_failure::broken);
+}
+
+void upstream_connection::fail(upstream_failure failure) {
+    std::optional<upstream_hooks> hooks = std::exchange(hooks_, std::nullopt);
+    close();
+    if (hooks) {
+        hooks->on_failed(failure);
+    }
+}
+
+void upstream_connection::abandon() {
+    // One of the hooks may be on the stack.
+    loop_.call_after(microseconds(0), [kept = std::exchange(hooks_, std::nullopt)] {});
+    close();
+}
+
+void upstream_connection::close() {
+    if (stream_ == nullptr) {
+        return;
+    }
+    // The parser may be reading the stream's buffer further up the stack.
+    bufferevent* stream = std::exchange(stream_, nullptr);
+    bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(stream, EV_READ | EV_WRITE);
+    loop_.call_after(microseconds(0), [stream] { bufferevent_free(stream); });
+    on_change_(*this);
+}
+
+bool upstream_connection::usable_after(instant now, microseconds longest_rest) const {
+    const microseconds rest = now - rests_since_;
+    return idle() && connected_ && rest <= longest_rest && rest + idle_margin < peer_idle_limit_;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/drivers/upstream_connection.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <event2/bufferevent.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "wrenswitch/drivers/message_parser.hpp"
+#include "wrenswitch/drivers/upstream_pool.hpp"
+
+namespace wrenswitch {
+
+/// One connection to a target. It carries one call at a time.
+class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
+public:
+    /// Told when the connection can carry another call, or has ended.
+    using change_hook = std::function<void(upstream_connection&)>;
+
+    upstream_connection(event_loop& loop, const http_address& address,
+                        const upstream_pool_settings& settings, change_hook on_change);
+    ~upstream_connection();
+    upstream_connection(const upstream_connection&) = delete;
+    upstream_connection& operator=(const upstream_connection&) = delete;
+
+    /// Begins a call: the bytes go out as soon as the connection stands.
+    void begin(std::string bytes, bool bodyless, upstream_hooks hooks);
+
+    /// Ends the call and the connection without telling the hooks.
+    void abandon();
+
+    bool open() const { return stream_ != nullptr; }
+    bool idle() const { return open() && !hooks_; }
+    bool sent() const { return sent_; }
+
+    /// True if a call that allows this much rest may go over the connection now.
+    bool usable_after(instant now, microseconds longest_rest) const;
+
+private:
+    static void on_readable(bufferevent*, void* self);
+    static void on_event(bufferevent*, short what, void* self);
+
+    void connect(const http_address& address);
+    void connected();
+    void read_available();
+    result<void> head_arrived(const message_head& head);
+    void answer_complete();
+    void ended_by_peer(bool cleanly);
+    void fail(upstream_failure failure);
+    void close();
+    void note_keep_alive(const message_head& head);
+
+    event_loop& loop_;
+    upstream_pool_settings settings_;
+    change_hook on_change_;
+    bufferevent* stream_ = nullptr;
+    message_parser parser_;
+    std::optional<upstream_hooks> hooks_;
+    std::string unsent_;
+    bool connected_ = false;
+    bool sent_ = false;
+    bool skipping_ = false;
+    bool answer_done_ = false;
+    bool reusable_ = true;
+    instant rests_since_{};
+    microseconds peer_idle_limit_ = seconds(3600);
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -0,0 +1,526 @@
+#include "roles/gateway/forwarded_request.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace wrenswitch {
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_no_key = 401;
+constexpr unsigned status_no_tokens = 402;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_timeout = 408;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned first_server_error = 500;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+/// When to come back after a refusal, by what has to change until then.
+constexpr microseconds until_configured = milliseconds(300);
+constexpr microseconds until_tokens = milliseconds(500);
+constexpr microseconds until_targets = milliseconds(200);
+
+/// How often a request is offered to targets that can't be connected to.
+constexpr unsigned most_unsent = 4;
+
+/// The longest rest of a connection that a request which may not be repeated goes over.
+constexpr microseconds single_run_rest = seconds(2);
+
+/// A caller that takes its answer this slowly is cut off.
+constexpr std::size_t most_unsent_bytes = 1024U * 1024U;
+
+/// A target that says these without saying that it did not run a request promises too much.
+bool promises_not_run(unsigned status) {
+    return status == status_unavailable || status == status_too_many ||
+           status == status_timeout || status == status_misdirected;
+}
+
+std::string seconds_text(microseconds length) {
+    constexpr std::int64_t millis_a_second = 1000;
+    const auto millis = std::chrono::duration_cast<milliseconds>(length).count();
+    std::string fraction = std::to_string(millis_a_second + millis % millis_a_second);
+    return std::to_string(millis / millis_a_second) + "." + fraction.substr(1);
+}
+
+std::string millis_text(microseconds length) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(length).count());
+}
+
+}  // namespace
+
+forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
+    : context_(context), exchange_(std::move(exchange)) {}
+
+void forwarded_request::start() {
+    context_.requests.insert(shared_from_this());
+    context_.counters.counter("gateway_requests_total") += 1;
+    exchange_->on_closed([self = weak_from_this()] {
+        if (const auto alive = self.lock()) {
+            alive->caller_gone();
+        }
+    });
+    if (!context_.configuration.known()) {
+        refuse(status_unavailable, "no_configuration", until_configured);
+        return;
+    }
+    if (read_request() && find_route() && admit_caller()) {
+        set_deadline();
+        take_tokens();
+    }
+}
+
+bool forwarded_request::read_request() {
+    result<incoming_request> read = read_incoming(exchange_->head(), context_.dialect);
+    if (!read) {
+        fail(status_bad_request, "malformed");
+        return false;
+    }
+    request_ = std::move(read.value());
+    return true;
+}
+
+bool forwarded_request::find_route() {
+    const gateway_route* route = context_.configuration.route_of(request_.host, request_.path);
+    if (route == nullptr) {
+        fail(status_not_found, "no_route");
+        return false;
+    }
+    route_ = *route;
+    const route_split* split =
+        configuration_view::choose_split(route_, context_.random.unit());
+    if (split == nullptr) {
+        refuse(status_unavailable, "no_service", until_targets);
+        return false;
+    }
+    service_ = split->service;
+    const gateway_service* service = context_.configuration.service(service_);
+    is_engine_ = service != nullptr && service->engine.has_value();
+    tokens_per_event_ = is_engine_ ? service->engine->tokens_per_event : 1;
+    return true;
+}
+
+bool forwarded_request::admit_caller() {
+    urgency_ = route_.priority;
+    if (route_.is_public || !context_.configuration.wants_keys()) {
+        return true;
+    }
+    const gateway_account* account = context_.configuration.account_of_key(request_.key);
+    if (account == nullptr) {
+        fail(status_no_key, "unknown_key");
+        return false;
+    }
+    account_ = account->name;
+    constexpr unsigned urgencies_an_account = 3;
+    constexpr unsigned least_urgent = 9;
+    urgency_ = std::min(least_urgent, account->priority * urgencies_an_account + route_.priority);
+    return true;
+}
+
+void forwarded_request::set_deadline() {
+    microseconds longest = route_.timeout;
+    if (request_.deadline) {
+        longest = std::min(longest, *request_.deadline);
+    }
+    deadline_ = exchange_->received() + longest;
+    context_.loop.call_after(time_left(), [self = weak_from_this()] {
+        if (const auto alive = self.lock()) {
+            alive->deadline_passed();
+        }
+    });
+}
+
+microseconds forwarded_request::time_left() const {
+    return std::max(microseconds(0), deadline_ - monotonic_now());
+}
+
+void forwarded_request::take_tokens() {
+    const gateway_account* account = context_.configuration.account(account_);
+    const bool counted = is_engine_ && account != nullptr && account->prepaid.has_value();
+    if (!counted) {
+        dispatch();
+        return;
+    }
+    if (!context_.grants_known()) {
+        refuse(status_unavailable, "grants_unknown", until_configured);
+        return;
+    }
+    const tokens most = request_.prompt.prompt + request_.prompt.most_output;
+    const auto found = context_.waiters.reserve(
+        monotonic_now(), account_, most, [self = weak_from_this()](reserve_outcome outcome) {
+            if (const auto alive = self.lock()) {
+                alive->tokens_answered(outcome);
+            }
+        });
+    if (!found.waiting) {
+        pay(found.now);
+        return;
+    }
+    waiting_ = found.waiting;
+    context_.counters.counter("gateway_token_waits_total") += 1;
+    context_.tokens_wanted();
+    context_.loop.call_after(std::min(context_.settings.token_wait, time_left()),
+                             [self = weak_from_this()] {
+                                 if (const auto alive = self.lock()) {
+                                     alive->tokens_overdue();
+                                 }
+                             });
+}
+
+void forwarded_request::tokens_answered(reserve_outcome outcome) {
+    waiting_.reset();
+    pay(outcome);
+}
+
+void forwarded_request::tokens_overdue() {
+    if (waiting_) {
+        waiting_.reset();
+        refuse(status_unavailable, "short_of_tokens", until_tokens);
+    }
+}
+
+void forwarded_request::pay(reserve_outcome outcome) {
+    if (outcome == reserve_outcome::exhausted) {
+        fail(status_no_tokens, "budget_exhausted");
+        return;
+    }
+    charge_ = request_charge(context_.grants, account_, request_.prompt.prompt,
+                             request_.prompt.most_output);
+    dispatch();
+}
+
+void forwarded_request::dispatch() {
+    const gateway_target* target =
+        context_.targets.pick(monotonic_now(), service_, request_.prompt, tried_);
+    if (target == nullptr) {
+        if (may_have_run_) {
+            fail(status_bad_gateway, "no_target_left");
+        } else {
+            refuse(status_unavailable, "no_target", until_targets);
+        }
+        return;
+    }
+    send_to(*target);
+}
+
+void forwarded_request::send_to(const gateway_target& target) {
+    const instant now = monotonic_now();
+    target_ = target.id;
+    tried_.push_back(target.id);
+    attempt_ += 1;
+    answer_ = message_head{};
+    answer_body_.clear();
+    answer_refused_ = false;
+    streaming_ = false;
+    sent_at_ = now;
+    if (attempt_ == 1) {
+        context_.retries.first_try();
+    }
+    unread_prompt_ = context_.targets.sent(now, target_, request_.prompt);
+    context_.events.routine("request_sent", {{"request", request_.id},
+                                             {"target", target_},
+                                             {"attempt", std::to_string(attempt_)},
+                                             {"left_ms", millis_text(time_left())}});
+    call_ = context_.pool_of(target).send(request_for(target), hooks_for(attempt_));
+}
+
+upstream_request forwarded_request::request_for(const gateway_target& target) const {
+    const gateway_dialect& dialect = context_.dialect;
+    upstream_request request;
+    request.method = exchange_->head().method;
+    request.target = exchange_->head().target;
+    request.headers = passed_headers(exchange_->head(), dialect);
+    request.headers.push_back({dialect.deadline_ms, millis_text(time_left())});
+    request.headers.push_back({dialect.expected_target, target.id});
+    if (!account_.empty()) {
+        request.headers.push_back({dialect.account, account_});
+    }
+    if (is_engine_) {
+        request.headers.push_back({dialect.urgency, std::to_string(urgency_)});
+    }
+    const std::string& last = events_.last_id().empty() ? request_.last_event : events_.last_id();
+    if (!last.empty()) {
+        request.headers.push_back({dialect.last_event, last});
+    }
+    request.body = exchange_->body();
+    if (!may_repeat(route_.kind)) {
+        request.longest_rest = single_run_rest;
+    }
+    return request;
+}
+
+upstream_hooks forwarded_request::hooks_for(unsigned attempt) {
+    const auto self = weak_from_this();
+    const auto when_current = [self, attempt](auto action) {
+        const auto alive = self.lock();
+        if (alive && !alive->ended_ && alive->attempt_ == attempt) {
+            action(*alive);
+        }
+    };
+    upstream_hooks hooks;
+    hooks.belongs = [id = request_.id, name = context_.dialect.request_id](const message_head& head) {
+        return head.header(name) == id;
+    };
+    hooks.on_head = [when_current](const message_head& head) {
+        when_current([&head](forwarded_request& request) { request.on_head(head); });
+    };
+    hooks.on_piece = [when_current](std::string_view piece) {
+        when_current([piece](forwarded_request& request) { request.on_piece(piece); });
+    };
+    hooks.on_end = [when_current] {
+        when_current([](forwarded_request& request) { request.on_end(); });
+    };
+    hooks.on_failed = [when_current](upstream_failure failure) {
+        when_current([failure](forwarded_request& request) { request.on_failed(failure); });
+    };
+    return hooks;
+}
+
+void forwarded_request::on_head(const message_head& head) {
+    const instant now = monotonic_now();
+    context_.targets.read(target_, std::exchange(unread_prompt_, 0));
+    if (const auto load = context_.dialect.read_load(head.header(context_.dialect.load))) {
+        context_.targets.reported(now, target_, *load);
+    }
+    answer_ = head;
+    answer_refused_ = head.count(context_.dialect.not_run) > 0 || head.status == status_misdirected;
+    if (answer_refused_) {
+        return;
+    }
+    may_have_run_ = true;
+    charge_.prompt_read(now);
+    streaming_ = is_stream(route_.kind) && head.status == status_ok;
+}
+
+void forwarded_request::on_piece(std::string_view piece) {
+    if (streaming_) {
+        pass_stream(piece);
+        return;
+    }
+    answer_body_.append(piece);
+}
+
+void forwarded_request::pass_stream(std::string_view piece) {
+    const whole_events whole = events_.add(piece);
+    if (whole.count == 0) {
+        return;
+    }
+    charge_.handed_out(monotonic_now(),
+                       tokens_per_event_ * static_cast<tokens>(whole.count));
+    if (!std::exchange(begun_, true)) {
+        exchange_->begin_answer(answer_.status, answer_headers(answer_, context_.dialect));
+        context_.counters.quantiles("gateway_first_event_ms")
+            .observe(as_seconds(monotonic_now() - exchange_->received()) * 1000.0);
+    }
+    exchange_->send_piece(whole.bytes);
+    if (exchange_->unsent_bytes() > most_unsent_bytes) {
+        exchange_->cut();
+        caller_gone();
+    }
+}
+
+void forwarded_request::on_end() {
+    end_attempt();
+    context_.targets.answered(target_, answer_.status < first_server_error || answer_refused_);
+    if (answer_refused_) {
+        answer_refused();
+        return;
+    }
+    if (streaming_) {
+        end_stream();
+        return;
+    }
+    answer_complete();
+}
+
+void forwarded_request::end_stream() {
+    if (events_.has_rest()) {
+        stream_broken();
+        return;
+    }
+    if (!begun_) {
+        exchange_->begin_answer(answer_.status, answer_headers(answer_, context_.dialect));
+    }
+    exchange_->end_answer();
+    charge_.close();
+    finish("served", answer_.status);
+}
+
+void forwarded_request::answer_complete() {
+    const bool failure = answer_.status >= first_server_error;
+    if (failure && try_again(fate::may_have_run)) {
+        return;
+    }
+    if (promises_not_run(answer_.status)) {
+        fail(status_bad_gateway, "target_answered_" + std::to_string(answer_.status));
+        return;
+    }
+    pass_answer();
+}
+
+void forwarded_request::answer_refused() {
+    if (try_again(fate::not_run)) {
+        return;
+    }
+    if (may_have_run_) {
+        fail(status_bad_gateway, "refused_after_a_run");
+        return;
+    }
+    refuse(status_unavailable, "target_refused_" + std::to_string(answer_.status), until_targets);
+}
+
+/// The target's own answer, as it came.
+void forwarded_request::pass_answer() {
+    if (begun_) {
+        cut("resumed_with_" + std::to_string(answer_.status));
+        return;
+    }
+    exchange_->answer(answer_.status, answer_headers(answer_, context_.dialect), answer_body_);
+    charge_.close();
+    finish("served", answer_.status);
+}
+
+void forwarded_request::end_attempt() {
+    call_.reset();
+    context_.targets.read(target_, std::exchange(unread_prompt_, 0));
+    context_.targets.finished(target_);
+}
+
+void forwarded_request::on_failed(upstream_failure failure) {
+    end_attempt();
+    context_.events.failure("attempt_failed", {{"request", request_.id},
+                                               {"target", target_},
+                                               {"attempt", std::to_string(attempt_)},
+                                               {"failure", std::string(name_of(failure))},
+                                               {"after_ms", millis_text(monotonic_now() - sent_at_)}});
+    context_.targets.failed(monotonic_now(), target_);
+    if (failure == upstream_failure::not_sent) {
+        unsent_ += 1;
+        if (unsent_ < most_unsent && time_left() > microseconds(0)) {
+            dispatch();
+            return;
+        }
+        if (may_have_run_) {
+            stream_broken();
+            return;
+        }
+        refuse(status_unavailable, "targets_unreachable", until_targets);
+        return;
+    }
+    may_have_run_ = true;
+    stream_broken();
+}
+
+/// An attempt that may have run ended without a whole answer.
+void forwarded_request::stream_broken() {
+    events_.drop_rest();
+    if (try_again(fate::may_have_run)) {
+        return;
+    }
+    fail(status_bad_gateway, "target_lost");
+}
+
+bool forwarded_request::may_try_again(fate outcome) const {
+    const bool ran = outcome == fate::may_have_run || may_have_run_;
+    const bool can_go_on = !begun_ || !events_.last_id().empty();
+    return (!ran || may_repeat(route_.kind)) && can_go_on && attempt_ - unsent_ < route_.most_attempts && time_left() > microseconds(0);
+}
+
+bool forwarded_request::try_again(fate outcome) {
+    if (!may_try_again(outcome) || !context_.retries.take_retry()) {
+        return false;
+    }
+    context_.counters.counter("gateway_retries_total") += 1;
+    dispatch();
+    return true;
+}
+
+void forwarded_request::deadline_passed() {
+    if (ended_) {
+        return;
+    }
+    const bool sent = call_ != nullptr && call_->sent();
+    if (call_) {
+        end_attempt();
+    }
+    if (!sent && !may_have_run_) {
+        refuse(status_unavailable, "deadline_before_sending", until_targets);
+        return;
+    }
+    may_have_run_ = true;
+    fail(status_gateway_timeout, "deadline");
+}
+
+void forwarded_request::caller_gone() {
+    if (ended_) {
+        return;
+    }
+    const bool sent = call_ != nullptr && call_->sent();
+    if (call_) {
+        end_attempt();
+    }
+    if (sent || may_have_run_) {
+        charge_.assume_all(monotonic_now());
+    }
+    finish("caller_gone", 0);
+}
+
+void forwarded_request::refuse(unsigned status, std::string_view reason,
+                               microseconds retry_after) {
+    if (begun_) {
+        cut(reason);
+        return;
+    }
+    exchange_->answer(status, {{context_.dialect.request_id, request_.id},
+                               {"Retry-After", seconds_text(retry_after)}},
+                      std::string(reason) + "\n");
+    finish(reason, status);
+}
+
+/// Ends an answer that was begun and can't be finished, so that the caller sees that it isn't whole.
+void forwarded_request::cut(std::string_view reason) {
+    charge_.assume_all(monotonic_now());
+    exchange_->cut();
+    finish(reason, 0);
+}
+
+void forwarded_request::fail(unsigned status, std::string_view reason) {
+    if (begun_) {
+        cut(reason);
+        return;
+    }
+    if (may_have_run_) {
+        charge_.assume_all(monotonic_now());
+    }
+    exchange_->answer(status, {{context_.dialect.request_id, request_.id}},
+                      std::string(reason) + "\n");
+    finish(reason, status);
+}
+
+void forwarded_request::finish(std::string_view outcome, unsigned status) {
+    ended_ = true;
+    waiting_.reset();
+    charge_.close();
+    context_.counters.counter("gateway_outcome_" + std::string(outcome) + "_total") += 1;
+    const bool served = outcome == "served";
+    const microseconds took = monotonic_now() - exchange_->received();
+    const auto write = [&](auto method) {
+        (context_.events.*method)("request_ended", {{"request", request_.id},
+                                                    {"outcome", std::string(outcome)},
+                                                    {"status", std::to_string(status)},
+                                                    {"route", route_.name},
+                                                    {"account", account_},
+                                                    {"target", target_},
+                                                    {"attempts", std::to_string(attempt_)},
+                                                    {"tokens", std::to_string(charge_.spent())},
+                                                    {"took_ms", millis_text(took)}});
+    };
+    write(served ? &event_log::routine : &event_log::failure);
+    context_.loop.call_after(microseconds(0), [&requests = context_.requests,
+                                               self = shared_from_this()] { requests.erase(self); });
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "roles/gateway/event_splitter.hpp"
+#include "roles/gateway/gateway_context.hpp"
+#include "roles/gateway/incoming_request.hpp"
+#include "roles/gateway/request_charge.hpp"
+#include "wrenswitch/drivers/ingress_server.hpp"
+#include "wrenswitch/drivers/upstream_pool.hpp"
+
+namespace wrenswitch {
+
+/// One request of a caller, from its arrival to the end of its answer: admits it, pays for it,
+/// sends it to a target and passes the answer on. It ends with the target's own answer, or with a
+/// refusal that says whether the request may have run.
+class forwarded_request : public std::enable_shared_from_this<forwarded_request> {
+public:
+    forwarded_request(gateway_context& context, ingress_exchange_pointer exchange);
+
+    /// Begins. The request keeps itself in the context until it has ended.
+    void start();
+
+private:
+    /// How the attempt under way ended, as far as the request's fate goes.
+    enum class fate {
+        /// It certainly didn't run.
+        not_run,
+        /// It ran, or may have.
+        may_have_run,
+    };
+
+    bool read_request();
+    bool find_route();
+    bool admit_caller();
+    void set_deadline();
+    void take_tokens();
+    void tokens_answered(reserve_outcome outcome);
+    void tokens_overdue();
+    void pay(reserve_outcome outcome);
+
+    void dispatch();
+    void send_to(const gateway_target& target);
+    upstream_request request_for(const gateway_target& target) const;
+    upstream_hooks hooks_for(unsigned attempt);
+
+    void on_head(const message_head& head);
+    void on_piece(std::string_view piece);
+    void on_end();
+    void on_failed(upstream_failure failure);
+    void end_attempt();
+
+    void pass_stream(std::string_view piece);
+    void end_stream();
+    void answer_refused();
+    void answer_complete();
+    bool may_try_again(fate outcome) const;
+    bool try_again(fate outcome);
+    void stream_broken();
+
+    void deadline_passed();
+    void caller_gone();
+    microseconds time_left() const;
+
+    void refuse(unsigned status, std::string_view reason, microseconds retry_after);
+    void fail(unsigned status, std::string_view reason);
+    void cut(std::string_view reason);
+    void pass_answer();
+    void finish(std::string_view outcome, unsigned status);
+
+    gateway_context& context_;
+    ingress_exchange_pointer exchange_;
+    incoming_request request_;
+    /// Copies, since a new configuration may replace what they came from.
+    gateway_route route_;
+    std::string account_;
+    unsigned urgency_ = 0;
+    std::string service_;
+    bool is_engine_ = false;
+    tokens tokens_per_event_ = 1;
+    instant deadline_{};
+    request_charge charge_;
+    std::shared_ptr<token_waiters::handle> waiting_;
+
+    /// The target of the attempt under way, or empty.
+    std::string target_;
+    std::vector<std::string> tried_;
+    /// Targets that the request was sent to, and sends that failed before a byte left.
+    unsigned sends_ = 0;
+    unsigned unsent_ = 0;
+    unsigned attempt_ = 0;
+    std::unique_ptr<upstream_call> call_;
+    tokens unread_prompt_ = 0;
+    instant sent_at_{};
+
+    message_head answer_;
+    std::string answer_body_;
+    bool answer_refused_ = false;
+    /// True once the answer is passed on as it comes.
+    bool streaming_ = false;
+    bool begun_ = false;
+    /// True if some attempt may have run.
+    bool may_have_run_ = false;
+    event_splitter events_;
+    bool ended_ = false;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/gateway.cpp
@@ -0,0 +1,335 @@
+#include "roles/gateway/gateway.hpp"
+
+#include <bus.pb.h>
+
+#include <algorithm>
+
+#include "wrenswitch/core/digest.hpp"
+#include "wrenswitch/core/exit_codes.hpp"
+#include "wrenswitch/core/log.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// How often tokens are drawn ahead of need and old state is dropped.
+constexpr microseconds tick_period = milliseconds(250);
+
+/// How often a stopping gateway looks whether it is done.
+constexpr microseconds stop_look_period = milliseconds(50);
+
+/// Kept back from the time that a stop may take, for the end of the process itself.
+constexpr microseconds stop_margin = milliseconds(300);
+
+/// How many entries are expected to share a target's connections.
+constexpr std::size_t sharers = 6;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+target_pool_settings pool_settings(const gateway_settings& settings) {
+    target_pool_settings pool;
+    pool.failure_domain = settings.failure_domain;
+    return pool;
+}
+
+std::string host_of(std::string_view address) {
+    return std::string(address.substr(0, address.rfind(':')));
+}
+
+}  // namespace
+
+gateway::gateway(event_loop& loop, const gateway_settings& settings,
+                 const gateway_dialect& dialect)
+    : loop_(loop),
+      settings_(settings),
+      dialect_(dialect),
+      incarnation_(random_.next_id<incarnation_id>()),
+      events_(settings.log_lines_per_second, metrics_),
+      targets_(pool_settings(settings), random_),
+      retries_(settings.retry_share, settings.retry_burst) {}
+
+gateway::~gateway() {
+    *alive_ = false;
+}
+
+result<void> gateway::start() {
+    if (result<void> opened = open_bus(); !opened) {
+        return opened;
+    }
+    open_logs();
+    if (result<void> opened = open_servers(); !opened) {
+        return opened;
+    }
+    configuration_follower_->start();
+    target_follower_->start();
+    ledger_->start();
+    ticker_ = loop_.call_every(tick_period, [this] { tick(); });
+    log_event(log_level::information, "gateway_started",
+              {{"host", settings_.host},
+               {"incarnation", std::to_string(raw(incarnation_))},
+               {"listen", settings_.listen.to_text()}});
+    return outcome::success();
+}
+
+result<void> gateway::open_bus() {
+    result<std::unique_ptr<message_bus>> opened = message_bus::open(loop_, settings_.bus);
+    if (!opened) {
+        return opened.error();
+    }
+    bus_ = std::move(opened.value());
+    bus_->on_message([this](const message_origin&, const wire::Envelope& message) {
+        if (message.has_relay_reply()) {
+            channel_->on_reply(message);
+        }
+    });
+    return outcome::success();
+}
+
+void gateway::open_logs() {
+    direct_ = make_direct_channel(loop_, settings_.service);
+    channel_ = std::make_unique<relayed_channel>(
+        loop_, *direct_, *bus_, [this] { return relay_endpoints(); }, dialect_.probe, metrics_,
+        relayed_channel_settings{});
+    log_ = dialect_.make_log(*channel_);
+    const auto reachable_hook = [](const std::string& log) {
+        return [log](bool reachable) {
+            log_event(reachable ? log_level::information : log_level::warning,
+                      reachable ? "log_regained" : "log_lost", {{"log", log}});
+        };
+    };
+    configuration_follower_ = std::make_unique<keyed_follower>(
+        loop_, *log_, keyed_follower_settings{.log = dialect_.configuration_log},
+        keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
+                             [] {}, reachable_hook(dialect_.configuration_log)});
+    target_follower_ = std::make_unique<keyed_follower>(
+        loop_, *log_, keyed_follower_settings{.log = dialect_.target_log},
+        keyed_follower_hooks{[this](const keyed_record& record) { target_changed(record); }, [] {},
+                             reachable_hook(dialect_.target_log)});
+    ledger_ = std::make_unique<grant_ledger>(
+        loop_, *log_, dialect_.grant_log, metrics_,
+        grant_ledger_hooks{[this] { return grants_->compose(monotonic_now()); },
+                           [this] { grants_changed(); }, [this] { grants_->resolved(); },
+                           reachable_hook(dialect_.grant_log)});
+    grants_ = std::make_unique<grant_holder>(settings_.host, incarnation_, settings_.grants,
+                                             ledger_->table());
+    waiters_ = std::make_unique<token_waiters>(*grants_);
+}
+
+result<void> gateway::open_servers() {
+    context_ = std::make_unique<gateway_context>(gateway_context{
+        loop_, settings_, dialect_, configuration_, targets_, *grants_, *waiters_, retries_,
+        random_, metrics_, events_, [this] { return ledger_->live(); },
+        [this] { ledger_->append_if_due(); },
+        [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); }, {}});
+    auto ingress = ingress_server::start(
+        loop_, settings_.listen.host, settings_.listen.port, [this] { return limits_now(); },
+        [this](const ingress_exchange_pointer& exchange) {
+            std::make_shared<forwarded_request>(*context_, exchange)->start();
+        });
+    if (!ingress) {
+        return ingress.error();
+    }
+    ingress_ = std::move(ingress.value());
+    http_server_settings admin;
+    admin.address = settings_.admin.host;
+    admin.port = settings_.admin.port;
+    auto server = http_server::start(
+        loop_, admin, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); });
+    if (!server) {
+        return server.error();
+    }
+    admin_ = std::move(server.value());
+    return outcome::success();
+}
+
+ingress_limits gateway::limits_now() const {
+    const gateway_limits& limits = configuration_.current().limits;
+    return {limits.most_header_bytes, limits.most_body_bytes, limits.head_timeout,
+            limits.idle_timeout};
+}
+
+bool gateway::ready() const {
+    return !stopping_ && configuration_.known() && ledger_->live() && target_follower_->live();
+}
+
+void gateway::serve_admin(const http_exchange_pointer& exchange) {
+    if (exchange->path() == dialect_.ready_path) {
+        exchange->reply(ready() ? status_ok : status_unavailable, {}, ready() ? "ready\n" : "\n");
+        return;
+    }
+    if (exchange->path() == "/metrics") {
+        metrics_.gauge("gateway_requests_under_way") = static_cast<double>(context_->requests.size());
+        metrics_.gauge("gateway_connections") = static_cast<double>(ingress_->connections());
+        exchange->reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                        metrics_.to_prometheus_text());
+        return;
+    }
+    exchange->reply(status_not_found, {}, "");
+}
+
+void gateway::configuration_changed(const keyed_record& record) {
+    if (record.key != dialect_.configuration_key || !record.value) {
+        return;
+    }
+    result<gateway_configuration> read = dialect_.read_configuration(*record.value);
+    if (!read) {
+        metrics_.counter("gateway_configurations_unreadable_total") += 1;
+        log_event(log_level::error, "configuration_unreadable",
+                  {{"offset", std::to_string(record.offset)}, {"reason", read.error().message}});
+        return;
+    }
+    if (!configuration_.apply(std::move(read.value()))) {
+        return;
+    }
+    apply_limits();
+    const gateway_configuration& current = configuration_.current();
+    log_event(log_level::information, "configuration_applied",
+              {{"version", std::to_string(current.version)},
+               {"routes", std::to_string(current.routes.size())},
+               {"accounts", std::to_string(current.accounts.size())}});
+}
+
+void gateway::apply_limits() {
+    for (const gateway_account& account : configuration_.current().accounts) {
+        if (account.prepaid) {
+            grants_->set_limit(account.name, *account.prepaid);
+        }
+    }
+    ledger_->append_if_due();
+    waiters_->serve(monotonic_now());
+}
+
+void gateway::target_changed(const keyed_record& record) {
+    if (!record.value) {
+        targets_.remove(monotonic_now(), record.key);
+        log_event(log_level::information, "target_unlisted", {{"target", record.key}});
+        return;
+    }
+    const result<gateway_target> read = dialect_.read_target(record.key, *record.value);
+    if (!read) {
+        metrics_.counter("gateway_targets_unreadable_total") += 1;
+        return;
+    }
+    const gateway_target* known = targets_.find(record.key);
+    const bool news = known == nullptr || !(*known == read.value());
+    targets_.apply(read.value());
+    if (news) {
+        log_event(log_level::information, "target_listed",
+                  {{"target", record.key},
+                   {"service", read.value().service},
+                   {"address", read.value().address},
+                   {"leaving", read.value().leaving ? "yes" : "no"}});
+    }
+}
+
+/// Relays stand beside engines' targets. Each gateway begins with another one, those of its own
+/// failure domain first.
+std::vector<std::string> gateway::relay_endpoints() const {
+    if (settings_.relay_port == 0) {
+        return {};
+    }
+    std::vector<gateway_target> beside;
+    for (gateway_target& target : targets_.listed()) {
+        const gateway_service* service = configuration_.service(target.service);
+        if (service != nullptr && service->engine) {
+            beside.push_back(std::move(target));
+        }
+    }
+    const auto rank = [this](const gateway_target& target) {
+        const bool elsewhere = target.failure_domain != settings_.failure_domain;
+        return std::pair(elsewhere, spread_hash(target.id, spread_hash(settings_.host)));
+    };
+    std::sort(beside.begin(), beside.end(),
+              [&rank](const gateway_target& left, const gateway_target& right) {
+                  return rank(left) < rank(right);
+              });
+    std::vector<std::string> endpoints;
+    for (const gateway_target& target : beside) {
+        endpoints.push_back("tcp://" + host_of(target.address) + ":" +
+                            std::to_string(settings_.relay_port));
+    }
+    return endpoints;
+}
+
+upstream_pool& gateway::pool_of(const gateway_target& target) {
+    std::unique_ptr<upstream_pool>& pool = pools_[target.id];
+    if (!pool) {
+        const result<http_address> address = http_address::parse(target.address);
+        const gateway_service* service = configuration_.service(target.service);
+        upstream_pool_settings settings;
+        if (service != nullptr) {
+            settings.most_connections =
+                std::max<std::size_t>(4, service->most_connections / sharers);
+        }
+        pool = std::make_unique<upstream_pool>(
+            loop_, address ? address.value() : http_address{}, settings);
+    }
+    return *pool;
+}
+
+void gateway::grants_changed() {
+    waiters_->serve(monotonic_now());
+    if (grants_->urgent()) {
+        ledger_->append_if_due();
+    }
+}
+
+void gateway::tick() {
+    const instant now = monotonic_now();
+    ledger_->append_if_due();
+    waiters_->serve(now);
+    for (const std::string& id : targets_.take_forgotten(now)) {
+        pools_.erase(id);
+    }
+}
+
+void gateway::begin_stop() {
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    stop_began_ = monotonic_now();
+    log_event(log_level::information, "gateway_stopping",
+              {{"host", settings_.host},
+               {"requests", std::to_string(context_->requests.size())}});
+    ingress_->begin_drain();
+    look_whether_stopped();
+}
+
+void gateway::look_whether_stopped() {
+    const microseconds since = monotonic_now() - stop_began_;
+    const bool overdue = since + stop_margin > settings_.longest_drain;
+    if (since > settings_.listen_after_stop) {
+        ingress_->stop_listening();
+        grants_->set_draining(true);
+        ledger_->append_if_due();
+    }
+    const bool done = since > settings_.listen_after_stop + 2 * stop_look_period &&
+                      context_->requests.empty();
+    if (done || overdue) {
+        loop_.stop();
+        return;
+    }
+    loop_.call_after(stop_look_period, [this, alive = alive_] {
+        if (*alive) {
+            look_whether_stopped();
+        }
+    });
+}
+
+int run_gateway(const gateway_settings& settings, const gateway_dialect& dialect) {
+    event_loop loop;
+    gateway process(loop, settings, dialect);
+    const result<void> started = process.start();
+    if (!started) {
+        log_event(log_level::error, "gateway_cannot_start", {{"reason", started.error().message}});
+        return exit_unavailable;
+    }
+    loop.on_stop_signal([&process] { process.begin_stop(); });
+    loop.run();
+    log_event(log_level::information, "gateway_stopped", {{"host", settings.host}});
+    return exit_done;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/gateway.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "roles/gateway/event_log.hpp"
+#include "roles/gateway/forwarded_request.hpp"
+#include "roles/gateway/gateway_context.hpp"
+#include "wrenswitch/drivers/grant_ledger.hpp"
+#include "wrenswitch/drivers/http_server.hpp"
+#include "wrenswitch/drivers/ingress_server.hpp"
+
+namespace wrenswitch {
+
+/// The gateway process: it follows the platform's logs, holds this host's grants, and passes
+/// callers' requests to targets.
+class gateway {
+public:
+    gateway(event_loop& loop, const gateway_settings& settings, const gateway_dialect& dialect);
+    ~gateway();
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+
+    /// Binds all addresses and begins to follow the logs. An error if an address cannot be bound.
+    result<void> start();
+
+    /// Begins a planned stop: not ready, no connection kept, grants returned, then the loop ends.
+    void begin_stop();
+
+private:
+    result<void> open_bus();
+    void open_logs();
+    result<void> open_servers();
+    ingress_limits limits_now() const;
+    bool ready() const;
+    void serve_admin(const http_exchange_pointer& exchange);
+
+    void configuration_changed(const keyed_record& record);
+    void apply_limits();
+    void target_changed(const keyed_record& record);
+    std::vector<std::string> relay_endpoints() const;
+    upstream_pool& pool_of(const gateway_target& target);
+
+    void grants_changed();
+    void tick();
+    void look_whether_stopped();
+
+    event_loop& loop_;
+    const gateway_settings& settings_;
+    const gateway_dialect& dialect_;
+    metrics metrics_;
+    random_source random_;
+    incarnation_id incarnation_;
+    event_log events_;
+
+    std::unique_ptr<message_bus> bus_;
+    std::unique_ptr<service_channel> direct_;
+    std::unique_ptr<relayed_channel> channel_;
+    std::unique_ptr<keyed_log> log_;
+    std::unique_ptr<keyed_follower> configuration_follower_;
+    std::unique_ptr<keyed_follower> target_follower_;
+    std::unique_ptr<grant_ledger> ledger_;
+    std::unique_ptr<grant_holder> grants_;
+    std::unique_ptr<token_waiters> waiters_;
+
+    configuration_view configuration_;
+    target_pool targets_;
+    retry_budget retries_;
+    std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
+    std::unique_ptr<gateway_context> context_;
+
+    std::unique_ptr<ingress_server> ingress_;
+    std::unique_ptr<http_server> admin_;
+    std::unique_ptr<timer> ticker_;
+    bool stopping_ = false;
+    instant stop_began_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/gateway_context.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "roles/gateway/event_log.hpp"
+#include "roles/gateway/token_waiters.hpp"
+#include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/target_pool.hpp"
+#include "wrenswitch/decision/grants/grant_holder.hpp"
+#include "wrenswitch/decision/routing/retry_budget.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+#include "wrenswitch/drivers/upstream_pool.hpp"
+#include "wrenswitch/roles/gateway.hpp"
+
+namespace wrenswitch {
+
+class forwarded_request;
+
+/// What the requests of one gateway share.
+struct gateway_context {
+    event_loop& loop;
+    const gateway_settings& settings;
+    const gateway_dialect& dialect;
+    configuration_view& configuration;
+    target_pool& targets;
+    grant_holder& grants;
+    token_waiters& waiters;
+    retry_budget& retries;
+    random_source& random;
+    metrics& counters;
+    event_log& events;
+    /// False until the ledger of grants was read once.
+    std::function<bool()> grants_known;
+    /// Draws tokens now rather than at the next tick.
+    std::function<void()> tokens_wanted;
+    /// The connections to a target.
+    std::function<upstream_pool&(const gateway_target&)> pool_of;
+    /// Requests under way.
+    std::unordered_set<std::shared_ptr<forwarded_request>> requests;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -0,0 +1,56 @@
+#include "roles/shared/platform_settings.hpp"
+#include "wrenswitch/core/settings_reader.hpp"
+#include "wrenswitch/roles/gateway.hpp"
+
+namespace wrenswitch {
+namespace {
+
+constexpr std::int64_t highest_port = 65'535;
+constexpr std::int64_t longest_drain_ms = 3'600'000;
+constexpr std::int64_t longest_wait_ms = 60'000;
+constexpr std::int64_t most_tokens = 1'000'000'000;
+constexpr std::int64_t most_lines = 1'000'000;
+constexpr double most_burst = 10'000.0;
+
+milliseconds read_ms(settings_reader& reader, std::string_view name, microseconds fallback,
+                     std::int64_t most) {
+    const auto usual = std::chrono::duration_cast<milliseconds>(fallback).count();
+    return milliseconds(reader.integer_or(name, usual, 0, most));
+}
+
+grant_policy_settings read_grants(settings_reader& reader) {
+    grant_policy_settings policy;
+    policy.horizon = read_ms(reader, "grant_horizon_ms", policy.horizon, longest_wait_ms);
+    policy.held_share = reader.number_or("grant_held_share", policy.held_share, 0.0, 1.0);
+    policy.first_draw = reader.integer_or("grant_first_draw", policy.first_draw, 0, most_tokens);
+    return policy;
+}
+
+}  // namespace
+
+std::optional<gateway_settings> read_gateway_settings(std::string_view text, findings& problems) {
+    settings_reader reader = settings_reader::parse(text, problems);
+    gateway_settings settings;
+    settings.host = reader.text("host");
+    settings.failure_domain = reader.text("failure_domain");
+    settings.listen = read_address(reader, "listen", problems);
+    settings.admin = read_address(reader, "admin", problems);
+    settings.service = read_address(reader, "service", problems);
+    settings.bus.endpoint = reader.text("bus_endpoint");
+    settings.relay_port =
+        static_cast<std::uint16_t>(reader.integer_or("relay_port", 0, 0, highest_port));
+    settings.longest_drain =
+        read_ms(reader, "longest_drain_ms", settings.longest_drain, longest_drain_ms);
+    settings.listen_after_stop =
+        read_ms(reader, "listen_after_stop_ms", settings.listen_after_stop, longest_drain_ms);
+    settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
+    settings.retry_burst = reader.number_or("retry_burst", settings.retry_burst, 0.0, most_burst);
+    settings.token_wait = read_ms(reader, "token_wait_ms", settings.token_wait, longest_wait_ms);
+    settings.log_lines_per_second = static_cast<unsigned>(reader.integer_or(
+        "log_lines_per_second", settings.log_lines_per_second, 0, most_lines));
+    settings.grants = read_grants(reader);
+    reader.finish();
+    return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/incoming_request.cpp
@@ -0,0 +1,84 @@
+#include "roles/gateway/incoming_request.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace wrenswitch {
+namespace {
+
+bool is_one_of(std::string_view name, const std::vector<std::string>& names) {
+    return std::any_of(names.begin(), names.end(), [name](const std::string& other) {
+        return same_header_name(name, other);
+    });
+}
+
+std::optional<std::int64_t> whole_number(std::string_view text) {
+    std::int64_t value = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool good = problem == std::errc{} && end == text.data() + text.size();
+    return good ? std::optional(value) : std::nullopt;
+}
+
+}  // namespace
+
+result<incoming_request> read_incoming(const message_head& head, const gateway_dialect& dialect) {
+    for (const std::string& name : dialect.given_once) {
+        if (head.count(name) > 1) {
+            return failed(error_code::bad_input, "The header " + name + " is repeated.");
+        }
+    }
+    incoming_request request;
+    request.id = head.header(dialect.request_id);
+    if (request.id.empty()) {
+        return failed(error_code::bad_input, "The header " + dialect.request_id + " is missing.");
+    }
+    request.host = head.header("Host");
+    request.path = head.target.substr(0, head.target.find('?'));
+    request.key = head.header(dialect.key);
+    request.last_event = head.header(dialect.last_event);
+    const std::string_view deadline = head.header(dialect.deadline_ms);
+    if (!deadline.empty()) {
+        const std::optional<std::int64_t> given = whole_number(deadline);
+        if (!given || *given < 0) {
+            return failed(error_code::bad_input, "Not a deadline: " + std::string(deadline) + ".");
+        }
+        request.deadline = milliseconds(*given);
+    }
+    result<prompt_shape> prompt = dialect.read_prompt(head);
+    if (!prompt) {
+        return prompt.error();
+    }
+    request.prompt = std::move(prompt.value());
+    return request;
+}
+
+std::vector<http_header> passed_headers(const message_head& head, const gateway_dialect& dialect) {
+    std::vector<http_header> passed = end_to_end_headers(head);
+    for (const std::string& name : dialect.always_passed) {
+        const bool kept = std::any_of(passed.begin(), passed.end(), [&name](const auto& header) {
+            return same_header_name(header.name, name);
+        });
+        const std::string_view value = head.header(name);
+        if (!kept && !value.empty()) {
+            passed.push_back({name, std::string(value)});
+        }
+    }
+    std::erase_if(passed, [&dialect](const http_header& header) {
+        return is_one_of(header.name, dialect.set_by_gateway) ||
+               same_header_name(header.name, dialect.key) ||
+               same_header_name(header.name, dialect.deadline_ms) ||
+               same_header_name(header.name, dialect.last_event);
+    });
+    return passed;
+}
+
+std::vector<http_header> answer_headers(const message_head& head, const gateway_dialect& dialect) {
+    std::vector<http_header> passed = end_to_end_headers(head);
+    std::erase_if(passed, [&dialect](const http_header& header) {
+        return same_header_name(header.name, dialect.load) ||
+               same_header_name(header.name, dialect.not_run);
+    });
+    return passed;
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/relay/relay.cpp
@@ -0,0 +1,80 @@
+#include "wrenswitch/roles/relay.hpp"
+
+#include <bus.pb.h>
+
+#include "roles/shared/platform_settings.hpp"
+#include "wrenswitch/core/exit_codes.hpp"
+#include "wrenswitch/core/log.hpp"
+#include "wrenswitch/core/settings_reader.hpp"
+#include "wrenswitch/drivers/service_channel.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// The longest that a peer may have a call waited for.
+constexpr microseconds longest_call = seconds(30);
+
+http_request request_of(const wire::RelayCall& wanted) {
+    http_request request;
+    request.method = wanted.method();
+    request.target = wanted.target();
+    request.body = wanted.body();
+    request.timeout = std::min<microseconds>(milliseconds(wanted.timeout_ms()), longest_call);
+    if (!wanted.content_type().empty()) {
+        request.headers.push_back({"Content-Type", wanted.content_type()});
+    }
+    return request;
+}
+
+wire::Envelope reply_of(std::uint64_t call, const result<http_reply>& reply) {
+    wire::Envelope message;
+    wire::RelayReply& answer = *message.mutable_relay_reply();
+    answer.set_call(call);
+    if (reply) {
+        answer.set_status(reply.value().status);
+        answer.set_content_type(reply.value().content_type);
+        answer.set_body(reply.value().body);
+    }
+    return message;
+}
+
+}  // namespace
+
+std::optional<relay_settings> read_relay_settings(std::string_view text, findings& problems) {
+    settings_reader reader = settings_reader::parse(text, problems);
+    relay_settings settings;
+    settings.host = reader.text("host");
+    settings.bus.endpoint = reader.text("bus_endpoint");
+    settings.service = read_address(reader, "service", problems);
+    reader.finish();
+    return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
+}
+
+int run_relay(const relay_settings& settings) {
+    event_loop loop;
+    result<std::unique_ptr<message_bus>> opened = message_bus::open(loop, settings.bus);
+    if (!opened) {
+        log_event(log_level::error, "relay_cannot_start", {{"reason", opened.error().message}});
+        return exit_unavailable;
+    }
+    message_bus& bus = *opened.value();
+    const std::unique_ptr<service_channel> service = make_direct_channel(loop, settings.service);
+    bus.on_message([&bus, &service](const message_origin& origin, const wire::Envelope& message) {
+        if (!message.has_relay_call()) {
+            return;
+        }
+        const std::uint64_t call = message.relay_call().call();
+        service->call(request_of(message.relay_call()),
+                      [&bus, origin, call](const result<http_reply>& reply) {
+                          bus.answer(origin, reply_of(call, reply));
+                      });
+    });
+    log_event(log_level::information, "relay_started",
+              {{"host", settings.host}, {"endpoint", bus.endpoint()}});
+    loop.on_stop_signal([&loop] { loop.stop(); });
+    loop.run();
+    log_event(log_level::information, "relay_stopped", {{"host", settings.host}});
+    return exit_done;
+}
+
+}  // namespace wrenswitch
