--- a/include/wrenswitch/drivers/message_parser.hpp
+++ b/include/wrenswitch/drivers/message_parser.hpp
@@ -37,11 +37,12 @@
     message_parser(message_parser&&) noexcept;
     message_parser& operator=(message_parser&&) noexcept;
 
-    /// Reads up to the end of one message. Returns how many bytes were taken. Error codes: bad_input
-    /// for a malformed message, too_large for a head that is too long, or the hook's own.
+    /// Reads up to the end of one message. Returns how many bytes were taken. Error codes:
+    /// bad_input for a malformed message, too_large for a head that is too long, or the hook's own.
     result<std::size_t> feed(std::string_view bytes);
 
-    /// The peer ended its side. True if that completes the message, as for an answer without length.
+    /// The peer ended its side. True if that completes the message, as for an answer without
+    /// length.
     bool end_of_input();
 
     /// The next answer belongs to a request that allows no body, such as HEAD.
--- a/include/wrenswitch/drivers/service_channel.hpp
+++ b/include/wrenswitch/drivers/service_channel.hpp
@@ -53,9 +53,8 @@
 
     /// The direct channel and the bus must outlive this one. The bus's relay replies must be handed
     /// to on_reply().
-    relayed_channel(event_loop& loop, service_channel& direct, message_bus& bus,
-                    peer_source peers, probe_source probe, metrics& counters,
-                    relayed_channel_settings settings);
+    relayed_channel(event_loop& loop, service_channel& direct, message_bus& bus, peer_source peers,
+                    probe_source probe, metrics& counters, relayed_channel_settings settings);
     ~relayed_channel() override;
     relayed_channel(const relayed_channel&) = delete;
     relayed_channel& operator=(const relayed_channel&) = delete;
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -91,7 +91,6 @@
 
 /// Runs a gateway until it is told to stop, by the settings in a file and with changes of it taken
 /// up while it runs. `text` is the file's present text. Returns the exit code.
-int run_gateway(const std::string& path, const std::string& text,
-                const gateway_dialect& dialect);
+int run_gateway(const std::string& path, const std::string& text, const gateway_dialect& dialect);
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/roles/relay.hpp
+++ b/include/wrenswitch/roles/relay.hpp
@@ -21,8 +21,8 @@
 std::optional<relay_settings> read_relay_settings(std::string_view text, findings& problems);
 
 /// Runs a relay until it is told to stop: it makes calls to the platform's service for peers that
-/// can't reach it themselves. It keeps nothing and decides nothing. Takes the settings file's path and
-/// present text. Returns the exit code.
+/// can't reach it themselves. It keeps nothing and decides nothing. Takes the settings file's path
+/// and present text. Returns the exit code.
 int run_relay(const std::string& path, const std::string& text);
 
 }  // namespace wrenswitch
--- a/src/decision/gateway/configuration_view.cpp
+++ b/src/decision/gateway/configuration_view.cpp
@@ -8,9 +8,8 @@
 /// The host without its port, in lower case.
 std::string plain_host(std::string_view host) {
     std::string name(host.substr(0, host.find(':')));
-    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
-        return static_cast<char>(std::tolower(letter));
-    });
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
     return name;
 }
 
@@ -39,9 +38,10 @@
         by_host_[plain_host(routes[index].host)].push_back(index);
     }
     for (auto& [host, indices] : by_host_) {
-        std::stable_sort(indices.begin(), indices.end(), [&routes](std::size_t left, std::size_t right) {
-            return routes[left].path_prefix.size() > routes[right].path_prefix.size();
-        });
+        std::stable_sort(
+            indices.begin(), indices.end(), [&routes](std::size_t left, std::size_t right) {
+                return routes[left].path_prefix.size() > routes[right].path_prefix.size();
+            });
     }
     for (std::size_t index = 0; index < configuration_.accounts.size(); ++index) {
         const gateway_account& account = configuration_.accounts[index];
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -58,8 +58,8 @@
     std::vector<std::string> forgotten;
     for (auto it = targets_.begin(); it != targets_.end();) {
         const target_state& state = it->second;
-        const bool done = !state.listed && state.in_flight == 0 &&
-                          now - state.unlisted_since > unlisted_life;
+        const bool done =
+            !state.listed && state.in_flight == 0 && now - state.unlisted_since > unlisted_life;
         if (done) {
             forgotten.push_back(it->first);
             it = targets_.erase(it);
@@ -123,7 +123,8 @@
 
 double target_pool::occupancy(const target_state& state, instant now) const {
     const double own = state.in_flight;
-    const bool fresh = state.reported_at != instant{} && now - state.reported_at < settings_.report_life;
+    const bool fresh =
+        state.reported_at != instant{} && now - state.reported_at < settings_.report_life;
     if (!fresh) {
         return own;
     }
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -183,8 +183,8 @@
         const tokens change = change_for(now, account, state);
         state.returning = std::max(state.returning, -change);
         const grant present = table_.find(key_of(account));
-        const tokens wanted = std::max<tokens>(
-            0, state.waiting - std::max<tokens>(0, free(account, state) + change));
+        const tokens wanted =
+            std::max<tokens>(0, state.waiting - std::max<tokens>(0, free(account, state) + change));
         const bool wish_changed = present.holder == incarnation_ && present.wanted != wanted;
         if (change == 0 && !wish_changed) {
             continue;
--- a/src/drivers/grant_ledger.cpp
+++ b/src/drivers/grant_ledger.cpp
@@ -48,10 +48,10 @@
       name_(std::move(name)),
       counters_(counters),
       hooks_(std::move(hooks)),
-      follower_(loop, log, {.log = name_},
-                {[this](const keyed_record& record) { on_changed(record); },
-                 [this] { on_caught_up(); },
-                 [this](bool reachable) { hooks_.reachable(reachable); }}) {}
+      follower_(
+          loop, log, {.log = name_},
+          {[this](const keyed_record& record) { on_changed(record); }, [this] { on_caught_up(); },
+           [this](bool reachable) { hooks_.reachable(reachable); }}) {}
 
 grant_ledger::~grant_ledger() {
     *alive_ = false;
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -40,8 +40,8 @@
             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, listen_backlog,
             reinterpret_cast<sockaddr*>(&address), sizeof address);
         if (listener_ == nullptr) {
-            return failed(error_code::unavailable, "Address " + host + ":" + std::to_string(port) +
-                                                       " cannot be bound.");
+            return failed(error_code::unavailable,
+                          "Address " + host + ":" + std::to_string(port) + " cannot be bound.");
         }
         sockaddr_in bound{};
         socklen_t length = sizeof bound;
--- a/src/drivers/message_head.cpp
+++ b/src/drivers/message_head.cpp
@@ -9,9 +9,8 @@
 
 /// Headers that concern one connection only.
 constexpr std::array<std::string_view, 10> connection_headers{
-    "Connection", "Keep-Alive", "Proxy-Connection",    "TE",
-    "Trailer",    "Upgrade",    "Transfer-Encoding",   "Content-Length",
-    "Expect",     "Proxy-Authenticate"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",     "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect", "Proxy-Authenticate"};
 
 std::string_view trimmed(std::string_view text) {
     const std::size_t first = text.find_first_not_of(" \t");
--- a/src/drivers/message_parser.cpp
+++ b/src/drivers/message_parser.cpp
@@ -64,7 +64,9 @@
 
     int add_target(std::string_view piece) {
         head.target.append(piece);
-        return count_head_bytes(piece.size()) ? 0 : fail(error_code::too_large, "The head is too long.");
+        return count_head_bytes(piece.size())
+                   ? 0
+                   : fail(error_code::too_large, "The head is too long.");
     }
 
     int add_name(std::string_view piece) {
@@ -77,7 +79,9 @@
         }
         value_was_last = false;
         head.headers.back().name.append(piece);
-        return count_head_bytes(piece.size()) ? 0 : fail(error_code::too_large, "The head is too long.");
+        return count_head_bytes(piece.size())
+                   ? 0
+                   : fail(error_code::too_large, "The head is too long.");
     }
 
     int add_value(std::string_view piece) {
@@ -86,7 +90,9 @@
         }
         value_was_last = true;
         head.headers.back().value.append(piece);
-        return count_head_bytes(piece.size()) ? 0 : fail(error_code::too_large, "The head is too long.");
+        return count_head_bytes(piece.size())
+                   ? 0
+                   : fail(error_code::too_large, "The head is too long.");
     }
 
     int finish_head() {
@@ -121,7 +127,8 @@
 
     int finish_message() {
         active = false;
-        const bool interim = parser.type == HTTP_RESPONSE && parser.status_code < first_final_status;
+        const bool interim =
+            parser.type == HTTP_RESPONSE && parser.status_code < first_final_status;
         if (interim) {
             return 0;
         }
@@ -153,9 +160,7 @@
             of(self).hooks.on_body({data, length});
             return 0;
         };
-        callbacks.on_message_complete = [](http_parser* self) {
-            return of(self).finish_message();
-        };
+        callbacks.on_message_complete = [](http_parser* self) { return of(self).finish_message(); };
     }
 };
 
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -35,7 +35,8 @@
     }
     const std::string_view digits = value.substr(at + name.size());
     unsigned number = 0;
-    const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+    const auto [end, problem] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), number);
     return problem == std::errc{} ? std::optional(number) : std::nullopt;
 }
 
@@ -69,8 +70,8 @@
     peer.sin_family = AF_INET;
     peer.sin_port = htons(address.port);
     inet_pton(AF_INET, address.host.c_str(), &peer.sin_addr);
-    stream_ = bufferevent_socket_new(loop_.base(), -1,
-                                     BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    stream_ =
+        bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(stream_, &on_readable, nullptr, &on_event, this);
     const auto micros = settings_.connect_timeout.count();
     constexpr std::int64_t microseconds_a_second = 1'000'000;
--- a/src/drivers/upstream_pool.cpp
+++ b/src/drivers/upstream_pool.cpp
@@ -113,8 +113,9 @@
 
 upstream_pool::upstream_pool(event_loop& loop, http_address address,
                              upstream_pool_settings settings)
-    : state_(std::make_shared<shared_state>(
-          shared_state{loop, std::move(address), settings, {}, 0})) {}
+    : state_(
+          std::make_shared<shared_state>(shared_state{loop, std::move(address), settings, {}, 0})) {
+}
 
 upstream_pool::~upstream_pool() {
     const auto open = std::exchange(state_->connections, {});
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -41,8 +41,8 @@
 
 /// A target that says these without saying that it did not run a request promises too much.
 bool promises_not_run(unsigned status) {
-    return status == status_unavailable || status == status_too_many ||
-           status == status_timeout || status == status_misdirected;
+    return status == status_unavailable || status == status_too_many || status == status_timeout ||
+           status == status_misdirected;
 }
 
 std::string seconds_text(microseconds length) {
@@ -96,8 +96,7 @@
         return false;
     }
     route_ = *route;
-    const route_split* split =
-        configuration_view::choose_split(route_, context_.random.unit());
+    const route_split* split = configuration_view::choose_split(route_, context_.random.unit());
     if (split == nullptr) {
         refuse(status_unavailable, "no_service", until_targets);
         return false;
@@ -155,12 +154,12 @@
         return;
     }
     const tokens most = request_.prompt.prompt + request_.prompt.most_output;
-    const auto found = context_.waiters.reserve(
-        monotonic_now(), account_, most, [self = weak_from_this()](reserve_outcome outcome) {
-            if (const auto alive = self.lock()) {
-                alive->tokens_answered(outcome);
-            }
-        });
+    const auto found = context_.waiters.reserve(monotonic_now(), account_, most,
+                                                [self = weak_from_this()](reserve_outcome outcome) {
+                                                    if (const auto alive = self.lock()) {
+                                                        alive->tokens_answered(outcome);
+                                                    }
+                                                });
     if (!found.waiting) {
         pay(found.now);
         return;
@@ -267,9 +266,8 @@
         }
     };
     upstream_hooks hooks;
-    hooks.belongs = [id = request_.id, name = context_.dialect.request_id](const message_head& head) {
-        return head.header(name) == id;
-    };
+    hooks.belongs = [id = request_.id, name = context_.dialect.request_id](
+                        const message_head& head) { return head.header(name) == id; };
     hooks.on_head = [when_current](const message_head& head) {
         when_current([&head](forwarded_request& request) { request.on_head(head); });
     };
@@ -403,11 +401,12 @@
 
 void forwarded_request::on_failed(upstream_failure failure) {
     end_attempt();
-    context_.events.failure("attempt_failed", {{"request", request_.id},
-                                               {"target", target_},
-                                               {"attempt", std::to_string(attempt_)},
-                                               {"failure", std::string(name_of(failure))},
-                                               {"after_ms", millis_text(monotonic_now() - sent_at_)}});
+    context_.events.failure("attempt_failed",
+                            {{"request", request_.id},
+                             {"target", target_},
+                             {"attempt", std::to_string(attempt_)},
+                             {"failure", std::string(name_of(failure))},
+                             {"after_ms", millis_text(monotonic_now() - sent_at_)}});
     context_.targets.failed(monotonic_now(), target_);
     if (failure == upstream_failure::not_sent) {
         unsent_ += 1;
@@ -439,9 +438,8 @@
     const bool ran = outcome == fate::may_have_run || may_have_run_;
     const unsigned runs = attempt_ - unsent_ - refusals_;
     const bool can_go_on = !begun_ || !events_.last_id().empty();
-    return (!ran || may_repeat(route_.kind)) && can_go_on &&
-           runs < route_.most_attempts && refusals_ <= most_refusals &&
-           time_left() > microseconds(0);
+    return (!ran || may_repeat(route_.kind)) && can_go_on && runs < route_.most_attempts &&
+           refusals_ <= most_refusals && time_left() > microseconds(0);
 }
 
 bool forwarded_request::try_again(fate outcome) {
@@ -483,20 +481,20 @@
     finish("caller_gone", 0);
 }
 
-void forwarded_request::refuse(unsigned status, std::string_view reason,
-                               microseconds retry_after) {
+void forwarded_request::refuse(unsigned status, std::string_view reason, microseconds retry_after) {
     if (begun_) {
         cut(reason);
         return;
     }
-    exchange_->answer(status, {{context_.dialect.request_id, request_.id},
-                               {"Retry-After", seconds_text(retry_after)}},
-                      std::string(reason) + "\n");
+    exchange_->answer(
+        status,
+        {{context_.dialect.request_id, request_.id}, {"Retry-After", seconds_text(retry_after)}},
+        std::string(reason) + "\n");
     finish(reason, status);
 }
 
-/// Charges what the target may have handed out since its last event came: nothing more can be handed
-/// to this process once the connection is closed.
+/// Charges what the target may have handed out since its last event came: nothing more can be
+/// handed to this process once the connection is closed.
 void forwarded_request::assume_unseen() {
     const instant now = monotonic_now();
     const microseconds silence = now - std::max(sent_at_, last_event_at_);
@@ -504,7 +502,8 @@
     charge_.assume(now, possible + tokens_per_event_ * unseen_events);
 }
 
-/// Ends an answer that was begun and can't be finished, so that the caller sees that it isn't whole.
+/// Ends an answer that was begun and can't be finished, so that the caller sees that it isn't
+/// whole.
 void forwarded_request::cut(std::string_view reason) {
     assume_unseen();
     exchange_->cut();
@@ -543,8 +542,9 @@
                                                     {"took_ms", millis_text(took)}});
     };
     write(served ? &event_log::routine : &event_log::failure);
-    context_.loop.call_after(microseconds(0), [&requests = context_.requests,
-                                               self = shared_from_this()] { requests.erase(self); });
+    context_.loop.call_after(
+        microseconds(0),
+        [&requests = context_.requests, self = shared_from_this()] { requests.erase(self); });
 }
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -40,8 +40,7 @@
 
 }  // namespace
 
-gateway::gateway(event_loop& loop, const gateway_settings& settings,
-                 const gateway_dialect& dialect)
+gateway::gateway(event_loop& loop, const gateway_settings& settings, const gateway_dialect& dialect)
     : loop_(loop),
       settings_(settings),
       dialect_(dialect),
@@ -109,9 +108,8 @@
                              reachable_hook(dialect_.target_log)});
     ledger_ = std::make_unique<grant_ledger>(
         loop_, *log_, dialect_.grant_log, metrics_,
-        grant_ledger_hooks{[this] { return compose_grants(); },
-                           [this] { grants_changed(); }, [this] { grants_->resolved(); },
-                           reachable_hook(dialect_.grant_log)});
+        grant_ledger_hooks{[this] { return compose_grants(); }, [this] { grants_changed(); },
+                           [this] { grants_->resolved(); }, reachable_hook(dialect_.grant_log)});
     grants_ = std::make_unique<grant_holder>(settings_.host, incarnation_, settings_.grants,
                                              ledger_->table());
     waiters_ = std::make_unique<token_waiters>(*grants_);
@@ -119,10 +117,21 @@
 
 result<void> gateway::open_servers() {
     context_ = std::make_unique<gateway_context>(gateway_context{
-        loop_, settings_, dialect_, configuration_, targets_, *grants_, *waiters_, retries_,
-        random_, metrics_, events_, [this] { return ledger_->live(); },
+        loop_,
+        settings_,
+        dialect_,
+        configuration_,
+        targets_,
+        *grants_,
+        *waiters_,
+        retries_,
+        random_,
+        metrics_,
+        events_,
+        [this] { return ledger_->live(); },
         [this] { ledger_->append_if_due(); },
-        [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); }, {}});
+        [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); },
+        {}});
     auto ingress = ingress_server::start(
         loop_, settings_.listen.host, settings_.listen.port, [this] { return limits_now(); },
         [this](const ingress_exchange_pointer& exchange) {
@@ -160,7 +169,8 @@
         return;
     }
     if (exchange->path() == "/metrics") {
-        metrics_.gauge("gateway_requests_under_way") = static_cast<double>(context_->requests.size());
+        metrics_.gauge("gateway_requests_under_way") =
+            static_cast<double>(context_->requests.size());
         metrics_.gauge("gateway_connections") = static_cast<double>(ingress_->connections());
         exchange->reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                         metrics_.to_prometheus_text());
@@ -263,8 +273,8 @@
             settings.most_connections =
                 std::max<std::size_t>(4, service->most_connections / sharers);
         }
-        pool = std::make_unique<upstream_pool>(
-            loop_, address ? address.value() : http_address{}, settings);
+        pool = std::make_unique<upstream_pool>(loop_, address ? address.value() : http_address{},
+                                               settings);
     }
     return *pool;
 }
@@ -310,8 +320,7 @@
     stopping_ = true;
     stop_began_ = monotonic_now();
     log_event(log_level::information, "gateway_stopping",
-              {{"host", settings_.host},
-               {"requests", std::to_string(context_->requests.size())}});
+              {{"host", settings_.host}, {"requests", std::to_string(context_->requests.size())}});
     ingress_->begin_drain();
     look_whether_stopped();
 }
@@ -358,8 +367,7 @@
               {{"needs_restart", moved ? "yes" : "no"}});
 }
 
-int run_gateway(const std::string& path, const std::string& text,
-                const gateway_dialect& dialect) {
+int run_gateway(const std::string& path, const std::string& text, const gateway_dialect& dialect) {
     findings problems;
     const std::optional<gateway_settings> settings = read_gateway_settings(text, problems);
     if (!settings) {
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -49,8 +49,8 @@
     settings.least_time_per_token = std::max<microseconds>(
         milliseconds(1),
         read_ms(reader, "least_ms_per_token", settings.least_time_per_token, longest_wait_ms));
-    settings.log_lines_per_second = static_cast<unsigned>(reader.integer_or(
-        "log_lines_per_second", settings.log_lines_per_second, 0, most_lines));
+    settings.log_lines_per_second = static_cast<unsigned>(
+        reader.integer_or("log_lines_per_second", settings.log_lines_per_second, 0, most_lines));
     settings.grants = read_grants(reader);
     reader.finish();
     return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
--- a/src/roles/gateway/incoming_request.cpp
+++ b/src/roles/gateway/incoming_request.cpp
@@ -7,9 +7,8 @@
 namespace {
 
 bool is_one_of(std::string_view name, const std::vector<std::string>& names) {
-    return std::any_of(names.begin(), names.end(), [name](const std::string& other) {
-        return same_header_name(name, other);
-    });
+    return std::any_of(names.begin(), names.end(),
+                       [name](const std::string& other) { return same_header_name(name, other); });
 }
 
 std::optional<std::int64_t> whole_number(std::string_view text) {
--- a/src/roles/relay/relay.cpp
+++ b/src/roles/relay/relay.cpp
@@ -60,7 +60,8 @@
     }
     const relay_settings& settings = *read;
     event_loop loop;
-    // A relay has nothing that may change while it runs; the watch only keeps SIGHUP from ending it.
+    // A relay has nothing that may change while it runs; the watch only keeps SIGHUP from ending
+    // it.
     const settings_watch watch(loop, path, text, [](const std::string&) {
         log_event(log_level::information, "settings_reloaded", {{"needs_restart", "yes"}});
     });
