--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -86,6 +86,9 @@
     /// The tokens in hand that nothing is set aside for.
     tokens free(const std::string& account) const;
 
+    /// What no host was granted yet.
+    tokens available(const std::string& account) const;
+
     /// An account's budget, or zero.
     tokens limit(const std::string& account) const;
 
--- a/include/wrenswitch/drivers/upstream_pool.hpp
+++ b/include/wrenswitch/drivers/upstream_pool.hpp
@@ -55,6 +55,10 @@
 
     /// True once a byte of the request may have left.
     virtual bool sent() const = 0;
+
+    /// Ends only this side of the connection: the target calls the run off, and what it had handed
+    /// out before still comes, up to its own end of the connection. A close would lose that.
+    virtual void call_off() = 0;
 };
 
 /// Settings of a pool.
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -79,6 +79,8 @@
     double retry_burst = 5.0;
     /// How long a request waits for tokens before it is refused.
     microseconds token_wait = milliseconds(800);
+    /// The same, if the tokens would have to come from other hosts.
+    microseconds short_token_wait = milliseconds(120);
     /// The shortest time in which an engine makes a token of one answer.
     microseconds least_time_per_token = milliseconds(4);
     grant_policy_settings grants;
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -68,6 +68,10 @@
     });
 }
 
+tokens grant_holder::available(const std::string& account) const {
+    return std::max<tokens>(0, limit(account) - table_.granted(account));
+}
+
 tokens grant_holder::limit(const std::string& account) const {
     const auto found = accounts_.find(account);
     return found == accounts_.end() ? 0 : found->second.limit;
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <charconv>
 #include <utility>
@@ -164,7 +165,7 @@
 }
 
 void upstream_connection::note_keep_alive(const message_head& head) {
-    reusable_ = head.keep_alive;
+    reusable_ = reusable_ && head.keep_alive;
     const std::optional<unsigned> limit = keep_alive_seconds(head.header("Keep-Alive"));
     if (limit) {
         peer_idle_limit_ = seconds(*limit);
@@ -215,6 +216,13 @@
     close();
 }
 
+void upstream_connection::half_close() {
+    reusable_ = false;
+    if (stream_ != nullptr && connected_) {
+        ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
+    }
+}
+
 void upstream_connection::close() {
     if (stream_ == nullptr) {
         return;
--- a/src/drivers/upstream_connection.hpp
+++ b/src/drivers/upstream_connection.hpp
@@ -29,6 +29,9 @@
     /// Ends the call and the connection without telling the hooks.
     void abandon();
 
+    /// Ends this side of the connection; answers are still read.
+    void half_close();
+
     bool open() const { return stream_ != nullptr; }
     bool idle() const { return open() && !hooks_; }
     bool sent() const { return sent_; }
--- a/src/drivers/upstream_pool.cpp
+++ b/src/drivers/upstream_pool.cpp
@@ -37,7 +37,12 @@
     pooled_call(const pooled_call&) = delete;
     pooled_call& operator=(const pooled_call&) = delete;
 
-    bool sent() const override { return connection_ != nullptr && connection_->sent(); }
+    bool sent() const override { return connection_->sent(); }
+    void call_off() override {
+        if (!*ended_) {
+            connection_->half_close();
+        }
+    }
 
     /// Set by the hooks at the call's end, since the connection then belongs to others.
     const std::shared_ptr<bool>& ended() const { return ended_; }
@@ -55,6 +60,7 @@
     failed_call(const failed_call&) = delete;
     failed_call& operator=(const failed_call&) = delete;
     bool sent() const override { return false; }
+    void call_off() override {}
 
 private:
     std::shared_ptr<bool> wanted_;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -39,6 +39,9 @@
 /// How often a request is offered to another target after one that certainly didn't run it.
 constexpr unsigned most_refusals = 2;
 
+/// How long a target has to end a run that was called off, before the worst is assumed.
+constexpr microseconds longest_call_off = milliseconds(250);
+
 /// A target that says these without saying that it did not run a request promises too much.
 bool promises_not_run(unsigned status) {
     return status == status_unavailable || status == status_too_many || status == status_timeout ||
@@ -167,7 +170,10 @@
     waiting_ = found.waiting;
     context_.counters.counter("gateway_token_waits_total") += 1;
     context_.tokens_wanted();
-    context_.loop.call_after(std::min(context_.settings.token_wait, time_left()),
+    const bool there = context_.grants.available(account_) >= most;
+    const microseconds wait =
+        there ? context_.settings.token_wait : context_.settings.short_token_wait;
+    context_.loop.call_after(std::min(wait, time_left()),
                              [self = weak_from_this()] {
                                  if (const auto alive = self.lock()) {
                                      alive->tokens_overdue();
@@ -314,6 +320,9 @@
     }
     last_event_at_ = monotonic_now();
     charge_.handed_out(last_event_at_, tokens_per_event_ * static_cast<tokens>(whole.count));
+    if (called_off_) {
+        return;
+    }
     if (!std::exchange(begun_, true)) {
         exchange_->begin_answer(answer_.status, answer_headers(answer_, context_.dialect));
         context_.counters.quantiles("gateway_first_event_ms")
@@ -328,6 +337,10 @@
 
 void forwarded_request::on_end() {
     end_attempt();
+    if (called_off_) {
+        call_off_ended();
+        return;
+    }
     context_.targets.answered(target_, answer_.status < first_server_error || answer_refused_);
     if (answer_refused_) {
         if (answer_.status == status_misdirected) {
@@ -401,6 +414,10 @@
 
 void forwarded_request::on_failed(upstream_failure failure) {
     end_attempt();
+    if (called_off_) {
+        call_off_ended();
+        return;
+    }
     context_.events.failure("attempt_failed",
                             {{"request", request_.id},
                              {"target", target_},
@@ -452,7 +469,7 @@
 }
 
 void forwarded_request::deadline_passed() {
-    if (ended_) {
+    if (ended_ || called_off_) {
         return;
     }
     const bool sent = call_ != nullptr && call_->sent();
@@ -467,17 +484,34 @@
     fail(status_gateway_timeout, "deadline");
 }
 
+/// Calls the run off. A target that hadn't begun ends the connection without a word, so that the
+/// account needn't pay for what the caller never could have got.
 void forwarded_request::caller_gone() {
+    if (ended_ || called_off_) {
+        return;
+    }
+    called_off_ = true;
+    waiting_.reset();
+    if (call_ == nullptr || !call_->sent()) {
+        call_off_ended();
+        return;
+    }
+    call_->call_off();
+    context_.loop.call_after(longest_call_off, [self = weak_from_this()] {
+        if (const auto alive = self.lock()) {
+            alive->assume_unseen();
+            alive->call_off_ended();
+        }
+    });
+}
+
+void forwarded_request::call_off_ended() {
     if (ended_) {
         return;
     }
-    const bool sent = call_ != nullptr && call_->sent();
     if (call_) {
         end_attempt();
     }
-    if (sent || may_have_run_) {
-        assume_unseen();
-    }
     finish("caller_gone", 0);
 }
 
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -62,6 +62,7 @@
 
     void deadline_passed();
     void caller_gone();
+    void call_off_ended();
     microseconds time_left() const;
 
     void refuse(unsigned status, std::string_view reason, microseconds retry_after);
@@ -106,6 +107,8 @@
     /// True if some attempt may have run.
     bool may_have_run_ = false;
     event_splitter events_;
+    /// True once the caller has gone and only what was handed out is still learnt.
+    bool called_off_ = false;
     bool ended_ = false;
 };
 
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -46,6 +46,8 @@
     settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
     settings.retry_burst = reader.number_or("retry_burst", settings.retry_burst, 0.0, most_burst);
     settings.token_wait = read_ms(reader, "token_wait_ms", settings.token_wait, longest_wait_ms);
+    settings.short_token_wait =
+        read_ms(reader, "short_token_wait_ms", settings.short_token_wait, longest_wait_ms);
     settings.least_time_per_token = std::max<microseconds>(
         milliseconds(1),
         read_ms(reader, "least_ms_per_token", settings.least_time_per_token, longest_wait_ms));
