--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -15,14 +15,14 @@
 /// How much a process draws ahead of need.
 struct grant_policy_settings {
     /// How long the tokens in hand should last at the present demand.
-    microseconds horizon = seconds(1);
+    microseconds horizon = milliseconds(500);
     /// The part of what is left of a budget that all hosts together may hold unspent. It is what a
     /// loss of every process at once can make unusable.
-    double held_share = 0.05;
+    double held_share = 0.03;
     /// How long the estimate of demand remembers.
     microseconds demand_memory = seconds(3);
     /// Drawn before any demand was seen, so that a first request need not wait.
-    tokens first_draw = 1000;
+    tokens first_draw = 600;
     /// A surplus must last this long before it is given back.
     microseconds surplus_patience = seconds(4);
 };
