--- a/include/wrenswitch/decision/grants/grant_table.hpp
+++ b/include/wrenswitch/decision/grants/grant_table.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <compare>
 #include <map>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 
 #include "wrenswitch/core/ids.hpp"
@@ -18,7 +18,9 @@
     std::string host;
 
     friend bool operator==(const grant_key&, const grant_key&) = default;
-    friend auto operator<=>(const grant_key&, const grant_key&) = default;
+    friend bool operator<(const grant_key& left, const grant_key& right) {
+        return std::tie(left.account, left.host) < std::tie(right.account, right.host);
+    }
 };
 
 /// What one host was granted of one account's budget, over all lives of its process. Each record
--- a/include/wrenswitch/drivers/grant_ledger.hpp
+++ b/include/wrenswitch/drivers/grant_ledger.hpp
@@ -55,7 +55,6 @@
                      const result<std::uint64_t>& end);
     void settle(std::uint64_t position);
 
-    event_loop& loop_;
     keyed_log& log_;
     std::string name_;
     metrics& counters_;
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -189,8 +189,8 @@
         const grant present = table_.find(key_of(account));
         const tokens wanted =
             std::max<tokens>(0, state.waiting - std::max<tokens>(0, free(account, state) + change));
-        const bool wish_changed = present.holder == incarnation_ && present.wanted != wanted;
-        if (change == 0 && !wish_changed) {
+        const tokens told = present.holder == incarnation_ ? present.wanted : 0;
+        if (change == 0 && wanted == told) {
             continue;
         }
         grant next = present;
--- a/src/drivers/grant_ledger.cpp
+++ b/src/drivers/grant_ledger.cpp
@@ -43,8 +43,7 @@
 
 grant_ledger::grant_ledger(event_loop& loop, keyed_log& log, std::string name, metrics& counters,
                            grant_ledger_hooks hooks)
-    : loop_(loop),
-      log_(log),
+    : log_(log),
       name_(std::move(name)),
       counters_(counters),
       hooks_(std::move(hooks)),
--- /dev/null
+++ b/tests/decision/grants/grant_holder_test.cpp
@@ -0,0 +1,165 @@
+#include "wrenswitch/decision/grants/grant_holder.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace wrenswitch;
+
+constexpr const char* account = "a";
+constexpr instant start{seconds(100)};
+
+/// A table with two hosts that share one account of 100,000 tokens.
+struct grant_fixture {
+    grant_table table;
+    grant_policy_settings policy;
+    grant_holder here{"here", incarnation_id{1}, policy, table};
+    grant_holder there{"there", incarnation_id{2}, policy, table};
+
+    grant_fixture() {
+        here.set_limit(account, 100'000);
+        there.set_limit(account, 100'000);
+    }
+
+    /// What the log would do with an append at its end.
+    void append(grant_holder& holder, instant now) {
+        for (const grant_record& record : holder.compose(now)) {
+            table.apply(record);
+        }
+        holder.resolved();
+    }
+
+    void draw(grant_holder& holder, tokens amount) {
+        holder.set_waiting(account, amount);
+        append(holder, start);
+        holder.set_waiting(account, 0);
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(grant_holder_test, grant_fixture)
+
+BOOST_AUTO_TEST_CASE(reserve_without_a_grant_is_short) {
+    BOOST_TEST((here.reserve(start, account, 10) == reserve_outcome::short_of_tokens));
+}
+
+BOOST_AUTO_TEST_CASE(reserve_after_a_draw_is_reserved) {
+    draw(here, 5000);
+    BOOST_TEST((here.reserve(start, account, 5000) == reserve_outcome::reserved));
+    BOOST_TEST(here.reserved(account) == 5000);
+}
+
+BOOST_AUTO_TEST_CASE(reserve_beyond_the_limit_is_exhausted) {
+    BOOST_TEST((here.reserve(start, account, 100'001) == reserve_outcome::exhausted));
+}
+
+BOOST_AUTO_TEST_CASE(reserve_while_others_may_return_is_short_not_exhausted) {
+    draw(there, 99'000);
+    BOOST_TEST((here.reserve(start, account, 50'000) == reserve_outcome::short_of_tokens));
+}
+
+BOOST_AUTO_TEST_CASE(draws_of_all_hosts_never_exceed_the_limit) {
+    draw(here, 80'000);
+    draw(there, 80'000);
+    BOOST_TEST(table.granted(account) <= 100'000);
+}
+
+BOOST_AUTO_TEST_CASE(raised_limit_can_be_drawn) {
+    draw(here, 100'000);
+    here.set_limit(account, 150'000);
+    draw(here, 150'000);
+    BOOST_TEST(here.free(account) == 150'000);
+}
+
+BOOST_AUTO_TEST_CASE(lowered_limit_keeps_what_is_granted) {
+    draw(here, 80'000);
+    here.set_limit(account, 10'000);
+    BOOST_TEST((here.reserve(start, account, 70'000) == reserve_outcome::reserved));
+}
+
+BOOST_AUTO_TEST_CASE(successor_on_the_host_counts_the_predecessors_grant_as_spent) {
+    draw(here, 30'000);
+    grant_holder successor("here", incarnation_id{3}, policy, table);
+    successor.set_limit(account, 100'000);
+    BOOST_TEST(successor.free(account) == 0);
+    successor.set_waiting(account, 1000);
+    append(successor, start);
+    BOOST_TEST(successor.free(account) >= 1000);
+    BOOST_TEST(table.granted(account) >= 31'000);
+    BOOST_TEST(table.find({account, "here"}).base >= 30'000);
+}
+
+BOOST_AUTO_TEST_CASE(predecessor_that_wakes_has_nothing_in_hand) {
+    draw(here, 30'000);
+    grant_holder successor("here", incarnation_id{3}, policy, table);
+    successor.set_limit(account, 100'000);
+    successor.set_waiting(account, 1000);
+    append(successor, start);
+    BOOST_TEST((here.reserve(start, account, 1000) == reserve_outcome::short_of_tokens));
+}
+
+BOOST_AUTO_TEST_CASE(draining_holder_returns_all_that_is_free) {
+    draw(here, 30'000);
+    here.reserve(start, account, 10'000);
+    here.set_draining(true);
+    append(here, start);
+    BOOST_TEST(here.free(account) == 0);
+    BOOST_TEST(table.granted(account) == 10'000);
+}
+
+BOOST_AUTO_TEST_CASE(return_whose_fate_is_open_cannot_be_spent) {
+    draw(here, 30'000);
+    here.set_draining(true);
+    BOOST_TEST(!here.compose(start).empty());
+    BOOST_TEST(here.free(account) == 0);
+    BOOST_TEST(!here.all_returned());
+    // Another record took the place: the return can't come any more.
+    here.resolved();
+    BOOST_TEST(here.free(account) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(return_that_is_composed_again_returns_the_same) {
+    draw(here, 30'000);
+    here.set_draining(true);
+    const auto first = here.compose(start);
+    const auto second = here.compose(start);
+    BOOST_REQUIRE(!second.empty());
+    BOOST_TEST((first == second));
+}
+
+BOOST_AUTO_TEST_CASE(surplus_is_returned_at_once_when_another_host_waits) {
+    draw(here, 100'000);
+    there.set_waiting(account, 20'000);
+    append(there, start);
+    append(here, start + seconds(1));
+    BOOST_TEST(table.granted(account) < 100'000);
+    append(there, start + seconds(1));
+    BOOST_TEST(there.free(account) >= 20'000);
+}
+
+BOOST_AUTO_TEST_CASE(surplus_without_need_is_kept_for_a_while) {
+    draw(here, 50'000);
+    append(here, start);
+    BOOST_TEST(here.free(account) >= 50'000);
+    append(here, start + policy.surplus_patience + seconds(1));
+    BOOST_TEST(here.free(account) < 50'000);
+}
+
+BOOST_AUTO_TEST_CASE(spending_leaves_less_at_most) {
+    draw(here, 30'000);
+    here.reserve(start, account, 10'000);
+    here.spend(start, account, 4000);
+    here.release(account, 6000);
+    BOOST_TEST(here.left_at_most(account) == 96'000);
+    BOOST_TEST(here.reserved(account) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(removed_key_frees_its_grant) {
+    draw(here, 30'000);
+    table.remove({account, "here"});
+    BOOST_TEST(table.granted(account) == 0);
+    BOOST_TEST(table.hosts(account) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/drivers/keyed_follower_test.cpp
@@ -0,0 +1,95 @@
+#include "wrenswitch/drivers/keyed_follower.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "support/fake_keyed_log.hpp"
+#include "support/loop_runner.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+using namespace wrenswitch::testing;
+
+/// A follower that keeps what it was told.
+struct follower_fixture : loop_runner {
+    fake_keyed_log log{loop};
+    std::map<std::string, std::string> seen;
+    int changes = 0;
+    std::vector<bool> reachable;
+    keyed_follower follower{loop,
+                            log,
+                            {.log = "l", .hold = milliseconds(50)},
+                            {[this](const keyed_record& record) {
+                                 changes += 1;
+                                 if (record.value) {
+                                     seen[record.key] = *record.value;
+                                 } else {
+                                     seen.erase(record.key);
+                                 }
+                             },
+                             [] {}, [this](bool now) { reachable.push_back(now); }}};
+
+    void begin() {
+        follower.start();
+        BOOST_REQUIRE(run_until([this] { return follower.live(); }));
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(keyed_follower_test, follower_fixture)
+
+BOOST_AUTO_TEST_CASE(newest_records_come_first_then_each_change) {
+    log.put("l", "k", "1");
+    log.put("l", "k", "2");
+    begin();
+    BOOST_TEST(seen["k"] == "2");
+    BOOST_TEST(changes == 1);
+    log.put("l", "k", "3");
+    BOOST_TEST(run_until([this] { return seen["k"] == "3"; }));
+}
+
+BOOST_AUTO_TEST_CASE(dropped_key_is_told) {
+    log.put("l", "k", "1");
+    begin();
+    log.put("l", "k", std::nullopt);
+    BOOST_TEST(run_until([this] { return seen.empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(forgotten_history_is_read_anew_and_only_changes_are_told) {
+    log.put("l", "kept", "1");
+    log.put("l", "dropped", "1");
+    begin();
+    log.down = true;
+    BOOST_REQUIRE(run_until([this] { return !reachable.empty(); }));
+    log.put("l", "dropped", std::nullopt);
+    log.put("l", "new", "1");
+    log.forget_before("l", 4);
+    log.down = false;
+    BOOST_TEST(run_until([this] { return seen.contains("new"); }));
+    BOOST_TEST(!seen.contains("dropped"));
+    BOOST_TEST(changes == 4);
+}
+
+BOOST_AUTO_TEST_CASE(lost_and_regained_log_is_told_once_each) {
+    begin();
+    log.down = true;
+    BOOST_REQUIRE(run_until([this] { return !reachable.empty(); }));
+    run_for(milliseconds(200));
+    log.down = false;
+    BOOST_TEST(run_until([this] { return reachable.size() == 2; }));
+    BOOST_TEST((reachable == std::vector<bool>{false, true}));
+}
+
+BOOST_AUTO_TEST_CASE(own_append_is_not_told_twice) {
+    begin();
+    const std::vector<keyed_record> mine{{"k", "mine", 0}};
+    log.put("l", "k", "mine");
+    follower.appended(0, mine);
+    run_for(milliseconds(100));
+    BOOST_TEST(seen["k"] == "mine");
+    BOOST_TEST(changes == 1);
+    BOOST_TEST(follower.position() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/translation_test.cpp
@@ -0,0 +1,146 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/dialect.hpp"
+#include "roles/gateway/incoming_request.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+
+/// A request as the platform's pages show one.
+struct translation_fixture {
+    gateway_dialect dialect = platform::make_dialect();
+    message_head head;
+
+    translation_fixture() {
+        head.method = "POST";
+        head.target = "/lohu930/2f?x=1";
+        head.headers = {{"Host", "ficu95.example"},
+                        {"Request-Id", "9c41d07be2a35f68"},
+                        {"Model", "m"},
+                        {"Token-Usage", "1460,80"},
+                        {"Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+                        {"Deadline-Ms", "6000"},
+                        {"Credential", "n2ctnfzs989anu6wsjnb"}};
+    }
+
+    std::string passed(std::string_view name) {
+        for (const http_header& header : passed_headers(head, dialect)) {
+            if (same_header_name(header.name, name)) {
+                return header.value;
+            }
+        }
+        return "";
+    }
+};
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+ {"name":"r-1","host":"ficu95.example","pathPrefix":"/pufi791/","kind":"streaming","timeoutMs":4000,
+  "targetLatencyMs":500,"priority":0,"service":"huvo11a","maxAttempts":2,"public":false,
+  "resumable":true,"targetGapMs":300},
+ {"name":"r-2","host":"ficu95.example","pathPrefix":"/lohu930/","kind":"non_idempotent",
+  "timeoutMs":600,"split":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],
+  "maxAttempts":1}],
+ "services":[{"name":"huvo11a","healthPath":"/health","maxConns":360,
+   "engine":{"slots":64,"kvCapacity":374509,"stride":3}},
+  {"name":"wuno96b","healthPath":"/health","maxConns":100}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,
+  "idleTimeoutMs":15000},
+ "tenants":[{"name":"hule930","apiKeys":["k1","k2"],"priority":1,"prepaid":2900465}]})";
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(translation_test, translation_fixture)
+
+BOOST_AUTO_TEST_CASE(request_read_has_its_parts) {
+    const auto read = read_incoming(head, dialect);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().path == "/lohu930/2f");
+    BOOST_TEST(read.value().prompt.prompt == 1460);
+    BOOST_TEST(read.value().prompt.most_output == 80);
+    BOOST_REQUIRE(read.value().prompt.parts.size() == 3U);
+    BOOST_TEST(read.value().prompt.parts[1].id == 0x91bd3f06U);
+    BOOST_TEST(read.value().prompt.parts[1].length == 410);
+    BOOST_TEST((*read.value().deadline == seconds(6)));
+}
+
+BOOST_AUTO_TEST_CASE(request_without_identifier_or_with_a_repeated_header_is_malformed) {
+    message_head repeated = head;
+    repeated.headers.push_back({"deadline-ms", "1"});
+    BOOST_TEST(!read_incoming(repeated, dialect).has_value());
+    std::erase_if(head.headers, [](const auto& header) { return header.name == "Request-Id"; });
+    BOOST_TEST(!read_incoming(head, dialect).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(usage_that_is_no_pair_of_numbers_is_malformed) {
+    for (const char* usage : {"1460", "a,b", "-1,5", "5,-1", "1460,80,3x"}) {
+        BOOST_TEST_CONTEXT(usage) {
+            head.headers[3].value = usage;
+            BOOST_TEST(!read_incoming(head, dialect).has_value());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(key_and_forged_headers_are_not_passed_on) {
+    head.headers.push_back({"tenant", "forged"});
+    head.headers.push_back({"Expect-Instance", "forged"});
+    head.headers.push_back({"Request-Priority", "0"});
+    BOOST_TEST(passed("Credential").empty());
+    BOOST_TEST(passed("Tenant").empty());
+    BOOST_TEST(passed("Expect-Instance").empty());
+    BOOST_TEST(passed("Request-Priority").empty());
+    BOOST_TEST(passed("Prefix-Hash") == "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+}
+
+BOOST_AUTO_TEST_CASE(named_by_connection_the_essential_headers_are_still_passed) {
+    head.headers.push_back({"Connection", "Request-Id, Model, X-Mine"});
+    head.headers.push_back({"X-Mine", "1"});
+    BOOST_TEST(passed("Request-Id") == "9c41d07be2a35f68");
+    BOOST_TEST(passed("Model") == "m");
+    BOOST_TEST(passed("X-Mine").empty());
+}
+
+BOOST_AUTO_TEST_CASE(load_is_three_numbers) {
+    const auto load = platform::read_load("3,1,8");
+    BOOST_REQUIRE(load.has_value());
+    BOOST_TEST(load->running == 3U);
+    BOOST_TEST(load->queued == 1U);
+    BOOST_TEST(load->limit == 8U);
+    BOOST_TEST(!platform::read_load("").has_value());
+    BOOST_TEST(!platform::read_load("3,1").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(configuration_read_has_routes_services_and_accounts) {
+    const auto read = platform::read_configuration(configuration);
+    BOOST_REQUIRE(read.has_value());
+    const gateway_configuration& config = read.value();
+    BOOST_TEST(config.version == 7U);
+    BOOST_TEST((config.routes[0].kind == request_kind::resumable_stream));
+    BOOST_TEST((config.routes[0].timeout == seconds(4)));
+    BOOST_TEST(config.routes[0].most_attempts == 2U);
+    BOOST_TEST((config.routes[1].kind == request_kind::single_run));
+    BOOST_TEST(config.routes[1].splits.size() == 2U);
+    BOOST_TEST(config.services[0].engine->tokens_per_event == 3);
+    BOOST_TEST(!config.services[1].engine.has_value());
+    BOOST_TEST(*config.accounts[0].prepaid == 2'900'465);
+    BOOST_TEST((config.limits.idle_timeout == seconds(15)));
+}
+
+BOOST_AUTO_TEST_CASE(damaged_configuration_is_an_error_not_a_guess) {
+    BOOST_TEST(!platform::read_configuration("{").has_value());
+    BOOST_TEST(!platform::read_configuration("{}").has_value());
+    BOOST_TEST(
+        !platform::read_configuration(R"({"version":"x","routes":[],"services":[]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(worker_entry_read_is_a_target) {
+    const auto read = platform::read_target(
+        "i-1", R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"z","slots":64,
+                   "state":"draining","seq":4})");
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value().leaving);
+    BOOST_TEST(read.value().slots == 64U);
+    BOOST_TEST(!platform::read_target("i-1", "[]").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/support/raw_socket.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace wrenswitch::testing {
+
+/// A bare TCP socket for tests that send what no library would. It never blocks.
+class raw_socket {
+public:
+    explicit raw_socket(int descriptor = -1) : descriptor_(descriptor) {
+        if (descriptor_ >= 0) {
+            ::fcntl(descriptor_, F_SETFL, ::fcntl(descriptor_, F_GETFL, 0) | O_NONBLOCK);
+        }
+    }
+    ~raw_socket() { close(); }
+    raw_socket(raw_socket&& other) noexcept
+        : descriptor_(std::exchange(other.descriptor_, -1)),
+          received_(std::move(other.received_)),
+          ended_(other.ended_) {}
+    raw_socket& operator=(raw_socket&& other) noexcept {
+        close();
+        descriptor_ = std::exchange(other.descriptor_, -1);
+        received_ = std::move(other.received_);
+        ended_ = other.ended_;
+        return *this;
+    }
+
+    static raw_socket connect(std::uint16_t port) {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address = loopback(port);
+        ::connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        return raw_socket(descriptor);
+    }
+
+    static raw_socket listen() {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address = loopback(0);
+        ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        ::listen(descriptor, 16);
+        return raw_socket(descriptor);
+    }
+
+    std::uint16_t port() const {
+        sockaddr_in address{};
+        socklen_t length = sizeof address;
+        ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &length);
+        return ntohs(address.sin_port);
+    }
+
+    /// A connection that waits to be accepted, or a closed socket.
+    raw_socket accept() const { return raw_socket(::accept(descriptor_, nullptr, nullptr)); }
+
+    bool open() const { return descriptor_ >= 0; }
+
+    void send(std::string_view bytes) const {
+        [[maybe_unused]] const auto sent =
+            ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    /// All that came so far.
+    const std::string& received() {
+        char buffer[4096];
+        for (;;) {
+            const auto length = ::recv(descriptor_, buffer, sizeof buffer, 0);
+            if (length > 0) {
+                received_.append(buffer, static_cast<std::size_t>(length));
+                continue;
+            }
+            ended_ = ended_ || length == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+            return received_;
+        }
+    }
+
+    /// True once the peer ended or reset the connection.
+    bool ended() {
+        received();
+        return ended_;
+    }
+
+    void close() {
+        if (descriptor_ >= 0) {
+            ::close(std::exchange(descriptor_, -1));
+        }
+    }
+
+    /// Closes so that the peer sees a reset.
+    void reset() {
+        const linger hard{1, 0};
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+        close();
+    }
+
+    void forget_received() { received_.clear(); }
+
+private:
+    static sockaddr_in loopback(std::uint16_t port) {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    int descriptor_;
+    std::string received_;
+    bool ended_ = false;
+};
+
+}  // namespace wrenswitch::testing
