--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -30,8 +30,8 @@
     echo "Only main files and tests may include platform/."
     status=1
 fi
-platform_words='Server-Stamp|Prefix-Hash|Token-Usage|Not-Executed|Request-Id|Deadline-Ms|Expect-Instance'
-platform_words+='|Load-Report|Credential"|/-/|keyed\.|apiKeys|pathPrefix|maxConns'
+platform_words='Server-Stamp|Prefix-Hash|Token-Usage|Not-Executed|"Request-Id|"Deadline-Ms'
+platform_words+='|Expect-Instance|Load-Report|"Credential|\/-\/|"keyed\.|apiKeys|pathPrefix|maxConns'
 if git ls-files 'src/*' 'include/*' | xargs grep -nE "$platform_words"; then
     echo "These words of the platform belong into platform/."
     status=1
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -173,12 +173,11 @@
     const bool there = context_.grants.available(account_) >= most;
     const microseconds wait =
         there ? context_.settings.token_wait : context_.settings.short_token_wait;
-    context_.loop.call_after(std::min(wait, time_left()),
-                             [self = weak_from_this()] {
-                                 if (const auto alive = self.lock()) {
-                                     alive->tokens_overdue();
-                                 }
-                             });
+    context_.loop.call_after(std::min(wait, time_left()), [self = weak_from_this()] {
+        if (const auto alive = self.lock()) {
+            alive->tokens_overdue();
+        }
+    });
 }
 
 void forwarded_request::tokens_answered(reserve_outcome outcome) {
