--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,8 +8,8 @@
 
 lint_one() {
     local source="$1" key
-    key="$( (cat .clang-tidy "$source"; g++ -std=c++20 -MM -Iinclude -Isrc -Iproto/generated \
-        "$source" 2>/dev/null | tr -d '\\' | tr ' ' '\n' | grep -E '^(include|src|proto)/' |
+    key="$( (cat .clang-tidy "$source"; g++ -std=c++20 -MM -I. -Iinclude -Isrc -Iproto/generated \
+        "$source" 2>/dev/null | tr -d '\\' | tr ' ' '\n' | grep -E '^(include|src|proto|platform)/' |
         sort -u | xargs -r cat) | sha256sum | cut -d' ' -f1)"
     if [ -e "$cache/$key" ]; then
         return 0
@@ -18,4 +18,4 @@
 }
 export -f lint_one
 export cache
-git ls-files 'src/*.cpp' | xargs -P "$(nproc)" -I{} bash -c 'lint_one "$1" || { echo "lint: $1"; exit 1; }' _ {}
+git ls-files 'src/*.cpp' 'platform/*.cpp' | xargs -P "$(nproc)" -I{} bash -c 'lint_one "$1" || { echo "lint: $1"; exit 1; }' _ {}
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -256,6 +256,7 @@
                   return rank(left) < rank(right);
               });
     std::vector<std::string> endpoints;
+    endpoints.reserve(beside.size());
     for (const gateway_target& target : beside) {
         endpoints.push_back("tcp://" + host_of(target.address) + ":" +
                             std::to_string(settings_.relay_port));
--- /dev/null
+++ b/tests/platform/gateway_live_test.cpp
@@ -0,0 +1,437 @@
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <fstream>
+
+#include "platform/store_standin.hpp"
+#include "platform/worker_standin.hpp"
+#include "support/child_process.hpp"
+#include "support/loop_runner.hpp"
+#include "support/raw_socket.hpp"
+#include "wrenswitch/core/tokens.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+using namespace wrenswitch::testing;
+using wrenswitch::test::child_process;
+
+/// Passes calls on to the store until it is silenced.
+class silenceable_way {
+public:
+    silenceable_way(event_loop& loop, std::uint16_t store) : loop_(loop), store_(store) {
+        ticker_ = loop.call_every(milliseconds(1), [this] { pump(); });
+    }
+
+    std::uint16_t port() const { return listener_.port(); }
+    bool silent = false;
+
+private:
+    struct pair {
+        raw_socket near;
+        raw_socket far;
+    };
+
+    void pump() {
+        for (raw_socket near = listener_.accept(); near.open(); near = listener_.accept()) {
+            pairs_.push_back({std::move(near), raw_socket::connect(store_)});
+        }
+        if (silent) {
+            return;
+        }
+        for (pair& each : pairs_) {
+            pass(each.near, each.far);
+            pass(each.far, each.near);
+        }
+    }
+
+    static void pass(raw_socket& from, raw_socket& to) {
+        const std::string bytes = from.received();
+        from.forget_received();
+        if (!bytes.empty()) {
+            to.send(bytes);
+        }
+    }
+
+    event_loop& loop_;
+    std::uint16_t store_;
+    raw_socket listener_ = raw_socket::listen();
+    std::vector<pair> pairs_;
+    std::unique_ptr<timer> ticker_;
+};
+
+/// The real wrengate and wrenrelay between a bare client and stand-ins of the store and of workers.
+struct gateway_fixture : loop_runner {
+    store_standin store{loop};
+    worker_standin engine{loop, "i-engine"};
+    worker_standin plain{loop, "i-plain"};
+    std::uint16_t listen = free_port();
+    std::uint16_t admin = free_port();
+    std::uint16_t bus = free_port();
+    std::uint16_t relay_bus = free_port();
+    std::string settings_file = "/tmp/wrengate_test_" + std::to_string(listen) + ".json";
+    std::unique_ptr<child_process> gateway;
+    std::unique_ptr<child_process> relay;
+    std::string service_address = store.address();
+    std::uint64_t version = 1;
+    tokens prepaid = 100'000;
+    std::string keys = R"(["key-1"])";
+
+    gateway_fixture() {
+        engine.answer = [this](const ingress_exchange_pointer& exchange) {
+            exchange->answer(200, engine.signed_headers(exchange), event(1));
+        };
+        configure();
+        store.put("keyed.servers", engine.id(), engine.list_entry("llm"));
+        store.put("keyed.servers", plain.id(), plain.list_entry("app"));
+    }
+
+    ~gateway_fixture() {
+        gateway.reset();
+        relay.reset();
+        std::remove(settings_file.c_str());
+    }
+
+    static std::uint16_t free_port() { return raw_socket::listen().port(); }
+
+    void configure() {
+        const std::string text = R"({"version":)" + std::to_string(version++) + R"(,"routes":[
+            {"name":"stream","host":"h.test","pathPrefix":"/stream/","kind":"streaming",
+             "timeoutMs":3000,"service":"llm","maxAttempts":1},
+            {"name":"resume","host":"h.test","pathPrefix":"/resume/","kind":"streaming",
+             "resumable":true,"timeoutMs":3000,"service":"llm","maxAttempts":2},
+            {"name":"once","host":"h.test","pathPrefix":"/once/","kind":"non_idempotent",
+             "timeoutMs":1000,"service":"app","maxAttempts":1},
+            {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent",
+             "timeoutMs":1000,"service":"app","maxAttempts":2}],
+            "services":[{"name":"llm","healthPath":"/health","maxConns":60,
+              "engine":{"slots":64,"kvCapacity":1000000,"stride":3}},
+             {"name":"app","healthPath":"/health","maxConns":60}],
+            "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,
+              "idleTimeoutMs":10000},
+            "tenants":[{"name":"tenant","apiKeys":)" +
+                                 keys + R"(,"prepaid":)" + std::to_string(prepaid) + "}]}";
+        store.put("keyed.op", "config", text);
+    }
+
+    void start_gateway() {
+        std::ofstream(settings_file)
+            << R"({"host":"front-1","failure_domain":"z1","listen":"127.0.0.1:)" << listen
+            << R"(","admin":"127.0.0.1:)" << admin << R"(","service":")" << service_address
+            << R"(","bus_endpoint":"tcp://127.0.0.1:)" << bus << R"(","relay_port":)" << relay_bus
+            << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300})";
+        gateway = std::make_unique<child_process>(
+            std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", settings_file},
+            settings_file + ".log");
+        BOOST_REQUIRE_MESSAGE(run_until([this] { return is_ready(); }), gateway->output());
+    }
+
+    void start_relay() {
+        const std::string file = settings_file + ".relay";
+        std::ofstream(file) << R"({"host":"side-1","bus_endpoint":"tcp://127.0.0.1:)" << relay_bus
+                            << R"(","service":")" << store.address() << R"("})";
+        relay = std::make_unique<child_process>(
+            std::vector<std::string>{WRENSWITCH_BINARIES "/wrenrelay", "--settings", file},
+            file + ".log");
+        BOOST_REQUIRE(
+            run_until([this] { return !relay->field("relay_started", "endpoint").empty(); }));
+        std::remove(file.c_str());
+    }
+
+    bool is_ready() {
+        raw_socket socket = raw_socket::connect(admin);
+        socket.send("GET /-/ready HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        run_until([&] { return socket.ended() || !socket.received().empty(); }, milliseconds(200));
+        return socket.received().find(" 200 ") != std::string::npos;
+    }
+
+    static std::string request(const std::string& path, const std::string& more = "",
+                               const std::string& id = "r1") {
+        return "POST " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: " + id +
+               "\r\nCredential: key-1\r\nDeadline-Ms: 2000\r\n" + more +
+               "Content-Length: 2\r\n\r\nhi";
+    }
+
+    raw_socket send(const std::string& text) const {
+        raw_socket socket = raw_socket::connect(listen);
+        socket.send(text);
+        return socket;
+    }
+
+    /// The whole of an answer that is given at once.
+    std::string answer_to(const std::string& text) {
+        raw_socket socket = send(text);
+        run_until([&] { return socket.received().find("\r\n\r\n") != std::string::npos; });
+        run_for(milliseconds(20));
+        return socket.received();
+    }
+
+    static unsigned status_in(const std::string& text) {
+        return text.size() > 12 ? static_cast<unsigned>(std::stoul(text.substr(9, 3))) : 0;
+    }
+
+    static std::string event(int number) {
+        return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+    }
+
+    /// What the log says was granted of the account, less what was given back.
+    bool account_has_grants() { return !store.records("keyed.grants").empty(); }
+};
+
+const std::string usage = "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a1:60,b2:40\r\n";
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(gateway_live_test, gateway_fixture)
+
+BOOST_AUTO_TEST_CASE(plain_request_gets_its_targets_own_answer) {
+    start_gateway();
+    const std::string answer = answer_to(request("/once/1?q=2", "Tenant: forged\r\n"));
+    BOOST_TEST(status_in(answer) == 200U);
+    BOOST_TEST(answer.find("Server-Stamp: stamp-i-plain") != std::string::npos);
+    BOOST_TEST(answer.ends_with("body of i-plain"));
+    BOOST_REQUIRE(plain.seen.size() == 1U);
+    BOOST_TEST(plain.seen[0].target == "/once/1?q=2");
+    BOOST_TEST(plain.seen[0].header("Tenant") == "tenant");
+    BOOST_TEST(plain.seen[0].count("Tenant") == 1U);
+    BOOST_TEST(plain.seen[0].header("Credential").empty());
+    BOOST_TEST(plain.exchanges[0]->body() == "hi");
+}
+
+BOOST_AUTO_TEST_CASE(stream_is_passed_on_as_it_comes) {
+    start_gateway();
+    engine.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->begin_answer(200, engine.signed_headers(exchange));
+        exchange->send_piece(event(1) + "id: 2\nda");
+    };
+    raw_socket client = send(request("/stream/1", usage));
+    BOOST_REQUIRE(
+        run_until([&] { return client.received().find("data: e1") != std::string::npos; }));
+    BOOST_TEST(client.received().find("id: 2") == std::string::npos);
+    engine.exchanges[0]->send_piece("ta: e2\n\n");
+    engine.exchanges[0]->end_answer();
+    BOOST_TEST(run_until([&] { return client.received().ends_with("0\r\n\r\n"); }));
+    BOOST_TEST(client.received().find("data: e2") != std::string::npos);
+    BOOST_TEST(account_has_grants());
+}
+
+BOOST_AUTO_TEST_CASE(refusals_say_what_is_wrong) {
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/nowhere/1"))) == 404U);
+    std::string unknown_key = request("/once/1");
+    unknown_key.replace(unknown_key.find("key-1"), 5, "key-9");
+    BOOST_TEST(status_in(answer_to(unknown_key)) == 401U);
+    BOOST_TEST(status_in(answer_to(request("/once/1", "Request-Id: again\r\n"))) == 400U);
+    BOOST_TEST(status_in(answer_to(request("/stream/1", "Token-Usage: 200000,50\r\n"))) == 402U);
+    BOOST_TEST(plain.seen.empty());
+    BOOST_TEST(engine.seen.empty());
+}
+
+BOOST_AUTO_TEST_CASE(new_configuration_is_in_force_at_once_and_keys_go) {
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 200U);
+    keys = R"(["key-2"])";
+    configure();
+    run_for(milliseconds(200));
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 401U);
+}
+
+BOOST_AUTO_TEST_CASE(budget_that_is_raised_pays_again) {
+    prepaid = 120;
+    configure();
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/stream/1", usage))) == 402U);
+    prepaid = 5000;
+    configure();
+    run_for(milliseconds(200));
+    BOOST_TEST(status_in(answer_to(request("/stream/1", usage))) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(request_that_may_not_be_repeated_is_sent_once_and_never_refused_after) {
+    start_gateway();
+    plain.answer = [](const ingress_exchange_pointer& exchange) { exchange->cut(); };
+    const std::string answer = answer_to(request("/once/1"));
+    BOOST_TEST(status_in(answer) == 502U);
+    BOOST_TEST(plain.seen.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(repeatable_request_is_sent_to_another_target) {
+    worker_standin other(loop, "i-other");
+    store.put("keyed.servers", other.id(), other.list_entry("app"));
+    start_gateway();
+    plain.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->answer(500, plain.signed_headers(exchange), "");
+    };
+    for (int turn = 0; turn < 5; ++turn) {
+        const std::string answer = answer_to(request("/again/1", "", "r" + std::to_string(turn)));
+        BOOST_TEST(status_in(answer) == 200U);
+        BOOST_TEST(answer.find("stamp-i-other") != std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answer_that_promises_too_much_is_not_passed_on) {
+    start_gateway();
+    plain.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->answer(503, plain.signed_headers(exchange), "");
+    };
+    const std::string answer = answer_to(request("/once/1"));
+    BOOST_TEST(status_in(answer) == 502U);
+    BOOST_TEST(answer.find("Server-Stamp") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(target_that_did_not_run_a_request_makes_a_refusal_with_a_time) {
+    start_gateway();
+    plain.answer = [this](const ingress_exchange_pointer& exchange) {
+        std::vector<http_header> headers = plain.signed_headers(exchange);
+        headers.push_back({"Not-Executed", "1"});
+        exchange->answer(503, headers, "");
+    };
+    const std::string answer = answer_to(request("/once/1"));
+    BOOST_TEST(status_in(answer) == 503U);
+    BOOST_TEST(answer.find("Retry-After: 0.") != std::string::npos);
+    BOOST_TEST(answer.find("Server-Stamp") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(broken_stream_that_may_be_resumed_goes_on_behind_its_last_event) {
+    worker_standin other(loop, "i-other");
+    store.put("keyed.servers", other.id(), other.list_entry("llm"));
+    start_gateway();
+    int runs = 0;
+    const auto serve = [&](worker_standin& worker) {
+        return [&](const ingress_exchange_pointer& exchange) {
+            exchange->begin_answer(200, worker.signed_headers(exchange));
+            runs += 1;
+            if (runs == 1) {
+                exchange->send_piece(event(1) + event(2) + "id: 3\nda");
+                loop.call_after(milliseconds(20), [exchange] { exchange->cut(); });
+                return;
+            }
+            exchange->send_piece(event(3));
+            exchange->end_answer();
+        };
+    };
+    engine.answer = serve(engine);
+    other.answer = serve(other);
+    raw_socket client = send(request("/resume/1", usage));
+    BOOST_REQUIRE(run_until([&] { return client.received().ends_with("0\r\n\r\n"); }));
+    BOOST_TEST(runs == 2);
+    BOOST_TEST(client.received().find(event(1) + event(2)) != std::string::npos);
+    BOOST_TEST(client.received().find("data: e3") != std::string::npos);
+    const worker_standin& second =
+        engine.seen.size() == 1 && engine.seen[0].count("Last-Event-Id") == 1 ? engine : other;
+    BOOST_TEST(second.seen[0].header("Last-Event-Id") == "2");
+}
+
+BOOST_AUTO_TEST_CASE(broken_stream_that_may_not_be_resumed_is_cut) {
+    start_gateway();
+    engine.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->begin_answer(200, engine.signed_headers(exchange));
+        exchange->send_piece(event(1));
+        loop.call_after(milliseconds(20), [exchange] { exchange->cut(); });
+    };
+    raw_socket client = send(request("/stream/1", usage));
+    BOOST_REQUIRE(run_until([&] { return client.ended(); }));
+    BOOST_TEST(client.received().find("data: e1") != std::string::npos);
+    BOOST_TEST(!client.received().ends_with("0\r\n\r\n"));
+    BOOST_TEST(engine.seen.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(leaving_caller_calls_its_run_off) {
+    start_gateway();
+    engine.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->begin_answer(200, engine.signed_headers(exchange));
+        exchange->send_piece(event(1));
+    };
+    raw_socket client = send(request("/stream/1", usage));
+    BOOST_REQUIRE(
+        run_until([&] { return client.received().find("data: e1") != std::string::npos; }));
+    bool called_off = false;
+    engine.exchanges[0]->on_closed([&] { called_off = true; });
+    client.reset();
+    BOOST_TEST(run_until([&] { return called_off; }, milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_CASE(planned_stop_cuts_no_stream_and_returns_the_grants) {
+    start_gateway();
+    engine.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->begin_answer(200, engine.signed_headers(exchange));
+        exchange->send_piece(event(1));
+    };
+    raw_socket client = send(request("/stream/1", usage));
+    BOOST_REQUIRE(
+        run_until([&] { return client.received().find("data: e1") != std::string::npos; }));
+    gateway->signal(SIGTERM);
+    run_for(milliseconds(100));
+    BOOST_TEST(!is_ready());
+    run_for(milliseconds(500));
+    BOOST_TEST(!gateway->ended());
+    engine.exchanges[0]->send_piece(event(2));
+    engine.exchanges[0]->end_answer();
+    BOOST_TEST(run_until([&] { return client.received().ends_with("0\r\n\r\n"); }));
+    BOOST_TEST(run_until([&] { return gateway->ended(); }));
+    BOOST_TEST(gateway->exit_code() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(hangup_and_changed_settings_end_nothing) {
+    start_gateway();
+    gateway->signal(SIGHUP);
+    run_for(milliseconds(100));
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 200U);
+    BOOST_TEST(!gateway->ended());
+    BOOST_TEST(gateway->output().find("settings_unchanged") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(append_whose_answer_is_lost_still_pays) {
+    store.lose_append_answers = true;
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/stream/1", usage))) == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(gateway_whose_way_to_the_store_breaks_works_through_a_relay) {
+    start_relay();
+    // The way is a forwarder that can be silenced: what a cut between the gateway and the store is.
+    silenceable_way way(loop, store.port());
+    service_address = "127.0.0.1:" + std::to_string(way.port());
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/stream/1", usage))) == 200U);
+    way.silent = true;
+    keys = R"(["key-2"])";
+    configure();
+    // In force within two seconds, though the direct way says nothing any more.
+    run_for(milliseconds(1800));
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 401U);
+    way.silent = false;
+    BOOST_TEST(run_until([this] {
+        return gateway->output().find("event=service_direct_regained") != std::string::npos;
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(store_that_is_busy_is_told_as_lost_and_requests_go_on) {
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 200U);
+    store.busy = true;
+    run_for(seconds(1));
+    BOOST_TEST(status_in(answer_to(request("/once/2"))) == 200U);
+    BOOST_TEST(gateway->output().find("event=log_lost") != std::string::npos);
+    store.busy = false;
+    BOOST_TEST(run_until(
+        [this] { return gateway->output().find("event=log_regained") != std::string::npos; }));
+}
+
+BOOST_AUTO_TEST_CASE(budget_is_not_overspent_across_kills) {
+    prepaid = 3000;
+    configure();
+    std::size_t served = 0;
+    for (int life = 0; life < 4; ++life) {
+        start_gateway();
+        for (int turn = 0; turn < 8; ++turn) {
+            const std::string id = "r" + std::to_string(life * 100 + turn);
+            served += status_in(answer_to(request("/stream/1", usage, id))) == 200U ? 1 : 0;
+        }
+        gateway->signal(SIGKILL);
+        run_until([this] { return gateway->ended(); });
+    }
+    BOOST_TEST(engine.seen.size() * 100 <= 3000U);
+    BOOST_TEST(served > 5U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
