--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -19,6 +19,10 @@
     /// The part of what is left of a budget that all hosts together may hold unspent. It is what a
     /// loss of every process at once can make unusable.
     double held_share = 0.03;
+    /// The same, while appends take so long that far more has to be drawn at once.
+    double most_held_share = 0.2;
+    /// Appends that the tokens in hand should outlast.
+    double append_times_ahead = 6.0;
     /// How long the estimate of demand remembers.
     microseconds demand_memory = seconds(3);
     /// Drawn before any demand was seen, so that a first request need not wait.
@@ -74,6 +78,9 @@
     /// True if a request waits, or hands run low: a reason not to wait for the next tick.
     bool urgent() const;
 
+    /// How long appends take of late. The longer, the more is drawn at once, and the rarer.
+    void set_append_time(microseconds length) { append_time_ = length; }
+
     /// Changes how much is drawn ahead from now on.
     void set_policy(const grant_policy_settings& policy) { policy_ = policy; }
 
@@ -118,6 +125,8 @@
     tokens granted_here(const std::string& account) const;
     tokens free(const std::string& account, const account_state& state) const;
     void note_demand(instant now, account_state& state, tokens amount) const;
+    microseconds horizon() const;
+    double held_share() const;
     tokens wanted_in_hand(const std::string& account, const account_state& state) const;
     tokens change_for(instant now, const std::string& account, account_state& state) const;
     tokens surplus_change(instant now, account_state& state, tokens surplus, bool at_once) const;
@@ -128,6 +137,7 @@
     const grant_table& table_;
     std::map<std::string, account_state> accounts_;
     bool draining_ = false;
+    microseconds append_time_{};
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/drivers/grant_ledger.hpp
+++ b/include/wrenswitch/drivers/grant_ledger.hpp
@@ -45,6 +45,10 @@
     bool live() const { return follower_.live(); }
     std::uint64_t position() const { return follower_.position(); }
 
+    /// How long it took of late from the first try of an append to its success, lost races and
+    /// failures included.
+    microseconds append_time() const { return append_time_; }
+
     /// Appends what there is to append, unless an append is under way.
     void append_if_due();
 
@@ -54,6 +58,7 @@
     void on_appended(std::uint64_t at, const std::vector<keyed_record>& records,
                      const result<std::uint64_t>& end);
     void settle(std::uint64_t position);
+    void note_append_time();
 
     keyed_log& log_;
     std::string name_;
@@ -62,6 +67,9 @@
     grant_table table_;
     keyed_follower follower_;
     bool appending_ = false;
+    /// When the present append was first tried, if none has succeeded since.
+    std::optional<instant> trying_since_;
+    microseconds append_time_{};
     /// The end that the last records were composed for, while their fate is open.
     std::optional<std::uint64_t> open_at_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "wrenswitch/core/findings.hpp"
+#include "wrenswitch/decision/gateway/drain_plan.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
@@ -70,10 +71,8 @@
     message_bus_settings bus;
     /// The port at which a relay listens beside an engine's target; zero if there are none.
     std::uint16_t relay_port = 0;
-    /// How long a planned stop may take.
-    microseconds longest_drain = seconds(8);
-    /// How long connections are still taken after a stop began, until the platform knows.
-    microseconds listen_after_stop = milliseconds(3500);
+    /// How a planned stop goes.
+    drain_plan drain;
     /// Retries as a share of first tries, and how many may come at once.
     double retry_share = 0.1;
     double retry_burst = 5.0;
@@ -83,6 +82,8 @@
     microseconds short_token_wait = milliseconds(120);
     /// The shortest time in which an engine makes a token of one answer.
     microseconds least_time_per_token = milliseconds(4);
+    /// The longest time that a token is planned for when a process is about to stop.
+    microseconds most_time_per_token = milliseconds(12);
     grant_policy_settings grants;
     /// Lines of routine a second; failures have as many again.
     unsigned log_lines_per_second = 50;
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -133,16 +133,26 @@
     state.demand_per_second += static_cast<double>(amount) / memory;
 }
 
+microseconds grant_holder::horizon() const {
+    const double ahead = static_cast<double>(append_time_.count()) * policy_.append_times_ahead;
+    return policy_.horizon + microseconds(static_cast<std::int64_t>(ahead));
+}
+
+double grant_holder::held_share() const {
+    const double longer = as_seconds(horizon()) / std::max(1e-3, as_seconds(policy_.horizon));
+    return std::min(policy_.most_held_share, policy_.held_share * longer);
+}
+
 tokens grant_holder::wanted_in_hand(const std::string& account, const account_state& state) const {
     const tokens available = state.limit - table_.granted(account);
     const tokens held = std::max<tokens>(0, free(account, state));
     const auto hosts = static_cast<double>(std::max<std::size_t>(1, table_.hosts(account)));
-    const double horizon = as_seconds(policy_.horizon);
+    const double span_ahead = as_seconds(horizon());
     const bool others_wait = table_.wanted_by_others(account, host_) > available;
-    const double span = others_wait ? horizon * kept_while_others_wait : horizon;
+    const double span = others_wait ? span_ahead * kept_while_others_wait : span_ahead;
     const auto by_demand = static_cast<tokens>(std::llround(state.demand_per_second * span));
     const tokens first = others_wait ? 0 : policy_.first_draw;
-    const tokens share = part_of(std::max<tokens>(0, available) + held, policy_.held_share / hosts);
+    const tokens share = part_of(std::max<tokens>(0, available) + held, held_share() / hosts);
     return std::min(by_demand + first, std::max<tokens>(share, 0));
 }
 
--- a/src/drivers/grant_ledger.cpp
+++ b/src/drivers/grant_ledger.cpp
@@ -102,6 +102,7 @@
     }
     const std::uint64_t at = follower_.position();
     appending_ = true;
+    trying_since_ = trying_since_.value_or(monotonic_now());
     open_at_ = at;
     counters_.counter("grant_appends_total") += 1;
     log_.append(name_, at, records,
@@ -112,10 +113,17 @@
                 });
 }
 
+void grant_ledger::note_append_time() {
+    const microseconds took = monotonic_now() - *std::exchange(trying_since_, std::nullopt);
+    // Half of each new value: a store that turns slow must show within a few appends.
+    append_time_ = (append_time_ + took) / 2;
+}
+
 void grant_ledger::on_appended(std::uint64_t at, const std::vector<keyed_record>& records,
                                const result<std::uint64_t>& end) {
     appending_ = false;
     if (end) {
+        note_append_time();
         follower_.appended(at, records);
         settle(follower_.position());
         hooks_.changed();
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -42,6 +42,10 @@
 /// How long a target has to end a run that was called off, before the worst is assumed.
 constexpr microseconds longest_call_off = milliseconds(250);
 
+/// What a request is expected to need at the most beside its tokens, when a process is to stop.
+constexpr microseconds engine_reading_time = milliseconds(800);
+constexpr microseconds plain_answer_time = milliseconds(600);
+
 /// A target that says these without saying that it did not run a request promises too much.
 bool promises_not_run(unsigned status) {
     return status == status_unavailable || status == status_too_many || status == status_timeout ||
@@ -67,6 +71,7 @@
 void forwarded_request::start() {
     context_.requests.insert(shared_from_this());
     context_.counters.counter("gateway_requests_total") += 1;
+    context_.last_request = monotonic_now();
     exchange_->on_closed([self = weak_from_this()] {
         if (const auto alive = self.lock()) {
             alive->caller_gone();
@@ -76,12 +81,29 @@
         refuse(status_unavailable, "no_configuration", until_configured);
         return;
     }
-    if (read_request() && find_route() && admit_caller()) {
+    if (read_request() && find_route() && admit_caller() && can_end_before_stop()) {
         set_deadline();
         take_tokens();
     }
 }
 
+/// A process that is about to stop takes no request that it would have to cut.
+bool forwarded_request::can_end_before_stop() {
+    if (!context_.stopping_since) {
+        return true;
+    }
+    const microseconds since = monotonic_now() - *context_.stopping_since;
+    const microseconds answer =
+        request_.prompt.most_output * context_.settings.most_time_per_token;
+    const microseconds needed = std::min<microseconds>(
+        route_.timeout, is_engine_ ? engine_reading_time + answer : plain_answer_time);
+    if (context_.settings.drain.may_take(since, needed)) {
+        return true;
+    }
+    refuse(status_unavailable, "stopping", until_targets);
+    return false;
+}
+
 bool forwarded_request::read_request() {
     result<incoming_request> read = read_incoming(exchange_->head(), context_.dialect);
     if (!read) {
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -35,6 +35,7 @@
     bool read_request();
     bool find_route();
     bool admit_caller();
+    bool can_end_before_stop();
     void set_deadline();
     void take_tokens();
     void tokens_answered(reserve_outcome outcome);
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -18,9 +18,6 @@
 /// How often a stopping gateway looks whether it is done.
 constexpr microseconds stop_look_period = milliseconds(50);
 
-/// Kept back from the time that a stop may take, for the end of the process itself.
-constexpr microseconds stop_margin = milliseconds(300);
-
 /// How many entries are expected to share a target's connections.
 constexpr std::size_t sharers = 6;
 
@@ -131,7 +128,9 @@
         [this] { return ledger_->live(); },
         [this] { ledger_->append_if_due(); },
         [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); },
-        {}});
+        {},
+        {},
+        std::nullopt});
     auto ingress = ingress_server::start(
         loop_, settings_.listen.host, settings_.listen.port, [this] { return limits_now(); },
         [this](const ingress_exchange_pointer& exchange) {
@@ -307,6 +306,7 @@
 
 void gateway::tick() {
     const instant now = monotonic_now();
+    grants_->set_append_time(ledger_->append_time());
     ledger_->append_if_due();
     waiters_->serve(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
@@ -320,6 +320,7 @@
     }
     stopping_ = true;
     stop_began_ = monotonic_now();
+    context_->stopping_since = stop_began_;
     log_event(log_level::information, "gateway_stopping",
               {{"host", settings_.host}, {"requests", std::to_string(context_->requests.size())}});
     ingress_->begin_drain();
@@ -327,16 +328,19 @@
 }
 
 void gateway::look_whether_stopped() {
-    const microseconds since = monotonic_now() - stop_began_;
-    const bool overdue = since + stop_margin > settings_.longest_drain;
-    if (since > settings_.listen_after_stop) {
+    const instant now = monotonic_now();
+    const microseconds since = now - stop_began_;
+    const std::size_t requests = context_->requests.size();
+    const bool served = settings_.drain.done(since, requests, now - context_->last_request);
+    if (served || !settings_.drain.listens(since)) {
         ingress_->stop_listening();
+    }
+    if (served) {
         grants_->set_draining(true);
         ledger_->append_if_due();
     }
-    const bool done = since > settings_.listen_after_stop + stop_look_period &&
-                      context_->requests.empty() && grants_->all_returned();
-    if (done || overdue) {
+    const bool overdue = since + settings_.drain.margin > settings_.drain.longest;
+    if (overdue || (served && requests == 0 && grants_->all_returned())) {
         loop_.stop();
         return;
     }
@@ -360,8 +364,7 @@
                        read->service.to_text() != settings_.service.to_text() ||
                        read->host != settings_.host;
     settings_.token_wait = read->token_wait;
-    settings_.longest_drain = read->longest_drain;
-    settings_.listen_after_stop = read->listen_after_stop;
+    settings_.drain = read->drain;
     settings_.grants = read->grants;
     grants_->set_policy(read->grants);
     log_event(log_level::information, "settings_reloaded",
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -43,6 +44,10 @@
     std::function<upstream_pool&(const gateway_target&)> pool_of;
     /// Requests under way.
     std::unordered_set<std::shared_ptr<forwarded_request>> requests;
+    /// When the last request came.
+    instant last_request{};
+    /// Set once a planned stop began.
+    std::optional<instant> stopping_since;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -39,10 +39,10 @@
     settings.bus.endpoint = reader.text("bus_endpoint");
     settings.relay_port =
         static_cast<std::uint16_t>(reader.integer_or("relay_port", 0, 0, highest_port));
-    settings.longest_drain =
-        read_ms(reader, "longest_drain_ms", settings.longest_drain, longest_drain_ms);
-    settings.listen_after_stop =
-        read_ms(reader, "listen_after_stop_ms", settings.listen_after_stop, longest_drain_ms);
+    settings.drain.longest =
+        read_ms(reader, "longest_drain_ms", settings.drain.longest, longest_drain_ms);
+    settings.drain.grace =
+        read_ms(reader, "listen_after_stop_ms", settings.drain.grace, longest_drain_ms);
     settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
     settings.retry_burst = reader.number_or("retry_burst", settings.retry_burst, 0.0, most_burst);
     settings.token_wait = read_ms(reader, "token_wait_ms", settings.token_wait, longest_wait_ms);
