--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -73,13 +73,16 @@
     std::uint16_t relay_port = 0;
     /// How a planned stop goes.
     drain_plan drain;
-    /// Retries as a share of first tries, and how many may come at once.
+    /// Retries as a share of first tries, for each service, and how many beyond that all entries
+    /// together may make.
     double retry_share = 0.1;
-    double retry_burst = 5.0;
+    double retry_slack = 20.0;
     /// How long a request waits for tokens before it is refused.
     microseconds token_wait = milliseconds(800);
     /// The same, if the tokens would have to come from other hosts.
     microseconds short_token_wait = milliseconds(120);
+    /// When a request that was refused for want of tokens may come back while the log is away.
+    microseconds until_log = seconds(2);
     /// The shortest time in which an engine makes a token of one answer.
     microseconds least_time_per_token = milliseconds(4);
     /// The longest time that a token is planned for when a process is about to stop.
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -93,8 +93,7 @@
         return true;
     }
     const microseconds since = monotonic_now() - *context_.stopping_since;
-    const microseconds answer =
-        request_.prompt.most_output * context_.settings.most_time_per_token;
+    const microseconds answer = request_.prompt.most_output * context_.settings.most_time_per_token;
     const microseconds needed = std::min<microseconds>(
         route_.timeout, is_engine_ ? engine_reading_time + answer : plain_answer_time);
     if (context_.settings.drain.may_take(since, needed)) {
@@ -210,7 +209,8 @@
 void forwarded_request::tokens_overdue() {
     if (waiting_) {
         waiting_.reset();
-        refuse(status_unavailable, "short_of_tokens", until_tokens);
+        refuse(status_unavailable, "short_of_tokens",
+               context_.log_answers() ? until_tokens : context_.settings.until_log);
     }
 }
 
@@ -249,7 +249,7 @@
     streaming_ = false;
     sent_at_ = now;
     if (attempt_ == 1) {
-        context_.retries.first_try();
+        context_.retries_of(service_).first_try();
     }
     unread_prompt_ = context_.targets.sent(now, target_, request_.prompt);
     context_.events.routine("request_sent", {{"request", request_.id},
@@ -481,7 +481,7 @@
 }
 
 bool forwarded_request::try_again(fate outcome) {
-    if (!may_try_again(outcome) || !context_.retries.take_retry()) {
+    if (!may_try_again(outcome) || !context_.retries_of(service_).take_retry()) {
         return false;
     }
     context_.counters.counter("gateway_retries_total") += 1;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -21,6 +21,12 @@
 /// How many entries are expected to share a target's connections.
 constexpr std::size_t sharers = 6;
 
+/// What is used of the retries that are allowed, since others count them over sliding windows.
+constexpr double used_retry_part = 0.9;
+
+/// An entry that knows of no others assumes this many.
+constexpr std::size_t least_entries = 4;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -43,8 +49,7 @@
       dialect_(dialect),
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_lines_per_second, metrics_),
-      targets_(pool_settings(settings), random_),
-      retries_(settings.retry_share, settings.retry_burst) {}
+      targets_(pool_settings(settings), random_) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -121,11 +126,12 @@
         targets_,
         *grants_,
         *waiters_,
-        retries_,
         random_,
         metrics_,
         events_,
         [this] { return ledger_->live(); },
+        [this](const std::string& service) -> retry_budget& { return retries_of(service); },
+        [this] { return grant_log_answers_; },
         [this] { ledger_->append_if_due(); },
         [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); },
         {},
@@ -263,6 +269,22 @@
     return endpoints;
 }
 
+/// Each service's retries are bounded by themselves, so that one that fails can't use up another's.
+/// The slack that all entries have together is shared out by how many there are, or were.
+retry_budget& gateway::retries_of(const std::string& service) {
+    const auto known = retries_.find(service);
+    if (known != retries_.end()) {
+        return known->second;
+    }
+    std::size_t entries = least_entries;
+    for (const gateway_account& account : configuration_.current().accounts) {
+        entries = std::max(entries, ledger_->table().hosts(account.name));
+    }
+    const double most = settings_.retry_slack * used_retry_part / static_cast<double>(entries);
+    return retries_.emplace(service, retry_budget(settings_.retry_share * used_retry_part, most))
+        .first->second;
+}
+
 upstream_pool& gateway::pool_of(const gateway_target& target) {
     std::unique_ptr<upstream_pool>& pool = pools_[target.id];
     if (!pool) {
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -44,6 +44,7 @@
     void apply_limits();
     void target_changed(const keyed_record& record);
     std::vector<std::string> relay_endpoints() const;
+    retry_budget& retries_of(const std::string& service);
     upstream_pool& pool_of(const gateway_target& target);
 
     std::vector<grant_record> compose_grants();
@@ -71,7 +72,8 @@
 
     configuration_view configuration_;
     target_pool targets_;
-    retry_budget retries_;
+    std::map<std::string, retry_budget> retries_;
+    bool grant_log_answers_ = true;
     std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
     std::unique_ptr<gateway_context> context_;
 
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -32,12 +32,15 @@
     target_pool& targets;
     grant_holder& grants;
     token_waiters& waiters;
-    retry_budget& retries;
     random_source& random;
     metrics& counters;
     event_log& events;
     /// False until the ledger of grants was read once.
     std::function<bool()> grants_known;
+    /// What bounds the retries at a service's targets.
+    std::function<retry_budget&(const std::string& service)> retries_of;
+    /// True while the log of grants answers.
+    std::function<bool()> log_answers;
     /// Draws tokens now rather than at the next tick.
     std::function<void()> tokens_wanted;
     /// The connections to a target.
