--- a/spec/checks.sh
+++ b/spec/checks.sh
@@ -13,3 +13,8 @@
 check requests.pml fails -DEARLY_ANSWER
 check requests.pml fails -DANY_INCARNATION
 check requests.pml fails -DOLD_TICKETS
+check grants.pml holds
+check grants.pml fails -DNO_CONDITION
+check grants.pml fails -DINHERIT
+check grants.pml fails -DSPEND_RETURN
+check grants.pml fails -DSPEND_EARLY
