Tell the whole story of a failed request, never wait for the log's reader, count in histograms

Each decision that touches a request is kept with its inputs until its end; a request that failed tells them all, of the served ones a sample by identifier. Lines go through a bounded queue that looks whether the reader takes them (a test fills a pipe that nobody reads).

--- a/include/wrenswitch/core/metrics.hpp
+++ b/include/wrenswitch/core/metrics.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -7,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "wrenswitch/core/time.hpp"
+
 namespace wrenswitch {
 
 /// Estimates quantiles of a quantity as it is observed, in constant memory.
@@ -34,7 +38,29 @@
     std::unique_ptr<accumulators> accumulators_;
 };
 
-/// The counters, gauges and quantiles of one process, served in Prometheus' text format.
+/// Counts lengths of time in buckets that are the same everywhere, so that the histograms of many
+/// processes can be added.
+class histogram_metric {
+public:
+    /// The upper bounds of all buckets but the last, in milliseconds.
+    static constexpr std::array<double, 14> bounds_ms{1,   2,   5,    10,   20,   50,    100,
+                                                      200, 500, 1000, 2000, 5000, 10000, 30000};
+
+    /// Adds one observation.
+    void observe(microseconds length);
+
+    /// The number of observations up to a bound, or of all for the index behind the last.
+    std::uint64_t count_up_to(std::size_t index) const;
+
+    double sum_ms() const { return sum_ms_; }
+
+private:
+    std::array<std::uint64_t, bounds_ms.size() + 1> counts_{};
+    double sum_ms_ = 0.0;
+};
+
+/// The counters, gauges, histograms and quantiles of one process, served in Prometheus' text
+/// format.
 class metrics {
 public:
     /// The counter with this name, made on first use. The reference stays valid.
@@ -46,6 +72,10 @@
     /// The quantile metric with this name, made on first use. The reference stays valid.
     quantile_metric& quantiles(std::string_view name);
 
+    /// The histogram with this name, made on first use; labels may stand behind it, as in
+    /// `name{outcome="served"}`. The reference stays valid.
+    histogram_metric& histogram(std::string_view name);
+
     /// All of them, as Prometheus reads them. Each name gets the prefix "wrenswitch_".
     std::string to_prometheus_text() const;
 
@@ -53,6 +83,7 @@
     std::map<std::string, std::uint64_t, std::less<>> counters_;
     std::map<std::string, double, std::less<>> gauges_;
     std::map<std::string, quantile_metric, std::less<>> quantiles_;
+    std::map<std::string, histogram_metric, std::less<>> histograms_;
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -101,6 +101,9 @@
 
     const gateway_target* find(std::string_view id) const;
 
+    /// What is believed of a target's load, with the report's age, for logs.
+    std::string describe(instant now, std::string_view id) const;
+
     /// All targets that are in the list, leaving or not.
     std::vector<gateway_target> listed() const;
 
--- a/include/wrenswitch/drivers/grant_ledger.hpp
+++ b/include/wrenswitch/drivers/grant_ledger.hpp
@@ -45,6 +45,9 @@
     bool live() const { return follower_.live(); }
     std::uint64_t position() const { return follower_.position(); }
 
+    /// When the log last answered a read.
+    instant last_answer() const { return follower_.last_answer(); }
+
     /// How long it took of late from the first try of an append to its success, lost races and
     /// failures included.
     microseconds append_time() const { return append_time_; }
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -88,8 +88,11 @@
     /// The longest time that a token is planned for when a process is about to stop.
     microseconds most_time_per_token = milliseconds(12);
     grant_policy_settings grants;
-    /// Lines of routine a second; failures have as many again.
-    unsigned log_lines_per_second = 50;
+    /// Requests whose lines are written each second: of those that were served, and as many of
+    /// those that failed.
+    unsigned log_requests_per_second = 20;
+    /// The share of served requests that are told.
+    unsigned log_served_percent = 5;
 };
 
 /// Reads a gateway's settings. Nothing if there are findings.
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -3,7 +3,9 @@
 // Boost 1.74's quantile header needs <sstream> before it, whatever the alphabet says.
 // clang-format off
 #include <sstream>
+#include <algorithm>
 #include <array>
+#include <numeric>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -49,6 +51,34 @@
     }
 }
 
+/// The labels of a metric with a further one, in braces.
+std::string with_label(const std::string& name, const std::string& label) {
+    const std::size_t brace = name.find('{');
+    if (brace == std::string::npos) {
+        return "{" + label + "}";
+    }
+    return name.substr(brace, name.size() - brace - 1) + "," + label + "}";
+}
+
+void write_histogram(std::ostringstream& out, const std::string& name,
+                     const histogram_metric& metric) {
+    const std::string base = base_name(name);
+    const std::string labels = name.substr(base.size());
+    const std::size_t bounds = histogram_metric::bounds_ms.size();
+    for (std::size_t index = 0; index <= bounds; ++index) {
+        std::ostringstream bound;
+        if (index < bounds) {
+            bound << histogram_metric::bounds_ms[index];
+        } else {
+            bound << "+Inf";
+        }
+        out << prefix << base << "_bucket" << with_label(name, "le=\"" + bound.str() + "\"") << ' '
+            << metric.count_up_to(index) << '\n';
+    }
+    out << prefix << base << "_sum" << labels << ' ' << metric.sum_ms() << '\n';
+    out << prefix << base << "_count" << labels << ' ' << metric.count_up_to(bounds) << '\n';
+}
+
 }  // namespace
 
 struct quantile_metric::accumulators {
@@ -79,6 +109,23 @@
     return acc::sum(accumulators_->set);
 }
 
+void histogram_metric::observe(microseconds length) {
+    constexpr double microseconds_a_millisecond = 1000.0;
+    const double millis = static_cast<double>(length.count()) / microseconds_a_millisecond;
+    const auto bucket = std::lower_bound(bounds_ms.begin(), bounds_ms.end(), millis);
+    counts_[static_cast<std::size_t>(bucket - bounds_ms.begin())] += 1;
+    sum_ms_ += millis;
+}
+
+std::uint64_t histogram_metric::count_up_to(std::size_t index) const {
+    const auto end = counts_.begin() + static_cast<std::ptrdiff_t>(index) + 1;
+    return std::accumulate(counts_.begin(), end, std::uint64_t{0});
+}
+
+histogram_metric& metrics::histogram(std::string_view name) {
+    return entry_of(histograms_, name);
+}
+
 std::uint64_t& metrics::counter(std::string_view name) {
     return entry_of(counters_, name);
 }
@@ -104,6 +151,14 @@
         out << prefix << name << "_sum " << metric.sum() << '\n';
         out << prefix << name << "_count " << metric.count() << '\n';
     }
+    std::string last_base;
+    for (const auto& [name, metric] : histograms_) {
+        if (base_name(name) != last_base) {
+            last_base = base_name(name);
+            out << "# TYPE " << prefix << last_base << " histogram\n";
+        }
+        write_histogram(out, name, metric);
+    }
     return out.str();
 }
 
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -44,6 +44,21 @@
     return found == targets_.end() ? nullptr : &found->second.target;
 }
 
+std::string target_pool::describe(instant now, std::string_view id) const {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return "unknown";
+    }
+    const target_state& state = found->second;
+    std::string text = "own=" + std::to_string(state.in_flight);
+    if (state.reported_at != instant{}) {
+        const auto age = std::chrono::duration_cast<milliseconds>(now - state.reported_at);
+        text += ",reported=" + std::to_string(state.load.running) + "+" +
+                std::to_string(state.load.queued) + "/" + std::to_string(age.count()) + "ms";
+    }
+    return text + (state.listed ? "" : ",unlisted");
+}
+
 std::vector<gateway_target> target_pool::listed() const {
     std::vector<gateway_target> all;
     for (const auto& [id, state] : targets_) {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -110,6 +110,7 @@
         return false;
     }
     request_ = std::move(read.value());
+    trace_.begin(request_.id, exchange_->received());
     return true;
 }
 
@@ -178,7 +179,16 @@
         return;
     }
     const tokens most = request_.prompt.prompt + request_.prompt.most_output;
-    const auto found = context_.waiters.reserve(monotonic_now(), account_, most,
+    tokens_asked_ = monotonic_now();
+    trace_.add(tokens_asked_, "tokens_asked",
+               {{"account", account_},
+                {"most", std::to_string(most)},
+                {"free", std::to_string(context_.grants.free(account_))},
+                {"available", std::to_string(context_.grants.available(account_))},
+                {"left_at_most", std::to_string(context_.grants.left_at_most(account_))},
+                {"limit", std::to_string(context_.grants.limit(account_))},
+                {"ledger", context_.describe_ledger()}});
+    const auto found = context_.waiters.reserve(tokens_asked_, account_, most,
                                                 [self = weak_from_this()](reserve_outcome outcome) {
                                                     if (const auto alive = self.lock()) {
                                                         alive->tokens_answered(outcome);
@@ -215,6 +225,9 @@
 }
 
 void forwarded_request::pay(reserve_outcome outcome) {
+    const instant now = monotonic_now();
+    context_.counters.histogram("gateway_token_wait_ms").observe(now - tokens_asked_);
+    trace_.add(now, "tokens_answered", {{"outcome", std::string(name_of(outcome))}});
     if (outcome == reserve_outcome::exhausted) {
         fail(status_no_tokens, "budget_exhausted");
         return;
@@ -252,10 +265,12 @@
         context_.retries_of(service_).first_try();
     }
     unread_prompt_ = context_.targets.sent(now, target_, request_.prompt);
-    context_.events.routine("request_sent", {{"request", request_.id},
-                                             {"target", target_},
-                                             {"attempt", std::to_string(attempt_)},
-                                             {"left_ms", millis_text(time_left())}});
+    trace_.add(now, "request_sent",
+               {{"target", target_},
+                {"attempt", std::to_string(attempt_)},
+                {"load", context_.targets.describe(now, target_)},
+                {"unread_prompt", std::to_string(unread_prompt_)},
+                {"left_ms", millis_text(time_left())}});
     call_ = context_.pool_of(target).send(request_for(target), hooks_for(attempt_));
 }
 
@@ -316,6 +331,11 @@
     if (const auto load = context_.dialect.read_load(head.header(context_.dialect.load))) {
         context_.targets.reported(now, target_, *load);
     }
+    context_.counters.histogram("gateway_target_ms").observe(now - sent_at_);
+    trace_.add(now, "target_answered",
+               {{"target", target_},
+                {"status", std::to_string(head.status)},
+                {"after_ms", millis_text(now - sent_at_)}});
     answer_ = head;
     answer_refused_ = head.count(context_.dialect.not_run) > 0 || head.status == status_misdirected;
     if (answer_refused_) {
@@ -346,8 +366,8 @@
     }
     if (!std::exchange(begun_, true)) {
         exchange_->begin_answer(answer_.status, answer_headers(answer_, context_.dialect));
-        context_.counters.quantiles("gateway_first_event_ms")
-            .observe(as_seconds(monotonic_now() - exchange_->received()) * 1000.0);
+        context_.counters.histogram("gateway_first_event_ms")
+            .observe(monotonic_now() - exchange_->received());
     }
     exchange_->send_piece(whole.bytes);
     if (exchange_->unsent_bytes() > most_unsent_bytes) {
@@ -439,12 +459,11 @@
         call_off_ended();
         return;
     }
-    context_.events.failure("attempt_failed",
-                            {{"request", request_.id},
-                             {"target", target_},
-                             {"attempt", std::to_string(attempt_)},
-                             {"failure", std::string(name_of(failure))},
-                             {"after_ms", millis_text(monotonic_now() - sent_at_)}});
+    trace_.add(monotonic_now(), "attempt_failed",
+               {{"target", target_},
+                {"attempt", std::to_string(attempt_)},
+                {"failure", std::string(name_of(failure))},
+                {"after_ms", millis_text(monotonic_now() - sent_at_)}});
     context_.targets.failed(monotonic_now(), target_);
     if (failure == upstream_failure::not_sent) {
         unsent_ += 1;
@@ -578,25 +597,38 @@
     finish(reason, status);
 }
 
+/// Counts the end and tells the request's story: all of one that failed, and of a sample of the
+/// rest.
+void forwarded_request::note_end(std::string_view outcome, unsigned status) {
+    const bool served = outcome == "served" && status < first_server_error;
+    const instant now = monotonic_now();
+    const microseconds took = now - exchange_->received();
+    const std::string_view result = served ? "served" : (status == 0 ? "cut" : "failed");
+    context_.counters.histogram("gateway_request_ms{outcome=\"" + std::string(result) + "\"}")
+        .observe(took);
+    trace_.add(now, "request_ended",
+               {{"outcome", std::string(outcome)},
+                {"status", std::to_string(status)},
+                {"route", route_.name},
+                {"configuration", std::to_string(context_.configuration.current().version)},
+                {"account", account_},
+                {"target", target_},
+                {"attempts", std::to_string(attempt_)},
+                {"tokens", std::to_string(charge_.spent())},
+                {"took_ms", millis_text(took)}});
+    const bool wanted =
+        !served || request_trace::sampled(trace_.id(), context_.settings.log_served_percent);
+    if (wanted) {
+        context_.events.tell(trace_, !served);
+    }
+}
+
 void forwarded_request::finish(std::string_view outcome, unsigned status) {
     ended_ = true;
     waiting_.reset();
     charge_.close();
     context_.counters.counter("gateway_outcome_" + std::string(outcome) + "_total") += 1;
-    const bool served = outcome == "served";
-    const microseconds took = monotonic_now() - exchange_->received();
-    const auto write = [&](auto method) {
-        (context_.events.*method)("request_ended", {{"request", request_.id},
-                                                    {"outcome", std::string(outcome)},
-                                                    {"status", std::to_string(status)},
-                                                    {"route", route_.name},
-                                                    {"account", account_},
-                                                    {"target", target_},
-                                                    {"attempts", std::to_string(attempt_)},
-                                                    {"tokens", std::to_string(charge_.spent())},
-                                                    {"took_ms", millis_text(took)}});
-    };
-    write(served ? &event_log::routine : &event_log::failure);
+    note_end(outcome, status);
     context_.loop.call_after(
         microseconds(0),
         [&requests = context_.requests, self = shared_from_this()] { requests.erase(self); });
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -8,6 +8,7 @@
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/incoming_request.hpp"
 #include "roles/gateway/request_charge.hpp"
+#include "roles/gateway/request_trace.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 
@@ -71,11 +72,14 @@
     void assume_unseen();
     void cut(std::string_view reason);
     void pass_answer();
+    void note_end(std::string_view outcome, unsigned status);
     void finish(std::string_view outcome, unsigned status);
 
     gateway_context& context_;
     ingress_exchange_pointer exchange_;
     incoming_request request_;
+    request_trace trace_;
+    instant tokens_asked_{};
     /// Copies, since a new configuration may replace what they came from.
     gateway_route route_;
     std::string account_;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -48,7 +48,7 @@
       settings_(settings),
       dialect_(dialect),
       incarnation_(random_.next_id<incarnation_id>()),
-      events_(settings.log_lines_per_second, metrics_),
+      events_(settings.log_requests_per_second, metrics_),
       targets_(pool_settings(settings), random_) {}
 
 gateway::~gateway() {
@@ -132,6 +132,7 @@
         [this] { return ledger_->live(); },
         [this](const std::string& service) -> retry_budget& { return retries_of(service); },
         [this] { return grant_log_answers_; },
+        [this] { return describe_ledger(); },
         [this] { ledger_->append_if_due(); },
         [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); },
         {},
@@ -319,6 +320,12 @@
     return records;
 }
 
+std::string gateway::describe_ledger() const {
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(monotonic_now() - ledger_->last_answer());
+    return std::to_string(ledger_->position()) + "/" + std::to_string(age.count()) + "ms";
+}
+
 void gateway::grants_changed() {
     waiters_->serve(monotonic_now());
     if (grants_->urgent()) {
@@ -328,6 +335,8 @@
 
 void gateway::tick() {
     const instant now = monotonic_now();
+    flush_log();
+    metrics_.counter("log_lines_unread_total") = dropped_log_lines();
     grants_->set_append_time(ledger_->append_time());
     ledger_->append_if_due();
     waiters_->serve(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -48,6 +48,7 @@
     upstream_pool& pool_of(const gateway_target& target);
 
     std::vector<grant_record> compose_grants();
+    std::string describe_ledger() const;
     void grants_changed();
     void tick();
     void look_whether_stopped();
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -41,6 +41,8 @@
     std::function<retry_budget&(const std::string& service)> retries_of;
     /// True while the log of grants answers.
     std::function<bool()> log_answers;
+    /// How far the ledger of grants was read and how old that is, for logs.
+    std::function<std::string()> describe_ledger;
     /// Draws tokens now rather than at the next tick.
     std::function<void()> tokens_wanted;
     /// The connections to a target.
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -9,6 +9,7 @@
 constexpr std::int64_t longest_drain_ms = 3'600'000;
 constexpr std::int64_t longest_wait_ms = 60'000;
 constexpr std::int64_t most_tokens = 1'000'000'000;
+constexpr std::int64_t whole_percent = 100;
 constexpr std::int64_t most_lines = 1'000'000;
 constexpr double most_slack = 10'000.0;
 
@@ -51,8 +52,10 @@
     settings.least_time_per_token = std::max<microseconds>(
         milliseconds(1),
         read_ms(reader, "least_ms_per_token", settings.least_time_per_token, longest_wait_ms));
-    settings.log_lines_per_second = static_cast<unsigned>(
-        reader.integer_or("log_lines_per_second", settings.log_lines_per_second, 0, most_lines));
+    settings.log_requests_per_second = static_cast<unsigned>(reader.integer_or(
+        "log_requests_per_second", settings.log_requests_per_second, 0, most_lines));
+    settings.log_served_percent = static_cast<unsigned>(
+        reader.integer_or("log_served_percent", settings.log_served_percent, 0, whole_percent));
     settings.grants = read_grants(reader);
     reader.finish();
     return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
