--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -12,6 +12,9 @@
 /// Hands may hold this multiple of what is wanted before it counts as a surplus.
 constexpr double surplus_factor = 2.0;
 
+/// A surplus that is smaller than this part of what is wanted isn't worth an append.
+constexpr double least_return = 0.5;
+
 /// What a host keeps, in parts of the horizon, while another host waits for tokens.
 constexpr double kept_while_others_wait = 0.1;
 
@@ -183,7 +186,7 @@
     const bool others_wait = table_.wanted_by_others(account, host_) > available;
     const double factor = others_wait ? 1.0 : surplus_factor;
     const tokens surplus = held - state.waiting - part_of(wanted, factor);
-    if (surplus <= 0) {
+    if (surplus < (others_wait ? 1 : std::max(policy_.first_draw, part_of(wanted, least_return)))) {
         state.surplus = false;
         return 0;
     }
--- a/tests/decision/grants/grant_holder_test.cpp
+++ b/tests/decision/grants/grant_holder_test.cpp
@@ -146,6 +146,23 @@
     BOOST_TEST(here.free(account) < 50'000);
 }
 
+BOOST_AUTO_TEST_CASE(fading_demand_makes_no_stream_of_small_returns) {
+    draw(here, 50'000);
+    here.reserve(start, account, 45'000);
+    here.spend(start, account, 45'000);
+    std::size_t returns = 0;
+    for (int step = 0; step < 400; ++step) {
+        const instant now = start + seconds(6) + step * milliseconds(50);
+        const auto records = here.compose(now);
+        for (const grant_record& record : records) {
+            table.apply(record);
+        }
+        here.resolved();
+        returns += records.empty() ? 0 : 1;
+    }
+    BOOST_TEST(returns <= 8U);
+}
+
 BOOST_AUTO_TEST_CASE(spending_leaves_less_at_most) {
     draw(here, 30'000);
     here.reserve(start, account, 10'000);
