Read the grants and the list of targets in pages

And every target renews its list entry each second, so that 51 targets woke each gateway 42 times a second.

--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -64,8 +64,8 @@
     /// Frees a part of what was set aside.
     void release(const std::string& account, tokens amount);
 
-    /// A request waits for this much; zero if none does.
-    void set_waiting(const std::string& account, tokens amount);
+    /// Requests wait for this much in all, the first of them for so much; zero if none does.
+    void set_waiting(const std::string& account, tokens amount, tokens first);
 
     /// The records to append now at the end of the log that the table was read from. Empty if all
     /// is as it should be.
@@ -112,6 +112,7 @@
         /// By this process.
         tokens spent = 0;
         tokens waiting = 0;
+        tokens first_waiting = 0;
         /// Given back by a record whose fate isn't known yet; not to be spent.
         tokens returning = 0;
         double demand_per_second = 0.0;
@@ -128,6 +129,7 @@
     microseconds horizon() const;
     double held_share() const;
     tokens wanted_in_hand(const std::string& account, const account_state& state) const;
+    bool can_serve_first(const std::string& account, const account_state& state) const;
     bool is_low(const std::string& account, const account_state& state) const;
     tokens change_for(instant now, const std::string& account, account_state& state,
                       bool draws) const;
--- a/include/wrenswitch/decision/grants/grant_table.hpp
+++ b/include/wrenswitch/decision/grants/grant_table.hpp
@@ -72,6 +72,9 @@
     /// What hosts other than this one would draw of an account if there were enough.
     tokens wanted_by_others(std::string_view account, std::string_view host) const;
 
+    /// The most hosts that have a grant of one account.
+    std::size_t hosts() const;
+
     /// How many hosts have a grant of an account.
     std::size_t hosts(std::string_view account) const;
 
--- a/include/wrenswitch/drivers/grant_ledger.hpp
+++ b/include/wrenswitch/drivers/grant_ledger.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/grants/grant_table.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
 
@@ -52,20 +53,23 @@
     /// failures included.
     microseconds append_time() const { return append_time_; }
 
-    /// Appends what there is to append, unless an append is under way. The log is looked at first if
-    /// that was some time ago, since an append at an old end only loses a race.
+    /// Appends what there is to append, unless an append is under way. The log is looked at first
+    /// if that was some time ago, since an append at an old end only loses a race.
     void append_if_due();
 
 private:
     void on_changed(const keyed_record& record);
     void on_caught_up();
+    void retry_after_race();
     void append_now(const std::vector<grant_record>& wanted);
     void on_appended(std::uint64_t at, const std::vector<keyed_record>& records,
                      const result<std::uint64_t>& end);
     void settle(std::uint64_t position);
     void note_append_time();
 
+    event_loop& loop_;
     keyed_log& log_;
+    random_source random_;
     std::string name_;
     metrics& counters_;
     grant_ledger_hooks hooks_;
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -122,8 +122,9 @@
     accounts_[account].reserved -= amount;
 }
 
-void grant_holder::set_waiting(const std::string& account, tokens amount) {
+void grant_holder::set_waiting(const std::string& account, tokens amount, tokens first) {
     accounts_[account].waiting = amount;
+    accounts_[account].first_waiting = first;
 }
 
 /// An average over the memory in which old demand fades evenly.
@@ -183,7 +184,8 @@
     const tokens missing = state.waiting + wanted - held;
     if (state.waiting > held || held < part_of(wanted, refill_at)) {
         state.surplus = false;
-        return !draws ? 0 : std::min(std::max<tokens>(missing, 0), available);
+        const bool useless = state.waiting > held && !can_serve_first(account, state);
+        return !draws || useless ? 0 : std::min(std::max<tokens>(missing, 0), available);
     }
     const bool others_wait = table_.wanted_by_others(account, host_) > available;
     const double factor = others_wait ? 1.0 : surplus_factor;
@@ -197,7 +199,9 @@
 
 bool grant_holder::is_low(const std::string& account, const account_state& state) const {
     const tokens held = free(account, state) + state.returning;
-    return state.waiting > held || held < part_of(wanted_in_hand(account, state), draw_at);
+    const tokens wanted = wanted_in_hand(account, state);
+    return can_serve_first(account, state) ||
+           (available(account) > 0 && held < part_of(wanted, draw_at));
 }
 
 std::vector<grant_record> grant_holder::compose(instant now) {
@@ -233,15 +237,17 @@
     }
 }
 
+/// True if a draw would serve a request that waits. Crumbs that serve nobody are left to others.
+bool grant_holder::can_serve_first(const std::string& account, const account_state& state) const {
+    const tokens held = free(account, state) + state.returning;
+    const bool waits = state.waiting > held;
+    return waits && held + available(account) >= state.first_waiting;
+}
+
 bool grant_holder::urgent() const {
-    for (const auto& [account, state] : accounts_) {
-        const tokens held = free(account, state);
-        const tokens available = state.limit - table_.granted(account);
-        if (state.waiting > held && available > 0) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(accounts_.begin(), accounts_.end(), [this](const auto& entry) {
+        return can_serve_first(entry.first, entry.second);
+    });
 }
 
 }  // namespace wrenswitch
--- a/src/drivers/grant_ledger.cpp
+++ b/src/drivers/grant_ledger.cpp
@@ -16,6 +16,9 @@
 /// Between two reads while others append.
 constexpr microseconds read_pause = milliseconds(100);
 
+/// Added to the longest wait after a lost race by each host that has grants.
+constexpr microseconds race_spread = milliseconds(2);
+
 /// What was read this lately is taken for the log's end.
 constexpr microseconds fresh_read = milliseconds(10);
 
@@ -49,12 +52,13 @@
 
 grant_ledger::grant_ledger(event_loop& loop, keyed_log& log, std::string name, metrics& counters,
                            grant_ledger_hooks hooks)
-    : log_(log),
+    : loop_(loop),
+      log_(log),
       name_(std::move(name)),
       counters_(counters),
       hooks_(std::move(hooks)),
       follower_(
-          loop, log, {.log = name_},
+          loop, log, {.log = name_, .pause = read_pause},
           {[this](const keyed_record& record) { on_changed(record); }, [this] { on_caught_up(); },
            [this](bool reachable) { hooks_.reachable(reachable); }}) {}
 
@@ -133,6 +137,19 @@
                 });
 }
 
+/// Processes that lost a race try again at different times, the more apart the more there are.
+void grant_ledger::retry_after_race() {
+    looking_ = true;
+    const std::size_t hosts = std::max<std::size_t>(1, table_.hosts());
+    const auto longest = static_cast<std::uint64_t>(race_spread.count()) * hosts;
+    const microseconds wait(static_cast<std::int64_t>(random_.below(longest + 1)));
+    loop_.call_after(wait, [this, alive = alive_] {
+        if (*alive) {
+            follower_.look_now();
+        }
+    });
+}
+
 void grant_ledger::note_append_time() {
     const microseconds took = monotonic_now() - *std::exchange(trying_since_, std::nullopt);
     // Half of each new value: a store that turns slow must show within a few appends.
@@ -151,9 +168,10 @@
     }
     if (end.error().code == error_code::conflict) {
         counters_.counter("grant_append_conflicts_total") += 1;
-    } else {
-        counters_.counter("grant_append_failures_total") += 1;
+        retry_after_race();
+        return;
     }
+    counters_.counter("grant_append_failures_total") += 1;
     looking_ = true;
     follower_.look_now();
 }
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -15,6 +15,9 @@
 /// How often tokens are drawn ahead of need and old state is dropped.
 constexpr microseconds tick_period = milliseconds(250);
 
+/// Every target renews its entry in the list about once a second, so the list is read in pages.
+constexpr microseconds target_read_pause = milliseconds(250);
+
 /// How often a stopping gateway looks whether it is done.
 constexpr microseconds stop_look_period = milliseconds(50);
 
@@ -105,7 +108,8 @@
         keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
                              [] {}, reachable_hook(dialect_.configuration_log)});
     target_follower_ = std::make_unique<keyed_follower>(
-        loop_, *log_, keyed_follower_settings{.log = dialect_.target_log},
+        loop_, *log_,
+        keyed_follower_settings{.log = dialect_.target_log, .pause = target_read_pause},
         keyed_follower_hooks{[this](const keyed_record& record) { target_changed(record); }, [] {},
                              reachable_hook(dialect_.target_log)});
     ledger_ = std::make_unique<grant_ledger>(
@@ -277,10 +281,7 @@
     if (known != retries_.end()) {
         return known->second;
     }
-    std::size_t entries = least_entries;
-    for (const gateway_account& account : configuration_.current().accounts) {
-        entries = std::max(entries, ledger_->table().hosts(account.name));
-    }
+    const std::size_t entries = std::max(least_entries, ledger_->table().hosts());
     const double most = settings_.retry_slack * used_retry_part / static_cast<double>(entries);
     return retries_.emplace(service, retry_budget(settings_.retry_share * used_retry_part, most))
         .first->second;
--- a/src/roles/gateway/token_waiters.cpp
+++ b/src/roles/gateway/token_waiters.cpp
@@ -21,10 +21,14 @@
 
 void token_waiters::tell_holder(const std::string& account, const queue& waiting) {
     tokens sum = 0;
+    tokens first = 0;
     for (const waiter& each : waiting) {
-        sum += each.wanted.expired() ? 0 : each.amount;
+        if (!each.wanted.expired()) {
+            sum += each.amount;
+            first = first == 0 ? each.amount : first;
+        }
     }
-    holder_.set_waiting(account, sum);
+    holder_.set_waiting(account, sum, first);
 }
 
 void token_waiters::serve_account(instant now, const std::string& account, queue& waiting) {
--- a/tests/decision/grants/grant_holder_test.cpp
+++ b/tests/decision/grants/grant_holder_test.cpp
@@ -30,9 +30,9 @@
     }
 
     void draw(grant_holder& holder, tokens amount) {
-        holder.set_waiting(account, amount);
+        holder.set_waiting(account, amount, amount);
         append(holder, start);
-        holder.set_waiting(account, 0);
+        holder.set_waiting(account, 0, 0);
     }
 };
 
@@ -83,7 +83,7 @@
     grant_holder successor("here", incarnation_id{3}, policy, table);
     successor.set_limit(account, 100'000);
     BOOST_TEST(successor.free(account) == 0);
-    successor.set_waiting(account, 1000);
+    successor.set_waiting(account, 1000, 1000);
     append(successor, start);
     BOOST_TEST(successor.free(account) >= 1000);
     BOOST_TEST(table.granted(account) >= 31'000);
@@ -94,7 +94,7 @@
     draw(here, 30'000);
     grant_holder successor("here", incarnation_id{3}, policy, table);
     successor.set_limit(account, 100'000);
-    successor.set_waiting(account, 1000);
+    successor.set_waiting(account, 1000, 1000);
     append(successor, start);
     BOOST_TEST((here.reserve(start, account, 1000) == reserve_outcome::short_of_tokens));
 }
@@ -130,7 +130,7 @@
 
 BOOST_AUTO_TEST_CASE(surplus_is_returned_at_once_when_another_host_waits) {
     draw(here, 100'000);
-    there.set_waiting(account, 20'000);
+    there.set_waiting(account, 20'000, 20'000);
     append(there, start);
     append(here, start + seconds(1));
     BOOST_TEST(table.granted(account) < 100'000);
--- a/tests/drivers/grant_ledger_test.cpp
+++ b/tests/drivers/grant_ledger_test.cpp
@@ -59,7 +59,7 @@
     holding_process first(loop, log, "h1", 1, 10'000);
     holding_process second(loop, log, "h2", 2, 10'000);
     BOOST_REQUIRE(run_until([&] { return first.ledger.live() && second.ledger.live(); }));
-    first.holder.set_waiting(account, 4000);
+    first.holder.set_waiting(account, 4000, 4000);
     first.ledger.append_if_due();
     BOOST_TEST(run_until([&] { return second.ledger.table().granted(account) >= 4000; }));
     BOOST_TEST(first.holder.free(account) >= 4000);
@@ -78,7 +78,7 @@
     }));
     for (int round = 0; round < 20; ++round) {
         for (std::size_t index = 0; index < processes.size(); ++index) {
-            processes[index]->holder.set_waiting(account, 1000 * (round + 1));
+            processes[index]->holder.set_waiting(account, 1000 * (round + 1), 1000 * (round + 1));
             processes[index]->ledger.append_if_due();
             run_for(milliseconds(5));
         }
@@ -97,7 +97,7 @@
     holding_process process(loop, log, "h1", 1, 10'000);
     BOOST_REQUIRE(run_until([&] { return process.ledger.live(); }));
     log.lost_answers = 1.0;
-    process.holder.set_waiting(account, 4000);
+    process.holder.set_waiting(account, 4000, 4000);
     process.ledger.append_if_due();
     BOOST_TEST(run_until([&] { return process.holder.free(account) >= 4000; }));
 }
@@ -105,7 +105,7 @@
 BOOST_AUTO_TEST_CASE(process_without_the_log_keeps_what_it_has_and_draws_no_more) {
     holding_process process(loop, log, "h1", 1, 10'000);
     BOOST_REQUIRE(run_until([&] { return process.ledger.live(); }));
-    process.holder.set_waiting(account, 4000);
+    process.holder.set_waiting(account, 4000, 4000);
     process.ledger.append_if_due();
     BOOST_REQUIRE(run_until([&] { return process.holder.free(account) >= 4000; }));
     log.down = true;
@@ -143,7 +143,8 @@
                 process.holder.spend(now, account, amount);
                 spent += amount;
             }
-            process.holder.set_waiting(account, static_cast<tokens>(random.below(4000)));
+            const auto waiting = static_cast<tokens>(random.below(4000));
+            process.holder.set_waiting(account, waiting, waiting);
             process.ledger.append_if_due();
             if (random.below(40) == 0) {
                 const std::string host = "h" + std::to_string(index + 1);
