Soak the real gateways and relay under seeded faults from outside

Three gateways and a relay as processes, killed, stopped, paused, hung up; ways silenced; a store that is busy or loses answers; workers that cut. Judged by what callers and workers see: spend, single runs, true refusals, whole answers, service afterwards.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,7 +31,7 @@
 run_step "layers" scripts/check_layers.sh
 run_step "examples" scripts/check_examples.sh
 run_step "models" scripts/check_models.sh
-for test in core decision drivers roles platform live; do
+for test in core decision drivers roles platform soak live; do
     run_step "test $test" build/release/test_$test --log_level=warning --color_output=no
 done
 echo "$passed passed, $failed failed"
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,320 @@
+#include "soak/soak_fleet.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+
+namespace wrenswitch::testing {
+namespace {
+
+constexpr microseconds longest_request = seconds(3);
+
+std::string event(int number) {
+    return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+}
+
+std::string configuration() {
+    return R"({"version":1,"routes":[
+     {"name":"stream","host":"h.test","pathPrefix":"/stream/","kind":"streaming","timeoutMs":2000,
+      "service":"llm","maxAttempts":1},
+     {"name":"once","host":"h.test","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":1000,
+      "service":"app","maxAttempts":1},
+     {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent","timeoutMs":1000,
+      "service":"app","maxAttempts":2}],
+     "services":[{"name":"llm","healthPath":"/health","maxConns":120,"engine":{"slots":64,"stride":3}},
+      {"name":"app","healthPath":"/health","maxConns":120}],
+     "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,"idleTimeoutMs":10000},
+     "tenants":[{"name":"tenant","apiKeys":["key-1"],"prepaid":)" +
+           std::to_string(soak_fleet::prepaid) + "}]}";
+}
+
+}  // namespace
+
+soak_fleet::soak_fleet(std::uint64_t seed) : random_(seed), seed_(seed) {
+    for (const char* id : {"llm-1", "llm-2", "app-1", "app-2"}) {
+        workers_.push_back(std::make_unique<worker_standin>(loop, id));
+        worker_standin& worker = *workers_.back();
+        worker.answer = [this, &worker](const ingress_exchange_pointer& exchange) {
+            serve(worker, exchange);
+        };
+        store_.put("keyed.servers", id, worker.list_entry(std::string(id).substr(0, 3)));
+    }
+    store_.put("keyed.op", "config", configuration());
+    relay_bus_ = raw_socket::listen().port();
+    start_relay();
+    gateways_.resize(gateway_count);
+    for (std::size_t index = 0; index < gateway_count; ++index) {
+        gateways_[index].listen = raw_socket::listen().port();
+        gateways_[index].admin = raw_socket::listen().port();
+        gateways_[index].bus = raw_socket::listen().port();
+        gateways_[index].way = std::make_unique<silenceable_way>(loop, store_.port());
+        start_gateway(index);
+    }
+    run_for(milliseconds(500));
+}
+
+soak_fleet::~soak_fleet() {
+    for (gateway_process& gateway : gateways_) {
+        gateway.process->signal(SIGCONT);
+        gateway.process.reset();
+    }
+    relay_.reset();
+    for (std::size_t index = 0; index < gateway_count; ++index) {
+        std::remove(settings_path("gate" + std::to_string(index)).c_str());
+    }
+    std::remove(settings_path("relay").c_str());
+}
+
+std::string soak_fleet::settings_path(const std::string& name) const {
+    return "/tmp/wrensoak_" + std::to_string(seed_) + "_" + std::to_string(relay_bus_) + "_" + name;
+}
+
+void soak_fleet::start_relay() {
+    std::ofstream(settings_path("relay"))
+        << R"({"host":"side","bus_endpoint":"tcp://127.0.0.1:)" << relay_bus_ << R"(","service":")"
+        << store_.address() << R"("})";
+    relay_ = std::make_unique<test::child_process>(
+        std::vector<std::string>{WRENSWITCH_BINARIES "/wrenrelay", "--settings",
+                                 settings_path("relay")},
+        settings_path("relay") + ".log");
+}
+
+void soak_fleet::start_gateway(std::size_t index) {
+    gateway_process& gateway = gateways_[index];
+    const std::string path = settings_path("gate" + std::to_string(index));
+    std::ofstream(path) << R"({"host":"front-)" << index
+                        << R"(","failure_domain":"z1","listen":"127.0.0.1:)" << gateway.listen
+                        << R"(","admin":"127.0.0.1:)" << gateway.admin
+                        << R"(","service":"127.0.0.1:)" << gateway.way->port()
+                        << R"(","bus_endpoint":"tcp://127.0.0.1:)" << gateway.bus
+                        << R"(","relay_port":)" << relay_bus_
+                        << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300})";
+    gateway.process = std::make_unique<test::child_process>(
+        std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", path},
+        path + ".log");
+    gateway.paused = false;
+}
+
+void soak_fleet::serve(worker_standin& worker, const ingress_exchange_pointer& exchange) {
+    const std::string id(exchange->head().header("Request-Id"));
+    runs_[id] += 1;
+    const bool cuts = random_.unit() < cut_share_;
+    if (exchange->head().target.starts_with("/stream/")) {
+        // The prompt counts once a request, the events as they are handed out.
+        handed_out_ += (runs_[id] == 1 ? prompt : 0) + 3;
+        exchange->begin_answer(200, worker.signed_headers(exchange));
+        exchange->send_piece(event(1));
+        const microseconds pause = milliseconds(5 + static_cast<std::int64_t>(random_.below(60)));
+        loop.call_after(pause, [this, exchange, cuts] {
+            if (cuts) {
+                exchange->cut();
+                return;
+            }
+            handed_out_ += 3;
+            exchange->send_piece(event(2));
+            exchange->end_answer();
+        });
+        return;
+    }
+    if (cuts) {
+        exchange->cut();
+        return;
+    }
+    exchange->answer(200, worker.signed_headers(exchange), "body of " + id);
+}
+
+void soak_fleet::send_request() {
+    const std::string id = "r" + std::to_string(++sent_);
+    const auto shape = static_cast<request_shape>(random_.below(3));
+    const std::string path = shape == request_shape::stream       ? "/stream/x"
+                             : shape == request_shape::single_run ? "/once/x"
+                                                                  : "/again/x";
+    const std::string usage = shape == request_shape::stream ? "Token-Usage: 100,30\r\n" : "";
+    const gateway_process& gateway = gateways_[random_.below(gateway_count)];
+    client made{raw_socket::connect(gateway.listen), id, shape, monotonic_now() + longest_request};
+    made.socket.send("POST " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: " + id +
+                     "\r\nCredential: key-1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n" + usage +
+                     "Content-Length: 2\r\n\r\nhi");
+    shapes_[id] = shape;
+    clients_.push_back(std::move(made));
+}
+
+void soak_fleet::collect() {
+    const instant now = monotonic_now();
+    std::vector<client> open;
+    for (client& each : clients_) {
+        if (each.socket.ended() || now > each.until) {
+            judge(each, each.socket.received());
+        } else {
+            open.push_back(std::move(each));
+        }
+    }
+    clients_ = std::move(open);
+}
+
+void soak_fleet::judge(const client& ended, const std::string& answer) {
+    const bool ok = answer.starts_with("HTTP/1.1 200");
+    if (answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429")) {
+        refused_[ended.id] = true;
+        return;
+    }
+    if (!ok) {
+        return;
+    }
+    if (answer.find("Request-Id: " + ended.id + "\r\n") == std::string::npos) {
+        broken_.push_back("an answer of another request: " + ended.id);
+    }
+    const bool whole = ended.shape == request_shape::stream
+                           ? answer.ends_with("0\r\n\r\n")
+                           : answer.ends_with("body of " + ended.id);
+    const bool looks_whole = ended.shape != request_shape::stream || whole;
+    if (whole) {
+        served_ += 1;
+        const std::size_t first = answer.find(event(1));
+        const std::size_t second = answer.find("data: e2");
+        const bool in_order = ended.shape != request_shape::stream ||
+                              (first != std::string::npos && second != std::string::npos);
+        if (!in_order) {
+            broken_.push_back("a stream that ends whole without its events: " + ended.id);
+        }
+    } else if (looks_whole && answer.find("Content-Length: ") != std::string::npos &&
+               answer.find("\r\n\r\nbody") != std::string::npos) {
+        broken_.push_back("a body that is not the worker's: " + ended.id);
+    }
+}
+
+void soak_fleet::inject_fault() {
+    gateway_process& gateway = gateways_[random_.below(gateway_count)];
+    const std::size_t index = static_cast<std::size_t>(&gateway - gateways_.data());
+    const std::string name = " gateway " + std::to_string(index);
+    switch (random_.below(9)) {
+        case 0:
+            faults_.push_back("kill" + name);
+            gateway.process->signal(SIGKILL);
+            break;
+        case 1:
+            faults_.push_back("stop" + name);
+            gateway.process->signal(SIGTERM);
+            break;
+        case 2:
+            faults_.push_back("pause" + name);
+            gateway.process->signal(SIGSTOP);
+            gateway.paused = true;
+            break;
+        case 3:
+            faults_.push_back("silence the way of" + name);
+            gateway.way->silent = true;
+            break;
+        case 4:
+            faults_.push_back("busy store");
+            store_.busy = true;
+            break;
+        case 5:
+            faults_.push_back("lost append answers");
+            store_.lose_append_answers = true;
+            break;
+        case 6:
+            faults_.push_back("kill the relay");
+            relay_->signal(SIGKILL);
+            break;
+        case 7:
+            faults_.push_back("workers cut answers");
+            cut_share_ = 0.3;
+            break;
+        default:
+            faults_.push_back("hang up" + name);
+            gateway.process->signal(SIGHUP);
+            break;
+    }
+}
+
+void soak_fleet::end_faults() {
+    store_.busy = false;
+    store_.lose_append_answers = false;
+    cut_share_ = 0.0;
+    for (gateway_process& gateway : gateways_) {
+        gateway.way->silent = false;
+        if (std::exchange(gateway.paused, false)) {
+            gateway.process->signal(SIGCONT);
+        }
+    }
+}
+
+void soak_fleet::play(microseconds length) {
+    const instant end = monotonic_now() + length;
+    instant next_fault = monotonic_now() + milliseconds(300);
+    while (monotonic_now() < end) {
+        send_request();
+        run_for(milliseconds(8 + static_cast<std::int64_t>(random_.below(12))));
+        collect();
+        if (monotonic_now() > next_fault) {
+            next_fault =
+                monotonic_now() + milliseconds(150 + static_cast<std::int64_t>(random_.below(500)));
+            if (random_.below(3) == 0) {
+                end_faults();
+            }
+            inject_fault();
+        }
+        for (std::size_t index = 0; index < gateway_count; ++index) {
+            if (gateways_[index].process->ended()) {
+                start_gateway(index);
+            }
+        }
+        if (relay_->ended()) {
+            start_relay();
+        }
+    }
+    end_faults();
+    run_until([this] {
+        collect();
+        return clients_.empty();
+    });
+}
+
+bool soak_fleet::serves_again() {
+    for (std::size_t index = 0; index < gateway_count; ++index) {
+        if (gateways_[index].process->ended()) {
+            start_gateway(index);
+        }
+        const bool answered = run_until(
+            [this, index] {
+                if (gateways_[index].process->ended()) {
+                    start_gateway(index);
+                }
+                raw_socket socket = raw_socket::connect(gateways_[index].listen);
+                socket.send("GET /again/x HTTP/1.1\r\nHost: h.test\r\nRequest-Id: last" +
+                            std::to_string(++sent_) +
+                            "\r\nCredential: key-1\r\nConnection: close\r\n\r\n");
+                run_until([&] { return socket.ended(); }, milliseconds(500));
+                return socket.received().starts_with("HTTP/1.1 200");
+            },
+            seconds(10));
+        if (!answered) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<std::string> soak_fleet::broken() const {
+    std::vector<std::string> all = broken_;
+    if (handed_out_ > prepaid) {
+        all.push_back("overspent: " + std::to_string(handed_out_) + " of " +
+                      std::to_string(prepaid));
+    }
+    for (const auto& [id, runs] : runs_) {
+        const auto shape = shapes_.find(id);
+        const bool may_repeat =
+            shape == shapes_.end() || shape->second == request_shape::repeatable;
+        if (runs > 1 && !may_repeat) {
+            all.push_back("ran more than once: " + id);
+        }
+        if (refused_.contains(id)) {
+            all.push_back("refused as not run, and ran: " + id);
+        }
+    }
+    return all;
+}
+
+}  // namespace wrenswitch::testing
--- /dev/null
+++ b/tests/soak/soak_fleet.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "platform/store_standin.hpp"
+#include "platform/worker_standin.hpp"
+#include "support/child_process.hpp"
+#include "support/loop_runner.hpp"
+#include "support/raw_socket.hpp"
+#include "support/silenceable_way.hpp"
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/core/tokens.hpp"
+
+namespace wrenswitch::testing {
+
+/// Real gateways and a real relay between bare clients and stand-ins of the store and of workers,
+/// with faults injected from outside by a seed. It counts what callers and targets see.
+class soak_fleet : public loop_runner {
+public:
+    static constexpr std::size_t gateway_count = 3;
+    /// Less than is asked for, so that the budget runs out while faults come.
+    static constexpr tokens prepaid = 12'000;
+    static constexpr tokens prompt = 100;
+    static constexpr tokens most_output = 30;
+
+    explicit soak_fleet(std::uint64_t seed);
+    ~soak_fleet();
+
+    /// Requests and faults for so long, then all faults end.
+    void play(microseconds length);
+
+    /// True if a stream is answered whole again, at every gateway.
+    bool serves_again();
+
+    /// What was broken, one line each. Empty if every promise held.
+    std::vector<std::string> broken() const;
+
+    std::size_t served() const { return served_; }
+    std::size_t sent() const { return sent_; }
+    const std::vector<std::string>& faults() const { return faults_; }
+
+private:
+    enum class request_shape { stream, single_run, repeatable };
+
+    struct client {
+        raw_socket socket;
+        std::string id;
+        request_shape shape = request_shape::stream;
+        instant until{};
+    };
+
+    struct gateway_process {
+        std::uint16_t listen = 0;
+        std::uint16_t admin = 0;
+        std::uint16_t bus = 0;
+        std::unique_ptr<silenceable_way> way;
+        std::unique_ptr<wrenswitch::test::child_process> process;
+        bool paused = false;
+    };
+
+    void start_gateway(std::size_t index);
+    void start_relay();
+    void serve(worker_standin& worker, const ingress_exchange_pointer& exchange);
+    void send_request();
+    void collect();
+    void judge(const client& ended, const std::string& answer);
+    void inject_fault();
+    void end_faults();
+    std::string settings_path(const std::string& name) const;
+
+    random_source random_;
+    std::uint64_t seed_;
+    store_standin store_{loop};
+    std::vector<std::unique_ptr<worker_standin>> workers_;
+    std::vector<gateway_process> gateways_;
+    std::uint16_t relay_bus_ = 0;
+    std::unique_ptr<wrenswitch::test::child_process> relay_;
+    std::vector<client> clients_;
+    std::map<std::string, unsigned> runs_;
+    std::map<std::string, request_shape> shapes_;
+    std::map<std::string, bool> refused_;
+    tokens handed_out_ = 0;
+    double cut_share_ = 0.0;
+    std::size_t sent_ = 0;
+    std::size_t served_ = 0;
+    std::vector<std::string> broken_;
+    std::vector<std::string> faults_;
+};
+
+}  // namespace wrenswitch::testing
--- /dev/null
+++ b/tests/soak/soak_test.cpp
@@ -0,0 +1,53 @@
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+#include "soak/soak_fleet.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+using namespace wrenswitch::testing;
+
+/// Every seed that ever failed stays here, with a line on its cause.
+const std::vector<std::uint64_t> regression_seeds{};
+
+std::uint64_t from_environment(const char* name, std::uint64_t fallback) {
+    const char* text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
+/// Plays one seed and says what broke, with the faults that came.
+void play_seed(std::uint64_t seed, microseconds length) {
+    soak_fleet fleet(seed);
+    fleet.play(length);
+    std::string story = "seed " + std::to_string(seed) + ":";
+    for (const std::string& fault : fleet.faults()) {
+        story += " " + fault + ";";
+    }
+    BOOST_TEST_CONTEXT(story) {
+        BOOST_TEST(fleet.serves_again());
+        for (const std::string& broken : fleet.broken()) {
+            BOOST_ERROR(broken);
+        }
+        BOOST_TEST(fleet.served() * 10 > fleet.sent());
+    }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(soak_test)
+
+BOOST_AUTO_TEST_CASE(seeded_faults_break_no_promise) {
+    const std::uint64_t first = from_environment("SOAK_FIRST_SEED", 1);
+    const std::uint64_t count = from_environment("SOAK_SEEDS", 2);
+    const auto length = seconds(from_environment("SOAK_SECONDS", 8));
+    std::vector<std::uint64_t> seeds = regression_seeds;
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        seeds.push_back(seed);
+    }
+    for (const std::uint64_t seed : seeds) {
+        play_seed(seed, length);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
