--- a/src/drivers/event_loop.cpp
+++ b/src/drivers/event_loop.cpp
@@ -5,17 +5,11 @@
 #include <csignal>
 #include <utility>
 
+#include "drivers/timeval.hpp"
+
 namespace wrenswitch {
 namespace {
 
-timeval to_timeval(microseconds length) {
-    constexpr std::int64_t microseconds_a_second = 1'000'000;
-    timeval value{};
-    value.tv_sec = length.count() / microseconds_a_second;
-    value.tv_usec = length.count() % microseconds_a_second;
-    return value;
-}
-
 /// An event that calls a function each time it becomes active.
 class repeated_event final : public timer {
 public:
--- a/src/drivers/http_client.cpp
+++ b/src/drivers/http_client.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <utility>
 
+#include "drivers/timeval.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -120,9 +122,7 @@
           on_piece_(std::move(on_piece)),
           fresh_(request.fresh_connection),
           connection_(pool_->take(request.fresh_connection)) {
-        constexpr std::int64_t microseconds_a_second = 1'000'000;
-        const timeval timeout{request.timeout.count() / microseconds_a_second,
-                              request.timeout.count() % microseconds_a_second};
+        const timeval timeout = to_timeval(request.timeout);
         evhttp_connection_set_timeout_tv(connection_, &timeout);
         request_ = evhttp_request_new(&running_call::on_done, this);
         evhttp_request_set_error_cb(request_, &running_call::on_error);
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "drivers/timeval.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -21,11 +23,6 @@
 /// What a request with all its limits may hold unread before the socket is left alone.
 constexpr std::size_t most_unread_bytes = 256U * 1024U;
 
-timeval to_timeval(microseconds length) {
-    constexpr std::int64_t microseconds_a_second = 1'000'000;
-    return {length.count() / microseconds_a_second, length.count() % microseconds_a_second};
-}
-
 bool is_proper(const message_head& head) {
     if (head.target.empty() || head.target.front() != '/' || head.method == "CONNECT") {
         return false;
--- a/src/drivers/log_service.cpp
+++ b/src/drivers/log_service.cpp
@@ -2,7 +2,7 @@
 
 #include <log.pb.h>
 
-#include <unordered_map>
+#include "wrenswitch/drivers/service_channel.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -18,7 +18,7 @@
 class http_log_service final : public log_service {
 public:
     http_log_service(event_loop& loop, const http_address& address)
-        : loop_(loop), client_(loop, address) {}
+        : channel_(make_direct_channel(loop, address)) {}
 
     void append(std::string_view stream, std::string data, append_hook done) override {
         http_request request;
@@ -27,9 +27,10 @@
         request.headers.push_back({"Content-Type", "application/x-protobuf"});
         request.body = std::move(data);
         request.timeout = append_timeout;
-        start(std::move(request), [done = std::move(done)](const result<http_reply>& reply) {
-            done(read_append_reply(reply));
-        });
+        channel_->call(std::move(request),
+                       [done = std::move(done)](const result<http_reply>& reply) {
+                           done(read_append_reply(reply));
+                       });
     }
 
     void read(std::string_view stream, log_offset from, std::size_t most_bytes, microseconds wait,
@@ -39,9 +40,9 @@
                          "&max_bytes=" + std::to_string(most_bytes) + "&wait_ms=" +
                          std::to_string(std::chrono::duration_cast<milliseconds>(wait).count());
         request.timeout = wait + read_slack;
-        start(std::move(request), [done = std::move(done)](const result<http_reply>& reply) {
-            done(read_page(reply));
-        });
+        channel_->call(
+            std::move(request),
+            [done = std::move(done)](const result<http_reply>& reply) { done(read_page(reply)); });
     }
 
 private:
@@ -87,33 +88,7 @@
         return page;
     }
 
-    /// Keeps the call until its answer is there.
-    void start(http_request request, http_reply_hook done) {
-        const std::uint64_t number = ++last_call_;
-        auto call =
-            client_.send(std::move(request),
-                         [this, number, done = std::move(done)](const result<http_reply>& reply) {
-                             retire(number);
-                             done(reply);
-                         });
-        calls_.emplace(number, std::move(call));
-    }
-
-    /// The call is still on the stack, so it is destroyed a little later.
-    void retire(std::uint64_t number) {
-        const auto found = calls_.find(number);
-        if (found == calls_.end()) {
-            return;
-        }
-        const std::shared_ptr<http_call> call = std::move(found->second);
-        calls_.erase(found);
-        loop_.call_after(microseconds(0), [call] {});
-    }
-
-    event_loop& loop_;
-    http_client client_;
-    std::uint64_t last_call_ = 0;
-    std::unordered_map<std::uint64_t, std::unique_ptr<http_call>> calls_;
+    std::unique_ptr<service_channel> channel_;
 };
 
 }  // namespace
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -10,6 +10,8 @@
 #include <charconv>
 #include <utility>
 
+#include "drivers/timeval.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -74,9 +76,7 @@
     stream_ =
         bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(stream_, &on_readable, nullptr, &on_event, this);
-    const auto micros = settings_.connect_timeout.count();
-    constexpr std::int64_t microseconds_a_second = 1'000'000;
-    const timeval wait{micros / microseconds_a_second, micros % microseconds_a_second};
+    const timeval wait = to_timeval(settings_.connect_timeout);
     bufferevent_set_timeouts(stream_, nullptr, &wait);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
     bufferevent_socket_connect(stream_, reinterpret_cast<sockaddr*>(&peer), sizeof peer);
--- /dev/null
+++ b/src/main/shared/settings_program.cpp
@@ -0,0 +1,37 @@
+#include "main/shared/settings_program.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+#include "wrenswitch/core/exit_codes.hpp"
+#include "wrenswitch/core/log.hpp"
+#include "wrenswitch/core/settings_reader.hpp"
+
+namespace wrenswitch {
+
+int run_program(const settings_program& program, int argc, char** argv) {
+    TCLAP::CmdLine command(program.description, ' ', WRENSWITCH_VERSION);
+    TCLAP::ValueArg<std::string> file("s", "settings", "File of settings in JSON.", true, "",
+                                      "file", command);
+    TCLAP::SwitchArg check("c", "check", "Check the settings and end.", command);
+    command.parse(argc, argv);
+
+    findings problems;
+    const std::string text = read_settings_file(file.getValue(), problems);
+    if (problems.empty()) {
+        program.check(text, problems);
+    }
+    if (!problems.empty()) {
+        std::cerr << problems.to_text();
+        return exit_bad_settings;
+    }
+    if (check.getValue()) {
+        std::cout << file.getValue() << ": no findings\n";
+        return exit_done;
+    }
+    start_logging(program.name);
+    return program.run(file.getValue(), text);
+}
+
+}  // namespace wrenswitch
--- a/src/main/wrenentry/main.cpp
+++ b/src/main/wrenentry/main.cpp
@@ -1,35 +1,14 @@
-#include <tclap/CmdLine.h>
-
-#include <iostream>
-
-#include "wrenswitch/core/exit_codes.hpp"
-#include "wrenswitch/core/log.hpp"
-#include "wrenswitch/core/settings_reader.hpp"
+#include "main/shared/settings_program.hpp"
 #include "wrenswitch/roles/entry.hpp"
 
 int main(int argc, char** argv) {
     using namespace wrenswitch;
-    TCLAP::CmdLine command("The wrenswitch entry process.", ' ', WRENSWITCH_VERSION);
-    TCLAP::ValueArg<std::string> file("s", "settings", "File of settings in JSON.", true, "",
-                                      "file", command);
-    TCLAP::SwitchArg check("c", "check", "Check the settings and end.", command);
-    command.parse(argc, argv);
-
-    findings problems;
-    const std::string text = read_settings_file(file.getValue(), problems);
-    if (!problems.empty()) {
-        std::cerr << problems.to_text();
-        return exit_bad_settings;
-    }
-    const auto settings = read_entry_settings(text, problems);
-    if (!problems.empty()) {
-        std::cerr << problems.to_text();
-        return exit_bad_settings;
-    }
-    if (check.getValue()) {
-        std::cout << file.getValue() << ": no findings\n";
-        return exit_done;
-    }
-    start_logging("wrenentry");
-    return run_entry(*settings);
+    const settings_program program{
+        "wrenentry", "The wrenswitch entry process.",
+        [](const std::string& text, findings& problems) { read_entry_settings(text, problems); },
+        [](const std::string&, const std::string& text) {
+            findings problems;
+            return run_entry(*read_entry_settings(text, problems));
+        }};
+    return run_program(program, argc, argv);
 }
--- a/src/main/wrenguard/main.cpp
+++ b/src/main/wrenguard/main.cpp
@@ -1,35 +1,14 @@
-#include <tclap/CmdLine.h>
-
-#include <iostream>
-
-#include "wrenswitch/core/exit_codes.hpp"
-#include "wrenswitch/core/log.hpp"
-#include "wrenswitch/core/settings_reader.hpp"
+#include "main/shared/settings_program.hpp"
 #include "wrenswitch/roles/guard.hpp"
 
 int main(int argc, char** argv) {
     using namespace wrenswitch;
-    TCLAP::CmdLine command("The wrenswitch guard process.", ' ', WRENSWITCH_VERSION);
-    TCLAP::ValueArg<std::string> file("s", "settings", "File of settings in JSON.", true, "",
-                                      "file", command);
-    TCLAP::SwitchArg check("c", "check", "Check the settings and end.", command);
-    command.parse(argc, argv);
-
-    findings problems;
-    const std::string text = read_settings_file(file.getValue(), problems);
-    if (!problems.empty()) {
-        std::cerr << problems.to_text();
-        return exit_bad_settings;
-    }
-    const auto settings = read_guard_settings(text, problems);
-    if (!problems.empty()) {
-        std::cerr << problems.to_text();
-        return exit_bad_settings;
-    }
-    if (check.getValue()) {
-        std::cout << file.getValue() << ": no findings\n";
-        return exit_done;
-    }
-    start_logging("wrenguard");
-    return run_guard(*settings);
+    const settings_program program{
+        "wrenguard", "The wrenswitch guard process.",
+        [](const std::string& text, findings& problems) { read_guard_settings(text, problems); },
+        [](const std::string&, const std::string& text) {
+            findings problems;
+            return run_guard(*read_guard_settings(text, problems));
+        }};
+    return run_program(program, argc, argv);
 }
--- a/src/main/wrenrelay/main.cpp
+++ b/src/main/wrenrelay/main.cpp
@@ -1,35 +1,11 @@
-#include <tclap/CmdLine.h>
-
-#include <iostream>
-
-#include "wrenswitch/core/exit_codes.hpp"
-#include "wrenswitch/core/log.hpp"
-#include "wrenswitch/core/settings_reader.hpp"
+#include "main/shared/settings_program.hpp"
 #include "wrenswitch/roles/relay.hpp"
 
 int main(int argc, char** argv) {
     using namespace wrenswitch;
-    TCLAP::CmdLine command("The wrenswitch relay process.", ' ', WRENSWITCH_VERSION);
-    TCLAP::ValueArg<std::string> file("s", "settings", "File of settings in JSON.", true, "",
-                                      "file", command);
-    TCLAP::SwitchArg check("c", "check", "Check the settings and end.", command);
-    command.parse(argc, argv);
-
-    findings problems;
-    const std::string text = read_settings_file(file.getValue(), problems);
-    if (!problems.empty()) {
-        std::cerr << problems.to_text();
-        return exit_bad_settings;
-    }
-    const auto settings = read_relay_settings(text, problems);
-    if (!problems.empty()) {
-        std::cerr << problems.to_text();
-        return exit_bad_settings;
-    }
-    if (check.getValue()) {
-        std::cout << file.getValue() << ": no findings\n";
-        return exit_done;
-    }
-    start_logging("wrenrelay");
-    return run_relay(file.getValue(), text);
+    const settings_program program{
+        "wrenrelay", "The wrenswitch relay process.",
+        [](const std::string& text, findings& problems) { read_relay_settings(text, problems); },
+        [](const std::string& path, const std::string& text) { return run_relay(path, text); }};
+    return run_program(program, argc, argv);
 }
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -77,32 +77,12 @@
             alive->caller_gone();
         }
     });
-    if (!context_.configuration.known()) {
-        refuse(status_unavailable, "no_configuration", until_configured);
-        return;
-    }
-    if (read_request() && find_route() && admit_caller() && can_end_before_stop()) {
+    if (read_request() && admit_request() && can_end_before_stop()) {
         set_deadline();
         take_tokens();
     }
 }
 
-/// A process that is about to stop takes no request that it would have to cut.
-bool forwarded_request::can_end_before_stop() {
-    if (!context_.stopping_since) {
-        return true;
-    }
-    const microseconds since = monotonic_now() - *context_.stopping_since;
-    const microseconds answer = request_.prompt.most_output * context_.settings.most_time_per_token;
-    const microseconds needed = std::min<microseconds>(
-        route_.timeout, is_engine_ ? engine_reading_time + answer : plain_answer_time);
-    if (context_.settings.drain.may_take(since, needed)) {
-        return true;
-    }
-    refuse(status_unavailable, "stopping", until_targets);
-    return false;
-}
-
 bool forwarded_request::read_request() {
     result<incoming_request> read = read_incoming(exchange_->head(), context_.dialect);
     if (!read) {
@@ -114,44 +94,55 @@
     return true;
 }
 
-bool forwarded_request::find_route() {
-    const gateway_route* route = context_.configuration.route_of(request_.host, request_.path);
-    if (route == nullptr) {
-        fail(status_not_found, "no_route");
-        return false;
+bool forwarded_request::admit_request() {
+    auto answer = admit(context_.configuration, request_.host, request_.path, request_.key,
+                        context_.random.unit());
+    if (auto* admitted = std::get_if<admitted_request>(&answer)) {
+        admitted_ = std::move(*admitted);
+        return true;
     }
-    route_ = *route;
-    const route_split* split = configuration_view::choose_split(route_, context_.random.unit());
-    if (split == nullptr) {
-        refuse(status_unavailable, "no_service", until_targets);
-        return false;
+    const auto refusal = std::get<admission_refusal>(answer);
+    const std::string_view reason = name_of(refusal);
+    switch (refusal) {
+        case admission_refusal::no_configuration:
+            refuse(status_unavailable, reason, until_configured);
+            break;
+        case admission_refusal::no_service:
+            refuse(status_unavailable, reason, until_targets);
+            break;
+        case admission_refusal::no_route:
+            fail(status_not_found, reason);
+            break;
+        case admission_refusal::unknown_key:
+            fail(status_no_key, reason);
+            break;
     }
-    service_ = split->service;
-    const gateway_service* service = context_.configuration.service(service_);
-    is_engine_ = service != nullptr && service->engine.has_value();
-    tokens_per_event_ = is_engine_ ? service->engine->tokens_per_event : 1;
-    return true;
+    return false;
 }
 
-bool forwarded_request::admit_caller() {
-    urgency_ = route_.priority;
-    if (route_.is_public || !context_.configuration.wants_keys()) {
+/// A process that is about to stop takes no request that it would have to cut.
+bool forwarded_request::can_end_before_stop() {
+    if (!context_.stopping_since) {
         return true;
     }
-    const gateway_account* account = context_.configuration.account_of_key(request_.key);
-    if (account == nullptr) {
-        fail(status_no_key, "unknown_key");
-        return false;
+    const microseconds since = monotonic_now() - *context_.stopping_since;
+    const microseconds answer = request_.prompt.most_output * context_.settings.most_time_per_token;
+    const microseconds needed =
+        std::min<microseconds>(admitted_.route.timeout,
+                               admitted_.engine ? engine_reading_time + answer : plain_answer_time);
+    if (context_.settings.drain.may_take(since, needed)) {
+        return true;
     }
-    account_ = account->name;
-    constexpr unsigned urgencies_an_account = 3;
-    constexpr unsigned least_urgent = 9;
-    urgency_ = std::min(least_urgent, account->priority * urgencies_an_account + route_.priority);
-    return true;
+    refuse(status_unavailable, "stopping", until_targets);
+    return false;
+}
+
+tokens forwarded_request::tokens_per_event() const {
+    return admitted_.engine ? admitted_.engine->tokens_per_event : 1;
 }
 
 void forwarded_request::set_deadline() {
-    microseconds longest = route_.timeout;
+    microseconds longest = admitted_.route.timeout;
     if (request_.deadline) {
         longest = std::min(longest, *request_.deadline);
     }
@@ -168,9 +159,7 @@
 }
 
 void forwarded_request::take_tokens() {
-    const gateway_account* account = context_.configuration.account(account_);
-    const bool counted = is_engine_ && account != nullptr && account->prepaid.has_value();
-    if (!counted) {
+    if (!admitted_.counted) {
         dispatch();
         return;
     }
@@ -181,14 +170,14 @@
     const tokens most = request_.prompt.prompt + request_.prompt.most_output;
     tokens_asked_ = monotonic_now();
     trace_.add(tokens_asked_, "tokens_asked",
-               {{"account", account_},
+               {{"account", admitted_.account},
                 {"most", std::to_string(most)},
-                {"free", std::to_string(context_.grants.free(account_))},
-                {"available", std::to_string(context_.grants.available(account_))},
-                {"left_at_most", std::to_string(context_.grants.left_at_most(account_))},
-                {"limit", std::to_string(context_.grants.limit(account_))},
+                {"free", std::to_string(context_.grants.free(admitted_.account))},
+                {"available", std::to_string(context_.grants.available(admitted_.account))},
+                {"left_at_most", std::to_string(context_.grants.left_at_most(admitted_.account))},
+                {"limit", std::to_string(context_.grants.limit(admitted_.account))},
                 {"ledger", context_.describe_ledger()}});
-    const auto found = context_.waiters.reserve(tokens_asked_, account_, most,
+    const auto found = context_.waiters.reserve(tokens_asked_, admitted_.account, most,
                                                 [self = weak_from_this()](reserve_outcome outcome) {
                                                     if (const auto alive = self.lock()) {
                                                         alive->tokens_answered(outcome);
@@ -201,7 +190,7 @@
     waiting_ = found.waiting;
     context_.counters.counter("gateway_token_waits_total") += 1;
     context_.tokens_wanted();
-    const bool there = context_.grants.available(account_) >= most;
+    const bool there = context_.grants.available(admitted_.account) >= most;
     const microseconds wait =
         there ? context_.settings.token_wait : context_.settings.short_token_wait;
     context_.loop.call_after(std::min(wait, time_left()), [self = weak_from_this()] {
@@ -232,14 +221,14 @@
         fail(status_no_tokens, "budget_exhausted");
         return;
     }
-    charge_ = request_charge(context_.grants, account_, request_.prompt.prompt,
+    charge_ = request_charge(context_.grants, admitted_.account, request_.prompt.prompt,
                              request_.prompt.most_output);
     dispatch();
 }
 
 void forwarded_request::dispatch() {
     const gateway_target* target =
-        context_.targets.pick(monotonic_now(), service_, request_.prompt, tried_);
+        context_.targets.pick(monotonic_now(), admitted_.service, request_.prompt, tried_);
     if (target == nullptr) {
         if (may_have_run_) {
             fail(status_bad_gateway, "no_target_left");
@@ -262,7 +251,7 @@
     streaming_ = false;
     sent_at_ = now;
     if (attempt_ == 1) {
-        context_.retries_of(service_).first_try();
+        context_.retries_of(admitted_.service).first_try();
     }
     unread_prompt_ = context_.targets.sent(now, target_, request_.prompt);
     trace_.add(now, "request_sent",
@@ -282,18 +271,18 @@
     request.headers = passed_headers(exchange_->head(), dialect);
     request.headers.push_back({dialect.deadline_ms, millis_text(time_left())});
     request.headers.push_back({dialect.expected_target, target.id});
-    if (!account_.empty()) {
-        request.headers.push_back({dialect.account, account_});
+    if (!admitted_.account.empty()) {
+        request.headers.push_back({dialect.account, admitted_.account});
     }
-    if (is_engine_) {
-        request.headers.push_back({dialect.urgency, std::to_string(urgency_)});
+    if (admitted_.engine) {
+        request.headers.push_back({dialect.urgency, std::to_string(admitted_.urgency)});
     }
     const std::string& last = events_.last_id().empty() ? request_.last_event : events_.last_id();
     if (!last.empty()) {
         request.headers.push_back({dialect.last_event, last});
     }
     request.body = exchange_->body();
-    if (!may_repeat(route_.kind)) {
+    if (!may_repeat(admitted_.route.kind)) {
         request.longest_rest = single_run_rest;
     }
     return request;
@@ -343,7 +332,7 @@
     }
     may_have_run_ = true;
     charge_.prompt_read(now);
-    streaming_ = is_stream(route_.kind) && head.status == status_ok;
+    streaming_ = is_stream(admitted_.route.kind) && head.status == status_ok;
 }
 
 void forwarded_request::on_piece(std::string_view piece) {
@@ -360,7 +349,7 @@
         return;
     }
     last_event_at_ = monotonic_now();
-    charge_.handed_out(last_event_at_, tokens_per_event_ * static_cast<tokens>(whole.count));
+    charge_.handed_out(last_event_at_, tokens_per_event() * static_cast<tokens>(whole.count));
     if (called_off_) {
         return;
     }
@@ -495,12 +484,13 @@
     const bool ran = outcome == fate::may_have_run || may_have_run_;
     const unsigned runs = attempt_ - unsent_ - refusals_;
     const bool can_go_on = !begun_ || !events_.last_id().empty();
-    return (!ran || may_repeat(route_.kind)) && can_go_on && runs < route_.most_attempts &&
-           refusals_ <= most_refusals && time_left() > microseconds(0);
+    return (!ran || may_repeat(admitted_.route.kind)) && can_go_on &&
+           runs < admitted_.route.most_attempts && refusals_ <= most_refusals &&
+           time_left() > microseconds(0);
 }
 
 bool forwarded_request::try_again(fate outcome) {
-    if (!may_try_again(outcome) || !context_.retries_of(service_).take_retry()) {
+    if (!may_try_again(outcome) || !context_.retries_of(admitted_.service).take_retry()) {
         return false;
     }
     context_.counters.counter("gateway_retries_total") += 1;
@@ -573,7 +563,7 @@
     const instant now = monotonic_now();
     const microseconds silence = now - std::max(sent_at_, last_event_at_);
     const tokens possible = silence / context_.settings.least_time_per_token;
-    charge_.assume(now, possible + tokens_per_event_ * unseen_events);
+    charge_.assume(now, possible + tokens_per_event() * unseen_events);
 }
 
 /// Ends an answer that was begun and can't be finished, so that the caller sees that it isn't
@@ -609,9 +599,9 @@
     trace_.add(now, "request_ended",
                {{"outcome", std::string(outcome)},
                 {"status", std::to_string(status)},
-                {"route", route_.name},
+                {"route", admitted_.route.name},
                 {"configuration", std::to_string(context_.configuration.current().version)},
-                {"account", account_},
+                {"account", admitted_.account},
                 {"target", target_},
                 {"attempts", std::to_string(attempt_)},
                 {"tokens", std::to_string(charge_.spent())},
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -9,6 +9,7 @@
 #include "roles/gateway/incoming_request.hpp"
 #include "roles/gateway/request_charge.hpp"
 #include "roles/gateway/request_trace.hpp"
+#include "wrenswitch/decision/gateway/admission.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 
@@ -34,8 +35,8 @@
     };
 
     bool read_request();
-    bool find_route();
-    bool admit_caller();
+    bool admit_request();
+    tokens tokens_per_event() const;
     bool can_end_before_stop();
     void set_deadline();
     void take_tokens();
@@ -80,13 +81,7 @@
     incoming_request request_;
     request_trace trace_;
     instant tokens_asked_{};
-    /// Copies, since a new configuration may replace what they came from.
-    gateway_route route_;
-    std::string account_;
-    unsigned urgency_ = 0;
-    std::string service_;
-    bool is_engine_ = false;
-    tokens tokens_per_event_ = 1;
+    admitted_request admitted_;
     instant deadline_{};
     request_charge charge_;
     std::shared_ptr<token_waiters::handle> waiting_;
--- /dev/null
+++ b/tests/decision/gateway/admission_test.cpp
@@ -0,0 +1,80 @@
+#include "wrenswitch/decision/gateway/admission.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+using namespace wrenswitch;
+
+/// An engine's route, a plain route, a public one, and two accounts of which one pays.
+struct admission_fixture {
+    configuration_view view;
+
+    admission_fixture() {
+        gateway_configuration made;
+        made.version = 1;
+        made.routes = {route("/engine/", "llm", 1, false), route("/plain/", "app", 2, false),
+                       route("/open/", "app", 0, true), route("/nowhere/", "", 0, true)};
+        made.routes[3].splits.clear();
+        made.services = {{"llm", "", 10, engine_shape{}}, {"app", "", 10, std::nullopt}};
+        made.accounts = {{"payer", {"key-1"}, 1, 5000}, {"free", {"key-2"}, 9, std::nullopt}};
+        view.apply(made);
+    }
+
+    static gateway_route route(const char* prefix, const char* service, unsigned priority,
+                               bool open) {
+        gateway_route made;
+        made.host = "h";
+        made.path_prefix = prefix;
+        made.splits = {{service, 1.0}};
+        made.priority = priority;
+        made.is_public = open;
+        return made;
+    }
+
+    admitted_request admitted(const char* path, const char* key) {
+        return std::get<admitted_request>(admit(view, "h", path, key, 0.5));
+    }
+
+    admission_refusal refused(const char* path, const char* key) {
+        return std::get<admission_refusal>(admit(view, "h", path, key, 0.5));
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(admission_test, admission_fixture)
+
+BOOST_AUTO_TEST_CASE(request_with_a_key_has_its_account_and_service) {
+    const admitted_request found = admitted("/engine/x", "key-1");
+    BOOST_TEST(found.service == "llm");
+    BOOST_TEST(found.account == "payer");
+    BOOST_TEST(found.counted);
+    BOOST_TEST(found.engine.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(accounts_priority_goes_before_the_routes) {
+    BOOST_TEST(admitted("/engine/x", "key-1").urgency == 4U);
+    BOOST_TEST(admitted("/plain/x", "key-1").urgency == 5U);
+    BOOST_TEST(admitted("/plain/x", "key-2").urgency == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(only_engines_tokens_of_a_prepaid_account_are_counted) {
+    BOOST_TEST(!admitted("/plain/x", "key-1").counted);
+    BOOST_TEST(!admitted("/engine/x", "key-2").counted);
+}
+
+BOOST_AUTO_TEST_CASE(public_route_needs_no_key_and_has_no_account) {
+    BOOST_TEST(admitted("/open/x", "").account.empty());
+}
+
+BOOST_AUTO_TEST_CASE(refusals_name_what_is_missing) {
+    BOOST_TEST((refused("/engine/x", "key-9") == admission_refusal::unknown_key));
+    BOOST_TEST((refused("/engine/x", "") == admission_refusal::unknown_key));
+    BOOST_TEST((refused("/other/x", "key-1") == admission_refusal::no_route));
+    BOOST_TEST((refused("/nowhere/x", "key-1") == admission_refusal::no_service));
+    view = configuration_view{};
+    BOOST_TEST((refused("/engine/x", "key-1") == admission_refusal::no_configuration));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
