--- a/include/wrenswitch/decision/gateway/drain_plan.hpp
+++ b/include/wrenswitch/decision/gateway/drain_plan.hpp
@@ -6,8 +6,9 @@
 
 namespace wrenswitch {
 
-/// What a planned stop allows when. The platform goes on sending connections for a while after a stop
-/// was asked for, and for as long as no other entry takes them; whatever is taken must end in time.
+/// What a planned stop allows when. The platform goes on sending connections for a while after a
+/// stop was asked for, and for as long as no other entry takes them; whatever is taken must end in
+/// time.
 struct drain_plan {
     /// How long the stop may take in all; then the process is ended.
     microseconds longest = seconds(8);
--- a/include/wrenswitch/drivers/keyed_follower.hpp
+++ b/include/wrenswitch/drivers/keyed_follower.hpp
@@ -26,8 +26,8 @@
     std::string log;
     /// How long a read is held open while there is nothing new.
     microseconds hold = milliseconds(700);
-    /// How long to wait after records came before the next read, so that a busy log is read in pages
-    /// and not record by record.
+    /// How long to wait after records came before the next read, so that a busy log is read in
+    /// pages and not record by record.
     microseconds pause{};
     microseconds first_retry = milliseconds(50);
     microseconds longest_retry = milliseconds(500);
--- a/scripts/check_examples.sh
+++ b/scripts/check_examples.sh
@@ -6,6 +6,8 @@
 for file in examples/*/*.json; do
     case "$file" in
         */entry*.json) binary=wrenentry ;;
+        */gateway/gateway*.json) binary=wrengate ;;
+        */gateway/relay*.json) binary=wrenrelay ;;
         *) binary=wrenguard ;;
     esac
     "build/release/bin/$binary" --settings "$file" --check || status=1
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -30,9 +30,6 @@
 /// The longest rest of a connection that a request which may not be repeated goes over.
 constexpr microseconds single_run_rest = seconds(2);
 
-/// A caller that takes its answer this slowly is cut off.
-constexpr std::size_t most_unsent_bytes = 1024U * 1024U;
-
 /// Events that may be on their way when an answer ends unseen, beside what its silence allows.
 constexpr tokens unseen_events = 8;
 
@@ -52,13 +49,6 @@
            status == status_misdirected;
 }
 
-std::string seconds_text(microseconds length) {
-    constexpr std::int64_t millis_a_second = 1000;
-    const auto millis = std::chrono::duration_cast<milliseconds>(length).count();
-    std::string fraction = std::to_string(millis_a_second + millis % millis_a_second);
-    return std::to_string(millis / millis_a_second) + "." + fraction.substr(1);
-}
-
 std::string millis_text(microseconds length) {
     return std::to_string(std::chrono::duration_cast<milliseconds>(length).count());
 }
@@ -66,7 +56,7 @@
 }  // namespace
 
 forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
-    : context_(context), exchange_(std::move(exchange)) {}
+    : context_(context), exchange_(std::move(exchange)), to_caller_(exchange_, context.dialect) {}
 
 void forwarded_request::start() {
     context_.requests.insert(shared_from_this());
@@ -353,14 +343,11 @@
     if (called_off_) {
         return;
     }
-    if (!std::exchange(begun_, true)) {
-        exchange_->begin_answer(answer_.status, answer_headers(answer_, context_.dialect));
+    if (!to_caller_.begun()) {
         context_.counters.histogram("gateway_first_event_ms")
             .observe(monotonic_now() - exchange_->received());
     }
-    exchange_->send_piece(whole.bytes);
-    if (exchange_->unsent_bytes() > most_unsent_bytes) {
-        exchange_->cut();
+    if (!to_caller_.pass_events(answer_, whole.bytes)) {
         caller_gone();
     }
 }
@@ -393,10 +380,7 @@
         stream_broken();
         return;
     }
-    if (!begun_) {
-        exchange_->begin_answer(answer_.status, answer_headers(answer_, context_.dialect));
-    }
-    exchange_->end_answer();
+    to_caller_.end_stream(answer_);
     charge_.close();
     finish("served", answer_.status);
 }
@@ -427,11 +411,11 @@
 
 /// The target's own answer, as it came.
 void forwarded_request::pass_answer() {
-    if (begun_) {
+    if (to_caller_.begun()) {
         cut("resumed_with_" + std::to_string(answer_.status));
         return;
     }
-    exchange_->answer(answer_.status, answer_headers(answer_, context_.dialect), answer_body_);
+    to_caller_.pass_whole(answer_, answer_body_);
     charge_.close();
     finish("served", answer_.status);
 }
@@ -474,6 +458,7 @@
 /// An attempt that may have run ended without a whole answer.
 void forwarded_request::stream_broken() {
     events_.drop_rest();
+    assume_unseen();
     if (try_again(fate::may_have_run)) {
         return;
     }
@@ -483,7 +468,7 @@
 bool forwarded_request::may_try_again(fate outcome) const {
     const bool ran = outcome == fate::may_have_run || may_have_run_;
     const unsigned runs = attempt_ - unsent_ - refusals_;
-    const bool can_go_on = !begun_ || !events_.last_id().empty();
+    const bool can_go_on = !to_caller_.begun() || !events_.last_id().empty();
     return (!ran || may_repeat(admitted_.route.kind)) && can_go_on &&
            runs < admitted_.route.most_attempts && refusals_ <= most_refusals &&
            time_left() > microseconds(0);
@@ -546,14 +531,11 @@
 }
 
 void forwarded_request::refuse(unsigned status, std::string_view reason, microseconds retry_after) {
-    if (begun_) {
+    if (to_caller_.begun()) {
         cut(reason);
         return;
     }
-    exchange_->answer(
-        status,
-        {{context_.dialect.request_id, request_.id}, {"Retry-After", seconds_text(retry_after)}},
-        std::string(reason) + "\n");
+    to_caller_.refuse(request_.id, status, reason, retry_after);
     finish(reason, status);
 }
 
@@ -570,20 +552,19 @@
 /// whole.
 void forwarded_request::cut(std::string_view reason) {
     assume_unseen();
-    exchange_->cut();
+    to_caller_.cut();
     finish(reason, 0);
 }
 
 void forwarded_request::fail(unsigned status, std::string_view reason) {
-    if (begun_) {
+    if (to_caller_.begun()) {
         cut(reason);
         return;
     }
     if (may_have_run_) {
         assume_unseen();
     }
-    exchange_->answer(status, {{context_.dialect.request_id, request_.id}},
-                      std::string(reason) + "\n");
+    to_caller_.fail(request_.id, status, reason);
     finish(reason, status);
 }
 
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "roles/gateway/caller_answer.hpp"
 #include "roles/gateway/event_splitter.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/incoming_request.hpp"
@@ -78,6 +79,7 @@
 
     gateway_context& context_;
     ingress_exchange_pointer exchange_;
+    caller_answer to_caller_;
     incoming_request request_;
     request_trace trace_;
     instant tokens_asked_{};
@@ -103,7 +105,6 @@
     bool answer_refused_ = false;
     /// True once the answer is passed on as it comes.
     bool streaming_ = false;
-    bool begun_ = false;
     /// True if some attempt may have run.
     bool may_have_run_ = false;
     event_splitter events_;
