--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -67,6 +67,8 @@
     http_address listen;
     /// Where readiness and metrics are served.
     http_address admin;
+    /// A further port for metrics; zero if there is none.
+    std::uint16_t metrics_port = 0;
     http_address service;
     message_bus_settings bus;
     /// The port at which a relay listens beside an engine's target; zero if there are none.
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -115,7 +115,11 @@
     ledger_ = std::make_unique<grant_ledger>(
         loop_, *log_, dialect_.grant_log, metrics_,
         grant_ledger_hooks{[this] { return compose_grants(); }, [this] { grants_changed(); },
-                           [this] { grants_->resolved(); }, reachable_hook(dialect_.grant_log)});
+                           [this] { grants_->resolved(); },
+                           [this, told = reachable_hook(dialect_.grant_log)](bool reachable) {
+                               grant_log_answers_ = reachable;
+                               told(reachable);
+                           }});
     grants_ = std::make_unique<grant_holder>(settings_.host, incarnation_, settings_.grants,
                                              ledger_->table());
     waiters_ = std::make_unique<token_waiters>(*grants_);
@@ -160,9 +164,28 @@
         return server.error();
     }
     admin_ = std::move(server.value());
+    open_metrics();
     return outcome::success();
 }
 
+/// Figures at a port of their own, for readers that can't be told another one. A gateway that can't
+/// have the port works without it.
+void gateway::open_metrics() {
+    if (settings_.metrics_port == 0) {
+        return;
+    }
+    http_server_settings settings;
+    settings.address = settings_.admin.host;
+    settings.port = settings_.metrics_port;
+    auto server = http_server::start(
+        loop_, settings, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); });
+    if (!server) {
+        log_event(log_level::warning, "metrics_port_taken", {{"reason", server.error().message}});
+        return;
+    }
+    metrics_server_ = std::move(server.value());
+}
+
 ingress_limits gateway::limits_now() const {
     const gateway_limits& limits = configuration_.current().limits;
     return {limits.most_header_bytes, limits.most_body_bytes, limits.head_timeout,
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -36,6 +36,7 @@
     result<void> open_bus();
     void open_logs();
     result<void> open_servers();
+    void open_metrics();
     ingress_limits limits_now() const;
     bool ready() const;
     void serve_admin(const http_exchange_pointer& exchange);
@@ -80,6 +81,7 @@
 
     std::unique_ptr<ingress_server> ingress_;
     std::unique_ptr<http_server> admin_;
+    std::unique_ptr<http_server> metrics_server_;
     std::unique_ptr<timer> ticker_;
     bool stopping_ = false;
     instant stop_began_{};
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -40,6 +40,8 @@
     settings.bus.endpoint = reader.text("bus_endpoint");
     settings.relay_port =
         static_cast<std::uint16_t>(reader.integer_or("relay_port", 0, 0, highest_port));
+    settings.metrics_port =
+        static_cast<std::uint16_t>(reader.integer_or("metrics_port", 0, 0, highest_port));
     settings.drain.longest =
         read_ms(reader, "longest_drain_ms", settings.drain.longest, longest_drain_ms);
     settings.drain.grace =
--- a/tests/platform/gateway_live_test.cpp
+++ b/tests/platform/gateway_live_test.cpp
@@ -374,6 +374,21 @@
         [this] { return gateway->output().find("event=log_regained") != std::string::npos; }));
 }
 
+BOOST_AUTO_TEST_CASE(refusal_for_want_of_tokens_while_the_log_is_away_says_so_with_a_longer_time) {
+    start_gateway();
+    store.busy = true;
+    BOOST_REQUIRE(run_until([this] {
+        return gateway->output().find("event=log_lost log=grants") != std::string::npos;
+    }));
+    std::string refusal;
+    for (int turn = 0; turn < 12 && refusal.empty(); ++turn) {
+        const std::string answer =
+            answer_to(request("/stream/1", usage, "r" + std::to_string(turn)));
+        refusal = status_in(answer) == 503U ? answer : "";
+    }
+    BOOST_TEST(refusal.find("Retry-After: 2.000") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(budget_is_not_overspent_across_kills) {
     prepaid = 3000;
     configure();
