--- a/include/wrenswitch/decision/gateway/gateway_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -44,10 +44,6 @@
     request_kind kind = request_kind::single_run;
     std::vector<route_split> splits;
     microseconds timeout = seconds(60);
-    /// The time to the answer, or to a stream's first event, that callers pay for.
-    microseconds objective = seconds(1);
-    /// The longest pause between events that callers pay for; zero if none is given.
-    microseconds pause_objective{};
     /// The number of targets that one request may be sent to.
     unsigned most_attempts = 1;
     /// 0 is the most urgent.
@@ -58,8 +54,6 @@
 
 /// What a model engine of a service can hold.
 struct engine_shape {
-    unsigned slots = 0;
-    tokens memory = 0;
     /// The tokens in one event of a stream, at most.
     tokens tokens_per_event = 1;
 };
@@ -67,7 +61,6 @@
 /// A set of targets that are alike.
 struct gateway_service {
     std::string name;
-    std::string health_path;
     /// Connections that one target takes from all entries together.
     std::size_t most_connections = 64;
     /// Given if the targets are model engines.
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -7,7 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "wrenswitch/core/random_source.hpp"
@@ -41,7 +41,7 @@
     tokens prompt = 0;
     /// The most tokens of the answer.
     tokens most_output = 0;
-    /// In order; the last one is the request's own or its session's.
+    /// In order; the last one is the request's own, the one before it what its session shares.
     std::vector<prompt_part> parts;
 };
 
@@ -50,7 +50,7 @@
     std::string failure_domain;
     /// What crossing to another failure domain counts as, in shares of a target's slots.
     double other_domain_cost = 0.05;
-    /// How fast an engine reads a prompt, until that was seen.
+    /// How fast an engine is taken to read a prompt.
     double tokens_per_ms = 30.0;
     /// What one more running request costs those beside it, in ms.
     double running_cost_ms = 2.0;
@@ -60,8 +60,6 @@
     microseconds longest_ejection = seconds(8);
     /// How long a report of load counts.
     microseconds report_life = milliseconds(500);
-    /// How many other entries send to the same targets, for what their requests add unseen.
-    double other_entries = 3.0;
     /// How many parts of prompts are remembered a target.
     std::size_t remembered_parts = 2000;
 };
@@ -85,7 +83,7 @@
                                std::span<const std::string> tried);
 
     /// A request went to a target. Returns the tokens of its prompt that the target has to read.
-    tokens sent(instant now, std::string_view id, const prompt_shape& shape);
+    tokens sent(std::string_view id, const prompt_shape& shape);
     /// The target has read this much of what was sent, or no longer will.
     void read(std::string_view id, tokens prompt);
     /// A request that was sent has ended, in whatever way.
@@ -107,7 +105,7 @@
     /// All targets that are in the list, leaving or not.
     std::vector<gateway_target> listed() const;
 
-    /// Called with each target that no request needs any more.
+    /// The targets that left the list and that no request needs any more; they are forgotten.
     std::vector<std::string> take_forgotten(instant now);
 
 private:
@@ -123,8 +121,8 @@
         double failure_rate = 0.0;
         unsigned failures = 0;
         instant ejected_until{};
-        /// When each part of a prompt was last sent here.
-        std::unordered_map<std::uint64_t, instant> parts;
+        /// The parts of prompts that were sent here.
+        std::unordered_set<std::uint64_t> parts;
     };
 
     using states = std::map<std::string, target_state, std::less<>>;
@@ -138,7 +136,7 @@
     tokens unread_tokens(const target_state& state, const prompt_shape& shape, bool is_home) const;
     static const target_state* home_of(std::span<target_state* const> among,
                                        const prompt_shape& shape);
-    void remember(instant now, target_state& state, const prompt_shape& shape) const;
+    void remember(target_state& state, const prompt_shape& shape) const;
 
     target_pool_settings settings_;
     random_source& random_;
--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,9 +52,8 @@
     grant_holder(std::string host, incarnation_id incarnation, grant_policy_settings policy,
                  const grant_table& table);
 
-    /// Sets an account's budget. Without one its tokens aren't counted.
+    /// Sets an account's budget.
     void set_limit(const std::string& account, tokens limit);
-    void remove_limit(const std::string& account);
 
     /// Sets an amount aside, the most that a request can cost.
     reserve_outcome reserve(instant now, const std::string& account, tokens amount);
@@ -75,7 +75,7 @@
     /// records, so that none of them can still be appended.
     void resolved();
 
-    /// True if a request waits, or hands run low: a reason not to wait for the next tick.
+    /// True if a draw would serve a request that waits: a reason not to wait for the next tick.
     bool urgent() const;
 
     /// How long appends take of late. The longer, the more is drawn at once, and the rarer.
@@ -117,9 +117,8 @@
         tokens returning = 0;
         double demand_per_second = 0.0;
         instant demand_at{};
-        /// Since when there was more in hand than wanted.
-        instant surplus_since{};
-        bool surplus = false;
+        /// Since when there was more in hand than wanted, if there is.
+        std::optional<instant> surplus_since;
     };
 
     grant_key key_of(const std::string& account) const { return {account, host_}; }
--- a/include/wrenswitch/drivers/keyed_log.hpp
+++ b/include/wrenswitch/drivers/keyed_log.hpp
@@ -28,6 +28,14 @@
     std::vector<keyed_record> records;
 };
 
+/// How long calls to a keyed log may take.
+struct keyed_log_timeouts {
+    /// A call that isn't held open.
+    microseconds call = milliseconds(600);
+    /// Added to a held read's own wait.
+    microseconds held_read_slack = milliseconds(400);
+};
+
 /// A log whose records have keys, and which keeps the newest record of each key for good. Offsets
 /// count from 0, without gaps.
 class keyed_log {
--- a/include/wrenswitch/drivers/service_channel.hpp
+++ b/include/wrenswitch/drivers/service_channel.hpp
@@ -35,6 +35,7 @@
     microseconds relay_slack = milliseconds(100);
     /// How often a direct way that failed is tried again.
     microseconds probe_period = milliseconds(500);
+    microseconds probe_timeout = milliseconds(500);
     /// How long a peer that failed isn't asked.
     microseconds peer_rest = seconds(2);
     /// How many peers one call is tried through.
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -32,7 +32,6 @@
     std::string last_event;
     std::string urgency;
     std::string not_run;
-    std::string signature;
     std::string load;
     /// Headers that only the gateway may set: dropped from what callers send.
     std::vector<std::string> set_by_gateway;
@@ -53,7 +52,7 @@
     std::function<result<gateway_configuration>(std::string_view)> read_configuration;
     std::function<result<gateway_target>(std::string_view id, std::string_view value)> read_target;
     /// The keyed log behind a channel to the platform's service.
-    std::function<std::unique_ptr<keyed_log>(service_channel&)> make_log;
+    std::function<std::unique_ptr<keyed_log>(service_channel&, const keyed_log_timeouts&)> make_log;
     /// A cheap call that shows whether the service answers.
     std::function<http_request()> probe;
     /// The path at which the platform asks whether the gateway takes connections.
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -206,16 +206,16 @@
     return best;
 }
 
-void target_pool::remember(instant now, target_state& state, const prompt_shape& shape) const {
+void target_pool::remember(target_state& state, const prompt_shape& shape) const {
     if (state.parts.size() > settings_.remembered_parts) {
         state.parts.clear();
     }
     for (const prompt_part& part : shape.parts) {
-        state.parts[part.id] = now;
+        state.parts.insert(part.id);
     }
 }
 
-tokens target_pool::sent(instant now, std::string_view id, const prompt_shape& shape) {
+tokens target_pool::sent(std::string_view id, const prompt_shape& shape) {
     const auto found = targets_.find(id);
     if (found == targets_.end()) {
         return 0;
@@ -224,7 +224,7 @@
     const tokens unread = unread_tokens(state, shape, false);
     state.in_flight += 1;
     state.unread_prompt += unread;
-    remember(now, state, shape);
+    remember(state, shape);
     return unread;
 }
 
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -46,13 +46,6 @@
     accounts_[account].limit = limit;
 }
 
-void grant_holder::remove_limit(const std::string& account) {
-    const auto found = accounts_.find(account);
-    if (found != accounts_.end()) {
-        found->second.limit = 0;
-    }
-}
-
 tokens grant_holder::granted_here(const std::string& account) const {
     const grant own = table_.find(key_of(account));
     return own.holder == incarnation_ ? own.granted - own.base : 0;
@@ -164,11 +157,8 @@
 
 tokens grant_holder::surplus_change(instant now, account_state& state, tokens surplus,
                                     bool at_once) const {
-    if (!state.surplus) {
-        state.surplus = true;
-        state.surplus_since = now;
-    }
-    const bool patient = now - state.surplus_since < policy_.surplus_patience;
+    state.surplus_since = state.surplus_since.value_or(now);
+    const bool patient = now - *state.surplus_since < policy_.surplus_patience;
     return patient && !at_once ? 0 : -surplus;
 }
 
@@ -183,7 +173,7 @@
     const tokens wanted = wanted_in_hand(account, state);
     const tokens missing = state.waiting + wanted - held;
     if (state.waiting > held || held < part_of(wanted, refill_at)) {
-        state.surplus = false;
+        state.surplus_since.reset();
         const bool useless = state.waiting > held && !can_serve_first(account, state);
         return !draws || useless ? 0 : std::min(std::max<tokens>(missing, 0), available);
     }
@@ -191,7 +181,7 @@
     const double factor = others_wait ? 1.0 : surplus_factor;
     const tokens surplus = held - state.waiting - part_of(wanted, factor);
     if (surplus < (others_wait ? 1 : std::max(policy_.first_draw, part_of(wanted, least_return)))) {
-        state.surplus = false;
+        state.surplus_since.reset();
         return 0;
     }
     return surplus_change(now, state, surplus, others_wait);
--- a/src/drivers/relayed_channel.cpp
+++ b/src/drivers/relayed_channel.cpp
@@ -239,7 +239,9 @@
 
     void send_probe() {
         const auto self = weak_from_this();
-        direct_way.call(probe(), [self](const result<http_reply>& reply) {
+        http_request request = probe();
+        request.timeout = settings.probe_timeout;
+        direct_way.call(std::move(request), [self](const result<http_reply>& reply) {
             const auto alive = self.lock();
             if (!alive) {
                 return;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -243,7 +243,7 @@
     if (attempt_ == 1) {
         context_.retries_of(admitted_.service).first_try();
     }
-    unread_prompt_ = context_.targets.sent(now, target_, request_.prompt);
+    unread_prompt_ = context_.targets.sent(target_, request_.prompt);
     trace_.add(now, "request_sent",
                {{"target", target_},
                 {"attempt", std::to_string(attempt_)},
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -96,7 +96,7 @@
     channel_ = std::make_unique<relayed_channel>(
         loop_, *direct_, *bus_, [this] { return relay_endpoints(); }, dialect_.probe, metrics_,
         relayed_channel_settings{});
-    log_ = dialect_.make_log(*channel_);
+    log_ = dialect_.make_log(*channel_, keyed_log_timeouts{});
     const auto reachable_hook = [](const std::string& log) {
         return [log](bool reachable) {
             log_event(reachable ? log_level::information : log_level::warning,
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -56,8 +56,8 @@
 
 BOOST_AUTO_TEST_CASE(busy_target_is_avoided) {
     for (int turn = 0; turn < 3; ++turn) {
-        pool->sent(now, "p1", none);
-        pool->sent(now, "p2", none);
+        pool->sent("p1", none);
+        pool->sent("p2", none);
     }
     BOOST_TEST(pick() == "p3");
 }
@@ -154,14 +154,14 @@
 BOOST_AUTO_TEST_CASE(engine_with_a_long_prompt_to_read_is_avoided) {
     const std::string home = pick(prompt(77, 1), "engine");
     prompt_shape long_prompt{40'000, 100, {{500, 20'000}, {501, 20'000}}};
-    pool->sent(now, home, long_prompt);
+    pool->sent(home, long_prompt);
     BOOST_TEST(pick(prompt(77, 2), "engine") != home);
 }
 
 BOOST_AUTO_TEST_CASE(read_prompt_no_longer_counts) {
     const std::string home = pick(prompt(77, 1), "engine");
     prompt_shape long_prompt{40'000, 100, {{500, 20'000}, {501, 20'000}}};
-    pool->read(home, pool->sent(now, home, long_prompt));
+    pool->read(home, pool->sent(home, long_prompt));
     BOOST_TEST(pick(prompt(77, 2), "engine") == home);
 }
 
