Pay for runs that were called off and end in a reset, and charge a broken attempt once

Found by reading. A called-off run whose connection failed was taken for one that had not begun, though a reset loses what was on its way: a target that resets could have made the spend exceed a budget unseen. A clean end is told apart now (cut_short), and only that says that nothing is missing. The tests that expected broken at a clean end expect cut_short: narrower, as both were one value before. Both new live tests failed first.

--- a/include/wrenswitch/drivers/upstream_pool.hpp
+++ b/include/wrenswitch/drivers/upstream_pool.hpp
@@ -17,7 +17,10 @@
 enum class upstream_failure {
     /// No connection came about: not a byte of the request was sent.
     not_sent,
-    /// The answer was cut, or never came: the request may have run.
+    /// The target ended its side cleanly before the answer was whole: the request may have run, and
+    /// all that it handed out has come.
+    cut_short,
+    /// The connection failed: the request may have run, and what was on its way is lost.
     broken,
     /// What came is not an answer to this request: it may have run.
     malformed,
@@ -57,7 +60,8 @@
     virtual bool sent() const = 0;
 
     /// Ends only this side of the connection: the target calls the run off, and what it had handed
-    /// out before still comes, up to its own end of the connection. A close would lose that.
+    /// out before still comes. If the call then fails as cut_short, nothing is missing; a close
+    /// would have lost it.
     virtual void call_off() = 0;
 };
 
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -199,7 +199,7 @@
         answer_complete();
         return;
     }
-    fail(upstream_failure::broken);
+    fail(cleanly ? upstream_failure::cut_short : upstream_failure::broken);
 }
 
 void upstream_connection::fail(upstream_failure failure) {
--- a/src/drivers/upstream_pool.cpp
+++ b/src/drivers/upstream_pool.cpp
@@ -72,6 +72,8 @@
     switch (failure) {
         case upstream_failure::not_sent:
             return "not_sent";
+        case upstream_failure::cut_short:
+            return "cut_short";
         case upstream_failure::broken:
             return "broken";
         case upstream_failure::malformed:
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -377,11 +377,10 @@
 
 void forwarded_request::end_stream() {
     if (events_.has_rest()) {
-        stream_broken();
+        attempt_broken();
         return;
     }
     to_caller_.end_stream(answer_);
-    charge_.close();
     finish("served", answer_.status);
 }
 
@@ -416,7 +415,6 @@
         return;
     }
     to_caller_.pass_whole(answer_, answer_body_);
-    charge_.close();
     finish("served", answer_.status);
 }
 
@@ -429,6 +427,9 @@
 void forwarded_request::on_failed(upstream_failure failure) {
     end_attempt();
     if (called_off_) {
+        if (failure != upstream_failure::cut_short) {
+            assume_unseen();
+        }
         call_off_ended();
         return;
     }
@@ -445,18 +446,18 @@
             return;
         }
         if (may_have_run_) {
-            stream_broken();
+            fail(status_bad_gateway, "target_lost");
             return;
         }
         refuse(status_unavailable, "targets_unreachable", until_targets);
         return;
     }
     may_have_run_ = true;
-    stream_broken();
+    attempt_broken();
 }
 
 /// An attempt that may have run ended without a whole answer.
-void forwarded_request::stream_broken() {
+void forwarded_request::attempt_broken() {
     events_.drop_rest();
     assume_unseen();
     if (try_again(fate::may_have_run)) {
@@ -496,6 +497,9 @@
         return;
     }
     may_have_run_ = true;
+    if (sent) {
+        assume_unseen();
+    }
     fail(status_gateway_timeout, "deadline");
 }
 
@@ -539,8 +543,9 @@
     finish(reason, status);
 }
 
-/// Charges what the target may have handed out since its last event came: nothing more can be
-/// handed to this process once the connection is closed.
+/// Charges what the target of an attempt may have handed out since its last event came. To be
+/// called once an attempt, when its connection is closed: nothing more can be handed to this
+/// process then.
 void forwarded_request::assume_unseen() {
     const instant now = monotonic_now();
     const microseconds silence = now - std::max(sent_at_, last_event_at_);
@@ -551,7 +556,6 @@
 /// Ends an answer that was begun and can't be finished, so that the caller sees that it isn't
 /// whole.
 void forwarded_request::cut(std::string_view reason) {
-    assume_unseen();
     to_caller_.cut();
     finish(reason, 0);
 }
@@ -561,9 +565,6 @@
         cut(reason);
         return;
     }
-    if (may_have_run_) {
-        assume_unseen();
-    }
     to_caller_.fail(request_.id, status, reason);
     finish(reason, status);
 }
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -62,7 +62,7 @@
     void answer_complete();
     bool may_try_again(fate outcome) const;
     bool try_again(fate outcome);
-    void stream_broken();
+    void attempt_broken();
 
     void deadline_passed();
     void caller_gone();
--- a/tests/drivers/upstream_pool_test.cpp
+++ b/tests/drivers/upstream_pool_test.cpp
@@ -94,13 +94,13 @@
     BOOST_TEST((record->failure == upstream_failure::broken));
 }
 
-BOOST_AUTO_TEST_CASE(answer_cut_short_is_broken) {
+BOOST_AUTO_TEST_CASE(answer_that_a_clean_end_cuts_short_is_told_so) {
     const auto record = send();
     raw_socket peer = accept();
     peer.send("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nabc");
     peer.close();
     BOOST_REQUIRE(run_until([&] { return record->over(); }));
-    BOOST_TEST((record->failure == upstream_failure::broken));
+    BOOST_TEST((record->failure == upstream_failure::cut_short));
 }
 
 BOOST_AUTO_TEST_CASE(answer_without_length_is_whole_at_a_clean_end) {
@@ -204,7 +204,7 @@
     peer.close();
     BOOST_REQUIRE(run_until([&] { return record->over(); }));
     BOOST_TEST(record->body == "abc");
-    BOOST_TEST((record->failure == upstream_failure::broken));
+    BOOST_TEST((record->failure == upstream_failure::cut_short));
 }
 
 BOOST_AUTO_TEST_CASE(calls_beyond_the_connections_allowed_are_not_sent) {
--- a/tests/platform/gateway_live_test.cpp
+++ b/tests/platform/gateway_live_test.cpp
@@ -75,7 +75,7 @@
             << R"({"host":"front-1","failure_domain":"z1","listen":"127.0.0.1:)" << listen
             << R"(","admin":"127.0.0.1:)" << admin << R"(","service":")" << service_address
             << R"(","bus_endpoint":"tcp://127.0.0.1:)" << bus << R"(","relay_port":)" << relay_bus
-            << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300})";
+            << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300,"least_ms_per_token":50})";
         gateway = std::make_unique<child_process>(
             std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", settings_file},
             settings_file + ".log");
@@ -130,7 +130,7 @@
         return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
     }
 
-    /// What the log says was granted of the account, less what was given back.
+    /// True once something was granted of the account.
     bool account_has_grants() { return !store.records("keyed.grants").empty(); }
 };
 
@@ -389,6 +389,48 @@
     BOOST_TEST(refusal.find("Retry-After: 2.000") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(called_off_run_whose_end_is_lost_is_paid_for) {
+    raw_socket target = raw_socket::listen();
+    store.put("keyed.servers", engine.id(), std::nullopt);
+    store.put("keyed.servers", "i-raw",
+              R"({"service":"llm","addr":"127.0.0.1:)" + std::to_string(target.port()) +
+                  R"(","zone":"z1","slots":6,"state":"ready","seq":1})");
+    prepaid = 400;
+    configure();
+    start_gateway();
+    for (int turn = 0; turn < 3; ++turn) {
+        raw_socket client = send(request("/stream/1", usage, "r" + std::to_string(turn)));
+        raw_socket peer;
+        BOOST_REQUIRE(run_until([&] {
+            peer = peer.open() ? std::move(peer) : target.accept();
+            return peer.open() && peer.received().ends_with("hi");
+        }));
+        client.reset();
+        BOOST_REQUIRE(run_until([&] { return peer.ended(); }));
+        // A reset takes with it whatever was on its way, so nobody knows that nothing was.
+        peer.reset();
+        run_for(milliseconds(100));
+    }
+    BOOST_TEST(status_in(answer_to(request("/stream/1", usage, "last"))) == 402U);
+}
+
+BOOST_AUTO_TEST_CASE(broken_stream_is_charged_once) {
+    prepaid = 1000;
+    configure();
+    engine.answer = [this](const ingress_exchange_pointer& exchange) {
+        exchange->begin_answer(200, engine.signed_headers(exchange));
+        exchange->send_piece(event(1));
+        loop.call_after(milliseconds(10), [exchange] { exchange->cut(); });
+    };
+    start_gateway();
+    // Prompt, the event that came and eight that may have been on their way: 127 of at most 150.
+    for (int turn = 0; turn < 7; ++turn) {
+        raw_socket client = send(request("/stream/1", usage, "r" + std::to_string(turn)));
+        BOOST_REQUIRE(run_until([&] { return client.ended(); }));
+        BOOST_TEST(client.received().starts_with("HTTP/1.1 200"));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(budget_is_not_overspent_across_kills) {
     prepaid = 3000;
     configure();
