Let each account's home draw its tokens and hand them to the other entries

Small grants in many hands also left little at a budget's end.

Now the members of the fleet stand in a keyed log, a weighted rendezvous names six of them as homes, and each account's home draws for all and answers asks over the bus: the tokens are gone at the giver before the message leaves, and no message is sent twice. A silent home is passed over for a while; an entry that finds none draws for itself as before. Weighed and not taken: a partition an account (each entry would read 24 partitions; calls are priced).

A lost answer also took the direct way to the store away for 500 ms; the way is now probed at once.

--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,7 +18,7 @@
 struct grant_policy_settings {
     /// How long the tokens in hand should last at the present demand.
     microseconds horizon = milliseconds(500);
-    /// The part of what is left of a budget that all hosts together may hold unspent. It is what a
+    /// The part of what is left of a budget that a host may hold unspent. It is what a
     /// loss of every process at once can make unusable.
     double held_share = 0.03;
     /// The same, while appends take so long that far more has to be drawn at once.
@@ -45,7 +46,9 @@
 std::string_view name_of(reserve_outcome outcome);
 
 /// One process's hold on the prepaid budgets: it spends only what the grant table says it was
-/// granted, so it needs no clock and no connection to stay within every budget.
+/// granted or what other processes gave it of theirs, so it needs no clock and no connection to
+/// stay within every budget. Tokens that were given away count as spent by the giver: the ledger
+/// need not know who uses them.
 class grant_holder {
 public:
     /// The table must outlive the holder.
@@ -64,6 +67,18 @@
     /// Frees a part of what was set aside.
     void release(const std::string& account, tokens amount);
 
+    /// Moves tokens that are set aside to another process, whose they are from then on.
+    void give(instant now, const std::string& account, tokens amount);
+
+    /// Takes in tokens that another process gave away.
+    void receive(const std::string& account, tokens amount);
+
+    /// The accounts of which tokens are free here.
+    std::vector<std::string> accounts_with_free() const;
+
+    /// Takes all that is free out, to be moved to another process.
+    tokens take_free(const std::string& account);
+
     /// Requests wait for this much in all, the first of them for so much; zero if none does.
     void set_waiting(const std::string& account, tokens amount, tokens first);
 
@@ -84,6 +99,11 @@
     /// Changes how much is drawn ahead from now on.
     void set_policy(const grant_policy_settings& policy) { policy_ = policy; }
 
+    /// Decides for which accounts tokens are drawn ahead of need; else for all.
+    void draw_ahead_if(std::function<bool(const std::string& account)> wanted) {
+        draws_ahead_ = std::move(wanted);
+    }
+
     /// Gives back all that is free and draws no more, for a planned stop.
     void set_draining(bool draining) { draining_ = draining; }
 
@@ -111,6 +131,8 @@
         tokens reserved = 0;
         /// By this process.
         tokens spent = 0;
+        /// Moved here by other processes, less what was moved to them.
+        tokens received = 0;
         tokens waiting = 0;
         tokens first_waiting = 0;
         /// Given back by a record whose fate isn't known yet; not to be spent.
@@ -124,6 +146,8 @@
     grant_key key_of(const std::string& account) const { return {account, host_}; }
     tokens granted_here(const std::string& account) const;
     tokens free(const std::string& account, const account_state& state) const;
+    tokens returnable(const std::string& account, const account_state& state) const;
+    static tokens spent_of_grants(const account_state& state);
     void note_demand(instant now, account_state& state, tokens amount) const;
     microseconds horizon() const;
     double held_share() const;
@@ -140,6 +164,7 @@
     const grant_table& table_;
     std::map<std::string, account_state> accounts_;
     bool draining_ = false;
+    std::function<bool(const std::string& account)> draws_ahead_;
     microseconds append_time_{};
 };
 
--- /dev/null
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/ids.hpp"
+#include "wrenswitch/core/time.hpp"
+
+namespace wrenswitch {
+
+/// One entry process as the directory of members gives it.
+struct ledger_member {
+    std::string host;
+    incarnation_id process{};
+    /// Where other entries reach it.
+    std::string endpoint;
+    /// How much it can do, in processor cores; more of the accounts' homes go to the larger ones.
+    double capacity = 1.0;
+
+    friend bool operator==(const ledger_member&, const ledger_member&) = default;
+};
+
+/// Settings of the choice of homes.
+struct token_home_settings {
+    /// How many hosts are homes. Few, so that appends to the ledger seldom meet; more than one, so
+    /// that no host answers for all accounts.
+    std::size_t most_homes = 6;
+    /// How long a home that didn't answer is passed over, at first and at the most.
+    microseconds first_rest = seconds(1);
+    microseconds longest_rest = seconds(8);
+};
+
+/// Names each client account's home: the entry that draws the account's tokens from the ledger and
+/// hands them to the other entries. Every entry chooses by the same hash, so they need no talk.
+/// Entries that see other members name other homes, which costs a few more appends and nothing
+/// else: a home hands out only what the ledger granted to it.
+class token_homes {
+public:
+    token_homes(std::string own_host, token_home_settings settings);
+
+    /// Takes in a member. A new process on a host isn't held to its predecessor's silence.
+    void apply(const ledger_member& member);
+
+    /// A member has left.
+    void remove(std::string_view host);
+
+    /// The home to ask, leaving out the hosts already tried and those that don't answer. Nothing if
+    /// none is left.
+    std::optional<ledger_member> home_of(instant now, std::string_view account,
+                                         std::span<const std::string> tried = {}) const;
+
+    /// True if this host is the account's home.
+    bool is_home(instant now, std::string_view account) const;
+
+    /// A home didn't answer or can't help. True if it was believed to be well.
+    bool failed(instant now, std::string_view host);
+
+    /// A home answered. True if it was believed to be out of reach.
+    bool answered(std::string_view host);
+
+    std::size_t size() const { return members_.size(); }
+
+private:
+    struct rest {
+        instant until{};
+        microseconds length{};
+    };
+
+    void choose_homes();
+    bool rests(instant now, const std::string& host) const;
+
+    std::string own_host_;
+    token_home_settings settings_;
+    std::map<std::string, ledger_member, std::less<>> members_;
+    /// The hosts that are homes.
+    std::vector<std::string> homes_;
+    std::map<std::string, rest, std::less<>> resting_;
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/drivers/member_directory.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/drivers/keyed_follower.hpp"
+
+namespace wrenswitch {
+
+/// A member as a record of a keyed log, and back. Nothing if the record is damaged.
+keyed_record encode_member(const ledger_member& member);
+std::optional<ledger_member> decode_member(const keyed_record& record);
+
+/// What a directory calls.
+struct member_directory_hooks {
+    std::function<void(const ledger_member&)> joined;
+    std::function<void(const std::string& host)> left;
+    std::function<void(bool reachable)> reachable;
+};
+
+/// The entries of the fleet, in a keyed log: each writes its own record when it starts and drops it
+/// when it stops as planned. A process that dies leaves its record for its successor; that it
+/// doesn't answer is for others to find out.
+class member_directory {
+public:
+    member_directory(event_loop& loop, keyed_log& log, std::string name, ledger_member own,
+                     member_directory_hooks hooks);
+    ~member_directory();
+    member_directory(const member_directory&) = delete;
+    member_directory& operator=(const member_directory&) = delete;
+
+    void start() { follower_.start(); }
+
+    /// Drops this process's record.
+    void leave();
+
+private:
+    void on_changed(const keyed_record& record);
+    void write_if_due();
+    void on_appended(const std::vector<keyed_record>& records, std::uint64_t at,
+                     const result<std::uint64_t>& end);
+    void look_later();
+    bool is_due() const;
+
+    event_loop& loop_;
+    keyed_log& log_;
+    random_source random_;
+    std::string name_;
+    ledger_member own_;
+    member_directory_hooks hooks_;
+    keyed_follower follower_;
+    /// This host's record as the log has it.
+    std::optional<ledger_member> written_;
+    bool leaving_ = false;
+    bool appending_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace wrenswitch
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -49,6 +49,7 @@
     std::string configuration_key;
     std::string target_log;
     std::string grant_log;
+    std::string member_log;
     std::function<result<gateway_configuration>(std::string_view)> read_configuration;
     std::function<result<gateway_target>(std::string_view id, std::string_view value)> read_target;
     /// The keyed log behind a channel to the platform's service.
@@ -72,6 +73,8 @@
     message_bus_settings bus;
     /// The port at which a relay listens beside an engine's target; zero if there are none.
     std::uint16_t relay_port = 0;
+    /// What this process may use, in processor cores. Larger entries are homes of more accounts.
+    double capacity = 1.0;
     /// How a planned stop goes.
     drain_plan drain;
     /// Retries as a share of first tries, for each service, and how many beyond that all entries
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -52,7 +52,18 @@
 }
 
 tokens grant_holder::free(const std::string& account, const account_state& state) const {
-    return granted_here(account) - state.spent - state.reserved - state.returning;
+    return granted_here(account) + state.received - state.spent - state.reserved - state.returning;
+}
+
+/// What the ledger can take back: of what is free, the part that it granted to this process.
+tokens grant_holder::returnable(const std::string& account, const account_state& state) const {
+    const tokens unreturned = free(account, state) + state.returning;
+    return std::max<tokens>(0, std::min(unreturned, granted_here(account)));
+}
+
+/// What is gone of this process's grants: spent here or given away, less what others gave.
+tokens grant_holder::spent_of_grants(const account_state& state) {
+    return std::max<tokens>(0, state.spent - state.received);
 }
 
 tokens grant_holder::free(const std::string& account) const {
@@ -62,7 +73,7 @@
 
 bool grant_holder::all_returned() const {
     return std::all_of(accounts_.begin(), accounts_.end(), [this](const auto& entry) {
-        return entry.second.returning == 0 && free(entry.first, entry.second) == 0;
+        return entry.second.returning == 0 && returnable(entry.first, entry.second) == 0;
     });
 }
 
@@ -89,7 +100,7 @@
     const bool is_ours = own.holder == incarnation_;
     // What the table holds of this process is older than what the process knows itself.
     const tokens spent_by_others = table_.spent(account) - own.spent;
-    const tokens spent_here = (is_ours ? own.base : own.granted) + found->second.spent;
+    const tokens spent_here = (is_ours ? own.base : own.granted) + spent_of_grants(found->second);
     return found->second.limit - spent_by_others - spent_here;
 }
 
@@ -115,6 +126,34 @@
     accounts_[account].reserved -= amount;
 }
 
+void grant_holder::give(instant now, const std::string& account, tokens amount) {
+    account_state& state = accounts_[account];
+    state.reserved -= amount;
+    state.received -= amount;
+    note_demand(now, state, amount);
+}
+
+void grant_holder::receive(const std::string& account, tokens amount) {
+    accounts_[account].received += amount;
+}
+
+std::vector<std::string> grant_holder::accounts_with_free() const {
+    std::vector<std::string> found;
+    for (const auto& [account, state] : accounts_) {
+        if (free(account, state) > 0) {
+            found.push_back(account);
+        }
+    }
+    return found;
+}
+
+tokens grant_holder::take_free(const std::string& account) {
+    account_state& state = accounts_[account];
+    const tokens amount = std::max<tokens>(0, free(account, state));
+    state.received -= amount;
+    return amount;
+}
+
 void grant_holder::set_waiting(const std::string& account, tokens amount, tokens first) {
     accounts_[account].waiting = amount;
     accounts_[account].first_waiting = first;
@@ -143,15 +182,17 @@
 }
 
 tokens grant_holder::wanted_in_hand(const std::string& account, const account_state& state) const {
+    if (draws_ahead_ && !draws_ahead_(account)) {
+        return 0;
+    }
     const tokens available = state.limit - table_.granted(account);
     const tokens held = std::max<tokens>(0, free(account, state));
-    const auto hosts = static_cast<double>(std::max<std::size_t>(1, table_.hosts(account)));
     const double span_ahead = as_seconds(horizon());
     const bool others_wait = table_.wanted_by_others(account, host_) > available;
     const double span = others_wait ? span_ahead * kept_while_others_wait : span_ahead;
     const auto by_demand = static_cast<tokens>(std::llround(state.demand_per_second * span));
     const tokens first = others_wait ? 0 : policy_.first_draw;
-    const tokens share = part_of(std::max<tokens>(0, available) + held, held_share() / hosts);
+    const tokens share = part_of(std::max<tokens>(0, available) + held, held_share());
     return std::min(by_demand + first, std::max<tokens>(share, 0));
 }
 
@@ -167,7 +208,7 @@
                                 bool draws) const {
     const tokens held = free(account, state) + state.returning;
     if (draining_) {
-        return -std::max<tokens>(0, held);
+        return -returnable(account, state);
     }
     const tokens available = std::max<tokens>(0, state.limit - table_.granted(account));
     const tokens wanted = wanted_in_hand(account, state);
@@ -179,7 +220,8 @@
     }
     const bool others_wait = table_.wanted_by_others(account, host_) > available;
     const double factor = others_wait ? 1.0 : surplus_factor;
-    const tokens surplus = held - state.waiting - part_of(wanted, factor);
+    const tokens surplus =
+        std::min(returnable(account, state), held - state.waiting - part_of(wanted, factor));
     if (surplus < (others_wait ? 1 : std::max(policy_.first_draw, part_of(wanted, least_return)))) {
         state.surplus_since.reset();
         return 0;
@@ -214,7 +256,7 @@
         next.base = present.holder == incarnation_ ? present.base : present.granted;
         next.holder = incarnation_;
         next.granted = present.granted + change;
-        next.spent = next.base + state.spent;
+        next.spent = next.base + spent_of_grants(state);
         next.wanted = wanted;
         records.push_back({key_of(account), next});
     }
--- /dev/null
+++ b/src/decision/grants/token_homes.cpp
@@ -0,0 +1,117 @@
+#include "wrenswitch/decision/grants/token_homes.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "wrenswitch/core/digest.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// Seeds the choice of the hosts that are homes apart from the choice among them.
+constexpr std::uint64_t home_seed = 1;
+
+constexpr double least_capacity = 1e-3;
+
+/// The rank of a member in a weighted rendezvous: lower is better, and twice the capacity wins
+/// twice as often.
+double weighted_rank(const ledger_member& member) {
+    const double range = std::ldexp(1.0, 64);
+    const double unit =
+        (static_cast<double>(spread_hash(member.host, home_seed)) + 1.0) / (range + 1.0);
+    return -std::log(unit) / std::max(least_capacity, member.capacity);
+}
+
+}  // namespace
+
+token_homes::token_homes(std::string own_host, token_home_settings settings)
+    : own_host_(std::move(own_host)), settings_(settings) {}
+
+void token_homes::apply(const ledger_member& member) {
+    const auto known = members_.find(member.host);
+    if (known == members_.end() || known->second.process != member.process) {
+        resting_.erase(member.host);
+    }
+    members_.insert_or_assign(member.host, member);
+    choose_homes();
+}
+
+void token_homes::remove(std::string_view host) {
+    const auto found = members_.find(host);
+    if (found == members_.end()) {
+        return;
+    }
+    resting_.erase(found->first);
+    members_.erase(found);
+    choose_homes();
+}
+
+void token_homes::choose_homes() {
+    std::vector<std::pair<double, std::string>> ranked;
+    ranked.reserve(members_.size());
+    for (const auto& [host, member] : members_) {
+        ranked.emplace_back(weighted_rank(member), host);
+    }
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), settings_.most_homes));
+    homes_.clear();
+    for (auto& [rank, host] : ranked) {
+        homes_.push_back(std::move(host));
+    }
+}
+
+bool token_homes::rests(instant now, const std::string& host) const {
+    const auto found = resting_.find(host);
+    return host != own_host_ && found != resting_.end() && found->second.until > now;
+}
+
+std::optional<ledger_member> token_homes::home_of(instant now, std::string_view account,
+                                                  std::span<const std::string> tried) const {
+    const std::uint64_t seed = spread_hash(account);
+    const std::string* best = nullptr;
+    std::uint64_t highest = 0;
+    for (const std::string& host : homes_) {
+        const bool was_tried = std::find(tried.begin(), tried.end(), host) != tried.end();
+        if (was_tried || rests(now, host)) {
+            continue;
+        }
+        const std::uint64_t rank = spread_hash(host, seed);
+        if (best == nullptr || rank > highest) {
+            best = &host;
+            highest = rank;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(members_.at(*best));
+}
+
+bool token_homes::is_home(instant now, std::string_view account) const {
+    const std::optional<ledger_member> home = home_of(now, account);
+    return home && home->host == own_host_;
+}
+
+bool token_homes::failed(instant now, std::string_view host) {
+    if (!members_.contains(host)) {
+        return false;
+    }
+    rest& present = resting_[std::string(host)];
+    const bool was_well = present.length == microseconds(0);
+    if (present.until > now) {
+        return false;
+    }
+    present.length =
+        was_well ? settings_.first_rest : std::min(present.length * 2, settings_.longest_rest);
+    present.until = now + present.length;
+    return was_well;
+}
+
+bool token_homes::answered(std::string_view host) {
+    const auto found = resting_.find(host);
+    if (found == resting_.end()) {
+        return false;
+    }
+    resting_.erase(found);
+    return true;
+}
+
+}  // namespace wrenswitch
--- a/src/drivers/grant_ledger.cpp
+++ b/src/drivers/grant_ledger.cpp
@@ -13,8 +13,9 @@
 /// Between account and host in a record's key. Hosts have none in their names.
 constexpr char key_separator = '|';
 
-/// Between two reads while others append.
-constexpr microseconds read_pause = milliseconds(100);
+/// Between two reads while others append. Whoever appends looks at the log's end first, so that
+/// this bounds only how old the view of the others is.
+constexpr microseconds read_pause = milliseconds(400);
 
 /// Added to the longest wait after a lost race by each host that has grants.
 constexpr microseconds race_spread = milliseconds(2);
--- a/src/drivers/relayed_channel.cpp
+++ b/src/drivers/relayed_channel.cpp
@@ -108,16 +108,22 @@
             counters.counter("service_direct_lost_total") += 1;
             log_event(log_level::warning, "service_direct_lost", {{"reason", reason}});
         }
-        plan_probe();
-        std::vector<std::uint64_t> moving;
+        // At once, since a single lost answer or connection doesn't mean that the way is lost.
+        plan_probe(microseconds(0));
+        for (const std::uint64_t number : calls_out(true)) {
+            send_through_peer(number);
+        }
+    }
+
+    /// The calls that are out on the direct way, or on the ways through peers.
+    std::vector<std::uint64_t> calls_out(bool directly) const {
+        std::vector<std::uint64_t> found;
         for (const auto& [number, call] : calls) {
-            if (call.direct) {
-                moving.push_back(number);
+            if (call.direct == directly) {
+                found.push_back(number);
             }
         }
-        for (const std::uint64_t number : moving) {
-            send_through_peer(number);
-        }
+        return found;
     }
 
     std::string choose_peer(instant now) {
@@ -225,12 +231,12 @@
         done(std::move(reply));
     }
 
-    void plan_probe() {
+    void plan_probe(microseconds delay) {
         if (std::exchange(probing, true)) {
             return;
         }
         const auto self = weak_from_this();
-        loop.call_after(settings.probe_period, [self] {
+        loop.call_after(delay, [self] {
             if (const auto alive = self.lock()) {
                 alive->send_probe();
             }
@@ -248,13 +254,21 @@
             }
             alive->probing = false;
             if (way_failed(reply)) {
-                alive->plan_probe();
+                alive->plan_probe(alive->settings.probe_period);
                 return;
             }
-            alive->direct_works = true;
-            log_event(log_level::information, "service_direct_regained", {});
+            alive->direct_regained();
         });
     }
+
+    /// Calls that peers haven't answered yet are made again: a peer may be dead.
+    void direct_regained() {
+        direct_works = true;
+        log_event(log_level::information, "service_direct_regained", {});
+        for (const std::uint64_t number : calls_out(false)) {
+            send_directly(number);
+        }
+    }
 };
 
 relayed_channel::relayed_channel(event_loop& loop, service_channel& direct, message_bus& bus,
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -166,28 +166,20 @@
                 {"available", std::to_string(context_.grants.available(admitted_.account))},
                 {"left_at_most", std::to_string(context_.grants.left_at_most(admitted_.account))},
                 {"limit", std::to_string(context_.grants.limit(admitted_.account))},
+                {"home", context_.tokens.describe_home(tokens_asked_, admitted_.account)},
                 {"ledger", context_.describe_ledger()}});
-    const auto found = context_.waiters.reserve(tokens_asked_, admitted_.account, most,
-                                                [self = weak_from_this()](reserve_outcome outcome) {
-                                                    if (const auto alive = self.lock()) {
-                                                        alive->tokens_answered(outcome);
-                                                    }
-                                                });
+    const auto found = context_.tokens.reserve(tokens_asked_, admitted_.account, most,
+                                               [self = weak_from_this()](reserve_outcome outcome) {
+                                                   if (const auto alive = self.lock()) {
+                                                       alive->tokens_answered(outcome);
+                                                   }
+                                               });
     if (!found.waiting) {
         pay(found.now);
         return;
     }
     waiting_ = found.waiting;
     context_.counters.counter("gateway_token_waits_total") += 1;
-    context_.tokens_wanted();
-    const bool there = context_.grants.available(admitted_.account) >= most;
-    const microseconds wait =
-        there ? context_.settings.token_wait : context_.settings.short_token_wait;
-    context_.loop.call_after(std::min(wait, time_left()), [self = weak_from_this()] {
-        if (const auto alive = self.lock()) {
-            alive->tokens_overdue();
-        }
-    });
 }
 
 void forwarded_request::tokens_answered(reserve_outcome outcome) {
@@ -195,14 +187,6 @@
     pay(outcome);
 }
 
-void forwarded_request::tokens_overdue() {
-    if (waiting_) {
-        waiting_.reset();
-        refuse(status_unavailable, "short_of_tokens",
-               context_.log_answers() ? until_tokens : context_.settings.until_log);
-    }
-}
-
 void forwarded_request::pay(reserve_outcome outcome) {
     const instant now = monotonic_now();
     context_.counters.histogram("gateway_token_wait_ms").observe(now - tokens_asked_);
@@ -211,6 +195,11 @@
         fail(status_no_tokens, "budget_exhausted");
         return;
     }
+    if (outcome == reserve_outcome::short_of_tokens) {
+        refuse(status_unavailable, "short_of_tokens",
+               context_.log_answers() ? until_tokens : context_.settings.until_log);
+        return;
+    }
     charge_ = request_charge(context_.grants, admitted_.account, request_.prompt.prompt,
                              request_.prompt.most_output);
     dispatch();
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -42,7 +42,6 @@
     void set_deadline();
     void take_tokens();
     void tokens_answered(reserve_outcome outcome);
-    void tokens_overdue();
     void pay(reserve_outcome outcome);
 
     void dispatch();
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -44,6 +44,21 @@
     return std::string(address.substr(0, address.rfind(':')));
 }
 
+/// Tells when a log is lost or regained.
+std::function<void(bool)> reachable_hook(const std::string& log) {
+    return [log](bool reachable) {
+        log_event(reachable ? log_level::information : log_level::warning,
+                  reachable ? "log_regained" : "log_lost", {{"log", log}});
+    };
+}
+
+token_exchange_settings exchange_settings(const gateway_settings& settings) {
+    token_exchange_settings exchange;
+    exchange.wait = settings.token_wait;
+    exchange.short_wait = settings.short_token_wait;
+    return exchange;
+}
+
 }  // namespace
 
 gateway::gateway(event_loop& loop, const gateway_settings& settings, const gateway_dialect& dialect)
@@ -52,6 +67,7 @@
       dialect_(dialect),
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_requests_per_second, metrics_),
+      homes_(settings.host, {}),
       targets_(pool_settings(settings), random_) {}
 
 gateway::~gateway() {
@@ -63,12 +79,14 @@
         return opened;
     }
     open_logs();
+    open_exchange();
     if (result<void> opened = open_servers(); !opened) {
         return opened;
     }
     configuration_follower_->start();
     target_follower_->start();
     ledger_->start();
+    members_->start();
     ticker_ = loop_.call_every(tick_period, [this] { tick(); });
     log_event(log_level::information, "gateway_started",
               {{"host", settings_.host},
@@ -83,11 +101,16 @@
         return opened.error();
     }
     bus_ = std::move(opened.value());
-    bus_->on_message([this](const message_origin&, const wire::Envelope& message) {
+    bus_->on_message([this](const message_origin& origin, const wire::Envelope& message) {
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
+        } else {
+            tokens_->on_message(origin, message);
         }
     });
+    bus_->on_undelivered([this](const std::string&, const wire::Envelope& message) {
+        tokens_->on_undelivered(message);
+    });
     return outcome::success();
 }
 
@@ -97,12 +120,6 @@
         loop_, *direct_, *bus_, [this] { return relay_endpoints(); }, dialect_.probe, metrics_,
         relayed_channel_settings{});
     log_ = dialect_.make_log(*channel_, keyed_log_timeouts{});
-    const auto reachable_hook = [](const std::string& log) {
-        return [log](bool reachable) {
-            log_event(reachable ? log_level::information : log_level::warning,
-                      reachable ? "log_regained" : "log_lost", {{"log", log}});
-        };
-    };
     configuration_follower_ = std::make_unique<keyed_follower>(
         loop_, *log_, keyed_follower_settings{.log = dialect_.configuration_log},
         keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
@@ -125,6 +142,32 @@
     waiters_ = std::make_unique<token_waiters>(*grants_);
 }
 
+void gateway::open_exchange() {
+    const ledger_member own{settings_.host, incarnation_, bus_->endpoint(), settings_.capacity};
+    members_ = std::make_unique<member_directory>(
+        loop_, *log_, dialect_.member_log, own,
+        member_directory_hooks{
+            [this](const ledger_member& member) {
+                homes_.apply(member);
+                log_event(log_level::information, "member_joined",
+                          {{"host", member.host},
+                           {"incarnation", std::to_string(raw(member.process))},
+                           {"endpoint", member.endpoint}});
+            },
+            [this](const std::string& host) {
+                homes_.remove(host);
+                log_event(log_level::information, "member_left", {{"host", host}});
+            },
+            reachable_hook(dialect_.member_log)});
+    tokens_ = std::make_unique<token_exchange>(
+        loop_, *bus_, homes_, *grants_, *waiters_, metrics_, exchange_settings(settings_),
+        token_exchange::hooks{[this] { ledger_->append_if_due(); },
+                              [this] { return ledger_->live() && !stopping_; },
+                              [this] { return grant_log_answers_; }});
+    grants_->draw_ahead_if(
+        [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
+}
+
 result<void> gateway::open_servers() {
     context_ = std::make_unique<gateway_context>(gateway_context{
         loop_,
@@ -133,7 +176,7 @@
         configuration_,
         targets_,
         *grants_,
-        *waiters_,
+        *tokens_,
         random_,
         metrics_,
         events_,
@@ -141,7 +184,6 @@
         [this](const std::string& service) -> retry_budget& { return retries_of(service); },
         [this] { return grant_log_answers_; },
         [this] { return describe_ledger(); },
-        [this] { ledger_->append_if_due(); },
         [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); },
         {},
         {},
@@ -362,6 +404,7 @@
     flush_log();
     metrics_.counter("log_lines_unread_total") = dropped_log_lines();
     grants_->set_append_time(ledger_->append_time());
+    tokens_->return_free(now);
     ledger_->append_if_due();
     waiters_->serve(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
@@ -379,6 +422,7 @@
     log_event(log_level::information, "gateway_stopping",
               {{"host", settings_.host}, {"requests", std::to_string(context_->requests.size())}});
     ingress_->begin_drain();
+    members_->leave();
     look_whether_stopped();
 }
 
@@ -419,6 +463,8 @@
                        read->service.to_text() != settings_.service.to_text() ||
                        read->host != settings_.host;
     settings_.token_wait = read->token_wait;
+    settings_.short_token_wait = read->short_token_wait;
+    tokens_->set_settings(exchange_settings(settings_));
     settings_.drain = read->drain;
     settings_.grants = read->grants;
     grants_->set_policy(read->grants);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
+#include "wrenswitch/drivers/member_directory.hpp"
 
 namespace wrenswitch {
 
@@ -35,6 +36,7 @@
 private:
     result<void> open_bus();
     void open_logs();
+    void open_exchange();
     result<void> open_servers();
     void open_metrics();
     ingress_limits limits_now() const;
@@ -71,6 +73,9 @@
     std::unique_ptr<grant_ledger> ledger_;
     std::unique_ptr<grant_holder> grants_;
     std::unique_ptr<token_waiters> waiters_;
+    std::unique_ptr<member_directory> members_;
+    token_homes homes_;
+    std::unique_ptr<token_exchange> tokens_;
 
     configuration_view configuration_;
     target_pool targets_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -8,7 +8,7 @@
 #include <unordered_set>
 
 #include "roles/gateway/event_log.hpp"
-#include "roles/gateway/token_waiters.hpp"
+#include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/configuration_view.hpp"
@@ -31,7 +31,7 @@
     configuration_view& configuration;
     target_pool& targets;
     grant_holder& grants;
-    token_waiters& waiters;
+    token_exchange& tokens;
     random_source& random;
     metrics& counters;
     event_log& events;
@@ -43,8 +43,6 @@
     std::function<bool()> log_answers;
     /// How far the ledger of grants was read and how old that is, for logs.
     std::function<std::string()> describe_ledger;
-    /// Draws tokens now rather than at the next tick.
-    std::function<void()> tokens_wanted;
     /// The connections to a target.
     std::function<upstream_pool&(const gateway_target&)> pool_of;
     /// Requests under way.
--- /dev/null
+++ b/src/roles/gateway/token_exchange.cpp
@@ -0,0 +1,314 @@
+#include "roles/gateway/token_exchange.hpp"
+
+#include <bus.pb.h>
+
+#include <utility>
+
+#include "wrenswitch/core/log.hpp"
+
+namespace wrenswitch {
+namespace {
+
+wire::TokenOutcome to_wire(reserve_outcome outcome) {
+    switch (outcome) {
+        case reserve_outcome::reserved:
+            return wire::TOKENS_GIVEN;
+        case reserve_outcome::short_of_tokens:
+            return wire::TOKENS_SHORT;
+        case reserve_outcome::exhausted:
+            return wire::TOKENS_EXHAUSTED;
+    }
+    return wire::TOKENS_UNAVAILABLE;
+}
+
+wire::Envelope make_answer(std::uint64_t ask, const std::string& account, tokens amount,
+                           wire::TokenOutcome outcome) {
+    wire::Envelope message;
+    wire::TokenAnswer& answer = *message.mutable_token_answer();
+    answer.set_ask(ask);
+    answer.set_outcome(outcome);
+    answer.set_account(account);
+    answer.set_amount(amount);
+    return message;
+}
+
+}  // namespace
+
+token_exchange::token_exchange(event_loop& loop, message_bus& bus, token_homes& homes,
+                               grant_holder& grants, token_waiters& waiters, metrics& counters,
+                               token_exchange_settings settings, hooks needs)
+    : loop_(loop),
+      bus_(bus),
+      homes_(homes),
+      grants_(grants),
+      waiters_(waiters),
+      counters_(counters),
+      settings_(settings),
+      hooks_(std::move(needs)) {}
+
+token_exchange::~token_exchange() {
+    *alive_ = false;
+}
+
+std::string token_exchange::describe_home(instant now, const std::string& account) const {
+    const auto home = homes_.home_of(now, account);
+    return home ? home->host : "none";
+}
+
+/// A wait is worth while only if the tokens are there to be drawn; else they would have to come
+/// from other hosts.
+microseconds token_exchange::wait_for(const std::string& account, tokens amount) const {
+    return grants_.available(account) >= amount ? settings_.wait : settings_.short_wait;
+}
+
+token_exchange::wait_result token_exchange::reserve(instant now, const std::string& account,
+                                                    tokens amount, answer_hook told) {
+    if (!waiters_.waits(account) && grants_.free(account) >= amount &&
+        grants_.reserve(now, account, amount) == reserve_outcome::reserved) {
+        return {reserve_outcome::reserved, nullptr};
+    }
+    auto wanted = std::make_shared<handle>();
+    const auto number = random_.next_id<incarnation_id>();
+    wishes_[raw(number)] = {account, amount, std::move(told), wanted, {}, {}, 0, false};
+    ask_next(raw(number));
+    return {reserve_outcome::short_of_tokens, std::move(wanted)};
+}
+
+void token_exchange::ask_next(std::uint64_t number) {
+    wish& present = wishes_.at(number);
+    const auto home = homes_.home_of(monotonic_now(), present.account, present.tried);
+    const bool asks = home && present.tried.size() < settings_.most_homes_asked &&
+                      home->endpoint != bus_.endpoint();
+    if (asks) {
+        ask(number, *home);
+    } else {
+        wait_here(number);
+    }
+}
+
+void token_exchange::ask(std::uint64_t number, const ledger_member& home) {
+    wish& present = wishes_.at(number);
+    present.asked = home.host;
+    present.tried.push_back(home.host);
+    counters_.counter("token_asks_total") += 1;
+    wire::Envelope message;
+    wire::TokenAsk& body = *message.mutable_token_ask();
+    body.set_ask(number);
+    body.set_account(present.account);
+    body.set_amount(present.amount);
+    bus_.send(home.endpoint, message);
+    watch_silence(number, settings_.silence);
+}
+
+void token_exchange::watch_silence(std::uint64_t number, microseconds longest) {
+    const unsigned step = ++wishes_.at(number).step;
+    loop_.call_after(longest, [this, number, step, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        const auto found = wishes_.find(number);
+        if (found != wishes_.end() && found->second.step == step) {
+            home_is_silent(number);
+        }
+    });
+}
+
+void token_exchange::home_is_silent(std::uint64_t number) {
+    const std::string& home = wishes_.at(number).asked;
+    counters_.counter("token_homes_silent_total") += 1;
+    if (homes_.failed(monotonic_now(), home)) {
+        log_event(log_level::warning, "token_home_lost", {{"home", home}});
+    }
+    ask_next_if_wanted(number);
+}
+
+void token_exchange::ask_next_if_wanted(std::uint64_t number) {
+    if (wishes_.at(number).wanted.expired()) {
+        wishes_.erase(number);
+        return;
+    }
+    ask_next(number);
+}
+
+/// Draws from the ledger for this request: this process is the home, or no home answers.
+void token_exchange::wait_here(std::uint64_t number) {
+    wish& present = wishes_.at(number);
+    present.step += 1;
+    present.waits_here = true;
+    const auto told = [this, number, alive = alive_](reserve_outcome outcome) {
+        if (*alive) {
+            finish(number, outcome);
+        }
+    };
+    const auto found = waiters_.reserve(monotonic_now(), present.account, present.amount, told,
+                                        present.wanted.lock());
+    if (!found.waiting) {
+        // Told later, since the caller doesn't have its handle yet.
+        loop_.call_after(microseconds(0), [told, outcome = found.now] { told(outcome); });
+        return;
+    }
+    const microseconds longest = wait_for(present.account, present.amount);
+    hooks_.tokens_wanted();
+    loop_.call_after(longest, [told] { told(reserve_outcome::short_of_tokens); });
+}
+
+void token_exchange::finish(std::uint64_t number, reserve_outcome outcome) {
+    const auto found = wishes_.find(number);
+    if (found == wishes_.end()) {
+        return;
+    }
+    const wish done = std::move(found->second);
+    wishes_.erase(found);
+    const bool wanted = !done.wanted.expired();
+    if (!wanted && outcome == reserve_outcome::reserved) {
+        grants_.release(done.account, done.amount);
+    }
+    if (wanted) {
+        done.told(outcome);
+    }
+}
+
+bool token_exchange::on_message(const message_origin& origin, const wire::Envelope& message) {
+    if (message.has_token_ask()) {
+        on_ask(origin, message);
+        return true;
+    }
+    if (message.has_token_answer()) {
+        on_answer(message);
+        return true;
+    }
+    if (message.has_token_return()) {
+        take_returned(message);
+        return true;
+    }
+    return false;
+}
+
+void token_exchange::on_ask(const message_origin& origin, const wire::Envelope& message) {
+    const wire::TokenAsk& body = message.token_ask();
+    const std::uint64_t ask = body.ask();
+    const std::string account = body.account();
+    const tokens amount = body.amount();
+    if (amount <= 0 || !hooks_.can_help()) {
+        bus_.answer(origin, make_answer(ask, account, 0, wire::TOKENS_UNAVAILABLE));
+        return;
+    }
+    const std::uint64_t number = ++last_waiting_ask_;
+    auto found = waiters_.reserve(
+        monotonic_now(), account, amount,
+        [this, origin, ask, account, amount, number, alive = alive_](reserve_outcome outcome) {
+            if (*alive) {
+                waiting_asks_.erase(number);
+                answer_ask(origin, ask, account, amount, outcome);
+            }
+        });
+    if (!found.waiting) {
+        answer_ask(origin, ask, account, amount, found.now);
+        return;
+    }
+    if (!hooks_.log_answers()) {
+        bus_.answer(origin, make_answer(ask, account, 0, wire::TOKENS_UNAVAILABLE));
+        return;
+    }
+    waiting_asks_[number] = std::move(found.waiting);
+    bus_.answer(origin, make_answer(ask, account, 0, wire::TOKENS_WAITING));
+    const microseconds longest = wait_for(account, amount);
+    hooks_.tokens_wanted();
+    loop_.call_after(longest, [this, origin, ask, account, amount, number, alive = alive_] {
+        if (*alive && waiting_asks_.erase(number) > 0) {
+            answer_ask(origin, ask, account, amount, reserve_outcome::short_of_tokens);
+        }
+    });
+}
+
+void token_exchange::answer_ask(const message_origin& origin, std::uint64_t ask,
+                                const std::string& account, tokens amount,
+                                reserve_outcome outcome) {
+    const bool given = outcome == reserve_outcome::reserved;
+    if (given) {
+        grants_.give(monotonic_now(), account, amount);
+        counters_.counter("tokens_given_total") += static_cast<double>(amount);
+    }
+    bus_.answer(origin, make_answer(ask, account, given ? amount : 0, to_wire(outcome)));
+}
+
+void token_exchange::on_answer(const wire::Envelope& message) {
+    const wire::TokenAnswer& answer = message.token_answer();
+    const auto found = wishes_.find(answer.ask());
+    const bool awaited = found != wishes_.end() && !found->second.waits_here;
+    if (awaited && homes_.answered(found->second.asked)) {
+        log_event(log_level::information, "token_home_regained", {{"home", found->second.asked}});
+    }
+    if (answer.outcome() == wire::TOKENS_GIVEN) {
+        take_given(message);
+        return;
+    }
+    if (!awaited) {
+        return;
+    }
+    switch (answer.outcome()) {
+        case wire::TOKENS_WAITING:
+            watch_silence(answer.ask(), settings_.waiting_silence);
+            return;
+        case wire::TOKENS_SHORT:
+            finish(answer.ask(), reserve_outcome::short_of_tokens);
+            return;
+        case wire::TOKENS_EXHAUSTED:
+            finish(answer.ask(), reserve_outcome::exhausted);
+            return;
+        default:
+            ask_next_if_wanted(answer.ask());
+    }
+}
+
+void token_exchange::take_returned(const wire::Envelope& message) {
+    for (const wire::TokenAmount& part : message.token_return().amounts()) {
+        if (part.amount() > 0) {
+            grants_.receive(part.account(), part.amount());
+        }
+    }
+    waiters_.serve(monotonic_now());
+}
+
+void token_exchange::on_undelivered(const wire::Envelope& message) {
+    if (message.has_token_return()) {
+        take_returned(message);
+    }
+}
+
+/// The tokens are this process's now. If the request has gone, they are free here until they are
+/// returned.
+void token_exchange::take_given(const wire::Envelope& message) {
+    const wire::TokenAnswer& answer = message.token_answer();
+    grants_.receive(answer.account(), answer.amount());
+    const auto found = wishes_.find(answer.ask());
+    if (found == wishes_.end() || found->second.waits_here) {
+        counters_.counter("tokens_given_late_total") += static_cast<double>(answer.amount());
+        waiters_.serve(monotonic_now());
+        return;
+    }
+    const reserve_outcome outcome =
+        grants_.reserve(monotonic_now(), answer.account(), found->second.amount);
+    finish(answer.ask(), outcome);
+}
+
+void token_exchange::return_free(instant now) {
+    std::map<std::string, wire::Envelope> by_endpoint;
+    for (const std::string& account : grants_.accounts_with_free()) {
+        const auto home = homes_.home_of(now, account);
+        const bool elsewhere = home && home->endpoint != bus_.endpoint();
+        const tokens free = elsewhere ? grants_.take_free(account) : 0;
+        if (free <= 0) {
+            continue;
+        }
+        wire::TokenAmount& part =
+            *by_endpoint[home->endpoint].mutable_token_return()->add_amounts();
+        part.set_account(account);
+        part.set_amount(free);
+    }
+    for (const auto& [endpoint, message] : by_endpoint) {
+        bus_.send(endpoint, message);
+    }
+}
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/token_waiters.cpp
+++ b/src/roles/gateway/token_waiters.cpp
@@ -5,7 +5,8 @@
 namespace wrenswitch {
 
 token_waiters::wait_result token_waiters::reserve(instant now, const std::string& account,
-                                                  tokens amount, answer_hook told) {
+                                                  tokens amount, answer_hook told,
+                                                  std::shared_ptr<handle> wanted) {
     queue& waiting = queues_[account];
     if (waiting.empty()) {
         const reserve_outcome outcome = holder_.reserve(now, account, amount);
@@ -13,12 +14,19 @@
             return {outcome, nullptr};
         }
     }
-    auto wanted = std::make_shared<handle>();
+    if (!wanted) {
+        wanted = std::make_shared<handle>();
+    }
     waiting.push_back({amount, std::move(told), wanted});
     tell_holder(account, waiting);
     return {reserve_outcome::short_of_tokens, std::move(wanted)};
 }
 
+bool token_waiters::waits(const std::string& account) const {
+    const auto found = queues_.find(account);
+    return found != queues_.end() && !found->second.empty();
+}
+
 void token_waiters::tell_holder(const std::string& account, const queue& waiting) {
     tokens sum = 0;
     tokens first = 0;
--- a/src/roles/gateway/token_waiters.hpp
+++ b/src/roles/gateway/token_waiters.hpp
@@ -31,8 +31,12 @@
     };
 
     /// Reserves at once if nothing waits before and the tokens are there. Else the hook is called
-    /// later, unless the handle is destroyed before.
-    wait_result reserve(instant now, const std::string& account, tokens amount, answer_hook told);
+    /// later, unless the handle is destroyed before: the one given, or else a new one.
+    wait_result reserve(instant now, const std::string& account, tokens amount, answer_hook told,
+                        std::shared_ptr<handle> wanted = nullptr);
+
+    /// True if requests wait for tokens of an account.
+    bool waits(const std::string& account) const;
 
     /// The holder may have more tokens, or know of fewer: serves those that wait.
     void serve(instant now);
--- a/tests/decision/grants/grant_holder_test.cpp
+++ b/tests/decision/grants/grant_holder_test.cpp
@@ -172,6 +172,66 @@
     BOOST_TEST(here.reserved(account) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(tokens_given_away_are_the_receivers_and_gone_here) {
+    draw(here, 30'000);
+    BOOST_REQUIRE((here.reserve(start, account, 20'000) == reserve_outcome::reserved));
+    here.give(start, account, 20'000);
+    there.receive(account, 20'000);
+    BOOST_TEST(here.free(account) == 10'000 + policy.first_draw);
+    BOOST_TEST(here.reserved(account) == 0);
+    BOOST_TEST((there.reserve(start, account, 20'000) == reserve_outcome::reserved));
+    BOOST_TEST(here.left_at_most(account) == 80'000);
+}
+
+BOOST_AUTO_TEST_CASE(tokens_given_back_are_free_again) {
+    draw(here, 30'000);
+    here.reserve(start, account, 20'000);
+    here.give(start, account, 20'000);
+    there.receive(account, 20'000);
+    there.reserve(start, account, 20'000);
+    there.spend(start, account, 5000);
+    there.release(account, 15'000);
+    BOOST_TEST(there.take_free(account) == 15'000);
+    here.receive(account, 15'000);
+    BOOST_TEST(here.free(account) == 25'000 + policy.first_draw);
+    BOOST_TEST(there.free(account) == 0);
+    BOOST_TEST(here.left_at_most(account) == 95'000);
+}
+
+BOOST_AUTO_TEST_CASE(received_tokens_are_not_returned_to_the_ledger) {
+    there.receive(account, 20'000);
+    there.set_draining(true);
+    BOOST_TEST(there.compose(start).empty());
+    BOOST_TEST(there.all_returned());
+    BOOST_TEST(there.take_free(account) == 20'000);
+}
+
+BOOST_AUTO_TEST_CASE(tokens_moved_about_never_exceed_the_limit) {
+    draw(here, 100'000);
+    here.reserve(start, account, 60'000);
+    here.give(start, account, 60'000);
+    there.receive(account, 60'000);
+    there.reserve(start, account, 60'000);
+    there.spend(start, account, 60'000);
+    append(there, start + seconds(10));
+    append(here, start + seconds(10));
+    append(here, start + seconds(20));
+    BOOST_TEST(here.free(account) + here.available(account) <= 40'000);
+    there.set_waiting(account, 50'000, 50'000);
+    append(there, start + seconds(21));
+    append(here, start + seconds(21));
+    append(there, start + seconds(22));
+    BOOST_TEST(there.free(account) + here.free(account) + here.available(account) <= 40'000);
+}
+
+BOOST_AUTO_TEST_CASE(account_that_is_not_drawn_ahead_is_drawn_for_those_that_wait) {
+    here.draw_ahead_if([](const std::string&) { return false; });
+    BOOST_TEST(here.compose(start).empty());
+    here.set_waiting(account, 7000, 7000);
+    append(here, start);
+    BOOST_TEST(here.free(account) == 7000);
+}
+
 BOOST_AUTO_TEST_CASE(removed_key_frees_its_grant) {
     draw(here, 30'000);
     table.remove({account, "here"});
