--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -64,6 +64,8 @@
     /// A home answered. True if it was believed to be out of reach.
     bool answered(std::string_view host);
 
+    const std::string& own_host() const { return own_host_; }
+
     std::size_t size() const { return members_.size(); }
 
 private:
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -71,6 +71,8 @@
     std::uint16_t metrics_port = 0;
     http_address service;
     message_bus_settings bus;
+    /// Where other entries reach this one, if that isn't the bus's own endpoint.
+    std::string member_endpoint;
     /// The port at which a relay listens beside an engine's target; zero if there are none.
     std::uint16_t relay_port = 0;
     /// What this process may use, in processor cores. Larger entries are homes of more accounts.
--- a/spec/checks.sh
+++ b/spec/checks.sh
@@ -18,3 +18,5 @@
 check grants.pml fails -DINHERIT
 check grants.pml fails -DSPEND_RETURN
 check grants.pml fails -DSPEND_EARLY
+check grants.pml fails -DKEEP_GIVEN
+check grants.pml fails -DRETURN_GIVEN
--- a/spec/grants.pml
+++ b/spec/grants.pml
@@ -1,14 +1,18 @@
 /* No budget is overspent by hosts that draw grants from a keyed log with conditional appends, through
  * appends that are lost, done late or done although they seemed to fail, hosts that lose their process,
- * a predecessor that was only frozen and goes on, and a limit that is raised meanwhile.
+ * a predecessor that was only frozen and goes on, a limit that is raised meanwhile, and tokens that
+ * move between processes in messages that may be lost or come late to anyone.
  *
- * It stands for: grant_table, grant_holder (compose, resolved, reserve) and grant_ledger.
+ * It stands for: grant_table, grant_holder (compose, resolved, reserve, give, receive), grant_ledger
+ * and token_exchange.
  *
  * Variants that are broken on purpose, each of which must fail:
  *   NO_CONDITION   appends wherever the log ends
  *   INHERIT        a successor goes on with what its predecessor was granted
  *   SPEND_RETURN   spends tokens whose return is under way
  *   SPEND_EARLY    spends a draw before its record was read
+ *   KEEP_GIVEN     goes on to count what it gave away as its own
+ *   RETURN_GIVEN   gives back to the log what it has given to another process
  */
 #define HOSTS 2
 #define PROCESSES 3
@@ -23,6 +27,10 @@
 byte record_base[LONGEST_LOG];
 byte record_granted[LONGEST_LOG];
 
+/* Tokens on their way from one process to another, one a message. That a message is lost needs no step
+ * of its own: nothing that can go wrong differs from a receiver that never spends the token. */
+chan transfers = [1] of { byte };
+
 /* Appends under way: the end that they want, who wrote them, and what they say. */
 chan appends = [2] of { byte, byte, byte, byte };
 
@@ -61,6 +69,10 @@
     limit_in_force = RAISED_LIMIT
 }
 
+/* What a process has: of its own grants, while its record is the newest, and of others'. */
+#define IN_HAND (received + (newest[HOST_OF(me)] == me -> \
+                             granted[HOST_OF(me)] - base[HOST_OF(me)] : 0))
+
 proctype holder(byte me) {
     byte position;
     byte granted[HOSTS];
@@ -68,7 +80,9 @@
     byte newest[HOSTS];
     byte own_spent, returning, limit;
     byte open_at = NOBODY;
-    byte in_hand, next_base;
+    byte next_base;
+    /* Moved here by other processes, less what was moved to them. */
+    short received;
     newest[0] = NOBODY;
     newest[1] = NOBODY;
     limit = FIRST_LIMIT;
@@ -108,7 +122,12 @@
        }
     :: atomic {
         nfull(appends) && position < LONGEST_LOG && newest[HOST_OF(me)] == me &&
+        granted[HOST_OF(me)] > base[HOST_OF(me)] &&
+#ifdef RETURN_GIVEN
         granted[HOST_OF(me)] - base[HOST_OF(me)] > own_spent ->
+#else
+        IN_HAND > own_spent ->
+#endif
         appends ! position, me, base[HOST_OF(me)], granted[HOST_OF(me)] - 1;
         open_at = position;
 #ifndef SPEND_RETURN
@@ -116,10 +135,21 @@
 #endif
        }
 
+    /* Moves one token to another process. */
+    :: atomic {
+        nfull(transfers) && IN_HAND > own_spent + returning ->
+        transfers ! 1;
+#ifndef KEEP_GIVEN
+        received--
+#endif
+       }
+
+    /* Takes in a token that was moved, whoever it was meant for. */
+    :: atomic { received <= RAISED_LIMIT && nempty(transfers) -> transfers ? 1; received++ }
+
     /* Spends one token of what is in hand. */
     :: atomic {
-        newest[HOST_OF(me)] == me &&
-        granted[HOST_OF(me)] - base[HOST_OF(me)] > own_spent + returning ->
+        IN_HAND > own_spent + returning ->
         own_spent++;
         spent++;
         assert(spent <= limit_in_force)
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -143,7 +143,9 @@
 }
 
 void gateway::open_exchange() {
-    const ledger_member own{settings_.host, incarnation_, bus_->endpoint(), settings_.capacity};
+    const std::string& reached_at =
+        settings_.member_endpoint.empty() ? bus_->endpoint() : settings_.member_endpoint;
+    const ledger_member own{settings_.host, incarnation_, reached_at, settings_.capacity};
     members_ = std::make_unique<member_directory>(
         loop_, *log_, dialect_.member_log, own,
         member_directory_hooks{
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -39,6 +39,7 @@
     settings.admin = read_address(reader, "admin", problems);
     settings.service = read_address(reader, "service", problems);
     settings.bus.endpoint = reader.text("bus_endpoint");
+    settings.member_endpoint = reader.text_or("member_endpoint", "");
     settings.relay_port =
         static_cast<std::uint16_t>(reader.integer_or("relay_port", 0, 0, highest_port));
     settings.metrics_port =
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -78,7 +78,7 @@
     wish& present = wishes_.at(number);
     const auto home = homes_.home_of(monotonic_now(), present.account, present.tried);
     const bool asks = home && present.tried.size() < settings_.most_homes_asked &&
-                      home->endpoint != bus_.endpoint();
+                      home->host != homes_.own_host();
     if (asks) {
         ask(number, *home);
     } else {
@@ -296,7 +296,7 @@
     std::map<std::string, wire::Envelope> by_endpoint;
     for (const std::string& account : grants_.accounts_with_free()) {
         const auto home = homes_.home_of(now, account);
-        const bool elsewhere = home && home->endpoint != bus_.endpoint();
+        const bool elsewhere = home && home->host != homes_.own_host();
         const tokens free = elsewhere ? grants_.take_free(account) : 0;
         if (free <= 0) {
             continue;
