Drop targets whose address was taken over, and tell what is spent when others wait

The target listed last at an address now replaces the others at once.

A host whose account others wait for now tells what it spent; a crowd that comes and goes is told by its size only (100 appends to at most 3 in the test).

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -72,8 +72,9 @@
 public:
     target_pool(target_pool_settings settings, random_source& random);
 
-    /// Takes in a target's newest entry in the list.
-    void apply(const gateway_target& target);
+    /// Takes in a target's newest entry, at this position in the list. An address belongs to the
+    /// target that was listed there last; whatever was there before it is gone.
+    void apply(const gateway_target& target, std::uint64_t position = 0);
 
     /// The list no longer has this target: it left, crashed, or the list lost it.
     void remove(instant now, std::string_view id);
@@ -111,7 +112,11 @@
 private:
     struct target_state {
         gateway_target target;
+        /// Where its newest entry stands in the list.
+        std::uint64_t position = 0;
         bool listed = true;
+        /// True once another target was listed at its address: it can't be reached any more.
+        bool replaced = false;
         instant unlisted_since{};
         unsigned in_flight = 0;
         /// Tokens of prompts that were sent and whose answer has not begun.
@@ -127,6 +132,7 @@
 
     using states = std::map<std::string, target_state, std::less<>>;
 
+    void settle_address(target_state& changed);
     std::vector<target_state*> candidates(instant now, std::string_view service,
                                           std::span<const std::string> tried);
     double occupancy(const target_state& state, instant now) const;
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -25,10 +25,24 @@
 target_pool::target_pool(target_pool_settings settings, random_source& random)
     : settings_(std::move(settings)), random_(random) {}
 
-void target_pool::apply(const gateway_target& target) {
+void target_pool::apply(const gateway_target& target, std::uint64_t position) {
     target_state& state = targets_[target.id];
     state.target = target;
+    state.position = position;
     state.listed = true;
+    state.replaced = false;
+    settle_address(state);
+}
+
+/// Of those at one address all but the one that was listed last are gone.
+void target_pool::settle_address(target_state& changed) {
+    for (auto& [id, other] : targets_) {
+        if (other.target.address != changed.target.address) {
+            continue;
+        }
+        other.replaced = other.replaced || other.position < changed.position;
+        changed.replaced = changed.replaced || changed.position < other.position;
+    }
 }
 
 void target_pool::remove(instant now, std::string_view id) {
@@ -94,7 +108,7 @@
     std::vector<target_state*> unlisted;
     bool any_listed = false;
     for (auto& [id, state] : targets_) {
-        if (state.target.service != service || state.target.leaving) {
+        if (state.target.service != service || state.target.leaving || state.replaced) {
             continue;
         }
         any_listed = any_listed || state.listed;
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -20,6 +20,9 @@
 /// What a host keeps, in parts of the horizon, while another host waits for tokens.
 constexpr double kept_while_others_wait = 0.1;
 
+/// A host's wish that is this many times larger or smaller than the ledger says is told anew.
+constexpr tokens told_wanted_factor = 2;
+
 tokens part_of(tokens whole, double part) {
     return static_cast<tokens>(std::llround(static_cast<double>(whole) * part));
 }
@@ -188,7 +191,7 @@
     const tokens available = state.limit - table_.granted(account);
     const tokens held = std::max<tokens>(0, free(account, state));
     const double span_ahead = as_seconds(horizon());
-    const bool others_wait = table_.wanted_by_others(account, host_) > available;
+    const bool others_wait = others_wait_for(account);
     const double span = others_wait ? span_ahead * kept_while_others_wait : span_ahead;
     const auto by_demand = static_cast<tokens>(std::llround(state.demand_per_second * span));
     const tokens first = others_wait ? 0 : policy_.first_draw;
@@ -218,7 +221,7 @@
         const bool useless = state.waiting > held && !can_serve_first(account, state);
         return !draws || useless ? 0 : std::min(std::max<tokens>(missing, 0), available);
     }
-    const bool others_wait = table_.wanted_by_others(account, host_) > available;
+    const bool others_wait = others_wait_for(account);
     const double factor = others_wait ? 1.0 : surplus_factor;
     const tokens surplus =
         std::min(returnable(account, state), held - state.waiting - part_of(wanted, factor));
@@ -236,6 +239,22 @@
            (available(account) > 0 && held < part_of(wanted, draw_at));
 }
 
+/// True if other hosts wait for more than the ledger has left. They can tell a budget that is used
+/// up from one that is in other hands only by what those say they have spent.
+bool grant_holder::others_wait_for(const std::string& account) const {
+    return table_.wanted_by_others(account, host_) > available(account);
+}
+
+/// True if what this host wants differs enough from what the ledger says of it. Others need only
+/// its size, so that a crowd that comes and goes isn't worth an append each time.
+bool grant_holder::is_news(const grant& present, tokens wanted) const {
+    const tokens told = present.holder == incarnation_ ? present.wanted : 0;
+    if (wanted == 0 || told == 0) {
+        return wanted != told;
+    }
+    return wanted > told * told_wanted_factor || wanted * told_wanted_factor < told;
+}
+
 std::vector<grant_record> grant_holder::compose(instant now) {
     std::vector<grant_record> records;
     const bool draws = std::any_of(accounts_.begin(), accounts_.end(), [this](const auto& entry) {
@@ -248,8 +267,10 @@
         const grant present = table_.find(key_of(account));
         const tokens wanted =
             std::max<tokens>(0, state.waiting - std::max<tokens>(0, free(account, state) + change));
-        const tokens told = present.holder == incarnation_ ? present.wanted : 0;
-        if (change == 0 && wanted == told) {
+        const bool untold = present.holder == incarnation_ &&
+                            present.spent != present.base + spent_of_grants(state) &&
+                            others_wait_for(account);
+        if (change == 0 && !untold && !is_news(present, wanted)) {
             continue;
         }
         grant next = present;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -576,6 +576,7 @@
                 {"target", target_},
                 {"attempts", std::to_string(attempt_)},
                 {"tokens", std::to_string(charge_.spent())},
+                {"prompt", std::to_string(charge_.prompt_spent())},
                 {"took_ms", millis_text(took)}});
     const bool wanted =
         !served || request_trace::sampled(trace_.id(), context_.settings.log_served_percent);
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -301,7 +301,7 @@
     }
     const gateway_target* known = targets_.find(record.key);
     const bool news = known == nullptr || !(*known == read.value());
-    targets_.apply(read.value());
+    targets_.apply(read.value(), record.offset);
     if (news) {
         log_event(log_level::information, "target_listed",
                   {{"target", record.key},
--- a/src/roles/gateway/request_charge.hpp
+++ b/src/roles/gateway/request_charge.hpp
@@ -36,6 +36,9 @@
 
     tokens spent() const { return spent_; }
 
+    /// The part of what is spent that was the prompt.
+    tokens prompt_spent() const { return prompt_spent_ ? prompt_ : 0; }
+
 private:
     void spend(instant now, tokens amount);
 
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -54,6 +54,30 @@
     BOOST_TEST((chosen == std::set<std::string>{"p1", "p2"}));
 }
 
+BOOST_AUTO_TEST_CASE(target_whose_address_has_another_is_not_used) {
+    gateway_target old = target("old", "other", "d1");
+    gateway_target young = target("young", "other", "d1");
+    old.address = young.address = "127.0.0.1:7";
+    pool->apply(old, 3);
+    BOOST_TEST(pick({}, "other") == "old");
+    pool->apply(young, 9);
+    for (int turn = 0; turn < 20; ++turn) {
+        BOOST_TEST(pick({}, "other") == "young");
+    }
+    BOOST_TEST(pick({}, "other", {"young"}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(target_listed_last_is_used_in_whatever_order_the_list_comes) {
+    gateway_target old = target("old", "other", "d1");
+    gateway_target young = target("young", "other", "d1");
+    old.address = young.address = "127.0.0.1:7";
+    pool->apply(young, 9);
+    pool->apply(old, 3);
+    for (int turn = 0; turn < 20; ++turn) {
+        BOOST_TEST(pick({}, "other") == "young");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(busy_target_is_avoided) {
     for (int turn = 0; turn < 3; ++turn) {
         pool->sent("p1", none);
--- a/tests/decision/grants/grant_holder_test.cpp
+++ b/tests/decision/grants/grant_holder_test.cpp
@@ -224,6 +224,39 @@
     BOOST_TEST(there.free(account) + here.free(account) + here.available(account) <= 40'000);
 }
 
+BOOST_AUTO_TEST_CASE(what_others_spent_is_told_to_the_one_that_waits) {
+    draw(there, 60'000);
+    const tokens drawn_there = there.free(account);
+    there.reserve(start, account, drawn_there);
+    there.spend(start, account, drawn_there);
+    draw(here, 39'000);
+    const tokens drawn_here = here.free(account);
+    here.reserve(start, account, drawn_here);
+    here.spend(start, account, drawn_here);
+    // The ledger still says that the other host has spent nothing of what it drew.
+    here.set_waiting(account, 5000, 5000);
+    BOOST_TEST((here.reserve(start, account, 5000) == reserve_outcome::short_of_tokens));
+    append(here, start);
+    append(there, start);
+    BOOST_TEST((here.reserve(start, account, 5000) == reserve_outcome::exhausted));
+}
+
+BOOST_AUTO_TEST_CASE(changing_crowd_that_waits_in_vain_makes_few_appends) {
+    draw(here, 100'000);
+    here.reserve(start, account, here.free(account));
+    std::size_t appends = 0;
+    for (int step = 0; step < 100; ++step) {
+        here.set_waiting(account, 20'000 + step * 100, 20'000);
+        const auto records = here.compose(start + step * milliseconds(10));
+        for (const grant_record& record : records) {
+            table.apply(record);
+        }
+        here.resolved();
+        appends += records.empty() ? 0 : 1;
+    }
+    BOOST_TEST(appends <= 3U);
+}
+
 BOOST_AUTO_TEST_CASE(account_that_is_not_drawn_ahead_is_drawn_for_those_that_wait) {
     here.draw_ahead_if([](const std::string&) { return false; });
     BOOST_TEST(here.compose(start).empty());
