--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "roles/gateway/target_request.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -24,18 +26,9 @@
 constexpr microseconds until_tokens = milliseconds(500);
 constexpr microseconds until_targets = milliseconds(200);
 
-/// How often a request is offered to targets that can't be connected to.
-constexpr unsigned most_unsent = 4;
-
-/// The longest rest of a connection that a request which may not be repeated goes over.
-constexpr microseconds single_run_rest = seconds(2);
-
 /// Events that may be on their way when an answer ends unseen, beside what its silence allows.
 constexpr tokens unseen_events = 8;
 
-/// How often a request is offered to another target after one that certainly didn't run it.
-constexpr unsigned most_refusals = 2;
-
 /// How long a target has to end a run that was called off, before the worst is assumed.
 constexpr microseconds longest_call_off = milliseconds(250);
 
@@ -207,9 +200,10 @@
 
 void forwarded_request::dispatch() {
     const gateway_target* target =
-        context_.targets.pick(monotonic_now(), admitted_.service, request_.prompt, tried_);
+        context_.targets.pick(monotonic_now(), admitted_.service, request_.prompt,
+                              history_.tried());
     if (target == nullptr) {
-        if (may_have_run_) {
+        if (history_.may_have_run()) {
             fail(status_bad_gateway, "no_target_left");
         } else {
             refuse(status_unavailable, "no_target", until_targets);
@@ -222,56 +216,33 @@
 void forwarded_request::send_to(const gateway_target& target) {
     const instant now = monotonic_now();
     target_ = target.id;
-    tried_.push_back(target.id);
-    attempt_ += 1;
+    history_.begin(target.id);
     answer_ = message_head{};
     answer_body_.clear();
     answer_refused_ = false;
     streaming_ = false;
     sent_at_ = now;
-    if (attempt_ == 1) {
+    if (history_.number() == 1) {
         context_.retries_of(admitted_.service).first_try();
     }
     unread_prompt_ = context_.targets.sent(target_, request_.prompt);
     trace_.add(now, "request_sent",
                {{"target", target_},
-                {"attempt", std::to_string(attempt_)},
+                {"attempt", std::to_string(history_.number())},
                 {"load", context_.targets.describe(now, target_)},
                 {"unread_prompt", std::to_string(unread_prompt_)},
                 {"left_ms", millis_text(time_left())}});
-    call_ = context_.pool_of(target).send(request_for(target), hooks_for(attempt_));
-}
-
-upstream_request forwarded_request::request_for(const gateway_target& target) const {
-    const gateway_dialect& dialect = context_.dialect;
-    upstream_request request;
-    request.method = exchange_->head().method;
-    request.target = exchange_->head().target;
-    request.headers = passed_headers(exchange_->head(), dialect);
-    request.headers.push_back({dialect.deadline_ms, millis_text(time_left())});
-    request.headers.push_back({dialect.expected_target, target.id});
-    if (!admitted_.account.empty()) {
-        request.headers.push_back({dialect.account, admitted_.account});
-    }
-    if (admitted_.engine) {
-        request.headers.push_back({dialect.urgency, std::to_string(admitted_.urgency)});
-    }
-    const std::string& last = events_.last_id().empty() ? request_.last_event : events_.last_id();
-    if (!last.empty()) {
-        request.headers.push_back({dialect.last_event, last});
-    }
-    request.body = exchange_->body();
-    if (!may_repeat(admitted_.route.kind)) {
-        request.longest_rest = single_run_rest;
-    }
-    return request;
+    const upstream_request sent =
+        request_to_target(*exchange_, context_.dialect, request_, admitted_, target,
+                          events_.last_id(), time_left());
+    call_ = context_.pool_of(target).send(sent, hooks_for(history_.number()));
 }
 
 upstream_hooks forwarded_request::hooks_for(unsigned attempt) {
     const auto self = weak_from_this();
     const auto when_current = [self, attempt](auto action) {
         const auto alive = self.lock();
-        if (alive && !alive->ended_ && alive->attempt_ == attempt) {
+        if (alive && !alive->ended_ && alive->history_.number() == attempt) {
             action(*alive);
         }
     };
@@ -309,7 +280,7 @@
     if (answer_refused_) {
         return;
     }
-    may_have_run_ = true;
+    history_.note_may_have_run();
     charge_.prompt_read(now);
     streaming_ = is_stream(admitted_.route.kind) && head.status == status_ok;
 }
@@ -375,7 +346,7 @@
 
 void forwarded_request::answer_complete() {
     const bool failure = answer_.status >= first_server_error;
-    if (failure && try_again(fate::may_have_run)) {
+    if (failure && try_again()) {
         return;
     }
     if (promises_not_run(answer_.status)) {
@@ -386,11 +357,11 @@
 }
 
 void forwarded_request::answer_refused() {
-    refusals_ += 1;
-    if (try_again(fate::not_run)) {
+    history_.note_refused();
+    if (try_again()) {
         return;
     }
-    if (may_have_run_) {
+    if (history_.may_have_run()) {
         fail(status_bad_gateway, "refused_after_a_run");
         return;
     }
@@ -424,24 +395,24 @@
     }
     trace_.add(monotonic_now(), "attempt_failed",
                {{"target", target_},
-                {"attempt", std::to_string(attempt_)},
+                {"attempt", std::to_string(history_.number())},
                 {"failure", std::string(name_of(failure))},
                 {"after_ms", millis_text(monotonic_now() - sent_at_)}});
     context_.targets.failed(monotonic_now(), target_);
     if (failure == upstream_failure::not_sent) {
-        unsent_ += 1;
-        if (unsent_ < most_unsent && time_left() > microseconds(0)) {
+        history_.note_unsent();
+        if (history_.may_offer_again() && time_left() > microseconds(0)) {
             dispatch();
             return;
         }
-        if (may_have_run_) {
+        if (history_.may_have_run()) {
             fail(status_bad_gateway, "target_lost");
             return;
         }
         refuse(status_unavailable, "targets_unreachable", until_targets);
         return;
     }
-    may_have_run_ = true;
+    history_.note_may_have_run();
     attempt_broken();
 }
 
@@ -449,23 +420,20 @@
 void forwarded_request::attempt_broken() {
     events_.drop_rest();
     assume_unseen();
-    if (try_again(fate::may_have_run)) {
+    if (try_again()) {
         return;
     }
     fail(status_bad_gateway, "target_lost");
 }
 
-bool forwarded_request::may_try_again(fate outcome) const {
-    const bool ran = outcome == fate::may_have_run || may_have_run_;
-    const unsigned runs = attempt_ - unsent_ - refusals_;
+/// Sends the request to another target, if the answer can go on from there and the retries allow
+/// it.
+bool forwarded_request::try_again() {
     const bool can_go_on = !to_caller_.begun() || !events_.last_id().empty();
-    return (!ran || may_repeat(admitted_.route.kind)) && can_go_on &&
-           runs < admitted_.route.most_attempts && refusals_ <= most_refusals &&
-           time_left() > microseconds(0);
-}
-
-bool forwarded_request::try_again(fate outcome) {
-    if (!may_try_again(outcome) || !context_.retries_of(admitted_.service).take_retry()) {
+    const bool may_try =
+        can_go_on && time_left() > microseconds(0) &&
+        history_.may_send_again(admitted_.route.kind, admitted_.route.most_attempts);
+    if (!may_try || !context_.retries_of(admitted_.service).take_retry()) {
         return false;
     }
     context_.counters.counter("gateway_retries_total") += 1;
@@ -481,11 +449,11 @@
     if (call_) {
         end_attempt();
     }
-    if (!sent && !may_have_run_) {
+    if (!sent && !history_.may_have_run()) {
         refuse(status_unavailable, "deadline_before_sending", until_targets);
         return;
     }
-    may_have_run_ = true;
+    history_.note_may_have_run();
     if (sent) {
         assume_unseen();
     }
@@ -574,7 +542,7 @@
                 {"configuration", std::to_string(context_.configuration.current().version)},
                 {"account", admitted_.account},
                 {"target", target_},
-                {"attempts", std::to_string(attempt_)},
+                {"attempts", std::to_string(history_.number())},
                 {"tokens", std::to_string(charge_.spent())},
                 {"prompt", std::to_string(charge_.prompt_spent())},
                 {"took_ms", millis_text(took)}});
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -2,7 +2,6 @@
 
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "roles/gateway/caller_answer.hpp"
 #include "roles/gateway/event_splitter.hpp"
@@ -11,6 +10,7 @@
 #include "roles/gateway/request_charge.hpp"
 #include "roles/gateway/request_trace.hpp"
 #include "wrenswitch/decision/gateway/admission.hpp"
+#include "wrenswitch/decision/gateway/attempt_history.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 
@@ -27,14 +27,6 @@
     void start();
 
 private:
-    /// How the attempt under way ended, as far as the request's fate goes.
-    enum class fate {
-        /// It certainly didn't run.
-        not_run,
-        /// It ran, or may have.
-        may_have_run,
-    };
-
     bool read_request();
     bool admit_request();
     tokens tokens_per_event() const;
@@ -46,7 +38,6 @@
 
     void dispatch();
     void send_to(const gateway_target& target);
-    upstream_request request_for(const gateway_target& target) const;
     upstream_hooks hooks_for(unsigned attempt);
 
     void on_head(const message_head& head);
@@ -59,8 +50,7 @@
     void end_stream();
     void answer_refused();
     void answer_complete();
-    bool may_try_again(fate outcome) const;
-    bool try_again(fate outcome);
+    bool try_again();
     void attempt_broken();
 
     void deadline_passed();
@@ -89,11 +79,7 @@
 
     /// The target of the attempt under way, or empty.
     std::string target_;
-    std::vector<std::string> tried_;
-    /// Sends that failed before a byte left, and those that a target certainly didn't run.
-    unsigned unsent_ = 0;
-    unsigned refusals_ = 0;
-    unsigned attempt_ = 0;
+    attempt_history history_;
     std::unique_ptr<upstream_call> call_;
     tokens unread_prompt_ = 0;
     instant sent_at_{};
@@ -104,8 +90,6 @@
     bool answer_refused_ = false;
     /// True once the answer is passed on as it comes.
     bool streaming_ = false;
-    /// True if some attempt may have run.
-    bool may_have_run_ = false;
     event_splitter events_;
     /// True once the caller has gone and only what was handed out is still learnt.
     bool called_off_ = false;
