Harm the bus and the ways in the soak: delays, resets, one-way cuts, budgets raised, kept connections

The proxy between gateways and the store could only fall silent, and nothing stood between gateways.

--- a/tests/platform/gateway_live_test.cpp
+++ b/tests/platform/gateway_live_test.cpp
@@ -6,8 +6,8 @@
 #include "platform/worker_standin.hpp"
 #include "support/child_process.hpp"
 #include "support/loop_runner.hpp"
+#include "support/loopback_proxy.hpp"
 #include "support/raw_socket.hpp"
-#include "support/silenceable_way.hpp"
 #include "wrenswitch/core/tokens.hpp"
 
 namespace {
@@ -364,7 +364,7 @@
 BOOST_AUTO_TEST_CASE(gateway_whose_way_to_the_store_breaks_works_through_a_relay) {
     start_relay();
     // The way is a forwarder that can be silenced: what a cut between the gateway and the store is.
-    silenceable_way way(loop, store.port());
+    loopback_proxy way(loop, store.port());
     service_address = "127.0.0.1:" + std::to_string(way.port());
     start_gateway();
     BOOST_TEST(status_in(answer_to(request("/stream/1", usage))) == 200U);
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -14,8 +14,8 @@
     return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
 }
 
-std::string configuration() {
-    return R"({"version":1,"routes":[
+std::string configuration(std::uint64_t version, tokens prepaid) {
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[
      {"name":"stream","host":"h.test","pathPrefix":"/stream/","kind":"streaming","timeoutMs":2000,
       "service":"llm","maxAttempts":1},
      {"name":"once","host":"h.test","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":1000,
@@ -26,7 +26,22 @@
       {"name":"app","healthPath":"/health","maxConns":120}],
      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,"idleTimeoutMs":10000},
      "tenants":[{"name":"tenant","apiKeys":["key-1"],"prepaid":)" +
-           std::to_string(soak_fleet::prepaid) + "}]}";
+           std::to_string(prepaid) + "}]}";
+}
+
+/// True if an answer has come whole, by its own length.
+bool is_whole(const std::string& answer) {
+    const std::size_t body = answer.find("\r\n\r\n");
+    if (body == std::string::npos) {
+        return false;
+    }
+    const std::string length_name = "Content-Length: ";
+    const std::size_t length = answer.find(length_name);
+    if (length == std::string::npos || length > body) {
+        return answer.ends_with("0\r\n\r\n");
+    }
+    const std::size_t wanted = std::stoul(answer.substr(length + length_name.size()));
+    return answer.size() >= body + 4 + wanted;
 }
 
 }  // namespace
@@ -40,7 +55,7 @@
         };
         store_.put("keyed.servers", id, worker.list_entry(std::string(id).substr(0, 3)));
     }
-    store_.put("keyed.op", "config", configuration());
+    configure();
     relay_bus_ = raw_socket::listen().port();
     start_relay();
     gateways_.resize(gateway_count);
@@ -48,7 +63,8 @@
         gateways_[index].listen = raw_socket::listen().port();
         gateways_[index].admin = raw_socket::listen().port();
         gateways_[index].bus = raw_socket::listen().port();
-        gateways_[index].way = std::make_unique<silenceable_way>(loop, store_.port());
+        gateways_[index].way = std::make_unique<loopback_proxy>(loop, store_.port());
+        gateways_[index].bus_way = std::make_unique<loopback_proxy>(loop, gateways_[index].bus);
         start_gateway(index);
     }
     run_for(milliseconds(500));
@@ -88,12 +104,18 @@
                         << R"(","admin":"127.0.0.1:)" << gateway.admin
                         << R"(","service":"127.0.0.1:)" << gateway.way->port()
                         << R"(","bus_endpoint":"tcp://127.0.0.1:)" << gateway.bus
+                        << R"(","member_endpoint":"tcp://127.0.0.1:)" << gateway.bus_way->port()
                         << R"(","relay_port":)" << relay_bus_
                         << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300})";
     gateway.process = std::make_unique<test::child_process>(
         std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", path},
         path + ".log");
     gateway.paused = false;
+    gateway.kept.clear();
+}
+
+void soak_fleet::configure() {
+    store_.put("keyed.op", "config", configuration(++version_, prepaid_));
 }
 
 void soak_fleet::serve(worker_standin& worker, const ingress_exchange_pointer& exchange) {
@@ -131,10 +153,23 @@
                              : shape == request_shape::single_run ? "/once/x"
                                                                   : "/again/x";
     const std::string usage = shape == request_shape::stream ? "Token-Usage: 100,30\r\n" : "";
-    const gateway_process& gateway = gateways_[random_.below(gateway_count)];
-    client made{raw_socket::connect(gateway.listen), id, shape, monotonic_now() + longest_request};
+    const std::size_t index = random_.below(gateway_count);
+    gateway_process& gateway = gateways_[index];
+    const bool keeps = random_.below(2) == 0;
+    client made{raw_socket(), index, keeps, id, shape, monotonic_now() + longest_request};
+    while (keeps && !made.socket.open() && !gateway.kept.empty()) {
+        made.socket = std::move(gateway.kept.back());
+        gateway.kept.pop_back();
+        if (made.socket.ended()) {
+            made.socket.close();
+        }
+    }
+    if (!made.socket.open()) {
+        made.socket = raw_socket::connect(gateway.listen);
+    }
     made.socket.send("POST " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: " + id +
-                     "\r\nCredential: key-1\r\nDeadline-Ms: 2000\r\nConnection: close\r\n" + usage +
+                     "\r\nCredential: key-1\r\nDeadline-Ms: 2000\r\n" +
+                     (keeps ? "" : "Connection: close\r\n") + usage +
                      "Content-Length: 2\r\n\r\nhi");
     shapes_[id] = shape;
     clients_.push_back(std::move(made));
@@ -146,6 +181,9 @@
     for (client& each : clients_) {
         if (each.socket.ended() || now > each.until) {
             judge(each, each.socket.received());
+        } else if (each.keeps && is_whole(each.socket.received())) {
+            judge(each, each.socket.received());
+            keep(each);
         } else {
             open.push_back(std::move(each));
         }
@@ -153,6 +191,14 @@
     clients_ = std::move(open);
 }
 
+void soak_fleet::keep(client& done) {
+    if (done.socket.received().find("Connection: close") != std::string::npos) {
+        return;
+    }
+    done.socket.forget_received();
+    gateways_[done.gateway].kept.push_back(std::move(done.socket));
+}
+
 void soak_fleet::judge(const client& ended, const std::string& answer) {
     const bool ok = answer.starts_with("HTTP/1.1 200");
     if (answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429")) {
@@ -188,7 +234,7 @@
     gateway_process& gateway = gateways_[random_.below(gateway_count)];
     const std::size_t index = static_cast<std::size_t>(&gateway - gateways_.data());
     const std::string name = " gateway " + std::to_string(index);
-    switch (random_.below(9)) {
+    switch (random_.below(11)) {
         case 0:
             faults_.push_back("kill" + name);
             gateway.process->signal(SIGKILL);
@@ -203,8 +249,7 @@
             gateway.paused = true;
             break;
         case 3:
-            faults_.push_back("silence the way of" + name);
-            gateway.way->silent = true;
+            harm(*gateway.way, "the way of" + name);
             break;
         case 4:
             faults_.push_back("busy store");
@@ -222,6 +267,14 @@
             faults_.push_back("workers cut answers");
             cut_share_ = 0.3;
             break;
+        case 8:
+            harm(*gateway.bus_way, "the bus of" + name);
+            break;
+        case 9:
+            faults_.push_back("raise the budget");
+            prepaid_ += top_up;
+            configure();
+            break;
         default:
             faults_.push_back("hang up" + name);
             gateway.process->signal(SIGHUP);
@@ -229,12 +282,34 @@
     }
 }
 
+void soak_fleet::harm(loopback_proxy& way, const std::string& name) {
+    switch (random_.below(4)) {
+        case 0:
+            faults_.push_back("silence " + name);
+            way.silent = true;
+            break;
+        case 1:
+            faults_.push_back("lose answers on " + name);
+            way.answers_lost = true;
+            break;
+        case 2:
+            faults_.push_back("delay " + name);
+            way.delay = milliseconds(20 + static_cast<std::int64_t>(random_.below(200)));
+            break;
+        default:
+            faults_.push_back("reset " + name);
+            way.reset_connections();
+            break;
+    }
+}
+
 void soak_fleet::end_faults() {
     store_.busy = false;
     store_.lose_append_answers = false;
     cut_share_ = 0.0;
     for (gateway_process& gateway : gateways_) {
-        gateway.way->silent = false;
+        gateway.way->heal();
+        gateway.bus_way->heal();
         if (std::exchange(gateway.paused, false)) {
             gateway.process->signal(SIGCONT);
         }
@@ -299,9 +374,9 @@
 
 std::vector<std::string> soak_fleet::broken() const {
     std::vector<std::string> all = broken_;
-    if (handed_out_ > prepaid) {
+    if (handed_out_ > prepaid_) {
         all.push_back("overspent: " + std::to_string(handed_out_) + " of " +
-                      std::to_string(prepaid));
+                      std::to_string(prepaid_));
     }
     for (const auto& [id, runs] : runs_) {
         const auto shape = shapes_.find(id);
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -9,8 +9,8 @@
 #include "platform/worker_standin.hpp"
 #include "support/child_process.hpp"
 #include "support/loop_runner.hpp"
+#include "support/loopback_proxy.hpp"
 #include "support/raw_socket.hpp"
-#include "support/silenceable_way.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/tokens.hpp"
 
@@ -22,7 +22,9 @@
 public:
     static constexpr std::size_t gateway_count = 3;
     /// Less than is asked for, so that the budget runs out while faults come.
-    static constexpr tokens prepaid = 12'000;
+    static constexpr tokens first_prepaid = 12'000;
+    /// What the operator adds to the budget at a time.
+    static constexpr tokens top_up = 2000;
     static constexpr tokens prompt = 100;
     static constexpr tokens most_output = 30;
 
@@ -47,6 +49,10 @@
 
     struct client {
         raw_socket socket;
+        /// The gateway that it is connected to.
+        std::size_t gateway = 0;
+        /// True if the connection is used again after the answer.
+        bool keeps = false;
         std::string id;
         request_shape shape = request_shape::stream;
         instant until{};
@@ -56,7 +62,11 @@
         std::uint16_t listen = 0;
         std::uint16_t admin = 0;
         std::uint16_t bus = 0;
-        std::unique_ptr<silenceable_way> way;
+        /// Between the gateway and the store, and between other entries and the gateway.
+        std::unique_ptr<loopback_proxy> way;
+        std::unique_ptr<loopback_proxy> bus_way;
+        /// Connections of clients that keep them open until the process is gone.
+        std::vector<raw_socket> kept;
         std::unique_ptr<wrenswitch::test::child_process> process;
         bool paused = false;
     };
@@ -66,7 +76,10 @@
     void serve(worker_standin& worker, const ingress_exchange_pointer& exchange);
     void send_request();
     void collect();
+    void keep(client& done);
     void judge(const client& ended, const std::string& answer);
+    void configure();
+    void harm(loopback_proxy& way, const std::string& name);
     void inject_fault();
     void end_faults();
     std::string settings_path(const std::string& name) const;
@@ -83,6 +96,8 @@
     std::map<std::string, request_shape> shapes_;
     std::map<std::string, bool> refused_;
     tokens handed_out_ = 0;
+    tokens prepaid_ = first_prepaid;
+    std::uint64_t version_ = 0;
     double cut_share_ = 0.0;
     std::size_t sent_ = 0;
     std::size_t served_ = 0;
--- /dev/null
+++ b/tests/support/loopback_proxy.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/raw_socket.hpp"
+#include "wrenswitch/core/time.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+
+namespace wrenswitch::testing {
+
+/// Passes connections on to a port of this machine, with the faults that a network has.
+class loopback_proxy {
+public:
+    loopback_proxy(event_loop& loop, std::uint16_t target) : target_(target) {
+        ticker_ = loop.call_every(milliseconds(1), [this] { pump(); });
+    }
+
+    std::uint16_t port() const { return listener_.port(); }
+
+    /// Nothing passes; connections are taken and stay open.
+    bool silent = false;
+    /// What the target sends doesn't arrive, while it hears everything.
+    bool answers_lost = false;
+    /// How long everything is on its way.
+    microseconds delay{};
+
+    /// Resets all connections that are open.
+    void reset_connections() {
+        for (connection& each : connections_) {
+            each.near.reset();
+            each.far.reset();
+        }
+        connections_.clear();
+    }
+
+    void heal() {
+        silent = false;
+        answers_lost = false;
+        delay = microseconds(0);
+    }
+
+private:
+    struct chunk {
+        instant due{};
+        std::string bytes;
+    };
+
+    struct connection {
+        raw_socket near;
+        raw_socket far;
+        std::deque<chunk> to_far;
+        std::deque<chunk> to_near;
+    };
+
+    void pump() {
+        for (raw_socket near = listener_.accept(); near.open(); near = listener_.accept()) {
+            connections_.push_back({std::move(near), raw_socket::connect(target_), {}, {}});
+        }
+        if (silent) {
+            return;
+        }
+        for (connection& each : connections_) {
+            pass(each.near, each.far, each.to_far);
+            if (!answers_lost) {
+                pass(each.far, each.near, each.to_near);
+            }
+        }
+        std::erase_if(connections_, [](connection& each) {
+            return (each.near.ended() && each.to_far.empty()) ||
+                   (each.far.ended() && each.to_near.empty());
+        });
+    }
+
+    void pass(raw_socket& from, const raw_socket& to, std::deque<chunk>& waiting) const {
+        const instant now = monotonic_now();
+        const std::string bytes = from.received();
+        from.forget_received();
+        if (!bytes.empty()) {
+            waiting.push_back({now + delay, bytes});
+        }
+        while (!waiting.empty() && waiting.front().due <= now) {
+            to.send(waiting.front().bytes);
+            waiting.pop_front();
+        }
+    }
+
+    std::uint16_t target_;
+    raw_socket listener_ = raw_socket::listen();
+    std::vector<connection> connections_;
+    std::unique_ptr<timer> ticker_;
+};
+
+}  // namespace wrenswitch::testing
