Tell others that a lost process's grant is gone, when they wait for it

A process whose host's record holds more than is spent now writes that all of it is, once others wait. Test: successor_tells_the_one_that_waits_that_its_predecessors_grant_is_gone, failed first.

--- a/include/wrenswitch/decision/grants/grant_holder.hpp
+++ b/include/wrenswitch/decision/grants/grant_holder.hpp
@@ -149,6 +149,8 @@
     tokens returnable(const std::string& account, const account_state& state) const;
     static tokens spent_of_grants(const account_state& state);
     void note_demand(instant now, account_state& state, tokens amount) const;
+    grant next_grant(const std::string& account, const account_state& state, const grant& present,
+                     tokens change) const;
     bool others_wait_for(const std::string& account) const;
     bool is_news(const grant& present, tokens wanted) const;
     microseconds horizon() const;
--- a/src/decision/grants/grant_holder.cpp
+++ b/src/decision/grants/grant_holder.cpp
@@ -255,6 +255,19 @@
     return wanted > told * told_wanted_factor || wanted * told_wanted_factor < told;
 }
 
+/// This host's record after a change of what it is granted.
+grant grant_holder::next_grant(const std::string& account, const account_state& state,
+                               const grant& present, tokens change) const {
+    const tokens in_hand = std::max<tokens>(0, free(account, state) + change);
+    grant next = present;
+    next.base = present.holder == incarnation_ ? present.base : present.granted;
+    next.holder = incarnation_;
+    next.granted = present.granted + change;
+    next.spent = next.base + spent_of_grants(state);
+    next.wanted = std::max<tokens>(0, state.waiting - in_hand);
+    return next;
+}
+
 std::vector<grant_record> grant_holder::compose(instant now) {
     std::vector<grant_record> records;
     const bool draws = std::any_of(accounts_.begin(), accounts_.end(), [this](const auto& entry) {
@@ -265,20 +278,11 @@
         const tokens change = change_for(now, account, state, draws);
         state.returning = std::max(state.returning, -change);
         const grant present = table_.find(key_of(account));
-        const tokens wanted =
-            std::max<tokens>(0, state.waiting - std::max<tokens>(0, free(account, state) + change));
-        const bool untold = present.holder == incarnation_ &&
-                            present.spent != present.base + spent_of_grants(state) &&
-                            others_wait_for(account);
-        if (change == 0 && !untold && !is_news(present, wanted)) {
+        const grant next = next_grant(account, state, present, change);
+        const bool untold = next.spent != present.spent && others_wait_for(account);
+        if (change == 0 && !untold && !is_news(present, next.wanted)) {
             continue;
         }
-        grant next = present;
-        next.base = present.holder == incarnation_ ? present.base : present.granted;
-        next.holder = incarnation_;
-        next.granted = present.granted + change;
-        next.spent = next.base + spent_of_grants(state);
-        next.wanted = wanted;
         records.push_back({key_of(account), next});
     }
     return records;
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -187,7 +187,7 @@
 void token_exchange::on_ask(const message_origin& origin, const wire::Envelope& message) {
     const wire::TokenAsk& body = message.token_ask();
     const std::uint64_t ask = body.ask();
-    const std::string account = body.account();
+    const std::string& account = body.account();
     const tokens amount = body.amount();
     if (amount <= 0 || !hooks_.can_help()) {
         bus_.answer(origin, make_answer(ask, account, 0, wire::TOKENS_UNAVAILABLE));
--- a/tests/decision/grants/grant_holder_test.cpp
+++ b/tests/decision/grants/grant_holder_test.cpp
@@ -241,6 +241,22 @@
     BOOST_TEST((here.reserve(start, account, 5000) == reserve_outcome::exhausted));
 }
 
+BOOST_AUTO_TEST_CASE(successor_tells_the_one_that_waits_that_its_predecessors_grant_is_gone) {
+    draw(there, 60'000);
+    draw(here, 39'000);
+    const tokens drawn_here = here.free(account);
+    here.reserve(start, account, drawn_here);
+    here.spend(start, account, drawn_here);
+    here.set_waiting(account, 5000, 5000);
+    append(here, start);
+    // The other host's process is lost with all that it had, and a new one starts there.
+    grant_holder successor("there", incarnation_id{3}, policy, table);
+    successor.set_limit(account, 100'000);
+    successor.draw_ahead_if([](const std::string&) { return false; });
+    append(successor, start);
+    BOOST_TEST((here.reserve(start, account, 5000) == reserve_outcome::exhausted));
+}
+
 BOOST_AUTO_TEST_CASE(changing_crowd_that_waits_in_vain_makes_few_appends) {
     draw(here, 100'000);
     here.reserve(start, account, here.free(account));
