--- a/include/wrenswitch/decision/gateway/attempt_history.hpp
+++ b/include/wrenswitch/decision/gateway/attempt_history.hpp
@@ -8,8 +8,8 @@
 
 namespace wrenswitch {
 
-/// The attempts of one request at targets, and whether another may follow. It knows what may be told
-/// to the caller: that the request did not run, or that it may have.
+/// The attempts of one request at targets, and whether another may follow. It knows what may be
+/// told to the caller: that the request did not run, or that it may have.
 class attempt_history {
 public:
     /// An attempt is made at a target.
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -199,9 +199,8 @@
 }
 
 void forwarded_request::dispatch() {
-    const gateway_target* target =
-        context_.targets.pick(monotonic_now(), admitted_.service, request_.prompt,
-                              history_.tried());
+    const gateway_target* target = context_.targets.pick(monotonic_now(), admitted_.service,
+                                                         request_.prompt, history_.tried());
     if (target == nullptr) {
         if (history_.may_have_run()) {
             fail(status_bad_gateway, "no_target_left");
@@ -232,9 +231,8 @@
                 {"load", context_.targets.describe(now, target_)},
                 {"unread_prompt", std::to_string(unread_prompt_)},
                 {"left_ms", millis_text(time_left())}});
-    const upstream_request sent =
-        request_to_target(*exchange_, context_.dialect, request_, admitted_, target,
-                          events_.last_id(), time_left());
+    const upstream_request sent = request_to_target(
+        *exchange_, context_.dialect, request_, admitted_, target, events_.last_id(), time_left());
     call_ = context_.pool_of(target).send(sent, hooks_for(history_.number()));
 }
 
