--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -22,9 +22,9 @@
 public:
     static constexpr std::size_t gateway_count = 3;
     /// Less than is asked for, so that the budget runs out while faults come.
-    static constexpr tokens first_prepaid = 12'000;
+    static constexpr tokens first_prepaid = 3000;
     /// What the operator adds to the budget at a time.
-    static constexpr tokens top_up = 2000;
+    static constexpr tokens top_up = 300;
     static constexpr tokens prompt = 100;
     static constexpr tokens most_output = 30;
 
