--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -66,8 +66,6 @@
 
     const std::string& own_host() const { return own_host_; }
 
-    std::size_t size() const { return members_.size(); }
-
 private:
     struct rest {
         instant until{};
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -69,13 +69,13 @@
     }
     auto wanted = std::make_shared<handle>();
     const auto number = random_.next_id<incarnation_id>();
-    wishes_[raw(number)] = {account, amount, std::move(told), wanted, {}, {}, 0, false};
+    pending_[raw(number)] = {account, amount, std::move(told), wanted, {}, {}, 0, false};
     ask_next(raw(number));
     return {reserve_outcome::short_of_tokens, std::move(wanted)};
 }
 
 void token_exchange::ask_next(std::uint64_t number) {
-    wish& present = wishes_.at(number);
+    pending_reservation& present = pending_.at(number);
     const auto home = homes_.home_of(monotonic_now(), present.account, present.tried);
     const bool asks = home && present.tried.size() < settings_.most_homes_asked &&
                       home->host != homes_.own_host();
@@ -87,7 +87,7 @@
 }
 
 void token_exchange::ask(std::uint64_t number, const ledger_member& home) {
-    wish& present = wishes_.at(number);
+    pending_reservation& present = pending_.at(number);
     present.asked = home.host;
     present.tried.push_back(home.host);
     counters_.counter("token_asks_total") += 1;
@@ -101,20 +101,20 @@
 }
 
 void token_exchange::watch_silence(std::uint64_t number, microseconds longest) {
-    const unsigned step = ++wishes_.at(number).step;
+    const unsigned step = ++pending_.at(number).step;
     loop_.call_after(longest, [this, number, step, alive = alive_] {
         if (!*alive) {
             return;
         }
-        const auto found = wishes_.find(number);
-        if (found != wishes_.end() && found->second.step == step) {
+        const auto found = pending_.find(number);
+        if (found != pending_.end() && found->second.step == step) {
             home_is_silent(number);
         }
     });
 }
 
 void token_exchange::home_is_silent(std::uint64_t number) {
-    const std::string& home = wishes_.at(number).asked;
+    const std::string& home = pending_.at(number).asked;
     counters_.counter("token_homes_silent_total") += 1;
     if (homes_.failed(monotonic_now(), home)) {
         log_event(log_level::warning, "token_home_lost", {{"home", home}});
@@ -123,8 +123,8 @@
 }
 
 void token_exchange::ask_next_if_wanted(std::uint64_t number) {
-    if (wishes_.at(number).wanted.expired()) {
-        wishes_.erase(number);
+    if (pending_.at(number).wanted.expired()) {
+        pending_.erase(number);
         return;
     }
     ask_next(number);
@@ -132,7 +132,7 @@
 
 /// Draws from the ledger for this request: this process is the home, or no home answers.
 void token_exchange::wait_here(std::uint64_t number) {
-    wish& present = wishes_.at(number);
+    pending_reservation& present = pending_.at(number);
     present.step += 1;
     present.waits_here = true;
     const auto told = [this, number, alive = alive_](reserve_outcome outcome) {
@@ -153,12 +153,12 @@
 }
 
 void token_exchange::finish(std::uint64_t number, reserve_outcome outcome) {
-    const auto found = wishes_.find(number);
-    if (found == wishes_.end()) {
+    const auto found = pending_.find(number);
+    if (found == pending_.end()) {
         return;
     }
-    const wish done = std::move(found->second);
-    wishes_.erase(found);
+    const pending_reservation done = std::move(found->second);
+    pending_.erase(found);
     const bool wanted = !done.wanted.expired();
     if (!wanted && outcome == reserve_outcome::reserved) {
         grants_.release(done.account, done.amount);
@@ -234,8 +234,8 @@
 
 void token_exchange::on_answer(const wire::Envelope& message) {
     const wire::TokenAnswer& answer = message.token_answer();
-    const auto found = wishes_.find(answer.ask());
-    const bool awaited = found != wishes_.end() && !found->second.waits_here;
+    const auto found = pending_.find(answer.ask());
+    const bool awaited = found != pending_.end() && !found->second.waits_here;
     if (awaited && homes_.answered(found->second.asked)) {
         log_event(log_level::information, "token_home_regained", {{"home", found->second.asked}});
     }
@@ -281,8 +281,8 @@
 void token_exchange::take_given(const wire::Envelope& message) {
     const wire::TokenAnswer& answer = message.token_answer();
     grants_.receive(answer.account(), answer.amount());
-    const auto found = wishes_.find(answer.ask());
-    if (found == wishes_.end() || found->second.waits_here) {
+    const auto found = pending_.find(answer.ask());
+    if (found == pending_.end() || found->second.waits_here) {
         counters_.counter("tokens_given_late_total") += static_cast<double>(answer.amount());
         waiters_.serve(monotonic_now());
         return;
--- a/src/roles/gateway/token_exchange.hpp
+++ b/src/roles/gateway/token_exchange.hpp
@@ -77,8 +77,8 @@
     std::string describe_home(instant now, const std::string& account) const;
 
 private:
-    /// A request's wish on its way through the homes.
-    struct wish {
+    /// A reservation on its way through the homes.
+    struct pending_reservation {
         std::string account;
         tokens amount = 0;
         answer_hook told;
@@ -117,7 +117,7 @@
     token_exchange_settings settings_;
     hooks hooks_;
     random_source random_;
-    std::map<std::uint64_t, wish> wishes_;
+    std::map<std::uint64_t, pending_reservation> pending_;
     /// Waits of other entries in this process's queue, by a number of this process's.
     std::map<std::uint64_t, std::shared_ptr<handle>> waiting_asks_;
     std::uint64_t last_waiting_ask_ = 0;
