--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -66,28 +66,40 @@
     /// The list no longer has this target: it left, crashed, or the list lost it.
     void remove(instant now, std::string_view id);
 
-    /// A target for a request, leaving out those already tried. The engine request is null if the
-    /// request has no prompt.
-    target_choice pick(instant now, std::string_view service, const engine_request* request,
-                       std::span<const std::string> tried);
-
-    /// A request went to a target, which has this much of its prompt to read. Returns the run's
-    /// number at its engine, or zero if it has no prompt.
-    std::uint64_t sent(instant now, std::string_view id, const engine_request* request,
-                       tokens unread);
+    /// Says whether a target may be chosen.
+    using target_filter = std::function<bool(std::string_view id)>;
+
+    /// A target for a request without a prompt, leaving out those already tried.
+    target_choice pick(instant now, std::string_view service, std::span<const std::string> tried);
+
+    /// An engine for a request with a prompt among those that the filter lets pass, leaving out
+    /// those already tried.
+    target_choice pick_engine(instant now, std::string_view service, const engine_request& request,
+                              std::span<const std::string> tried, const target_filter& passes);
+
+    /// The engine at which all entries look for a session's memory: the highest one by hash among
+    /// those that may be chosen. Empty if there is none.
+    std::string_view home_engine(instant now, std::string_view service, const prompt_shape& shape,
+                                 std::span<const std::string> tried);
+
+    /// True if the target may be sent requests of the service now.
+    bool usable(std::string_view id, std::string_view service) const;
+
+    /// A request went to a target.
+    void sent(std::string_view id);
+
+    /// A request is at an engine, which has this much of its prompt to read. Returns the run's
+    /// number there, or zero if the engine isn't known. `all_known` as in engine_placer.
+    std::uint64_t begin_run(instant now, std::string_view id, const engine_request& request,
+                            tokens unread, bool all_known);
     /// The first event of an answer came from an engine.
     void first_event(instant now, std::string_view id, std::uint64_t run);
     /// A whole span of later events came from an engine, within this time.
     void next_events(instant now, std::string_view id, microseconds span);
+    /// A run at an engine has ended, in whatever way.
+    void end_run(instant now, std::string_view id, std::uint64_t run);
     /// A request that was sent has ended, in whatever way.
-    void finished(instant now, std::string_view id, std::uint64_t run);
-
-    /// Another entry sent a request to an engine. False if the engine isn't listed here.
-    bool told(instant now, const run_note& note);
-
-    /// The usual time between events of a target's streams, in ms, if this entry learnt it; else
-    /// zero.
-    double learnt_pace_ms(std::string_view id) const { return placer_.learnt_pace_ms(id); }
+    void finished(std::string_view id);
 
     /// The target said how much it has to do.
     void reported(instant now, std::string_view id, const load_report& load);
@@ -136,8 +148,6 @@
                                           std::span<const std::string> tried);
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
-    target_choice pick_engine(instant now, std::string_view service, const engine_request& request,
-                              std::span<target_state* const> among);
     std::vector<std::string_view> sources(instant now, std::string_view service) const;
 
     target_pool_settings settings_;
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -55,9 +56,9 @@
     std::optional<ledger_member> home_of(instant now, std::string_view account,
                                          std::span<const std::string> tried = {}) const;
 
-    /// The member with the most capacity, for work that goes through one entry: the same one at
-    /// every entry, leaving out those that don't answer. Nothing if none is left.
-    std::optional<ledger_member> largest(instant now) const;
+    /// The members with the most capacity, for work that some entries do for all: the same ones at
+    /// every entry, leaving out those that don't answer.
+    std::vector<ledger_member> largest(instant now, std::size_t count) const;
 
     /// True if this host is the account's home.
     bool is_home(instant now, std::string_view account) const;
@@ -68,14 +69,11 @@
     /// A home answered. True if it was believed to be out of reach.
     bool answered(std::string_view host);
 
-    /// Where the other members are reached.
-    std::vector<std::string> other_endpoints() const;
+    /// How many members there are.
+    std::size_t members() const { return members_.size(); }
 
-    /// How many other members there are.
-    std::size_t others() const { return members_.size() - (is_member() ? 1 : 0); }
-
-    /// True if this host is a member itself: not before it is listed, nor once it has left.
-    bool is_member() const;
+    /// Rises with each change of the members or of which of them answer.
+    std::uint64_t version() const { return version_; }
 
     const std::string& own_host() const { return own_host_; }
 
@@ -94,6 +92,7 @@
     /// The hosts that are homes.
     std::vector<std::string> homes_;
     std::map<std::string, rest, std::less<>> resting_;
+    std::uint64_t version_ = 0;
 };
 
 }  // namespace wrenswitch
--- /dev/null
+++ b/include/wrenswitch/decision/placement/engine_keepers.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "wrenswitch/core/time.hpp"
+#include "wrenswitch/decision/grants/token_homes.hpp"
+
+namespace wrenswitch {
+
+/// Names each engine's keeper: the entry that knows what the engine has to do, because every entry
+/// asks it before a request goes there. Some of the largest entries are keepers, and each has its
+/// engines by rendezvous hashing, so that entries agree without words. Entries that see other
+/// members name other keepers, which makes a choice a little worse and nothing else.
+class engine_keepers {
+public:
+    /// The members must outlive this.
+    explicit engine_keepers(const token_homes& members);
+
+    /// The engine's keeper. Nothing if no member is known that answers.
+    std::optional<ledger_member> keeper_of(instant now, std::string_view engine);
+
+    /// True if this host is the engine's keeper.
+    bool is_own(instant now, std::string_view engine);
+
+private:
+    void refresh(instant now);
+    std::size_t place_of(std::string_view engine);
+
+    const token_homes& members_;
+    std::vector<ledger_member> keepers_;
+    /// The places of engines' keepers that were worked out, while the keepers stay the same.
+    std::unordered_map<std::string, std::size_t> known_;
+    std::uint64_t seen_version_ = 0;
+    instant refreshed_{};
+};
+
+}  // namespace wrenswitch
--- a/include/wrenswitch/decision/placement/engine_load.hpp
+++ b/include/wrenswitch/decision/placement/engine_load.hpp
@@ -13,32 +13,27 @@
 
 /// A request at an engine: what it holds there, and what it would lose by a pause.
 struct engine_run {
-    /// Names the run among those of one engine at one entry.
+    /// Names the run among those of one engine.
     std::uint64_t number = 0;
-    /// Runs of other entries end when it is expected, this entry's when they do.
-    bool own = true;
     /// The tokens that it fills.
     tokens held = 0;
     /// What is lost if its answer is late, in tokens of the request.
     double stake = 0.0;
     /// The longest pause between its events that its caller bears, in ms; zero if any is.
     double longest_pause_ms = 0.0;
-    /// When it is expected to have ended.
-    instant until{};
 };
 
 /// A prompt that an engine has to read.
 struct prompt_reading {
     std::uint64_t number = 0;
-    bool own = true;
     /// How long the engine reads, in ms.
     double length_ms = 0.0;
     /// The longest pause of other streams meanwhile, in ms.
     double pause_ms = 0.0;
 };
 
-/// What one engine has to do, as far as an entry knows: its own requests, and what other entries
-/// told of theirs. Prompts are taken to be read one after the other.
+/// What one engine has to do, as far as is known here. Prompts are taken to be read one after the
+/// other.
 class engine_load {
 public:
     /// A request goes there.
@@ -47,15 +42,12 @@
     /// The engine has read the prompt of a run, and with it all prompts before it.
     void first_event(instant now, std::uint64_t number);
 
-    /// Another event of one of this entry's runs came.
+    /// Another event of one of the runs came.
     void heard(instant now) { heard_ = now; }
 
     /// A run has ended, in whatever way.
     void end(instant now, std::uint64_t number);
 
-    /// Ends the runs of other entries that are expected to have ended.
-    void expire(instant now);
-
     /// Streams with this bound of pauses, in ms, may come: pauses that pass it are noted from now
     /// on.
     void watch_bound(double longest_pause_ms) { bounds_.try_emplace(longest_pause_ms); }
@@ -96,7 +88,6 @@
     void note_pause(instant now, double pause_ms);
     static void fade(bound_state& state, instant now);
     void remove(std::map<std::uint64_t, engine_run>::iterator run);
-    void advance(instant now);
     void sum_up_pending();
 
     std::map<std::uint64_t, engine_run> runs_;
@@ -109,11 +100,9 @@
     instant front_since_{};
     /// By the bound, in ms.
     std::map<double, bound_state> bounds_;
-    /// No run of another entry is expected to end before.
-    instant next_expiry_{};
-    /// When one of this entry's runs last got an event.
+    /// When one of the runs last got an event.
     instant heard_{};
-    /// This entry's runs that have had their first event.
+    /// The runs that have had their first event.
     std::set<std::uint64_t> streaming_;
 };
 
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -61,21 +61,11 @@
     placement_price price;
 };
 
-/// A request that went to an engine, as entries tell each other.
-struct run_note {
-    std::string target;
-    engine_request request;
-    tokens unread = 0;
-    /// The usual time between events of the target's streams, in ms, if the teller learnt it; else
-    /// zero.
-    double pace_ms = 0.0;
-};
-
 /// Chooses a model engine for each request by what is expected to be lost: by the request itself,
 /// if its first event comes late or prompts that are read beside it hold its events up, and by the
 /// streams that its own prompt holds up. Long prompts and streams that bear no pause part company
 /// by that as far as there is room. What engines take for reading, and which are slow, is learnt
-/// from answers; what other entries sent is known if they tell.
+/// from answers.
 class engine_placer {
 public:
     /// The best of the candidates, of which there must be one. An engine may copy what it lacks
@@ -84,9 +74,11 @@
                          std::span<const engine_candidate> candidates,
                          std::span<const std::string_view> sources, const engine_request& request);
 
-    /// A request went to an engine with this much to read. Returns its number there.
+    /// A request went to an engine with this much to read. Returns its number there. Times are
+    /// learnt from it only if `all_known`: if no other requests go there of which this placer
+    /// doesn't hear.
     std::uint64_t begin(instant now, const std::string& service, const std::string& target,
-                        const engine_request& request, tokens unread);
+                        const engine_request& request, tokens unread, bool all_known);
 
     /// The first event of an answer came.
     void first_event(instant now, std::string_view target, std::uint64_t number);
@@ -97,13 +89,6 @@
     /// A request's answer has ended, or never came.
     void end(instant now, std::string_view target, std::uint64_t number);
 
-    /// Another entry sent a request.
-    void told(instant now, const std::string& service, const run_note& note);
-
-    /// The usual time between events of a target's streams, in ms, if this entry learnt it itself;
-    /// else zero.
-    double learnt_pace_ms(std::string_view target) const;
-
     /// What is believed of a target, for logs.
     std::string describe(instant now, std::string_view target) const;
 
@@ -111,7 +96,7 @@
     void forget(std::string_view target);
 
 private:
-    /// A prompt of this entry's whose first event will tell how long reading takes.
+    /// A prompt whose first event will tell how long reading takes.
     struct watched_reading {
         instant begun{};
         tokens prompt = 0;
@@ -163,8 +148,6 @@
                            const engine_request& request, tokens unread);
     static double answer_ms(const engine_state& state, const service_state& service,
                             const engine_request& request);
-    std::uint64_t enter(instant now, const std::string& service, const std::string& target,
-                        const engine_request& request, tokens unread, bool own);
 
     std::map<std::string, engine_state, std::less<>> engines_;
     std::map<std::string, service_state, std::less<>> services_;
--- a/include/wrenswitch/decision/placement/prompt_shape.hpp
+++ b/include/wrenswitch/decision/placement/prompt_shape.hpp
@@ -27,6 +27,10 @@
     std::vector<prompt_part> parts;
 };
 
+/// The part of a prompt that its session shares: the one before the last, which is the request's
+/// own. Zero if there are no parts.
+std::uint64_t session_of(const prompt_shape& shape);
+
 /// The tokens that an answer is expected to have: the caller's guess, or half of the most.
 tokens expected_output(const prompt_shape& shape);
 
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "wrenswitch/core/digest.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -137,17 +139,10 @@
 }
 
 target_choice target_pool::pick(instant now, std::string_view service,
-                                const engine_request* request, std::span<const std::string> tried) {
-    const std::vector<target_state*> among = candidates(now, service, tried);
-    if (among.empty()) {
-        return {};
-    }
-    if (request != nullptr) {
-        return pick_engine(now, service, *request, among);
-    }
+                                std::span<const std::string> tried) {
     target_choice choice;
     double least = std::numeric_limits<double>::infinity();
-    for (const target_state* state : among) {
+    for (const target_state* state : candidates(now, service, tried)) {
         const double value = plain_cost(*state, now) + jitter * random_.unit();
         if (value < least) {
             least = value;
@@ -159,14 +154,21 @@
 
 target_choice target_pool::pick_engine(instant now, std::string_view service,
                                        const engine_request& request,
-                                       std::span<target_state* const> among) {
-    std::vector<engine_candidate> candidates;
-    candidates.reserve(among.size());
-    for (const target_state* state : among) {
-        candidates.push_back({state->target.id, state->target.slots, failure_rate(*state, now)});
+                                       std::span<const std::string> tried,
+                                       const target_filter& passes) {
+    std::vector<const target_state*> among;
+    std::vector<engine_candidate> offered;
+    for (const target_state* state : candidates(now, service, tried)) {
+        if (passes(state->target.id)) {
+            among.push_back(state);
+            offered.push_back({state->target.id, state->target.slots, failure_rate(*state, now)});
+        }
+    }
+    if (among.empty()) {
+        return {};
     }
     const engine_choice chosen =
-        placer_.choose(now, std::string(service), candidates, sources(now, service), request);
+        placer_.choose(now, std::string(service), offered, sources(now, service), request);
     target_choice choice;
     choice.target = &among[chosen.index]->target;
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
@@ -175,6 +177,32 @@
     return choice;
 }
 
+std::string_view target_pool::home_engine(instant now, std::string_view service,
+                                          const prompt_shape& shape,
+                                          std::span<const std::string> tried) {
+    const std::uint64_t session = session_of(shape);
+    const target_state* home = nullptr;
+    std::uint64_t highest = 0;
+    for (const target_state* state : candidates(now, service, tried)) {
+        const std::uint64_t rank = spread_hash(state->target.id, session);
+        if (home == nullptr || rank > highest) {
+            home = state;
+            highest = rank;
+        }
+    }
+    return home == nullptr ? std::string_view{} : std::string_view(home->target.id);
+}
+
+bool target_pool::usable(std::string_view id, std::string_view service) const {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return false;
+    }
+    const target_state& state = found->second;
+    return state.target.service == service && state.listed && !state.target.leaving &&
+           !state.replaced;
+}
+
 /// The engines that others may copy from. Those that leave still serve that.
 std::vector<std::string_view> target_pool::sources(instant now, std::string_view service) const {
     std::vector<std::string_view> found;
@@ -204,17 +232,21 @@
            (other_domain ? settings_.other_domain_cost : 0.0);
 }
 
-std::uint64_t target_pool::sent(instant now, std::string_view id, const engine_request* request,
-                                tokens unread) {
+void target_pool::sent(std::string_view id) {
     const auto found = targets_.find(id);
-    if (found == targets_.end()) {
-        return 0;
+    if (found != targets_.end()) {
+        found->second.in_flight += 1;
     }
-    found->second.in_flight += 1;
-    if (request == nullptr) {
+}
+
+std::uint64_t target_pool::begin_run(instant now, std::string_view id,
+                                     const engine_request& request, tokens unread, bool all_known) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
         return 0;
     }
-    return placer_.begin(now, found->second.target.service, found->first, *request, unread);
+    return placer_.begin(now, found->second.target.service, found->first, request, unread,
+                         all_known);
 }
 
 void target_pool::first_event(instant now, std::string_view id, std::uint64_t run) {
@@ -225,21 +257,15 @@
     placer_.next_events(now, id, span);
 }
 
-void target_pool::finished(instant now, std::string_view id, std::uint64_t run) {
+void target_pool::end_run(instant now, std::string_view id, std::uint64_t run) {
+    placer_.end(now, id, run);
+}
+
+void target_pool::finished(std::string_view id) {
     const auto found = targets_.find(id);
     if (found != targets_.end()) {
         found->second.in_flight -= found->second.in_flight > 0 ? 1 : 0;
-        placer_.end(now, id, run);
-    }
-}
-
-bool target_pool::told(instant now, const run_note& note) {
-    const auto found = targets_.find(note.target);
-    if (found == targets_.end() || !found->second.listed) {
-        return false;
     }
-    placer_.told(now, found->second.target.service, note);
-    return true;
 }
 
 void target_pool::reported(instant now, std::string_view id, const load_report& load) {
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 #include "wrenswitch/core/digest.hpp"
@@ -34,6 +35,7 @@
         resting_.erase(member.host);
     }
     members_.insert_or_assign(member.host, member);
+    version_ += 1;
     choose_homes();
 }
 
@@ -44,6 +46,7 @@
     }
     resting_.erase(found->first);
     members_.erase(found);
+    version_ += 1;
     choose_homes();
 }
 
@@ -66,20 +69,6 @@
     return host != own_host_ && found != resting_.end() && found->second.until > now;
 }
 
-bool token_homes::is_member() const {
-    return members_.contains(own_host_);
-}
-
-std::vector<std::string> token_homes::other_endpoints() const {
-    std::vector<std::string> endpoints;
-    for (const auto& [host, member] : members_) {
-        if (host != own_host_) {
-            endpoints.push_back(member.endpoint);
-        }
-    }
-    return endpoints;
-}
-
 std::optional<ledger_member> token_homes::home_of(instant now, std::string_view account,
                                                   std::span<const std::string> tried) const {
     const std::uint64_t seed = spread_hash(account);
@@ -99,22 +88,24 @@
     return best == nullptr ? std::nullopt : std::optional(members_.at(*best));
 }
 
-std::optional<ledger_member> token_homes::largest(instant now) const {
-    const ledger_member* best = nullptr;
+std::vector<ledger_member> token_homes::largest(instant now, std::size_t count) const {
+    // Among equal ones the hash decides, so that not the first names have all the work everywhere.
+    using rank = std::pair<double, std::uint64_t>;
+    std::vector<std::pair<rank, const ledger_member*>> ranked;
+    ranked.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        if (rests(now, host)) {
-            continue;
-        }
-        // Among equal ones the hash decides, so that not the first name has all the work
-        // everywhere.
-        const auto rank = [](const ledger_member& each) {
-            return std::pair(each.capacity, spread_hash(each.host));
-        };
-        if (best == nullptr || rank(member) > rank(*best)) {
-            best = &member;
+        if (!rests(now, host)) {
+            ranked.emplace_back(rank(member.capacity, spread_hash(host)), &member);
         }
     }
-    return best == nullptr ? std::nullopt : std::optional(*best);
+    const std::size_t taken = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(taken),
+                      ranked.end(), std::greater<>());
+    std::vector<ledger_member> chosen;
+    for (std::size_t at = 0; at < taken; ++at) {
+        chosen.push_back(*ranked[at].second);
+    }
+    return chosen;
 }
 
 bool token_homes::is_home(instant now, std::string_view account) const {
@@ -134,6 +125,7 @@
     present.length =
         was_well ? settings_.first_rest : std::min(present.length * 2, settings_.longest_rest);
     present.until = now + present.length;
+    version_ += 1;
     return was_well;
 }
 
@@ -143,6 +135,7 @@
         return false;
     }
     resting_.erase(found);
+    version_ += 1;
     return true;
 }
 
--- a/src/decision/placement/engine_load.cpp
+++ b/src/decision/placement/engine_load.cpp
@@ -30,13 +30,9 @@
 }
 
 void engine_load::begin(instant now, const engine_run& run, const prompt_reading& reading) {
-    advance(now);
     runs_.insert_or_assign(run.number, run);
     held_ += run.held;
     add_stake(run, 1.0);
-    if (!run.own && (next_expiry_ == instant{} || run.until < next_expiry_)) {
-        next_expiry_ = run.until;
-    }
     if (pending_.empty()) {
         front_since_ = now;
     }
@@ -101,42 +97,6 @@
     }
 }
 
-void engine_load::expire(instant now) {
-    advance(now);
-    if (next_expiry_ == instant{} || now < next_expiry_) {
-        return;
-    }
-    next_expiry_ = instant{};
-    for (auto it = runs_.begin(); it != runs_.end();) {
-        const auto run = it++;
-        if (run->second.own) {
-            continue;
-        }
-        const instant until = run->second.until;
-        if (until <= now) {
-            remove(run);
-        } else if (next_expiry_ == instant{} || until < next_expiry_) {
-            next_expiry_ = until;
-        }
-    }
-}
-
-/// Takes prompts as read that the engine must have read by now. Of this entry's own ones the first
-/// event tells.
-void engine_load::advance(instant now) {
-    while (!pending_.empty()) {
-        const prompt_reading& front = pending_.front();
-        const auto length = std::chrono::duration_cast<microseconds>(
-            std::chrono::duration<double, std::milli>(front.length_ms));
-        if (front.own || now - front_since_ < length) {
-            return;
-        }
-        front_since_ += length;
-        pending_.pop_front();
-        sum_up_pending();
-    }
-}
-
 void engine_load::sum_up_pending() {
     pending_ms_ = 0.0;
     pending_pause_ms_ = 0.0;
@@ -156,9 +116,9 @@
 
 double engine_load::overdue_ms(instant now) const {
     double silence = 0.0;
-    if (!pending_.empty() && pending_.front().own) {
+    if (!pending_.empty()) {
         silence = ms_between(front_since_, now) - usual_overdue * pending_.front().length_ms;
-    } else if (pending_.empty() && !streaming_.empty()) {
+    } else if (!streaming_.empty()) {
         silence = ms_between(heard_, now);
     }
     return std::max(0.0, silence - least_silence_ms);
--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -51,17 +51,6 @@
     return std::chrono::duration<double, std::milli>(length).count();
 }
 
-microseconds from_ms(double length) {
-    return std::chrono::duration_cast<microseconds>(
-        std::chrono::duration<double, std::milli>(length));
-}
-
-/// The part of a prompt that its session shares: the last one is the request's own.
-std::uint64_t session_of(const prompt_shape& shape) {
-    const std::size_t parts = shape.parts.size();
-    return parts == 0 ? 0 : shape.parts[parts > 1 ? parts - 2 : 0].id;
-}
-
 /// What is lost if an answer isn't worth anything: the tokens that it costs.
 double stake_of(const prompt_shape& shape) {
     return static_cast<double>(shape.prompt + expected_output(shape));
@@ -106,7 +95,6 @@
         states.push_back(known != engines_.end()
                              ? &known->second
                              : &state_of(service, std::string(candidate.id), request.engine));
-        states.back()->load.expire(now);
         states.back()->load.watch_bound(in_ms(request.longest_pause));
     }
     learn_usual_pace(service, states);
@@ -271,35 +259,21 @@
 
 std::uint64_t engine_placer::begin(instant now, const std::string& service,
                                    const std::string& target, const engine_request& request,
-                                   tokens unread) {
-    engine_state& state = state_of(service, target, request.engine);
-    const bool alone = state.load.backlog_ms(now) <= 0.0;
-    const std::uint64_t number = enter(now, service, target, request, unread, true);
-    if (alone) {
-        state.watched[number] = {now, request.shape.prompt, unread};
-    }
-    return number;
-}
-
-std::uint64_t engine_placer::enter(instant now, const std::string& service,
-                                   const std::string& target, const engine_request& request,
-                                   tokens unread, bool own) {
+                                   tokens unread, bool all_known) {
     engine_state& state = state_of(service, target, request.engine);
     const service_state& known = services_[service];
-    const double slow = slowness(state, known);
-    const double reading = slow * known.model.reading_ms(request.shape.prompt, unread);
+    const bool alone = state.load.backlog_ms(now) <= 0.0;
+    const double reading =
+        slowness(state, known) * known.model.reading_ms(request.shape.prompt, unread);
     const double pause = pause_at(now, state, known, request, unread);
-    const double first = state.load.backlog_ms(now) +
-                         slow * known.model.first_event_ms(request.shape.prompt, unread);
     const std::uint64_t number = ++last_number_;
-    const engine_run run{number,
-                         own,
-                         request.shape.prompt + expected_output(request.shape),
-                         stake_of(request.shape),
-                         in_ms(request.longest_pause),
-                         now + from_ms(first + answer_ms(state, known, request))};
-    state.load.begin(now, run, {number, own, reading, pause});
+    const engine_run run{number, request.shape.prompt + expected_output(request.shape),
+                         stake_of(request.shape), in_ms(request.longest_pause)};
+    state.load.begin(now, run, {number, reading, pause});
     state.memory.remember(request.shape);
+    if (all_known && alone) {
+        state.watched[number] = {now, request.shape.prompt, unread};
+    }
     return number;
 }
 
@@ -336,17 +310,6 @@
     }
 }
 
-void engine_placer::told(instant now, const std::string& service, const run_note& note) {
-    enter(now, service, note.target, note.request, note.unread, false);
-    engines_.find(note.target)->second.pace.told(note.pace_ms);
-}
-
-double engine_placer::learnt_pace_ms(std::string_view target) const {
-    const auto found = engines_.find(target);
-    const bool learnt = found != engines_.end() && found->second.pace.learnt();
-    return learnt ? found->second.pace.gap_ms() : 0.0;
-}
-
 std::string engine_placer::describe(instant now, std::string_view target) const {
     const auto found = engines_.find(target);
     if (found == engines_.end()) {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -225,24 +225,32 @@
         engine_request_ = {request_.prompt, *admitted_.engine, admitted_.route.first_answer_aim,
                            admitted_.route.longest_pause};
     }
-    const target_choice choice = context_.targets.pick(monotonic_now(), admitted_.service,
-                                                       asked_of_engine(), history_.tried());
-    if (choice.target == nullptr) {
-        if (history_.may_have_run()) {
-            fail(status_bad_gateway, "no_target_left");
-        } else {
-            refuse(status_unavailable, "no_target", until_targets);
-        }
+    if (!engine_request_) {
+        send_to(context_.targets.pick(monotonic_now(), admitted_.service, history_.tried()), {});
         return;
     }
-    send_to(choice);
+    placing_ = context_.placements.place(
+        admitted_.service, *engine_request_, history_.tried(),
+        [self = weak_from_this()](const target_choice& choice, const placed_run& run) {
+            if (const auto alive = self.lock()) {
+                alive->send_to(choice, run);
+            }
+        });
 }
 
-const engine_request* forwarded_request::asked_of_engine() const {
-    return engine_request_ ? &*engine_request_ : nullptr;
+void forwarded_request::no_target_left() {
+    if (history_.may_have_run()) {
+        fail(status_bad_gateway, "no_target_left");
+    } else {
+        refuse(status_unavailable, "no_target", until_targets);
+    }
 }
 
-void forwarded_request::send_to(const target_choice& choice) {
+void forwarded_request::send_to(const target_choice& choice, const placed_run& run) {
+    if (choice.target == nullptr) {
+        no_target_left();
+        return;
+    }
     const gateway_target& target = *choice.target;
     const instant now = monotonic_now();
     target_ = target.id;
@@ -263,9 +271,11 @@
                 {"unread_prompt", std::to_string(choice.unread)},
                 {"copy_from", choice.copy_from == nullptr ? "" : choice.copy_from->id},
                 {"price", describe(choice.price)},
+                {"keeper", run.keeper},
+                {"asked_for_us", std::to_string(run.asked_for.count())},
                 {"left_ms", millis_text(time_left())}});
-    run_ = context_.targets.sent(now, target_, asked_of_engine(), choice.unread);
-    tell_others(choice);
+    run_ = run;
+    context_.targets.sent(target_);
     const std::string_view copy_from =
         choice.copy_from == nullptr ? std::string_view{} : choice.copy_from->address;
     const upstream_request sent =
@@ -274,13 +284,6 @@
     call_ = context_.pool_of(target).send(sent, hooks_for(history_.number()));
 }
 
-void forwarded_request::tell_others(const target_choice& choice) {
-    if (engine_request_) {
-        context_.runs.tell(
-            {target_, *engine_request_, choice.unread, context_.targets.learnt_pace_ms(target_)});
-    }
-}
-
 upstream_hooks forwarded_request::hooks_for(unsigned attempt) {
     const auto self = weak_from_this();
     const auto when_current = [self, attempt](auto action) {
@@ -368,11 +371,11 @@
     const bool first = stream_.events() == 0;
     const microseconds gap = stream_.note(now, count);
     if (first) {
-        context_.targets.first_event(now, target_, run_);
+        context_.placements.first_event(run_);
         return;
     }
     if (const std::optional<microseconds> span = stream_.take_span()) {
-        context_.targets.next_events(now, target_, *span);
+        context_.placements.next_events(run_, *span);
         note_life();
     }
     context_.pauses.observe(gap);
@@ -387,13 +390,14 @@
 }
 
 void forwarded_request::on_end() {
-    end_attempt();
+    const bool well = answer_.status < first_server_error || answer_refused_;
     if (called_off_) {
+        end_attempt(run_end::left);
         call_off_ended();
         return;
     }
-    context_.targets.answered(monotonic_now(), target_,
-                              answer_.status < first_server_error || answer_refused_);
+    end_attempt(well ? run_end::answered_well : run_end::answered_badly);
+    context_.targets.answered(monotonic_now(), target_, well);
     if (answer_refused_) {
         if (answer_.status == status_misdirected) {
             // Another life of the target has its address.
@@ -453,13 +457,17 @@
     finish("served", answer_.status);
 }
 
-void forwarded_request::end_attempt() {
+void forwarded_request::end_attempt(run_end how) {
     call_.reset();
-    context_.targets.finished(monotonic_now(), target_, std::exchange(run_, 0));
+    context_.targets.finished(target_);
+    const placed_run run = std::exchange(run_, {});
+    if (run.number != 0) {
+        context_.placements.ended(run, how);
+    }
 }
 
 void forwarded_request::on_failed(upstream_failure failure) {
-    end_attempt();
+    end_attempt(called_off_ ? run_end::left : run_end::failed);
     if (called_off_) {
         if (failure != upstream_failure::cut_short) {
             assume_unseen();
@@ -530,7 +538,7 @@
     }
     const bool sent = call_ != nullptr && call_->sent();
     if (call_) {
-        end_attempt();
+        end_attempt(run_end::left);
     }
     if (!sent && !history_.may_have_run()) {
         refuse(status_unavailable, "deadline_before_sending", until_targets);
@@ -551,6 +559,7 @@
     }
     called_off_ = true;
     waiting_.reset();
+    placing_.reset();
     if (call_ == nullptr || !call_->sent()) {
         call_off_ended();
         return;
@@ -569,7 +578,7 @@
         return;
     }
     if (call_) {
-        end_attempt();
+        end_attempt(run_end::left);
     }
     finish("caller_gone", 0);
 }
@@ -640,6 +649,7 @@
 void forwarded_request::finish(std::string_view outcome, unsigned status) {
     ended_ = true;
     waiting_.reset();
+    placing_.reset();
     charge_.close();
     context_.counters.counter("gateway_outcome_" + std::string(outcome) + "_total") += 1;
     note_end(outcome, status);
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -41,9 +41,8 @@
     void pay(reserve_outcome outcome);
 
     void dispatch();
-    const engine_request* asked_of_engine() const;
-    void send_to(const target_choice& choice);
-    void tell_others(const target_choice& choice);
+    void send_to(const target_choice& choice, const placed_run& run);
+    void no_target_left();
     upstream_hooks hooks_for(unsigned attempt);
 
     void note_life();
@@ -51,7 +50,7 @@
     void on_piece(std::string_view piece);
     void on_end();
     void on_failed(upstream_failure failure);
-    void end_attempt();
+    void end_attempt(run_end how);
     void attempt_unsent();
 
     void pass_stream(std::string_view piece);
@@ -92,8 +91,10 @@
     std::unique_ptr<upstream_call> call_;
     /// Set if the request's prompt goes to a model engine.
     std::optional<engine_request> engine_request_;
-    /// The run's number at its engine.
-    std::uint64_t run_ = 0;
+    /// Kept while an engine is looked for.
+    std::shared_ptr<placement_exchange::handle> placing_;
+    /// The run at an engine that is under way.
+    placed_run run_;
     instant sent_at_{};
     stream_watch stream_;
 
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -69,7 +69,8 @@
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_requests_per_second, metrics_),
       homes_(settings.host, {}),
-      targets_(pool_settings(settings), random_) {}
+      targets_(pool_settings(settings), random_),
+      keepers_(homes_) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -105,7 +106,7 @@
     bus_->on_message([this](const message_origin& origin, const wire::Envelope& message) {
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
-        } else if (!runs_->on_message(message)) {
+        } else if (!placements_->on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -168,10 +169,12 @@
                               [this] { return ledger_->live() && !stopping_; },
                               [this] { return grant_log_answers_; },
                               [this](const std::string& host) { peer_silent(host); }});
-    runs_ = std::make_unique<run_exchange>(
-        loop_, *bus_, homes_, metrics_,
-        run_exchange::hooks{[this](const run_note& note) { return heard_of_run(note); },
-                            [this](const std::string& host) { hub_silent(host); }});
+    desk_ = std::make_unique<placement_desk>(targets_, keepers_, metrics_);
+    placements_ = std::make_unique<placement_exchange>(
+        loop_, *bus_, targets_, keepers_, *desk_, metrics_,
+        placement_exchange::hooks{[this](const std::string& service) { return engine_of(service); },
+                                  [this](const std::string& host) { keeper_silent(host); },
+                                  [this](const std::string& host) { keeper_answered(host); }});
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
 }
@@ -185,7 +188,7 @@
         targets_,
         *grants_,
         *tokens_,
-        *runs_,
+        *placements_,
         random_,
         metrics_,
         events_,
@@ -300,14 +303,20 @@
     waiters_->serve(monotonic_now());
 }
 
-/// The hub may be a home too; what is silent as one won't answer as the other.
-void gateway::hub_silent(const std::string& host) {
+/// The keeper may be a home too; what is silent as one won't answer as the other.
+void gateway::keeper_silent(const std::string& host) {
     if (homes_.failed(monotonic_now(), host)) {
-        log_event(log_level::warning, "run_hub_lost", {{"hub", host}});
+        log_event(log_level::warning, "engine_keeper_lost", {{"keeper", host}});
     }
     peer_silent(host);
 }
 
+void gateway::keeper_answered(const std::string& host) {
+    if (homes_.answered(host)) {
+        log_event(log_level::information, "engine_keeper_regained", {{"keeper", host}});
+    }
+}
+
 void gateway::peer_silent(const std::string& peer) {
     reach_.silent(peer);
     look_whether_isolated();
@@ -337,15 +346,9 @@
                 std::to_string(std::chrono::duration_cast<milliseconds>(silence).count())}});
 }
 
-bool gateway::heard_of_run(run_note note) {
-    const gateway_target* target = targets_.find(note.target);
-    const gateway_service* service =
-        target == nullptr ? nullptr : configuration_.service(target->service);
-    if (service == nullptr || !service->engine) {
-        return false;
-    }
-    note.request.engine = *service->engine;
-    return targets_.told(monotonic_now(), note);
+const engine_shape* gateway::engine_of(const std::string& service) const {
+    const gateway_service* known = configuration_.service(service);
+    return known == nullptr || !known->engine ? nullptr : &*known->engine;
 }
 
 void gateway::target_changed(const keyed_record& record) {
@@ -470,6 +473,7 @@
     tokens_->return_free(now);
     ledger_->append_if_due();
     waiters_->serve(now);
+    desk_->drop_silent(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
         pools_.erase(id);
     }
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -46,11 +46,12 @@
 
     void configuration_changed(const keyed_record& record);
     void apply_limits();
-    void hub_silent(const std::string& host);
+    void keeper_silent(const std::string& host);
+    void keeper_answered(const std::string& host);
     void peer_silent(const std::string& peer);
     bool isolated();
     void look_whether_isolated();
-    bool heard_of_run(run_note note);
+    const engine_shape* engine_of(const std::string& service) const;
     void target_changed(const keyed_record& record);
     std::vector<std::string> relay_endpoints() const;
     retry_budget& retries_of(const std::string& service);
@@ -82,10 +83,12 @@
     std::unique_ptr<member_directory> members_;
     token_homes homes_;
     std::unique_ptr<token_exchange> tokens_;
-    std::unique_ptr<run_exchange> runs_;
 
     configuration_view configuration_;
     target_pool targets_;
+    engine_keepers keepers_;
+    std::unique_ptr<placement_desk> desk_;
+    std::unique_ptr<placement_exchange> placements_;
     isolation_watch reach_;
     bool was_isolated_ = false;
     std::map<std::string, retry_budget> retries_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -8,7 +8,7 @@
 #include <unordered_set>
 
 #include "roles/gateway/event_log.hpp"
-#include "roles/gateway/run_exchange.hpp"
+#include "roles/gateway/placement_exchange.hpp"
 #include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
@@ -33,7 +33,7 @@
     target_pool& targets;
     grant_holder& grants;
     token_exchange& tokens;
-    run_exchange& runs;
+    placement_exchange& placements;
     random_source& random;
     metrics& counters;
     event_log& events;
--- /dev/null
+++ b/src/roles/gateway/placement_desk.cpp
@@ -0,0 +1,85 @@
+#include "roles/gateway/placement_desk.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// A run of which nothing was heard for this long has lost its entry. Callers of today's routes
+/// wait 15 s at the most.
+constexpr microseconds run_lease = seconds(16);
+
+}  // namespace
+
+placement_desk::placement_desk(target_pool& targets, engine_keepers& keepers, metrics& counters)
+    : targets_(targets), keepers_(keepers), counters_(counters) {}
+
+target_choice placement_desk::place(instant now, std::uint64_t run, const std::string& service,
+                                    const engine_request& request,
+                                    std::span<const std::string> tried) {
+    const target_choice choice = targets_.pick_engine(
+        now, service, request, tried,
+        [this, now](std::string_view engine) { return keepers_.is_own(now, engine); });
+    if (choice.target == nullptr) {
+        counters_.counter("placements_without_engine_total") += 1;
+        return choice;
+    }
+    const std::string& target = choice.target->id;
+    const std::uint64_t number = targets_.begin_run(now, target, request, choice.unread, true);
+    runs_.insert_or_assign(run, kept_run{target, number, now + run_lease});
+    counters_.counter("placements_total") += 1;
+    return choice;
+}
+
+placement_desk::kept_run* placement_desk::find(instant now, std::uint64_t run) {
+    const auto found = runs_.find(run);
+    if (found == runs_.end()) {
+        return nullptr;
+    }
+    found->second.lease_until = now + run_lease;
+    return &found->second;
+}
+
+void placement_desk::first_event(instant now, std::uint64_t run) {
+    if (const kept_run* kept = find(now, run)) {
+        targets_.first_event(now, kept->target, kept->number);
+    }
+}
+
+void placement_desk::next_events(instant now, std::uint64_t run, microseconds span) {
+    if (const kept_run* kept = find(now, run)) {
+        targets_.next_events(now, kept->target, span);
+    }
+}
+
+void placement_desk::ended_elsewhere(instant now, std::uint64_t run, run_end how) {
+    const kept_run* kept = find(now, run);
+    if (kept == nullptr) {
+        return;
+    }
+    if (how == run_end::failed) {
+        targets_.failed(now, kept->target);
+    } else if (how != run_end::left) {
+        targets_.answered(now, kept->target, how == run_end::answered_well);
+    }
+    ended_here(now, run);
+}
+
+void placement_desk::ended_here(instant now, std::uint64_t run) {
+    const auto found = runs_.find(run);
+    if (found != runs_.end()) {
+        targets_.end_run(now, found->second.target, found->second.number);
+        runs_.erase(found);
+    }
+}
+
+void placement_desk::drop_silent(instant now) {
+    for (auto it = runs_.begin(); it != runs_.end();) {
+        const auto run = it++;
+        if (run->second.lease_until <= now) {
+            counters_.counter("placements_silent_total") += 1;
+            targets_.end_run(now, run->second.target, run->second.number);
+            runs_.erase(run);
+        }
+    }
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -0,0 +1,396 @@
+#include "roles/gateway/placement_exchange.hpp"
+
+#include <bus.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace wrenswitch {
+namespace {
+
+/// How long a keeper's answer is waited for. The way there and back takes some 2 ms; half of that
+/// time again is lost to processes that are busy, and no aim of a route is below some hundreds.
+constexpr microseconds longest_ask = milliseconds(20);
+
+/// A keeper that has said nothing for this long after an ask is out of reach: some times what a
+/// lost packet takes to be sent again.
+constexpr microseconds longest_silence = milliseconds(300);
+
+/// A timer that is later than this says that this process is behind, not that a keeper is silent.
+constexpr microseconds own_lateness = milliseconds(15);
+
+/// News of runs wait this long for company: a part of what reading a usual prompt takes.
+constexpr microseconds news_wait = milliseconds(20);
+
+wire::PlacementAsk to_wire(std::uint64_t run, const std::string& service,
+                           const engine_request& request, std::span<const std::string> tried) {
+    wire::PlacementAsk ask;
+    ask.set_run(run);
+    ask.set_service(service);
+    ask.set_prompt(request.shape.prompt);
+    ask.set_most_output(request.shape.most_output);
+    ask.set_guessed_output(request.shape.guessed_output);
+    ask.set_first_event_aim_ms(
+        std::chrono::duration_cast<milliseconds>(request.first_event_aim).count());
+    ask.set_longest_pause_ms(
+        std::chrono::duration_cast<milliseconds>(request.longest_pause).count());
+    for (const prompt_part& part : request.shape.parts) {
+        wire::PromptPart& told = *ask.add_parts();
+        told.set_id(part.id);
+        told.set_length(part.length);
+    }
+    for (const std::string& target : tried) {
+        ask.add_tried(target);
+    }
+    return ask;
+}
+
+engine_request from_wire(const wire::PlacementAsk& ask, const engine_shape& engine) {
+    engine_request request;
+    prompt_shape& shape = request.shape;
+    shape.prompt = ask.prompt();
+    shape.most_output = ask.most_output();
+    shape.guessed_output = ask.guessed_output();
+    for (const wire::PromptPart& part : ask.parts()) {
+        shape.parts.push_back({part.id(), part.length()});
+    }
+    request.engine = engine;
+    request.first_event_aim = milliseconds(ask.first_event_aim_ms());
+    request.longest_pause = milliseconds(ask.longest_pause_ms());
+    return request;
+}
+
+void to_wire(const target_choice& choice, wire::PlacementAnswer& answer) {
+    if (choice.target == nullptr) {
+        return;
+    }
+    answer.set_target(choice.target->id);
+    answer.set_copy_from(choice.copy_from == nullptr ? "" : choice.copy_from->id);
+    answer.set_unread(choice.unread);
+    answer.set_first_event_ms(static_cast<float>(choice.price.first_event_ms));
+    answer.set_backlog_ms(static_cast<float>(choice.price.backlog_ms));
+    answer.set_pause_ms(static_cast<float>(choice.price.pause_ms));
+    answer.set_lost_here(static_cast<float>(choice.price.lost_here));
+    answer.set_lost_beside(static_cast<float>(choice.price.lost_beside));
+    answer.set_sum(static_cast<float>(choice.price.sum));
+}
+
+target_choice from_wire(const wire::PlacementAnswer& answer, const target_pool& targets) {
+    target_choice choice;
+    choice.target = targets.find(answer.target());
+    choice.copy_from = answer.copy_from().empty() ? nullptr : targets.find(answer.copy_from());
+    choice.unread = answer.unread();
+    choice.price = {answer.first_event_ms(), answer.backlog_ms(),  answer.pause_ms(),
+                    answer.lost_here(),      answer.lost_beside(), answer.sum()};
+    return choice;
+}
+
+wire::RunEnd to_wire(run_end how) {
+    switch (how) {
+        case run_end::left:
+            return wire::RUN_LEFT;
+        case run_end::answered_well:
+            return wire::RUN_ANSWERED_WELL;
+        case run_end::answered_badly:
+            return wire::RUN_ANSWERED_BADLY;
+        case run_end::failed:
+            return wire::RUN_FAILED;
+    }
+    return wire::RUN_LEFT;
+}
+
+run_end from_wire(wire::RunEnd how) {
+    switch (how) {
+        case wire::RUN_ANSWERED_WELL:
+            return run_end::answered_well;
+        case wire::RUN_ANSWERED_BADLY:
+            return run_end::answered_badly;
+        case wire::RUN_FAILED:
+            return run_end::failed;
+        default:
+            return run_end::left;
+    }
+}
+
+}  // namespace
+
+placement_exchange::placement_exchange(event_loop& loop, message_bus& bus, target_pool& targets,
+                                       engine_keepers& keepers, placement_desk& desk,
+                                       metrics& counters, hooks needs)
+    : loop_(loop),
+      bus_(bus),
+      targets_(targets),
+      keepers_(keepers),
+      desk_(desk),
+      counters_(counters),
+      hooks_(std::move(needs)) {}
+
+placement_exchange::~placement_exchange() {
+    *alive_ = false;
+}
+
+std::shared_ptr<placement_exchange::handle> placement_exchange::place(
+    const std::string& service, const engine_request& request, std::span<const std::string> tried,
+    choice_hook chosen) {
+    const instant now = monotonic_now();
+    const auto run = static_cast<std::uint64_t>(random_.next_id<incarnation_id>());
+    auto wanted = std::make_shared<handle>();
+    pending_ask wish{service, request, {tried.begin(), tried.end()}, std::move(chosen), wanted,
+                     {},      now};
+    const std::string_view home = targets_.home_engine(now, service, request.shape, tried);
+    const std::optional<ledger_member> keeper =
+        home.empty() ? std::nullopt : keepers_.keeper_of(now, home);
+    if (!keeper || silent_.contains(keeper->host)) {
+        choose_alone(run, wish);
+        return wanted;
+    }
+    if (keepers_.is_own(now, home)) {
+        choose_at_own_desk(run, wish);
+        return wanted;
+    }
+    wish.keeper = *keeper;
+    ask(run, std::move(wish));
+    return wanted;
+}
+
+void placement_exchange::ask(std::uint64_t run, pending_ask wish) {
+    wire::Envelope message;
+    *message.mutable_placement_ask() = to_wire(run, wish.service, wish.request, wish.tried);
+    bus_.send(wish.keeper.endpoint, message);
+    counters_.counter("placement_asks_total") += 1;
+    pending_.emplace(run, std::move(wish));
+    loop_.call_after(longest_ask, [this, run, alive = alive_] {
+        if (*alive) {
+            give_up(run);
+        }
+    });
+}
+
+void placement_exchange::give_up(std::uint64_t run) {
+    const auto found = pending_.find(run);
+    if (found == pending_.end()) {
+        return;
+    }
+    const pending_ask wish = std::move(found->second);
+    pending_.erase(found);
+    counters_.counter("placement_asks_late_total") += 1;
+    watch(wish.keeper.host, wish.asked);
+    if (!wish.wanted.expired()) {
+        choose_alone(run, wish);
+    }
+}
+
+/// Passes a keeper over until it says something, and takes it for lost if that takes too long.
+void placement_exchange::watch(const std::string& host, instant asked) {
+    const auto heard = heard_.find(host);
+    const bool answered_since = heard != heard_.end() && heard->second >= asked;
+    if (answered_since || !silent_.insert(host).second) {
+        return;
+    }
+    const instant due = monotonic_now() + longest_silence;
+    loop_.call_after(longest_silence, [this, host, due, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        // The answer may lie unread in a process that is this late itself.
+        const bool late = monotonic_now() - due > own_lateness;
+        if (silent_.erase(host) > 0 && !late) {
+            counters_.counter("placement_keepers_silent_total") += 1;
+            hooks_.keeper_silent(host);
+        }
+    });
+}
+
+/// The keeper can't be asked: the choice rests on this entry's own runs, and mostly on where the
+/// session's memory is looked for.
+void placement_exchange::choose_alone(std::uint64_t run, const pending_ask& wish) {
+    const instant now = monotonic_now();
+    const target_choice choice = targets_.pick_engine(now, wish.service, wish.request, wish.tried,
+                                                      [](std::string_view) { return true; });
+    placed_run placed{run, {}, {}, {}, 0, now - wish.asked, {}};
+    if (choice.target != nullptr) {
+        counters_.counter("placements_alone_total") += 1;
+        placed.target = choice.target->id;
+        placed.counted_here =
+            targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
+    }
+    wish.chosen(choice, placed);
+}
+
+void placement_exchange::choose_at_own_desk(std::uint64_t run, const pending_ask& wish) {
+    const target_choice choice =
+        desk_.place(monotonic_now(), run, wish.service, wish.request, wish.tried);
+    if (choice.target == nullptr) {
+        choose_alone(run, wish);
+        return;
+    }
+    wish.chosen(choice, {run, choice.target->id, "self", {}, 0, microseconds(0), {}});
+}
+
+bool placement_exchange::on_message(const message_origin& origin, const wire::Envelope& message) {
+    if (message.has_placement_ask()) {
+        on_ask(origin, message);
+        return true;
+    }
+    if (message.has_placement_answer()) {
+        on_answer(origin, message);
+        return true;
+    }
+    if (message.has_run_news()) {
+        take_news(message.run_news());
+        return true;
+    }
+    return false;
+}
+
+void placement_exchange::on_ask(const message_origin& origin, const wire::Envelope& message) {
+    const wire::PlacementAsk& ask = message.placement_ask();
+    const engine_shape* engine = hooks_.engine_of(ask.service());
+    target_choice choice;
+    if (engine != nullptr) {
+        const std::vector<std::string> tried(ask.tried().begin(), ask.tried().end());
+        choice =
+            desk_.place(monotonic_now(), ask.run(), ask.service(), from_wire(ask, *engine), tried);
+    }
+    wire::Envelope reply;
+    wire::PlacementAnswer& answer = *reply.mutable_placement_answer();
+    answer.set_run(ask.run());
+    to_wire(choice, answer);
+    bus_.answer(origin, reply);
+}
+
+void placement_exchange::on_answer(const message_origin& origin, const wire::Envelope& message) {
+    const wire::PlacementAnswer& answer = message.placement_answer();
+    const auto found = pending_.find(answer.run());
+    const bool counted = !answer.target().empty();
+    if (found == pending_.end()) {
+        // It came too late: the keeper must not count a run that went elsewhere.
+        if (counted) {
+            wire::RunNews news;
+            news.set_run(answer.run());
+            news.set_end(wire::RUN_LEFT);
+            tell(origin.endpoint, news);
+        }
+        return;
+    }
+    const instant now = monotonic_now();
+    const pending_ask wish = std::move(found->second);
+    pending_.erase(found);
+    heard_[wish.keeper.host] = now;
+    silent_.erase(wish.keeper.host);
+    hooks_.keeper_answered(wish.keeper.host);
+    placed_run placed{answer.run(),
+                      answer.target(),
+                      wish.keeper.host,
+                      wish.keeper.endpoint,
+                      0,
+                      now - wish.asked,
+                      {}};
+    if (wish.wanted.expired()) {
+        ended(placed, run_end::left);
+        return;
+    }
+    const bool usable =
+        targets_.usable(answer.target(), wish.service) &&
+        std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
+    if (!usable) {
+        counters_.counter("placement_answers_unusable_total") += 1;
+        if (counted) {
+            ended(placed, run_end::left);
+        }
+        choose_alone(answer.run(), wish);
+        return;
+    }
+    counters_.histogram("placement_ask_ms").observe(placed.asked_for);
+    const target_choice choice = from_wire(answer, targets_);
+    placed.counted_here =
+        targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
+    wish.chosen(choice, placed);
+}
+
+void placement_exchange::first_event(const placed_run& run) {
+    const instant now = monotonic_now();
+    if (run.counted_here != 0) {
+        targets_.first_event(now, run.target, run.counted_here);
+    }
+    if (run.keeper_endpoint.empty()) {
+        desk_.first_event(now, run.number);
+        return;
+    }
+    wire::RunNews news;
+    news.set_run(run.number);
+    news.set_first_event(true);
+    tell(run.keeper_endpoint, news);
+}
+
+void placement_exchange::next_events(placed_run& run, microseconds span) {
+    const instant now = monotonic_now();
+    if (run.counted_here != 0) {
+        targets_.next_events(now, run.target, span);
+    }
+    if (run.keeper_endpoint.empty()) {
+        desk_.next_events(now, run.number, span);
+        return;
+    }
+    run.spans.push_back(span);
+}
+
+void placement_exchange::ended(const placed_run& run, run_end how) {
+    const instant now = monotonic_now();
+    targets_.end_run(now, run.target, run.counted_here);
+    if (run.keeper_endpoint.empty()) {
+        desk_.ended_here(now, run.number);
+        return;
+    }
+    wire::RunNews news;
+    news.set_run(run.number);
+    news.set_end(to_wire(how));
+    for (const microseconds span : run.spans) {
+        news.add_spans_us(static_cast<std::uint32_t>(span.count()));
+    }
+    tell(run.keeper_endpoint, news);
+}
+
+void placement_exchange::take_news(const wire::RunNewsBatch& batch) {
+    const instant now = monotonic_now();
+    for (const wire::RunNews& news : batch.runs()) {
+        if (news.first_event()) {
+            desk_.first_event(now, news.run());
+        }
+        for (const std::uint32_t span : news.spans_us()) {
+            desk_.next_events(now, news.run(), microseconds(span));
+        }
+        if (news.end() != wire::RUN_GOES_ON) {
+            desk_.ended_elsewhere(now, news.run(), from_wire(news.end()));
+        }
+    }
+}
+
+/// Puts news into the batch for a keeper.
+void placement_exchange::tell(const std::string& endpoint, const wire::RunNews& news) {
+    std::unique_ptr<wire::RunNewsBatch>& batch = news_[endpoint];
+    if (!batch) {
+        batch = std::make_unique<wire::RunNewsBatch>();
+    }
+    *batch->add_runs() = news;
+    if (std::exchange(sending_planned_, true)) {
+        return;
+    }
+    loop_.call_after(news_wait, [this, alive = alive_] {
+        if (*alive) {
+            send_news();
+        }
+    });
+}
+
+void placement_exchange::send_news() {
+    sending_planned_ = false;
+    for (const auto& [endpoint, batch] : std::exchange(news_, {})) {
+        wire::Envelope message;
+        message.mutable_run_news()->Swap(batch.get());
+        bus_.send(endpoint, message);
+        counters_.counter("run_news_batches_total") += 1;
+    }
+}
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "roles/gateway/placement_desk.hpp"
+#include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/decision/gateway/target_pool.hpp"
+#include "wrenswitch/decision/placement/engine_keepers.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+#include "wrenswitch/drivers/message_bus.hpp"
+
+namespace wrenswitch::wire {
+class RunNewsBatch;
+class RunNews;
+}  // namespace wrenswitch::wire
+
+namespace wrenswitch {
+
+/// A request that was placed at an engine.
+struct placed_run {
+    /// Unique in the fleet; zero if there is no run.
+    std::uint64_t number = 0;
+    std::string target;
+    /// The host that keeps the engine's load, for logs; empty if this entry chose by itself.
+    std::string keeper;
+    /// Where the keeper is told how the run fares; empty if it is this entry, or nobody.
+    std::string keeper_endpoint;
+    /// Its number at the engine as this entry counts it, or zero if only its own desk does.
+    std::uint64_t counted_here = 0;
+    /// How long the choice took: as old is what it knew of the engine's load.
+    microseconds asked_for{};
+    /// The spans of events that came, which the keeper is told at the end.
+    std::vector<microseconds> spans;
+};
+
+/// Finds an engine for each request with a prompt: asks the keeper of the session's home engine,
+/// and chooses by this entry's own runs if no keeper answers in time. A request costs three small
+/// messages, however many entries and engines there are.
+class placement_exchange {
+public:
+    /// What an exchange needs of its process.
+    struct hooks {
+        /// What the engines of a service are like, or null if that isn't known.
+        std::function<const engine_shape*(const std::string& service)> engine_of;
+        /// A keeper says nothing.
+        std::function<void(const std::string& host)> keeper_silent;
+        /// A keeper answered.
+        std::function<void(const std::string& host)> keeper_answered;
+    };
+
+    /// Ends the wish for a choice when it is dropped.
+    struct handle {};
+
+    using choice_hook = std::function<void(const target_choice&, const placed_run&)>;
+
+    /// All that is referred to must outlive the exchange.
+    placement_exchange(event_loop& loop, message_bus& bus, target_pool& targets,
+                       engine_keepers& keepers, placement_desk& desk, metrics& counters,
+                       hooks needs);
+    ~placement_exchange();
+    placement_exchange(const placement_exchange&) = delete;
+    placement_exchange& operator=(const placement_exchange&) = delete;
+
+    /// Chooses an engine, leaving out those already tried, and tells it through the hook: at once,
+    /// or later while the result is kept. The choice has no target if there is none.
+    std::shared_ptr<handle> place(const std::string& service, const engine_request& request,
+                                  std::span<const std::string> tried, choice_hook chosen);
+
+    /// The first event of a run came.
+    void first_event(const placed_run& run);
+
+    /// A whole span of later events came within this time.
+    void next_events(placed_run& run, microseconds span);
+
+    /// A run has ended.
+    void ended(const placed_run& run, run_end how);
+
+    /// Takes a message. False if it isn't for the exchange.
+    bool on_message(const message_origin& origin, const wire::Envelope& message);
+
+private:
+    struct pending_ask {
+        std::string service;
+        engine_request request;
+        std::vector<std::string> tried;
+        choice_hook chosen;
+        std::weak_ptr<handle> wanted;
+        ledger_member keeper;
+        instant asked{};
+    };
+
+    void ask(std::uint64_t run, pending_ask wish);
+    void give_up(std::uint64_t run);
+    void watch(const std::string& host, instant asked);
+    void choose_alone(std::uint64_t run, const pending_ask& wish);
+    void choose_at_own_desk(std::uint64_t run, const pending_ask& wish);
+    void on_ask(const message_origin& origin, const wire::Envelope& message);
+    void on_answer(const message_origin& origin, const wire::Envelope& message);
+    void take_news(const wire::RunNewsBatch& batch);
+    void tell(const std::string& endpoint, const wire::RunNews& news);
+    void send_news();
+
+    event_loop& loop_;
+    message_bus& bus_;
+    target_pool& targets_;
+    engine_keepers& keepers_;
+    placement_desk& desk_;
+    metrics& counters_;
+    hooks hooks_;
+    random_source random_;
+    std::map<std::uint64_t, pending_ask> pending_;
+    /// Keepers that let an ask pass its time and have said nothing since.
+    std::set<std::string> silent_;
+    /// When each keeper last answered.
+    std::map<std::string, instant> heard_;
+    /// What keepers are to be told, by where they are reached.
+    std::map<std::string, std::unique_ptr<wire::RunNewsBatch>> news_;
+    bool sending_planned_ = false;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace wrenswitch
--- /dev/null
+++ b/tests/decision/placement/engine_keepers_test.cpp
@@ -0,0 +1,94 @@
+#include "wrenswitch/decision/placement/engine_keepers.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace {
+
+using namespace wrenswitch;
+
+constexpr instant now{seconds(50)};
+
+/// Twenty entries, four of which are larger than the others, and 180 engines.
+struct keepers_fixture {
+    token_homes members{"h3", {}};
+    engine_keepers keepers{members};
+
+    keepers_fixture() {
+        for (int number = 1; number <= 20; ++number) {
+            members.apply(member(number));
+        }
+    }
+
+    static ledger_member member(int number) {
+        const std::string host = "h" + std::to_string(number);
+        return {host, incarnation_id{1}, "tcp://" + host, number <= 4 ? 0.5 : 0.1};
+    }
+
+    std::map<std::string, int> engines_by_keeper(instant at = now) {
+        std::map<std::string, int> counts;
+        for (int engine = 0; engine < 180; ++engine) {
+            counts[keepers.keeper_of(at, "e" + std::to_string(engine))->host] += 1;
+        }
+        return counts;
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(engine_keepers_test, keepers_fixture)
+
+BOOST_AUTO_TEST_CASE(largest_entries_keep_about_as_many_engines_each) {
+    const auto counts = engines_by_keeper();
+    BOOST_TEST(counts.size() == 4U);
+    for (const auto& [host, engines] : counts) {
+        BOOST_TEST(members.largest(now, 4).size() == 4U);
+        BOOST_TEST(engines > 25);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(entries_name_the_same_keepers) {
+    token_homes others("h9", {});
+    for (int number = 20; number >= 1; --number) {
+        others.apply(member(number));
+    }
+    engine_keepers elsewhere(others);
+    for (int engine = 0; engine < 180; ++engine) {
+        const std::string id = "e" + std::to_string(engine);
+        BOOST_TEST(elsewhere.keeper_of(now, id)->host == keepers.keeper_of(now, id)->host);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(own_engines_are_those_that_this_host_keeps) {
+    for (int engine = 0; engine < 180; ++engine) {
+        const std::string id = "e" + std::to_string(engine);
+        BOOST_TEST(keepers.is_own(now, id) == (keepers.keeper_of(now, id)->host == "h3"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(engines_of_a_silent_keeper_alone_move) {
+    std::map<std::string, std::string> before;
+    for (int engine = 0; engine < 180; ++engine) {
+        const std::string id = "e" + std::to_string(engine);
+        before[id] = keepers.keeper_of(now, id)->host;
+    }
+    members.failed(now, "h2");
+    int kept = 0;
+    for (const auto& [id, host] : before) {
+        const std::string after = keepers.keeper_of(now, id)->host;
+        BOOST_TEST(after != "h2");
+        kept += after == host ? 1 : 0;
+    }
+    // The one that takes its place may take some of the others' engines over too.
+    BOOST_TEST(kept > 80);
+    BOOST_TEST(engines_by_keeper(now + seconds(2)).contains("h2"));
+}
+
+BOOST_AUTO_TEST_CASE(without_members_there_is_no_keeper) {
+    token_homes nobody("h1", {});
+    engine_keepers none(nobody);
+    BOOST_TEST(!none.keeper_of(now, "e1").has_value());
+    BOOST_TEST(!none.is_own(now, "e1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
