--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -94,7 +94,7 @@
         std::string text = head_text(status, headers);
         append_header(text, "Transfer-Encoding", "chunked");
         text += "\r\n";
-        connection_->write_soon(std::move(text));
+        connection_->write_soon(text);
     }
 
     void send_piece(std::string_view piece) override {
@@ -305,7 +305,7 @@
     send_directly(stream_, std::exchange(held_, {}));
 }
 
-void ingress_connection::write_soon(std::string bytes) {
+void ingress_connection::write_soon(std::string_view bytes) {
     held_ += bytes;
 }
 
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -38,7 +38,7 @@
     /// Writes to the peer as an exchange asks; `last` ends the answer.
     void write(std::string_view bytes);
     /// Holds bytes back until the next write, so that both go out together.
-    void write_soon(std::string bytes);
+    void write_soon(std::string_view bytes);
     void finish_answer(bool keep);
     void abort();
     bool open() const { return stream_ != nullptr; }
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -22,7 +22,7 @@
 constexpr microseconds idle_margin = milliseconds(600);
 
 /// The most that is read at a time. More stays in the socket for the next turn of the loop.
-constexpr std::size_t most_read_bytes = 16U * 1024U;
+constexpr std::size_t most_read_bytes = 4U * 1024U;
 
 /// The longest head of an answer that is read.
 constexpr std::size_t most_answer_head_bytes = 64U * 1024U;
@@ -143,7 +143,7 @@
     if (stream_ == nullptr) {
         return;
     }
-    std::array<char, most_read_bytes> buffer;
+    std::array<char, most_read_bytes> buffer{};
     const ssize_t length =
         ::recv(bufferevent_getfd(stream_), buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (length > 0) {
