Bound the queue of an entry that gets more than it can pass on

An entry whose loop stays 100 ms late refuses a share of its requests at once, streams first; the share rises with the lag and falls when the queue has gone. A single pause doesn't count (a test found that it did).

--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -26,6 +26,7 @@
 constexpr microseconds until_tokens = milliseconds(500);
 constexpr microseconds until_targets = milliseconds(200);
 constexpr microseconds until_elsewhere = milliseconds(50);
+constexpr microseconds until_less_busy = milliseconds(150);
 
 /// A target that refuses a connection does so at once; one that takes longer says nothing.
 constexpr microseconds least_silence = milliseconds(300);
@@ -72,7 +73,8 @@
             alive->caller_gone();
         }
     });
-    if (read_request() && admit_request() && can_end_before_stop() && reaches_others()) {
+    if (read_request() && admit_request() && can_end_before_stop() && reaches_others() &&
+        has_time()) {
         set_deadline();
         take_tokens();
     }
@@ -142,6 +144,18 @@
     return false;
 }
 
+/// An entry that is late with all it has says so at once to a part of its callers. A stream costs
+/// it some ten times what another request does, so that streams are refused first.
+bool forwarded_request::has_time() {
+    const double share = context_.overload.refused_share();
+    const double refused = admitted_.engine ? share : 2.0 * share - 1.0;
+    if (refused <= 0.0 || context_.random.unit() >= refused) {
+        return true;
+    }
+    refuse(status_unavailable, "overloaded", until_less_busy);
+    return false;
+}
+
 tokens forwarded_request::tokens_per_event() const {
     return admitted_.engine ? admitted_.engine->tokens_per_event : 1;
 }
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -35,6 +35,7 @@
     tokens tokens_per_event() const;
     bool can_end_before_stop();
     bool reaches_others();
+    bool has_time();
     void set_deadline();
     void take_tokens();
     void tokens_answered(reserve_outcome outcome);
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -19,6 +19,9 @@
 /// Every target renews its entry in the list about once a second, so the list is read in pages.
 constexpr microseconds target_read_pause = milliseconds(250);
 
+/// How often the loop's lag is looked at: a look costs some 10 us.
+constexpr microseconds lag_look_period = milliseconds(20);
+
 /// How often a stopping gateway looks whether it is done.
 constexpr microseconds stop_look_period = milliseconds(50);
 
@@ -90,6 +93,7 @@
     ledger_->start();
     members_->start();
     ticker_ = loop_.call_every(tick_period, [this] { tick(); });
+    watch_lag();
     log_event(log_level::information, "gateway_started",
               {{"host", settings_.host},
                {"incarnation", std::to_string(raw(incarnation_))},
@@ -186,6 +190,7 @@
         dialect_,
         configuration_,
         targets_,
+        overload_,
         *grants_,
         *tokens_,
         *placements_,
@@ -346,6 +351,32 @@
                 std::to_string(std::chrono::duration_cast<milliseconds>(silence).count())}});
 }
 
+void gateway::watch_lag() {
+    const instant now = monotonic_now();
+    if (lag_due_ != instant{}) {
+        const microseconds lag = std::max(microseconds(0), now - lag_due_);
+        overload_.observe(now, lag);
+        note_overload(lag);
+    }
+    lag_due_ = now + lag_look_period;
+    loop_.call_after(lag_look_period, [this, alive = alive_] {
+        if (*alive) {
+            watch_lag();
+        }
+    });
+}
+
+void gateway::note_overload(microseconds lag) {
+    const bool overloaded = overload_.refused_share() > 0.0;
+    metrics_.gauge("gateway_refused_share") = overload_.refused_share();
+    if (overloaded == std::exchange(was_overloaded_, overloaded)) {
+        return;
+    }
+    log_event(log_level::warning, overloaded ? "overloaded" : "no_longer_overloaded",
+              {{"lag_ms", std::to_string(std::chrono::duration_cast<milliseconds>(lag).count())},
+               {"requests", std::to_string(context_->requests.size())}});
+}
+
 const engine_shape* gateway::engine_of(const std::string& service) const {
     const gateway_service* known = configuration_.service(service);
     return known == nullptr || !known->engine ? nullptr : &*known->engine;
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
+#include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -51,6 +52,8 @@
     void peer_silent(const std::string& peer);
     bool isolated();
     void look_whether_isolated();
+    void watch_lag();
+    void note_overload(microseconds lag);
     const engine_shape* engine_of(const std::string& service) const;
     void target_changed(const keyed_record& record);
     std::vector<std::string> relay_endpoints() const;
@@ -91,6 +94,10 @@
     std::unique_ptr<placement_exchange> placements_;
     isolation_watch reach_;
     bool was_isolated_ = false;
+    overload_watch overload_;
+    bool was_overloaded_ = false;
+    /// When the loop's lag is to be looked at next.
+    instant lag_due_{};
     std::map<std::string, retry_budget> retries_;
     bool grant_log_answers_ = true;
     std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -13,6 +13,7 @@
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
 #include "wrenswitch/decision/routing/retry_budget.hpp"
@@ -31,6 +32,7 @@
     const gateway_dialect& dialect;
     configuration_view& configuration;
     target_pool& targets;
+    const overload_watch& overload;
     grant_holder& grants;
     token_exchange& tokens;
     placement_exchange& placements;
