--- a/include/wrenswitch/core/time.hpp
+++ b/include/wrenswitch/core/time.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace wrenswitch {
 
@@ -25,4 +26,15 @@
     return static_cast<double>(length.count()) / microseconds_a_second;
 }
 
+/// A length of time as a number of milliseconds.
+constexpr double as_milliseconds(microseconds length) {
+    constexpr double microseconds_a_millisecond = 1e3;
+    return static_cast<double>(length.count()) / microseconds_a_millisecond;
+}
+
+/// A length of time in whole milliseconds, as logs and messages have it.
+inline std::string millis_text(microseconds length) {
+    return std::to_string(std::chrono::duration_cast<milliseconds>(length).count());
+}
+
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -77,10 +77,10 @@
     target_choice pick_engine(instant now, std::string_view service, const engine_request& request,
                               std::span<const std::string> tried, const target_filter& passes);
 
-    /// The engine at which all entries look for a session's memory: the highest one by hash among
-    /// those that may be chosen. Empty if there is none.
-    std::string_view home_engine(instant now, std::string_view service, const prompt_shape& shape,
-                                 std::span<const std::string> tried);
+    /// The engine whose keeper is asked for a prompt: its session's home by hash among those that
+    /// may be chosen, or any of them if it has no session. Empty if there is none.
+    std::string_view meeting_engine(instant now, std::string_view service,
+                                    const prompt_shape& shape, std::span<const std::string> tried);
 
     /// True if the target may be sent requests of the service now.
     bool usable(std::string_view id, std::string_view service) const;
--- a/include/wrenswitch/decision/placement/prompt_shape.hpp
+++ b/include/wrenswitch/decision/placement/prompt_shape.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
+#include <string_view>
 #include <vector>
 
 #include "wrenswitch/core/tokens.hpp"
@@ -27,9 +29,10 @@
     std::vector<prompt_part> parts;
 };
 
-/// The part of a prompt that its session shares: the one before the last, which is the request's
-/// own. Zero if there are no parts.
-std::uint64_t session_of(const prompt_shape& shape);
+/// The engine at which the requests of a prompt's session meet by hash: entries that know nothing
+/// of each other name the same one. Empty if there are no engines, or no parts that others could
+/// share.
+std::string_view home_of(std::span<const std::string_view> engines, const prompt_shape& shape);
 
 /// The tokens that an answer is expected to have: the caller's guess, or half of the most.
 tokens expected_output(const prompt_shape& shape);
--- a/include/wrenswitch/drivers/keyed_follower.hpp
+++ b/include/wrenswitch/drivers/keyed_follower.hpp
@@ -29,6 +29,9 @@
     /// How long to wait after records came before the next read, so that a busy log is read in
     /// pages and not record by record.
     microseconds pause{};
+    /// Tells of the records of one key that came together only the last, for logs whose readers
+    /// need no record but the newest and for whom each costs much.
+    bool only_newest = false;
     microseconds first_retry = milliseconds(50);
     microseconds longest_retry = milliseconds(500);
 };
@@ -68,6 +71,7 @@
     void on_all(const result<keyed_page>& page);
     void on_page(const result<keyed_page>& page);
     void apply(const keyed_record& record);
+    void apply_new(std::span<const keyed_record> records);
     void drop_missing(const keyed_page& page);
     void failed_once();
     void answered();
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -4,8 +4,6 @@
 #include <cmath>
 #include <limits>
 
-#include "wrenswitch/core/digest.hpp"
-
 namespace wrenswitch {
 namespace {
 
@@ -177,20 +175,18 @@
     return choice;
 }
 
-std::string_view target_pool::home_engine(instant now, std::string_view service,
-                                          const prompt_shape& shape,
-                                          std::span<const std::string> tried) {
-    const std::uint64_t session = session_of(shape);
-    const target_state* home = nullptr;
-    std::uint64_t highest = 0;
+std::string_view target_pool::meeting_engine(instant now, std::string_view service,
+                                             const prompt_shape& shape,
+                                             std::span<const std::string> tried) {
+    std::vector<std::string_view> engines;
     for (const target_state* state : candidates(now, service, tried)) {
-        const std::uint64_t rank = spread_hash(state->target.id, session);
-        if (home == nullptr || rank > highest) {
-            home = state;
-            highest = rank;
-        }
+        engines.push_back(state->target.id);
+    }
+    if (engines.empty()) {
+        return {};
     }
-    return home == nullptr ? std::string_view{} : std::string_view(home->target.id);
+    const std::string_view home = home_of(engines, shape);
+    return home.empty() ? engines[random_.below(engines.size())] : home;
 }
 
 bool target_pool::usable(std::string_view id, std::string_view service) const {
--- a/src/decision/placement/engine_load.cpp
+++ b/src/decision/placement/engine_load.cpp
@@ -17,7 +17,7 @@
 constexpr double least_silence_ms = 500.0;
 
 double ms_between(instant from, instant to) {
-    return std::chrono::duration<double, std::milli>(to - from).count();
+    return as_milliseconds(to - from);
 }
 
 }  // namespace
--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -47,30 +47,18 @@
 
 constexpr double ms_a_second = 1000.0;
 
-double in_ms(microseconds length) {
-    return std::chrono::duration<double, std::milli>(length).count();
-}
-
 /// What is lost if an answer isn't worth anything: the tokens that it costs.
 double stake_of(const prompt_shape& shape) {
     return static_cast<double>(shape.prompt + expected_output(shape));
 }
 
-std::string_view home_of(std::span<const engine_candidate> candidates, const prompt_shape& shape) {
-    if (shape.parts.empty()) {
-        return {};
-    }
-    const std::uint64_t session = session_of(shape);
-    std::string_view best;
-    std::uint64_t highest = 0;
+std::vector<std::string_view> ids_of(std::span<const engine_candidate> candidates) {
+    std::vector<std::string_view> ids;
+    ids.reserve(candidates.size());
     for (const engine_candidate& candidate : candidates) {
-        const std::uint64_t rank = spread_hash(candidate.id, session);
-        if (best.empty() || rank > highest) {
-            best = candidate.id;
-            highest = rank;
-        }
+        ids.push_back(candidate.id);
     }
-    return best;
+    return ids;
 }
 
 }  // namespace
@@ -95,12 +83,15 @@
         states.push_back(known != engines_.end()
                              ? &known->second
                              : &state_of(service, std::string(candidate.id), request.engine));
-        states.back()->load.watch_bound(in_ms(request.longest_pause));
+        states.back()->load.watch_bound(as_milliseconds(request.longest_pause));
     }
     learn_usual_pace(service, states);
-    asked question{
-        request, services_[service], home_of(candidates, request.shape), stake_of(request.shape), 0,
-        {}};
+    asked question{request,
+                   services_[service],
+                   home_of(ids_of(candidates), request.shape),
+                   stake_of(request.shape),
+                   0,
+                   {}};
     if (request.engine.copy_ms_per_token > 0.0) {
         find_keeper(question, sources);
     }
@@ -181,7 +172,7 @@
     price.lost_beside = state.load.loss_by_pause(now, price.pause_ms);
     const double engine_time =
         reading_share * static_cast<double>(unread) + copying_share * static_cast<double>(copied);
-    const double aim = std::max(1.0, in_ms(request.first_event_aim));
+    const double aim = std::max(1.0, as_milliseconds(request.first_event_aim));
     const double home = candidate.id == question.home ? home_share : 0.0;
     const double preference =
         waiting_share * price.first_event_ms / aim + crowding_share * runs / slots - home;
@@ -211,10 +202,11 @@
                                      double first_event_ms) {
     const engine_request& request = question.request;
     const double late_first =
-        chance_late(first_event_ms, in_ms(request.first_event_aim), first_event_softness);
+        chance_late(first_event_ms, as_milliseconds(request.first_event_aim), first_event_softness);
     const double answer = answer_ms(state, question.service, request);
     const double late_pauses =
-        state.load.late_pauses_per_second(now, in_ms(request.longest_pause)) * answer / ms_a_second;
+        state.load.late_pauses_per_second(now, as_milliseconds(request.longest_pause)) * answer /
+        ms_a_second;
     return (1.0 - late_first) * std::exp(-late_pauses);
 }
 
@@ -268,7 +260,7 @@
     const double pause = pause_at(now, state, known, request, unread);
     const std::uint64_t number = ++last_number_;
     const engine_run run{number, request.shape.prompt + expected_output(request.shape),
-                         stake_of(request.shape), in_ms(request.longest_pause)};
+                         stake_of(request.shape), as_milliseconds(request.longest_pause)};
     state.load.begin(now, run, {number, reading, pause});
     state.memory.remember(request.shape);
     if (all_known && alone) {
@@ -289,7 +281,7 @@
         return;
     }
     service_state& service = services_[state.service];
-    const double took = in_ms(now - watched->second.begun) / slowness(state, service);
+    const double took = as_milliseconds(now - watched->second.begun) / slowness(state, service);
     service.model.observe(watched->second.prompt, watched->second.unread, took);
     state.watched.erase(watched);
 }
--- a/src/decision/placement/event_pace.cpp
+++ b/src/decision/placement/event_pace.cpp
@@ -12,15 +12,10 @@
 /// Spans after which the estimate can be used.
 constexpr std::size_t enough = 6;
 
-double in_ms(microseconds length) {
-    constexpr double microseconds_a_millisecond = 1000.0;
-    return static_cast<double>(length.count()) / microseconds_a_millisecond;
-}
-
 }  // namespace
 
 void event_pace::observe(microseconds span) {
-    last_ms_[seen_ % window] = in_ms(span) / span_events;
+    last_ms_[seen_ % window] = as_milliseconds(span) / span_events;
     seen_ += 1;
     if (!known()) {
         return;
--- a/src/decision/placement/prompt_shape.cpp
+++ b/src/decision/placement/prompt_shape.cpp
@@ -2,11 +2,35 @@
 
 #include <algorithm>
 
+#include "wrenswitch/core/digest.hpp"
+
 namespace wrenswitch {
+namespace {
 
+/// The part of a prompt that its session shares: the one before the last, which is the request's
+/// own.
 std::uint64_t session_of(const prompt_shape& shape) {
     const std::size_t parts = shape.parts.size();
-    return parts == 0 ? 0 : shape.parts[parts > 1 ? parts - 2 : 0].id;
+    return shape.parts[parts > 1 ? parts - 2 : 0].id;
+}
+
+}  // namespace
+
+std::string_view home_of(std::span<const std::string_view> engines, const prompt_shape& shape) {
+    if (shape.parts.empty()) {
+        return {};
+    }
+    const std::uint64_t session = session_of(shape);
+    std::string_view best;
+    std::uint64_t highest = 0;
+    for (const std::string_view engine : engines) {
+        const std::uint64_t rank = spread_hash(engine, session);
+        if (best.empty() || rank > highest) {
+            best = engine;
+            highest = rank;
+        }
+    }
+    return best;
 }
 
 tokens expected_output(const prompt_shape& shape) {
--- a/src/drivers/event_loop.cpp
+++ b/src/drivers/event_loop.cpp
@@ -40,9 +40,7 @@
 /// Timers are good to some milliseconds. Precise ones cost a system call more in each turn of the
 /// loop, one of five for an event of a stream.
 event_base* make_base() {
-    event_config* config = event_config_new();
-    event_base* base = event_base_new_with_config(config);
-    event_config_free(config);
+    event_base* base = event_base_new();
     event_base_priority_init(base, loop_priorities);
     return base;
 }
--- a/src/drivers/keyed_follower.cpp
+++ b/src/drivers/keyed_follower.cpp
@@ -95,12 +95,7 @@
     }
     answered();
     const bool came = !page.value().records.empty();
-    for (const keyed_record& record : page.value().records) {
-        if (record.offset >= position_) {
-            apply(record);
-            position_ = record.offset + 1;
-        }
-    }
+    apply_new(page.value().records);
     const std::uint64_t number = read_number_;
     hooks_.caught_up();
     if (number != read_number_) {
@@ -114,6 +109,22 @@
     }
 }
 
+void keyed_follower::apply_new(std::span<const keyed_record> records) {
+    std::map<std::string_view, std::uint64_t> newest;
+    if (settings_.only_newest) {
+        for (const keyed_record& record : records) {
+            newest[record.key] = record.offset;
+        }
+    }
+    for (const keyed_record& record : records) {
+        const bool superseded = settings_.only_newest && newest[record.key] != record.offset;
+        if (record.offset >= position_ && !superseded) {
+            apply(record);
+        }
+        position_ = std::max(position_, record.offset + 1);
+    }
+}
+
 void keyed_follower::read_after_pause() {
     const std::uint64_t number = ++read_number_;
     loop_.call_after(settings_.pause, [this, number, alive = alive_] {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -55,10 +55,6 @@
            ",lost_here=" + whole(price.lost_here) + ",lost_beside=" + whole(price.lost_beside);
 }
 
-std::string millis_text(microseconds length) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(length).count());
-}
-
 }  // namespace
 
 forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
@@ -244,7 +240,7 @@
         return;
     }
     placing_ = context_.placements.place(
-        admitted_.service, *engine_request_, history_.tried(),
+        admitted_.service, *engine_request_, history_.tried(), time_left(),
         [self = weak_from_this()](const target_choice& choice, const placed_run& run) {
             if (const auto alive = self.lock()) {
                 alive->send_to(choice, run);
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -19,9 +19,6 @@
 /// Every target renews its entry in the list about once a second, so the list is read in pages.
 constexpr microseconds target_read_pause = milliseconds(250);
 
-/// How often the loop's lag is looked at: a look costs some 10 us.
-constexpr microseconds lag_look_period = milliseconds(20);
-
 /// How often a stopping gateway looks whether it is done.
 constexpr microseconds stop_look_period = milliseconds(50);
 
@@ -73,7 +70,8 @@
       events_(settings.log_requests_per_second, metrics_),
       homes_(settings.host, {}),
       targets_(pool_settings(settings), random_),
-      keepers_(homes_) {}
+      keepers_(homes_),
+      lag_(loop, [this] { return context_->requests.size(); }) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -93,7 +91,7 @@
     ledger_->start();
     members_->start();
     ticker_ = loop_.call_every(tick_period, [this] { tick(); });
-    watch_lag();
+    lag_.start();
     log_event(log_level::information, "gateway_started",
               {{"host", settings_.host},
                {"incarnation", std::to_string(raw(incarnation_))},
@@ -127,10 +125,10 @@
         relayed_channel_settings{});
     log_ = dialect_.make_log(*channel_, keyed_log_timeouts{});
     configuration_follower_ = std::make_unique<keyed_follower>(
-        loop_, *log_, keyed_follower_settings{.log = dialect_.configuration_log},
+        loop_, *log_,
+        keyed_follower_settings{.log = dialect_.configuration_log, .only_newest = true},
         keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
-                             [this] { apply_newest_configuration(); },
-                             reachable_hook(dialect_.configuration_log)});
+                             [] {}, reachable_hook(dialect_.configuration_log)});
     target_follower_ = std::make_unique<keyed_follower>(
         loop_, *log_,
         keyed_follower_settings{.log = dialect_.target_log, .pause = target_read_pause},
@@ -193,7 +191,7 @@
         dialect_,
         configuration_,
         targets_,
-        overload_,
+        lag_.overload(),
         *grants_,
         *tokens_,
         *placements_,
@@ -271,6 +269,7 @@
     if (exchange->path() == "/metrics") {
         metrics_.gauge("gateway_requests_under_way") =
             static_cast<double>(context_->requests.size());
+        metrics_.gauge("gateway_refused_share") = lag_.overload().refused_share();
         metrics_.gauge("gateway_connections") = static_cast<double>(ingress_->connections());
         exchange->reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                         metrics_.to_prometheus_text());
@@ -280,23 +279,14 @@
 }
 
 void gateway::configuration_changed(const keyed_record& record) {
-    if (record.key == dialect_.configuration_key && record.value) {
-        read_configuration_ = record;
-    }
-}
-
-/// Of the versions that came together only the newest is read: one costs an entry of 0.09 of a core
-/// 10 ms, and changes may come each 80 ms.
-void gateway::apply_newest_configuration() {
-    const std::optional<keyed_record> record = std::exchange(read_configuration_, std::nullopt);
-    if (!record) {
+    if (record.key != dialect_.configuration_key || !record.value) {
         return;
     }
-    result<gateway_configuration> read = dialect_.read_configuration(*record->value);
+    result<gateway_configuration> read = dialect_.read_configuration(*record.value);
     if (!read) {
         metrics_.counter("gateway_configurations_unreadable_total") += 1;
         log_event(log_level::error, "configuration_unreadable",
-                  {{"offset", std::to_string(record->offset)}, {"reason", read.error().message}});
+                  {{"offset", std::to_string(record.offset)}, {"reason", read.error().message}});
         return;
     }
     if (!configuration_.apply(std::move(read.value()))) {
@@ -321,7 +311,7 @@
 }
 
 /// The keeper may be a home too; what is silent as one won't answer as the other. An entry that is
-/// late took 20 keepers a minute for lost whose answers it hadn't read.
+/// late took 37 to 86 keepers in ten seconds for lost whose answers it hadn't read.
 void gateway::keeper_silent(const std::string& host, bool others_answered) {
     if (others_answered && homes_.failed(monotonic_now(), host)) {
         log_event(log_level::warning, "engine_keeper_lost", {{"keeper", host}});
@@ -359,35 +349,7 @@
     }
     const microseconds silence = monotonic_now() - reach_.last_heard();
     log_event(log_level::warning, isolated_now ? "isolated" : "reaches_others",
-              {{"silent_peers", std::to_string(silent)},
-               {"last_heard_ms",
-                std::to_string(std::chrono::duration_cast<milliseconds>(silence).count())}});
-}
-
-void gateway::watch_lag() {
-    const instant now = monotonic_now();
-    if (lag_due_ != instant{}) {
-        const microseconds lag = std::max(microseconds(0), now - lag_due_);
-        overload_.observe(now, lag);
-        note_overload(lag);
-    }
-    lag_due_ = now + lag_look_period;
-    loop_.call_after(lag_look_period, [this, alive = alive_] {
-        if (*alive) {
-            watch_lag();
-        }
-    });
-}
-
-void gateway::note_overload(microseconds lag) {
-    const bool overloaded = overload_.refused_share() > 0.0;
-    metrics_.gauge("gateway_refused_share") = overload_.refused_share();
-    if (overloaded == std::exchange(was_overloaded_, overloaded)) {
-        return;
-    }
-    log_event(log_level::warning, overloaded ? "overloaded" : "no_longer_overloaded",
-              {{"lag_ms", std::to_string(std::chrono::duration_cast<milliseconds>(lag).count())},
-               {"requests", std::to_string(context_->requests.size())}});
+              {{"silent_peers", std::to_string(silent)}, {"last_heard_ms", millis_text(silence)}});
 }
 
 const engine_shape* gateway::engine_of(const std::string& service) const {
@@ -517,7 +479,7 @@
     tokens_->return_free(now);
     ledger_->append_if_due();
     waiters_->serve(now);
-    desk_->drop_silent(now);
+    desk_->drop_lapsed(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
         pools_.erase(id);
     }
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -2,15 +2,14 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 #include "roles/gateway/event_log.hpp"
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
+#include "roles/gateway/lag_watch.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
-#include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -47,15 +46,12 @@
     void serve_admin(const http_exchange_pointer& exchange);
 
     void configuration_changed(const keyed_record& record);
-    void apply_newest_configuration();
     void apply_limits();
     void keeper_silent(const std::string& host, bool others_answered);
     void keeper_answered(const std::string& host);
     void peer_silent(const std::string& peer);
     bool isolated();
     void look_whether_isolated();
-    void watch_lag();
-    void note_overload(microseconds lag);
     const engine_shape* engine_of(const std::string& service) const;
     void target_changed(const keyed_record& record);
     std::vector<std::string> relay_endpoints() const;
@@ -90,18 +86,13 @@
     std::unique_ptr<token_exchange> tokens_;
 
     configuration_view configuration_;
-    /// The newest configuration that was read and isn't applied yet.
-    std::optional<keyed_record> read_configuration_;
     target_pool targets_;
     engine_keepers keepers_;
+    lag_watch lag_;
     std::unique_ptr<placement_desk> desk_;
     std::unique_ptr<placement_exchange> placements_;
     isolation_watch reach_;
     bool was_isolated_ = false;
-    overload_watch overload_;
-    bool was_overloaded_ = false;
-    /// When the loop's lag is to be looked at next.
-    instant lag_due_{};
     std::map<std::string, retry_budget> retries_;
     bool grant_log_answers_ = true;
     std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
--- /dev/null
+++ b/src/roles/gateway/placement_codec.cpp
@@ -0,0 +1,109 @@
+#include "roles/gateway/placement_codec.hpp"
+
+#include <placement.pb.h>
+
+namespace wrenswitch {
+namespace {
+
+std::int64_t whole_milliseconds(microseconds length) {
+    return std::chrono::duration_cast<milliseconds>(length).count();
+}
+
+}  // namespace
+
+wire::PlacementAsk to_wire(std::uint64_t run, const std::string& service,
+                           const engine_request& request, std::span<const std::string> tried,
+                           microseconds left) {
+    wire::PlacementAsk ask;
+    ask.set_run(run);
+    ask.set_service(service);
+    ask.set_prompt(request.shape.prompt);
+    ask.set_most_output(request.shape.most_output);
+    ask.set_guessed_output(request.shape.guessed_output);
+    ask.set_first_event_aim_ms(whole_milliseconds(request.first_event_aim));
+    ask.set_longest_pause_ms(whole_milliseconds(request.longest_pause));
+    ask.set_left_ms(static_cast<std::uint32_t>(whole_milliseconds(left)));
+    for (const prompt_part& part : request.shape.parts) {
+        wire::PromptPart& told = *ask.add_parts();
+        told.set_id(part.id);
+        told.set_length(part.length);
+    }
+    for (const std::string& target : tried) {
+        ask.add_tried(target);
+    }
+    return ask;
+}
+
+engine_request from_wire(const wire::PlacementAsk& ask, const engine_shape& engine) {
+    engine_request request;
+    prompt_shape& shape = request.shape;
+    shape.prompt = ask.prompt();
+    shape.most_output = ask.most_output();
+    shape.guessed_output = ask.guessed_output();
+    for (const wire::PromptPart& part : ask.parts()) {
+        shape.parts.push_back({part.id(), part.length()});
+    }
+    request.engine = engine;
+    request.first_event_aim = milliseconds(ask.first_event_aim_ms());
+    request.longest_pause = milliseconds(ask.longest_pause_ms());
+    return request;
+}
+
+wire::PlacementAnswer to_wire(std::uint64_t run, const target_choice& choice) {
+    wire::PlacementAnswer answer;
+    answer.set_run(run);
+    if (choice.target == nullptr) {
+        return answer;
+    }
+    answer.set_target(choice.target->id);
+    answer.set_copy_from(choice.copy_from == nullptr ? "" : choice.copy_from->id);
+    answer.set_unread(choice.unread);
+    answer.set_first_event_ms(static_cast<float>(choice.price.first_event_ms));
+    answer.set_backlog_ms(static_cast<float>(choice.price.backlog_ms));
+    answer.set_pause_ms(static_cast<float>(choice.price.pause_ms));
+    answer.set_lost_here(static_cast<float>(choice.price.lost_here));
+    answer.set_lost_beside(static_cast<float>(choice.price.lost_beside));
+    return answer;
+}
+
+target_choice from_wire(const wire::PlacementAnswer& answer, const target_pool& targets) {
+    target_choice choice;
+    choice.target = targets.find(answer.target());
+    choice.copy_from = answer.copy_from().empty() ? nullptr : targets.find(answer.copy_from());
+    choice.unread = answer.unread();
+    choice.price.first_event_ms = answer.first_event_ms();
+    choice.price.backlog_ms = answer.backlog_ms();
+    choice.price.pause_ms = answer.pause_ms();
+    choice.price.lost_here = answer.lost_here();
+    choice.price.lost_beside = answer.lost_beside();
+    return choice;
+}
+
+wire::RunEnd to_wire(run_end how) {
+    switch (how) {
+        case run_end::left:
+            return wire::RUN_LEFT;
+        case run_end::answered_well:
+            return wire::RUN_ANSWERED_WELL;
+        case run_end::answered_badly:
+            return wire::RUN_ANSWERED_BADLY;
+        case run_end::failed:
+            return wire::RUN_FAILED;
+    }
+    return wire::RUN_LEFT;
+}
+
+run_end from_wire(wire::RunEnd how) {
+    switch (how) {
+        case wire::RUN_ANSWERED_WELL:
+            return run_end::answered_well;
+        case wire::RUN_ANSWERED_BADLY:
+            return run_end::answered_badly;
+        case wire::RUN_FAILED:
+            return run_end::failed;
+        default:
+            return run_end::left;
+    }
+}
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/placement_desk.cpp
+++ b/src/roles/gateway/placement_desk.cpp
@@ -1,11 +1,16 @@
 #include "roles/gateway/placement_desk.hpp"
 
+#include <algorithm>
+
 namespace wrenswitch {
 namespace {
 
-/// A run of which nothing was heard for this long has lost its entry. Callers of today's routes
-/// wait 15 s at the most.
-constexpr microseconds run_lease = seconds(16);
+/// How long a run is counted beyond the time that its caller had: longer than its end takes to be
+/// told.
+constexpr microseconds lease_slack = seconds(1);
+
+/// No run is counted for longer, whatever an asker says.
+constexpr microseconds longest_lease = seconds(600);
 
 }  // namespace
 
@@ -14,7 +19,7 @@
 
 target_choice placement_desk::place(instant now, std::uint64_t run, const std::string& service,
                                     const engine_request& request,
-                                    std::span<const std::string> tried) {
+                                    std::span<const std::string> tried, microseconds left) {
     const target_choice choice = targets_.pick_engine(
         now, service, request, tried,
         [this, now](std::string_view engine) { return keepers_.is_own(now, engine); });
@@ -24,34 +29,31 @@
     }
     const std::string& target = choice.target->id;
     const std::uint64_t number = targets_.begin_run(now, target, request, choice.unread, true);
-    runs_.insert_or_assign(run, kept_run{target, number, now + run_lease});
+    runs_.insert_or_assign(
+        run, kept_run{target, number, now + std::min(left, longest_lease) + lease_slack});
     counters_.counter("placements_total") += 1;
     return choice;
 }
 
-placement_desk::kept_run* placement_desk::find(instant now, std::uint64_t run) {
+const placement_desk::kept_run* placement_desk::find(std::uint64_t run) const {
     const auto found = runs_.find(run);
-    if (found == runs_.end()) {
-        return nullptr;
-    }
-    found->second.lease_until = now + run_lease;
-    return &found->second;
+    return found == runs_.end() ? nullptr : &found->second;
 }
 
 void placement_desk::first_event(instant now, std::uint64_t run) {
-    if (const kept_run* kept = find(now, run)) {
+    if (const kept_run* kept = find(run)) {
         targets_.first_event(now, kept->target, kept->number);
     }
 }
 
 void placement_desk::next_events(instant now, std::uint64_t run, microseconds span) {
-    if (const kept_run* kept = find(now, run)) {
+    if (const kept_run* kept = find(run)) {
         targets_.next_events(now, kept->target, span);
     }
 }
 
 void placement_desk::ended_elsewhere(instant now, std::uint64_t run, run_end how) {
-    const kept_run* kept = find(now, run);
+    const kept_run* kept = find(run);
     if (kept == nullptr) {
         return;
     }
@@ -71,11 +73,11 @@
     }
 }
 
-void placement_desk::drop_silent(instant now) {
+void placement_desk::drop_lapsed(instant now) {
     for (auto it = runs_.begin(); it != runs_.end();) {
         const auto run = it++;
         if (run->second.lease_until <= now) {
-            counters_.counter("placements_silent_total") += 1;
+            counters_.counter("placements_lapsed_total") += 1;
             targets_.end_run(now, run->second.target, run->second.number);
             runs_.erase(run);
         }
--- a/src/roles/gateway/placement_desk.hpp
+++ b/src/roles/gateway/placement_desk.hpp
@@ -32,9 +32,11 @@
     placement_desk(target_pool& targets, engine_keepers& keepers, metrics& counters);
 
     /// Chooses one of the engines that this entry keeps and counts the run, whose number is unique
-    /// in the fleet, as begun there. Without a target if there is none to offer.
+    /// in the fleet, as begun there, for no longer than its caller still waits. Without a target if
+    /// there is none to offer.
     target_choice place(instant now, std::uint64_t run, const std::string& service,
-                        const engine_request& request, std::span<const std::string> tried);
+                        const engine_request& request, std::span<const std::string> tried,
+                        microseconds left);
 
     /// The first event of a run came.
     void first_event(instant now, std::uint64_t run);
@@ -48,8 +50,8 @@
     /// A run of this entry's own has ended.
     void ended_here(instant now, std::uint64_t run);
 
-    /// Ends the runs of which nothing was heard for so long that their entry must be gone.
-    void drop_silent(instant now);
+    /// Ends the runs whose callers have no time left: their entry must be gone.
+    void drop_lapsed(instant now);
 
     /// The runs that are counted now.
     std::size_t runs() const { return runs_.size(); }
@@ -59,11 +61,11 @@
         std::string target;
         /// Its number at the engine.
         std::uint64_t number = 0;
-        /// When it is given up unless something is heard of it before.
+        /// When it is given up if its end isn't told.
         instant lease_until{};
     };
 
-    kept_run* find(instant now, std::uint64_t run);
+    const kept_run* find(std::uint64_t run) const;
 
     target_pool& targets_;
     engine_keepers& keepers_;
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/placement_codec.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -16,102 +19,9 @@
 /// lost packet takes to be sent again.
 constexpr microseconds longest_silence = milliseconds(300);
 
-/// A timer that is later than this says that this process is behind, not that a keeper is silent.
-constexpr microseconds own_lateness = milliseconds(15);
-
 /// News of runs wait this long for company: a part of what reading a usual prompt takes.
 constexpr microseconds news_wait = milliseconds(20);
 
-wire::PlacementAsk to_wire(std::uint64_t run, const std::string& service,
-                           const engine_request& request, std::span<const std::string> tried) {
-    wire::PlacementAsk ask;
-    ask.set_run(run);
-    ask.set_service(service);
-    ask.set_prompt(request.shape.prompt);
-    ask.set_most_output(request.shape.most_output);
-    ask.set_guessed_output(request.shape.guessed_output);
-    ask.set_first_event_aim_ms(
-        std::chrono::duration_cast<milliseconds>(request.first_event_aim).count());
-    ask.set_longest_pause_ms(
-        std::chrono::duration_cast<milliseconds>(request.longest_pause).count());
-    for (const prompt_part& part : request.shape.parts) {
-        wire::PromptPart& told = *ask.add_parts();
-        told.set_id(part.id);
-        told.set_length(part.length);
-    }
-    for (const std::string& target : tried) {
-        ask.add_tried(target);
-    }
-    return ask;
-}
-
-engine_request from_wire(const wire::PlacementAsk& ask, const engine_shape& engine) {
-    engine_request request;
-    prompt_shape& shape = request.shape;
-    shape.prompt = ask.prompt();
-    shape.most_output = ask.most_output();
-    shape.guessed_output = ask.guessed_output();
-    for (const wire::PromptPart& part : ask.parts()) {
-        shape.parts.push_back({part.id(), part.length()});
-    }
-    request.engine = engine;
-    request.first_event_aim = milliseconds(ask.first_event_aim_ms());
-    request.longest_pause = milliseconds(ask.longest_pause_ms());
-    return request;
-}
-
-void to_wire(const target_choice& choice, wire::PlacementAnswer& answer) {
-    if (choice.target == nullptr) {
-        return;
-    }
-    answer.set_target(choice.target->id);
-    answer.set_copy_from(choice.copy_from == nullptr ? "" : choice.copy_from->id);
-    answer.set_unread(choice.unread);
-    answer.set_first_event_ms(static_cast<float>(choice.price.first_event_ms));
-    answer.set_backlog_ms(static_cast<float>(choice.price.backlog_ms));
-    answer.set_pause_ms(static_cast<float>(choice.price.pause_ms));
-    answer.set_lost_here(static_cast<float>(choice.price.lost_here));
-    answer.set_lost_beside(static_cast<float>(choice.price.lost_beside));
-    answer.set_sum(static_cast<float>(choice.price.sum));
-}
-
-target_choice from_wire(const wire::PlacementAnswer& answer, const target_pool& targets) {
-    target_choice choice;
-    choice.target = targets.find(answer.target());
-    choice.copy_from = answer.copy_from().empty() ? nullptr : targets.find(answer.copy_from());
-    choice.unread = answer.unread();
-    choice.price = {answer.first_event_ms(), answer.backlog_ms(),  answer.pause_ms(),
-                    answer.lost_here(),      answer.lost_beside(), answer.sum()};
-    return choice;
-}
-
-wire::RunEnd to_wire(run_end how) {
-    switch (how) {
-        case run_end::left:
-            return wire::RUN_LEFT;
-        case run_end::answered_well:
-            return wire::RUN_ANSWERED_WELL;
-        case run_end::answered_badly:
-            return wire::RUN_ANSWERED_BADLY;
-        case run_end::failed:
-            return wire::RUN_FAILED;
-    }
-    return wire::RUN_LEFT;
-}
-
-run_end from_wire(wire::RunEnd how) {
-    switch (how) {
-        case wire::RUN_ANSWERED_WELL:
-            return run_end::answered_well;
-        case wire::RUN_ANSWERED_BADLY:
-            return run_end::answered_badly;
-        case wire::RUN_FAILED:
-            return run_end::failed;
-        default:
-            return run_end::left;
-    }
-}
-
 }  // namespace
 
 placement_exchange::placement_exchange(event_loop& loop, message_bus& bus, target_pool& targets,
@@ -131,13 +41,13 @@
 
 std::shared_ptr<placement_exchange::handle> placement_exchange::place(
     const std::string& service, const engine_request& request, std::span<const std::string> tried,
-    choice_hook chosen) {
+    microseconds left, choice_hook chosen) {
     const instant now = monotonic_now();
     const auto run = static_cast<std::uint64_t>(random_.next_id<incarnation_id>());
     auto wanted = std::make_shared<handle>();
-    pending_ask wish{service, request, {tried.begin(), tried.end()}, std::move(chosen), wanted,
-                     {},      now};
-    const std::string_view home = targets_.home_engine(now, service, request.shape, tried);
+    pending_ask wish{
+        service, request, {tried.begin(), tried.end()}, left, std::move(chosen), wanted, {}, now};
+    const std::string_view home = targets_.meeting_engine(now, service, request.shape, tried);
     const std::optional<ledger_member> keeper =
         home.empty() ? std::nullopt : keepers_.keeper_of(now, home);
     if (!keeper || silent_.contains(keeper->host)) {
@@ -155,7 +65,8 @@
 
 void placement_exchange::ask(std::uint64_t run, pending_ask wish) {
     wire::Envelope message;
-    *message.mutable_placement_ask() = to_wire(run, wish.service, wish.request, wish.tried);
+    *message.mutable_placement_ask() =
+        to_wire(run, wish.service, wish.request, wish.tried, wish.left);
     bus_.send(wish.keeper.endpoint, message);
     counters_.counter("placement_asks_total") += 1;
     pending_.emplace(run, std::move(wish));
@@ -219,7 +130,7 @@
 
 void placement_exchange::choose_at_own_desk(std::uint64_t run, const pending_ask& wish) {
     const target_choice choice =
-        desk_.place(monotonic_now(), run, wish.service, wish.request, wish.tried);
+        desk_.place(monotonic_now(), run, wish.service, wish.request, wish.tried, wish.left);
     if (choice.target == nullptr) {
         choose_alone(run, wish);
         return;
@@ -249,13 +160,11 @@
     target_choice choice;
     if (engine != nullptr) {
         const std::vector<std::string> tried(ask.tried().begin(), ask.tried().end());
-        choice =
-            desk_.place(monotonic_now(), ask.run(), ask.service(), from_wire(ask, *engine), tried);
+        choice = desk_.place(monotonic_now(), ask.run(), ask.service(), from_wire(ask, *engine),
+                             tried, milliseconds(ask.left_ms()));
     }
     wire::Envelope reply;
-    wire::PlacementAnswer& answer = *reply.mutable_placement_answer();
-    answer.set_run(ask.run());
-    to_wire(choice, answer);
+    *reply.mutable_placement_answer() = to_wire(ask.run(), choice);
     bus_.answer(origin, reply);
 }
 
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -69,10 +69,12 @@
     placement_exchange(const placement_exchange&) = delete;
     placement_exchange& operator=(const placement_exchange&) = delete;
 
-    /// Chooses an engine, leaving out those already tried, and tells it through the hook: at once,
-    /// or later while the result is kept. The choice has no target if there is none.
+    /// Chooses an engine, leaving out those already tried, for a caller who waits this long, and
+    /// tells it through the hook: at once, or later while the result is kept. The choice has no
+    /// target if there is none.
     std::shared_ptr<handle> place(const std::string& service, const engine_request& request,
-                                  std::span<const std::string> tried, choice_hook chosen);
+                                  std::span<const std::string> tried, microseconds left,
+                                  choice_hook chosen);
 
     /// The first event of a run came.
     void first_event(const placed_run& run);
@@ -91,6 +93,8 @@
         std::string service;
         engine_request request;
         std::vector<std::string> tried;
+        /// How long the caller still waits.
+        microseconds left{};
         choice_hook chosen;
         std::weak_ptr<handle> wanted;
         ledger_member keeper;
--- a/src/roles/gateway/request_trace.cpp
+++ b/src/roles/gateway/request_trace.cpp
@@ -8,10 +8,6 @@
 /// More decisions than a request with all its attempts usually has.
 constexpr std::size_t most_steps = 24;
 
-std::string millis_text(microseconds length) {
-    return std::to_string(std::chrono::duration_cast<milliseconds>(length).count());
-}
-
 }  // namespace
 
 void request_trace::add(instant now, std::string_view event,
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "roles/gateway/lag_watch.hpp"
 #include "wrenswitch/core/log.hpp"
 
 namespace wrenswitch {
@@ -15,9 +16,6 @@
 /// a request costs 460 us.
 constexpr microseconds asked_ahead = milliseconds(100);
 
-/// A timer that is later than this says that this process is behind, not that a home is silent.
-constexpr microseconds own_lateness = milliseconds(15);
-
 /// How often a home gets its time again for that.
 constexpr unsigned most_extensions = 2;
 
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -260,12 +260,22 @@
              .target == nullptr));
 }
 
-BOOST_AUTO_TEST_CASE(home_engine_is_the_one_that_idle_engines_are_chosen_by) {
+BOOST_AUTO_TEST_CASE(prompts_without_a_session_meet_at_any_engine) {
+    engine_request lone = prompt(1, 1);
+    lone.shape.parts.clear();
+    std::set<std::string_view> met;
+    for (int turn = 0; turn < 100; ++turn) {
+        met.insert(pool->meeting_engine(now, "engine", lone.shape, {}));
+    }
+    BOOST_TEST(met.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(session_meets_at_the_engine_that_is_chosen_while_all_are_idle) {
     for (std::uint64_t session = 10; session < 40; ++session) {
         const engine_request asked = prompt(session, 5);
-        BOOST_TEST(pool->home_engine(now, "engine", asked.shape, {}) == pick_engine(asked));
+        BOOST_TEST(pool->meeting_engine(now, "engine", asked.shape, {}) == pick_engine(asked));
     }
-    BOOST_TEST(pool->home_engine(now, "unknown", prompt(1, 2).shape, {}).empty());
+    BOOST_TEST(pool->meeting_engine(now, "unknown", prompt(1, 2).shape, {}).empty());
 }
 
 BOOST_AUTO_TEST_CASE(leaving_unlisted_or_foreign_target_is_not_usable) {
--- a/tests/drivers/keyed_follower_test.cpp
+++ b/tests/drivers/keyed_follower_test.cpp
@@ -96,6 +96,29 @@
     BOOST_TEST(run_until([&] { return patient.position() == 60; }));
 }
 
+BOOST_AUTO_TEST_CASE(of_records_that_come_together_only_the_newest_is_told_where_that_is_enough) {
+    log.put("l", "k", "0");
+    std::vector<std::string> told;
+    keyed_follower newest(loop, log, {.log = "l", .hold = milliseconds(50), .only_newest = true},
+                          {[&told](const keyed_record& record) {
+                               told.push_back(record.key + record.value.value_or("gone"));
+                           },
+                           [] {}, [](bool) {}});
+    newest.start();
+    BOOST_REQUIRE(run_until([&] { return newest.live(); }));
+    told.clear();
+    log.down = true;
+    run_for(milliseconds(100));
+    for (int step = 1; step <= 20; ++step) {
+        log.put("l", "k", std::to_string(step));
+    }
+    log.put("l", "other", "1");
+    log.put("l", "k", "21");
+    log.down = false;
+    BOOST_REQUIRE(run_until([&] { return newest.position() == 23U; }));
+    BOOST_TEST((told == std::vector<std::string>{"other1", "k21"}));
+}
+
 BOOST_AUTO_TEST_CASE(own_append_is_not_told_twice) {
     begin();
     const std::vector<keyed_record> mine{{"k", "mine", 0}};
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -94,7 +94,7 @@
     std::shared_ptr<placement_exchange::handle> begin(placing_entry& entry,
                                                       const engine_request& request,
                                                       std::vector<std::string> tried = {}) {
-        return entry.exchange.place(service, request, tried,
+        return entry.exchange.place(service, request, tried, seconds(5),
                                     [this](const target_choice& made, const placed_run& placed) {
                                         choice = made;
                                         run = placed;
@@ -226,11 +226,11 @@
     BOOST_TEST(keeper->desk.runs() == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(run_of_a_lost_entry_is_given_up_after_a_while) {
+BOOST_AUTO_TEST_CASE(run_of_a_lost_entry_is_given_up_when_its_caller_has_no_time_left) {
     place(*asker, prompt(7));
-    keeper->desk.drop_silent(monotonic_now() + seconds(1));
+    keeper->desk.drop_lapsed(monotonic_now() + seconds(4));
     BOOST_TEST(keeper->desk.runs() == 1U);
-    keeper->desk.drop_silent(monotonic_now() + seconds(60));
+    keeper->desk.drop_lapsed(monotonic_now() + seconds(7));
     BOOST_TEST(keeper->desk.runs() == 0U);
 }
 
@@ -243,7 +243,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(without_any_engine_there_is_no_target) {
-    const auto wish = asker->exchange.place("unknown", prompt(7), {},
+    const auto wish = asker->exchange.place("unknown", prompt(7), {}, seconds(5),
                                             [this](const target_choice& made, const placed_run&) {
                                                 choice = made;
                                                 chosen += 1;
