--- a/src/roles/gateway/placement_codec.cpp
+++ b/src/roles/gateway/placement_codec.cpp
@@ -1,7 +1,5 @@
 #include "roles/gateway/placement_codec.hpp"
 
-#include <placement.pb.h>
-
 namespace wrenswitch {
 namespace {
 
--- a/src/roles/gateway/placement_codec.hpp
+++ b/src/roles/gateway/placement_codec.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <placement.pb.h>
+
 #include <cstdint>
 #include <span>
 #include <string>
@@ -8,12 +10,6 @@
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 
-namespace wrenswitch::wire {
-class PlacementAnswer;
-class PlacementAsk;
-enum RunEnd : int;
-}  // namespace wrenswitch::wire
-
 namespace wrenswitch {
 
 /// What an entry asks a keeper, with how long the caller still waits.
