Send nothing to emptied failure domains, and no more to cold targets than they bear

Cause: the operator's wish to empty a domain and the cold time of targets weren't read at all.

Now the wish is a typed record beside a target's own leaving, and binds every choice: first tries, retries, resumptions, keepers' answers, targets that are listed later. A cold engine's keeper hands out its turns (0.8 of the rate), entries that can't ask share the rest; plain targets' turns are shared by all entries. Targets of a domain that comes back count as cold. What is left over is refused at once. Ruled out: equal parts of the rate for each entry, 0.37 of a turn a second at 26 entries and useless at 340.

Tests fail without it: target_pool, cold_turns, placement_exchange, translation, live gateway.

--- a/include/wrenswitch/decision/gateway/gateway_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -58,6 +58,17 @@
     microseconds longest_pause{};
 };
 
+/// What a service's targets bear while they are cold: after a start, or whenever they turn cold.
+struct target_warmup {
+    /// How long a target stays cold after a start.
+    microseconds length{};
+    /// The requests that a cold one bears in a second, from all entries together; zero if it makes
+    /// no difference.
+    double requests_per_second = 0.0;
+
+    friend bool operator==(const target_warmup&, const target_warmup&) = default;
+};
+
 /// A set of targets that are alike.
 struct gateway_service {
     std::string name;
@@ -65,6 +76,7 @@
     std::size_t most_connections = 64;
     /// Given if the targets are model engines.
     std::optional<engine_shape> engine;
+    target_warmup warmup;
 };
 
 /// A client account, its keys and its prepaid budget.
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -12,6 +13,8 @@
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/core/tokens.hpp"
+#include "wrenswitch/decision/gateway/cold_turns.hpp"
+#include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
 
@@ -29,6 +32,13 @@
     friend bool operator==(const gateway_target&, const gateway_target&) = default;
 };
 
+/// A target's entry in the list.
+struct listed_target {
+    gateway_target target;
+    /// How much longer the target is cold, as of when it wrote the entry.
+    microseconds cold_left{};
+};
+
 /// Settings of a pool.
 struct target_pool_settings {
     std::string failure_domain;
@@ -38,6 +48,8 @@
     microseconds longest_ejection = seconds(8);
     /// How long a report of load counts.
     microseconds report_life = milliseconds(500);
+    /// How many entries there are, which share what a cold target bears; one if it isn't set.
+    std::function<std::size_t()> entries;
 };
 
 /// Where a request goes.
@@ -50,6 +62,18 @@
     tokens unread = 0;
     /// What an engine was chosen by.
     placement_price price;
+    /// True if there is no target only because those that are left are cold and got their share.
+    bool all_cold = false;
+};
+
+/// Whose turns at a cold target a choice uses.
+enum class turn_owner {
+    /// The engine's keeper, which chooses for all entries.
+    keeper,
+    /// An entry that can't ask the engine's keeper.
+    stand_in,
+    /// One of the entries that all send to a target which nobody keeps.
+    equal,
 };
 
 /// Chooses a target for each request that goes to one directly: from the load reported with
@@ -66,6 +90,22 @@
     /// The list no longer has this target: it left, crashed, or the list lost it.
     void remove(instant now, std::string_view id);
 
+    /// The target is cold for so long, or longer if that was known.
+    void note_cold(instant now, std::string_view id, microseconds left);
+
+    /// What a service's targets bear while they are cold.
+    void set_warmup(const std::string& service, const target_warmup& warmup);
+
+    /// The operator wants nothing to go to a failure domain any more, or takes that back. Targets
+    /// of a domain that comes back count as cold, since they may have restarted meanwhile. False if
+    /// that was so already.
+    bool set_emptied(instant now, std::string_view failure_domain, bool emptied);
+
+    /// True if nothing may go to this failure domain.
+    bool is_emptied(std::string_view failure_domain) const {
+        return emptied_.contains(failure_domain);
+    }
+
     /// Says whether a target may be chosen.
     using target_filter = std::function<bool(std::string_view id)>;
 
@@ -75,7 +115,8 @@
     /// An engine for a request with a prompt among those that the filter lets pass, leaving out
     /// those already tried.
     target_choice pick_engine(instant now, std::string_view service, const engine_request& request,
-                              std::span<const std::string> tried, const target_filter& passes);
+                              std::span<const std::string> tried, const target_filter& passes,
+                              turn_owner owner);
 
     /// The engine whose keeper is asked for a prompt: its session's home by hash among those that
     /// may be chosen, or any of them if it has no session. Empty if there is none.
@@ -137,15 +178,32 @@
         instant rated_at{};
         unsigned failures = 0;
         instant ejected_until{};
+        /// Turns while it is cold: those that a keeper gives, and this entry's own.
+        cold_turns kept_turns;
+        cold_turns own_turns;
     };
 
     using states = std::map<std::string, target_state, std::less<>>;
 
+    using state_filter = std::function<bool(const target_state& state)>;
+
+    /// The targets that a request may go to, and whether some more are left out as cold.
+    struct candidate_group {
+        std::vector<target_state*> targets;
+        bool some_cold = false;
+    };
+
     void settle_address(target_state& changed);
     static double failure_rate(const target_state& state, instant now);
     static void rate(target_state& state, instant now, bool well);
+    bool may_be_chosen(const target_state& state, std::string_view service) const;
     std::vector<target_state*> candidates(instant now, std::string_view service,
-                                          std::span<const std::string> tried);
+                                          std::span<const std::string> tried,
+                                          const state_filter& admits);
+    candidate_group with_turns(instant now, std::string_view service,
+                               std::span<const std::string> tried, turn_owner owner);
+    double turn_rate(std::string_view service, turn_owner owner) const;
+    void take_turn(instant now, const gateway_target& target, turn_owner owner);
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
     std::vector<std::string_view> sources(instant now, std::string_view service) const;
@@ -153,6 +211,9 @@
     target_pool_settings settings_;
     random_source& random_;
     states targets_;
+    std::map<std::string, target_warmup, std::less<>> warmups_;
+    /// Failure domains to which nothing may go.
+    std::set<std::string, std::less<>> emptied_;
     engine_placer placer_;
 };
 
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -53,7 +53,12 @@
     std::string grant_log;
     std::string member_log;
     std::function<result<gateway_configuration>(std::string_view)> read_configuration;
-    std::function<result<gateway_target>(std::string_view id, std::string_view value)> read_target;
+    std::function<result<listed_target>(std::string_view id, std::string_view value)> read_target;
+    /// The failure domain that the operator wants emptied while a record of the configuration's log
+    /// stands, by its key; nothing if the key means something else.
+    std::function<std::optional<std::string>(std::string_view key)> emptied_domain;
+    /// An error if such a record's value can't be read.
+    std::function<result<void>(std::string_view value)> read_emptied;
     /// The keyed log behind a channel to the platform's service.
     std::function<std::unique_ptr<keyed_log>(service_channel&, const keyed_log_timeouts&)> make_log;
     /// A cheap call that shows whether the service answers.
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -22,6 +22,11 @@
 /// A target that left the list is used only in need, and only for so long.
 constexpr microseconds unlisted_life = seconds(20);
 
+/// The part of what a cold engine bears that its keeper hands out. The rest is for entries that
+/// can't ask a keeper, each of which has its share of that. Two keepers of one engine, as entries
+/// that see other members have, stay below 1.8 times the rate together.
+constexpr double kept_part = 0.8;
+
 }  // namespace
 
 target_pool::target_pool(target_pool_settings settings, random_source& random)
@@ -47,6 +52,37 @@
     }
 }
 
+void target_pool::note_cold(instant now, std::string_view id, microseconds left) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end() || left <= microseconds(0)) {
+        return;
+    }
+    found->second.kept_turns.begin(now, now + left, 0.0);
+    found->second.own_turns.begin(now, now + left, random_.unit());
+}
+
+void target_pool::set_warmup(const std::string& service, const target_warmup& warmup) {
+    warmups_.insert_or_assign(service, warmup);
+}
+
+bool target_pool::set_emptied(instant now, std::string_view failure_domain, bool emptied) {
+    if (emptied) {
+        return emptied_.emplace(failure_domain).second;
+    }
+    const auto found = emptied_.find(failure_domain);
+    if (found == emptied_.end()) {
+        return false;
+    }
+    emptied_.erase(found);
+    for (const auto& [id, state] : targets_) {
+        const auto warmup = warmups_.find(state.target.service);
+        if (state.target.failure_domain == failure_domain && warmup != warmups_.end()) {
+            note_cold(now, id, warmup->second.length);
+        }
+    }
+    return true;
+}
+
 void target_pool::remove(instant now, std::string_view id) {
     const auto found = targets_.find(id);
     if (found != targets_.end() && found->second.listed) {
@@ -73,6 +109,7 @@
                 std::to_string(state.load.queued) + "/" + std::to_string(age.count()) + "ms";
     }
     text += "," + placer_.describe(now, id);
+    text += state.kept_turns.is_cold(now) ? ",cold" : "";
     return text + (state.listed ? "" : ",unlisted");
 }
 
@@ -103,20 +140,27 @@
     return forgotten;
 }
 
+bool target_pool::may_be_chosen(const target_state& state, std::string_view service) const {
+    return state.target.service == service && !state.target.leaving && !state.replaced &&
+           !is_emptied(state.target.failure_domain);
+}
+
 /// The best group that isn't empty: listed and sound; listed and ejected; then, in need, those that
 /// left the list, since the list loses targets that are well while the platform is down.
-std::vector<target_pool::target_state*> target_pool::candidates(
-    instant now, std::string_view service, std::span<const std::string> tried) {
+std::vector<target_pool::target_state*> target_pool::candidates(instant now,
+                                                                std::string_view service,
+                                                                std::span<const std::string> tried,
+                                                                const state_filter& admits) {
     std::vector<target_state*> sound;
     std::vector<target_state*> ejected;
     std::vector<target_state*> unlisted;
     bool any_listed = false;
     for (auto& [id, state] : targets_) {
-        if (state.target.service != service || state.target.leaving || state.replaced) {
+        if (!may_be_chosen(state, service)) {
             continue;
         }
         any_listed = any_listed || state.listed;
-        if (std::find(tried.begin(), tried.end(), id) != tried.end()) {
+        if (std::find(tried.begin(), tried.end(), id) != tried.end() || !admits(state)) {
             continue;
         }
         if (!state.listed) {
@@ -136,42 +180,83 @@
     return any_listed ? std::vector<target_state*>{} : unlisted;
 }
 
+/// The turns a second that the owner has at a cold target. Zero if there is no limit.
+double target_pool::turn_rate(std::string_view service, turn_owner owner) const {
+    const auto warmup = warmups_.find(service);
+    const double rate = warmup == warmups_.end() ? 0.0 : warmup->second.requests_per_second;
+    if (owner == turn_owner::keeper) {
+        return kept_part * rate;
+    }
+    const std::size_t entries = settings_.entries ? settings_.entries() : 1;
+    const double part = owner == turn_owner::equal ? kept_part : 1.0 - kept_part;
+    return part * rate / static_cast<double>(std::max<std::size_t>(1, entries));
+}
+
+/// The candidates of which those that are cold have a turn left.
+target_pool::candidate_group target_pool::with_turns(instant now, std::string_view service,
+                                                     std::span<const std::string> tried,
+                                                     turn_owner owner) {
+    const double rate = turn_rate(service, owner);
+    candidate_group group;
+    group.targets = candidates(now, service, tried, [&](const target_state& state) {
+        const cold_turns& turns = owner == turn_owner::keeper ? state.kept_turns : state.own_turns;
+        const bool admitted = rate <= 0.0 || turns.has_turn(now, rate);
+        group.some_cold = group.some_cold || !admitted;
+        return admitted;
+    });
+    return group;
+}
+
+void target_pool::take_turn(instant now, const gateway_target& target, turn_owner owner) {
+    target_state& state = targets_.at(target.id);
+    cold_turns& turns = owner == turn_owner::keeper ? state.kept_turns : state.own_turns;
+    turns.take(now, turn_rate(target.service, owner));
+}
+
 target_choice target_pool::pick(instant now, std::string_view service,
                                 std::span<const std::string> tried) {
     target_choice choice;
     double least = std::numeric_limits<double>::infinity();
-    for (const target_state* state : candidates(now, service, tried)) {
+    const candidate_group group = with_turns(now, service, tried, turn_owner::equal);
+    for (const target_state* state : group.targets) {
         const double value = plain_cost(*state, now) + jitter * random_.unit();
         if (value < least) {
             least = value;
             choice.target = &state->target;
         }
     }
+    choice.all_cold = choice.target == nullptr && group.some_cold;
+    if (choice.target != nullptr) {
+        take_turn(now, *choice.target, turn_owner::equal);
+    }
     return choice;
 }
 
 target_choice target_pool::pick_engine(instant now, std::string_view service,
                                        const engine_request& request,
                                        std::span<const std::string> tried,
-                                       const target_filter& passes) {
+                                       const target_filter& passes, turn_owner owner) {
     std::vector<const target_state*> among;
     std::vector<engine_candidate> offered;
-    for (const target_state* state : candidates(now, service, tried)) {
+    const candidate_group group = with_turns(now, service, tried, owner);
+    for (const target_state* state : group.targets) {
         if (passes(state->target.id)) {
             among.push_back(state);
             offered.push_back({state->target.id, state->target.slots, failure_rate(*state, now)});
         }
     }
+    target_choice choice;
+    choice.all_cold = among.empty() && group.some_cold;
     if (among.empty()) {
-        return {};
+        return choice;
     }
     const engine_choice chosen =
         placer_.choose(now, std::string(service), offered, sources(now, service), request);
-    target_choice choice;
     choice.target = &among[chosen.index]->target;
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
     choice.unread = chosen.unread;
     choice.price = chosen.price;
+    take_turn(now, *choice.target, owner);
     return choice;
 }
 
@@ -179,7 +264,8 @@
                                              const prompt_shape& shape,
                                              std::span<const std::string> tried) {
     std::vector<std::string_view> engines;
-    for (const target_state* state : candidates(now, service, tried)) {
+    const auto any = [](const target_state&) { return true; };
+    for (const target_state* state : candidates(now, service, tried, any)) {
         engines.push_back(state->target.id);
     }
     if (engines.empty()) {
@@ -194,9 +280,7 @@
     if (found == targets_.end()) {
         return false;
     }
-    const target_state& state = found->second;
-    return state.target.service == service && state.listed && !state.target.leaving &&
-           !state.replaced;
+    return found->second.listed && may_be_chosen(found->second, service);
 }
 
 /// The engines that others may copy from. Those that leave still serve that.
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -25,6 +25,7 @@
 constexpr microseconds until_configured = milliseconds(300);
 constexpr microseconds until_tokens = milliseconds(500);
 constexpr microseconds until_targets = milliseconds(200);
+constexpr microseconds until_turns = milliseconds(400);
 constexpr microseconds until_elsewhere = milliseconds(50);
 constexpr microseconds until_less_busy = milliseconds(150);
 
@@ -248,9 +249,11 @@
         });
 }
 
-void forwarded_request::no_target_left() {
+void forwarded_request::no_target_left(bool all_cold) {
     if (history_.may_have_run()) {
         fail(status_bad_gateway, "no_target_left");
+    } else if (all_cold) {
+        refuse(status_unavailable, "targets_cold", until_turns);
     } else {
         refuse(status_unavailable, "no_target", until_targets);
     }
@@ -258,7 +261,7 @@
 
 void forwarded_request::send_to(const target_choice& choice, const placed_run& run) {
     if (choice.target == nullptr) {
-        no_target_left();
+        no_target_left(choice.all_cold);
         return;
     }
     const gateway_target& target = *choice.target;
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -43,7 +43,7 @@
 
     void dispatch();
     void send_to(const target_choice& choice, const placed_run& run);
-    void no_target_left();
+    void no_target_left(bool all_cold);
     upstream_hooks hooks_for(unsigned attempt);
 
     void note_life();
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -35,9 +35,10 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
 
-target_pool_settings pool_settings(const gateway_settings& settings) {
+target_pool_settings pool_settings(const gateway_settings& settings, const token_homes& members) {
     target_pool_settings pool;
     pool.failure_domain = settings.failure_domain;
+    pool.entries = [&members] { return std::max(least_entries, members.members()); };
     return pool;
 }
 
@@ -69,7 +70,7 @@
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_requests_per_second, metrics_),
       homes_(settings.host, {}),
-      targets_(pool_settings(settings), random_),
+      targets_(pool_settings(settings, homes_), random_),
       keepers_(homes_),
       lag_(loop, [this] { return context_->requests.size(); }) {}
 
@@ -278,7 +279,38 @@
     exchange->reply(status_not_found, {}, "");
 }
 
+/// A failure domain is to get nothing, or the operator took that back. A record that can't be read
+/// changes nothing: what was in force before stays so.
+void gateway::emptied_changed(const std::string& failure_domain, const keyed_record& record) {
+    if (record.value) {
+        if (const result<void> read = dialect_.read_emptied(*record.value); !read) {
+            metrics_.counter("gateway_emptied_records_unreadable_total") += 1;
+            log_event(log_level::error, "failure_domain_record_unreadable",
+                      {{"failure_domain", failure_domain},
+                       {"offset", std::to_string(record.offset)},
+                       {"reason", read.error().message}});
+            return;
+        }
+    }
+    const bool emptied = record.value.has_value();
+    if (!targets_.set_emptied(monotonic_now(), failure_domain, emptied)) {
+        return;
+    }
+    const std::vector<gateway_target> listed = targets_.listed();
+    const auto there = std::count_if(listed.begin(), listed.end(), [&](const gateway_target& each) {
+        return each.failure_domain == failure_domain;
+    });
+    log_event(log_level::information, emptied ? "failure_domain_emptied" : "failure_domain_back",
+              {{"failure_domain", failure_domain},
+               {"offset", std::to_string(record.offset)},
+               {"targets", std::to_string(there)}});
+}
+
 void gateway::configuration_changed(const keyed_record& record) {
+    if (const auto emptied = dialect_.emptied_domain(record.key)) {
+        emptied_changed(*emptied, record);
+        return;
+    }
     if (record.key != dialect_.configuration_key || !record.value) {
         return;
     }
@@ -301,6 +333,9 @@
 }
 
 void gateway::apply_limits() {
+    for (const gateway_service& service : configuration_.current().services) {
+        targets_.set_warmup(service.name, service.warmup);
+    }
     for (const gateway_account& account : configuration_.current().accounts) {
         if (account.prepaid) {
             grants_->set_limit(account.name, *account.prepaid);
@@ -363,20 +398,23 @@
         log_event(log_level::information, "target_unlisted", {{"target", record.key}});
         return;
     }
-    const result<gateway_target> read = dialect_.read_target(record.key, *record.value);
+    const result<listed_target> read = dialect_.read_target(record.key, *record.value);
     if (!read) {
         metrics_.counter("gateway_targets_unreadable_total") += 1;
         return;
     }
     const gateway_target* known = targets_.find(record.key);
-    const bool news = known == nullptr || !(*known == read.value());
-    targets_.apply(read.value(), record.offset);
+    const gateway_target& target = read.value().target;
+    const bool news = known == nullptr || !(*known == target);
+    targets_.apply(target, record.offset);
+    targets_.note_cold(monotonic_now(), target.id, read.value().cold_left);
     if (news) {
         log_event(log_level::information, "target_listed",
                   {{"target", record.key},
-                   {"service", read.value().service},
-                   {"address", read.value().address},
-                   {"leaving", read.value().leaving ? "yes" : "no"}});
+                   {"service", target.service},
+                   {"address", target.address},
+                   {"leaving", target.leaving ? "yes" : "no"},
+                   {"cold_ms", millis_text(read.value().cold_left)}});
     }
 }
 
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -46,6 +46,7 @@
     void serve_admin(const http_exchange_pointer& exchange);
 
     void configuration_changed(const keyed_record& record);
+    void emptied_changed(const std::string& failure_domain, const keyed_record& record);
     void apply_limits();
     void keeper_silent(const std::string& host, bool others_answered);
     void keeper_answered(const std::string& host);
--- a/src/roles/gateway/placement_desk.cpp
+++ b/src/roles/gateway/placement_desk.cpp
@@ -22,7 +22,8 @@
                                     std::span<const std::string> tried, microseconds left) {
     const target_choice choice = targets_.pick_engine(
         now, service, request, tried,
-        [this, now](std::string_view engine) { return keepers_.is_own(now, engine); });
+        [this, now](std::string_view engine) { return keepers_.is_own(now, engine); },
+        turn_owner::keeper);
     if (choice.target == nullptr) {
         counters_.counter("placements_without_engine_total") += 1;
         return choice;
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -116,8 +116,9 @@
 /// session's memory is looked for.
 void placement_exchange::choose_alone(std::uint64_t run, const pending_ask& wish) {
     const instant now = monotonic_now();
-    const target_choice choice = targets_.pick_engine(now, wish.service, wish.request, wish.tried,
-                                                      [](std::string_view) { return true; });
+    const target_choice choice = targets_.pick_engine(
+        now, wish.service, wish.request, wish.tried, [](std::string_view) { return true; },
+        turn_owner::stand_in);
     placed_run placed{run, {}, {}, {}, 0, now - wish.asked, {}};
     if (choice.target != nullptr) {
         counters_.counter("placements_alone_total") += 1;
--- a/tests/decision/gateway/admission_test.cpp
+++ b/tests/decision/gateway/admission_test.cpp
@@ -16,7 +16,7 @@
         made.routes = {route("/engine/", "llm", 1, false), route("/plain/", "app", 2, false),
                        route("/open/", "app", 0, true), route("/nowhere/", "", 0, true)};
         made.routes[3].splits.clear();
-        made.services = {{"llm", 10, engine_shape{}}, {"app", 10, std::nullopt}};
+        made.services = {{"llm", 10, engine_shape{}, {}}, {"app", 10, std::nullopt, {}}};
         made.accounts = {{"payer", {"key-1"}, 1, 5000}, {"free", {"key-2"}, 9, std::nullopt}};
         view.apply(made);
     }
--- a/tests/decision/gateway/configuration_view_test.cpp
+++ b/tests/decision/gateway/configuration_view_test.cpp
@@ -17,7 +17,7 @@
         made.version = number;
         made.routes = {route("outer", "/a/"), route("inner", "/a/b/")};
         made.accounts = {{"tenant", {"key-1", "key-2"}, 0, std::nullopt}};
-        made.services = {{"llm", 10, engine_shape{}}};
+        made.services = {{"llm", 10, engine_shape{}, {}}};
         return made;
     }
 
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -42,7 +42,8 @@
 
     static target_choice choose(target_pool& from, const engine_request& request,
                                 instant at = now) {
-        return from.pick_engine(at, "engine", request, {}, [](std::string_view) { return true; });
+        return from.pick_engine(
+            at, "engine", request, {}, [](std::string_view) { return true; }, turn_owner::keeper);
     }
 
     void send_to(const char* id) { pool->sent(id); }
@@ -252,12 +253,14 @@
 BOOST_AUTO_TEST_CASE(only_engines_that_pass_the_filter_are_chosen) {
     for (std::uint64_t session = 10; session < 40; ++session) {
         const target_choice choice = pool->pick_engine(
-            now, "engine", prompt(session, 1), {}, [](std::string_view id) { return id == "e3"; });
+            now, "engine", prompt(session, 1), {}, [](std::string_view id) { return id == "e3"; },
+            turn_owner::keeper);
         BOOST_TEST(choice.target->id == "e3");
     }
-    BOOST_TEST(
-        (pool->pick_engine(now, "engine", prompt(1, 1), {}, [](std::string_view) { return false; })
-             .target == nullptr));
+    BOOST_TEST((pool->pick_engine(
+                        now, "engine", prompt(1, 1), {}, [](std::string_view) { return false; },
+                        turn_owner::keeper)
+                    .target == nullptr));
 }
 
 BOOST_AUTO_TEST_CASE(prompts_without_a_session_meet_at_any_engine) {
@@ -290,6 +293,94 @@
     BOOST_TEST(!pool->usable("e2", "engine"));
 }
 
+BOOST_AUTO_TEST_CASE(emptied_domain_gets_nothing_until_it_is_back) {
+    BOOST_TEST(pool->set_emptied(now, "d1", true));
+    BOOST_TEST(!pool->set_emptied(now, "d1", true));
+    for (int turn = 0; turn < 50; ++turn) {
+        BOOST_TEST(pick() == "p3");
+    }
+    BOOST_TEST((choose(*pool, prompt(7, 8)).target == nullptr));
+    BOOST_TEST(pool->meeting_engine(now, "engine", prompt(7, 8).shape, {}).empty());
+    BOOST_TEST(!pool->usable("e1", "engine"));
+    BOOST_TEST(pool->set_emptied(now, "d1", false));
+    BOOST_TEST(!pool->set_emptied(now, "d1", false));
+    BOOST_TEST((choose(*pool, prompt(7, 8)).target != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(emptied_domain_binds_targets_that_are_listed_later_or_lost_by_the_list) {
+    pool->set_emptied(now, "d3", true);
+    pool->apply(target("e9", "late", "d3"));
+    BOOST_TEST(pick("late").empty());
+    pool->remove(now, "e9");
+    BOOST_TEST(pick("late").empty());
+}
+
+BOOST_AUTO_TEST_CASE(two_domains_are_emptied_and_back_each_by_itself) {
+    pool->set_emptied(now, "d1", true);
+    pool->set_emptied(now, "d2", true);
+    BOOST_TEST(pick().empty());
+    pool->set_emptied(now, "d2", false);
+    BOOST_TEST(pick() == "p3");
+    BOOST_TEST(pool->is_emptied("d1"));
+}
+
+BOOST_AUTO_TEST_CASE(engines_of_a_domain_that_is_back_count_as_cold) {
+    pool->set_warmup("engine", {seconds(3), 10.0});
+    pool->set_emptied(now, "d1", true);
+    pool->set_emptied(now, "d1", false);
+    // Four engines with eight of ten turns a second each, of which none is there at once.
+    BOOST_TEST(choose(*pool, prompt(7, 8)).all_cold);
+    unsigned taken = 0;
+    for (int ms = 0; ms < 1000; ms += 5) {
+        taken += choose(*pool, prompt(7, 8), now + milliseconds(ms)).target != nullptr ? 1 : 0;
+    }
+    BOOST_TEST(taken >= 28U);
+    BOOST_TEST(taken <= 32U);
+    BOOST_TEST((choose(*pool, prompt(7, 8), now + seconds(3)).target != nullptr));
+    BOOST_TEST((choose(*pool, prompt(7, 8), now + seconds(3)).target != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(cold_engine_leaves_its_surplus_to_warm_ones) {
+    pool->set_warmup("engine", {seconds(3), 10.0});
+    pool->note_cold(now, "e1", seconds(3));
+    unsigned cold = 0;
+    for (std::uint64_t turn = 0; turn < 200; ++turn) {
+        const instant at = now + milliseconds(5 * turn);
+        cold += pick_engine(prompt(100 + turn, turn), at) == "e1" ? 1 : 0;
+    }
+    BOOST_TEST(cold > 0U);
+    BOOST_TEST(cold <= 9U);
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_choose_alone_share_what_a_cold_target_bears) {
+    // 26 entries that all know of it at the same moment and press on for three seconds.
+    std::map<int, unsigned> by_second;
+    for (std::uint64_t entry = 0; entry < 26; ++entry) {
+        random_source own(entry + 1);
+        target_pool_settings shared;
+        shared.entries = [] { return 26U; };
+        target_pool alone(shared, own);
+        alone.apply(target("c1", "cold", "d1"));
+        alone.set_warmup("cold", {seconds(3), 9.6});
+        alone.note_cold(now, "c1", seconds(3));
+        for (int ms = 0; ms < 3000; ms += 5) {
+            by_second[ms / 1000] +=
+                alone.pick(now + milliseconds(ms), "cold", {}).target != nullptr ? 1 : 0;
+        }
+    }
+    for (const auto& [second, arrivals] : by_second) {
+        BOOST_TEST(arrivals >= 1U);
+        BOOST_TEST(arrivals <= 14U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(service_without_a_bound_has_no_cold_targets) {
+    pool->note_cold(now, "p3", seconds(3));
+    for (int turn = 0; turn < 20; ++turn) {
+        BOOST_TEST(pick("plain", {"p1", "p2"}) == "p3");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(unlisted_idle_target_is_forgotten_after_a_while) {
     pool->remove(now, "p1");
     BOOST_TEST(pool->take_forgotten(now).empty());
--- a/tests/platform/gateway_live_test.cpp
+++ b/tests/platform/gateway_live_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fstream>
@@ -32,6 +33,7 @@
     std::uint64_t version = 1;
     tokens prepaid = 100'000;
     std::string keys = R"(["key-1"])";
+    double cold_rate = 0.0;
 
     gateway_fixture() {
         engine.answer = [this](const ingress_exchange_pointer& exchange) {
@@ -60,7 +62,9 @@
              "timeoutMs":1000,"service":"app","maxAttempts":1},
             {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent",
              "timeoutMs":1000,"service":"app","maxAttempts":2}],
-            "services":[{"name":"llm","healthPath":"/health","maxConns":60,
+            "services":[{"name":"llm","healthPath":"/health","maxConns":60,"coldStartS":3.0,
+              "coldPerS":)" + std::to_string(cold_rate) +
+                                 R"(,
               "engine":{"slots":64,"kvCapacity":1000000,"stride":3}},
              {"name":"app","healthPath":"/health","maxConns":60}],
             "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,
@@ -248,6 +252,71 @@
     BOOST_TEST(answer.find("Server-Stamp") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(emptied_domain_gets_nothing_until_the_operator_takes_it_back) {
+    worker_standin other(loop, "i-other");
+    store.put("keyed.servers", other.id(), other.list_entry("app", "ready", "z2"));
+    start_gateway();
+    store.put("keyed.op", "evacuate/z1", "{}");
+    run_for(milliseconds(200));
+    for (int turn = 0; turn < 10; ++turn) {
+        BOOST_TEST(status_in(answer_to(request("/once/1"))) == 200U);
+    }
+    BOOST_TEST(plain.seen.empty());
+    BOOST_TEST(other.seen.size() == 10U);
+    // No engine is left elsewhere: the caller is told at once when to come back.
+    const std::string refused = answer_to(request("/stream/1", usage));
+    BOOST_TEST(status_in(refused) == 503U);
+    BOOST_TEST(refused.find("Retry-After: 0.") != std::string::npos);
+    store.put("keyed.op", "evacuate/z1", std::nullopt);
+    run_for(milliseconds(200));
+    for (int turn = 0; turn < 10; ++turn) {
+        BOOST_TEST(status_in(answer_to(request("/once/1"))) == 200U);
+    }
+    BOOST_TEST(!plain.seen.empty());
+    BOOST_TEST(engine.seen.empty());
+}
+
+BOOST_AUTO_TEST_CASE(gateway_that_starts_later_knows_of_an_emptied_domain) {
+    store.put("keyed.op", "evacuate/z1", "{}");
+    start_gateway();
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 503U);
+    BOOST_TEST(plain.seen.empty());
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_record_of_a_domain_changes_nothing) {
+    start_gateway();
+    store.put("keyed.op", "evacuate/z1", "{");
+    store.put("keyed.op", "evacuate/nowhere", "{}");
+    run_for(milliseconds(200));
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 200U);
+    store.put("keyed.op", "evacuate/z1", "{}");
+    store.put("keyed.op", "evacuate/z1", "[");
+    run_for(milliseconds(200));
+    BOOST_TEST(status_in(answer_to(request("/once/1"))) == 503U);
+    BOOST_TEST(plain.seen.size() == 1U);
+    BOOST_TEST(gateway->field("failure_domain_record_unreadable", "failure_domain") == "z1");
+}
+
+BOOST_AUTO_TEST_CASE(cold_engine_gets_no_more_than_its_rate_and_the_rest_is_told_at_once) {
+    cold_rate = 10.0;
+    configure();
+    store.put("keyed.servers", engine.id(), engine.list_entry("llm", "ready", "z1", 60'000));
+    start_gateway();
+    std::vector<raw_socket> clients;
+    for (int turn = 0; turn < 40; ++turn) {
+        clients.push_back(send(request("/stream/1", usage, "c" + std::to_string(turn))));
+        run_for(milliseconds(25));
+    }
+    BOOST_TEST(engine.seen.size() >= 4U);
+    BOOST_TEST(engine.seen.size() <= 11U);
+    const auto refused =
+        std::count_if(clients.begin(), clients.end(), [](raw_socket& client) {
+            return client.received().find(" 503 ") != std::string::npos &&
+                   client.received().find("Retry-After: 0.") != std::string::npos;
+        });
+    BOOST_TEST(static_cast<std::size_t>(refused) + engine.seen.size() == clients.size());
+}
+
 BOOST_AUTO_TEST_CASE(broken_stream_that_may_be_resumed_goes_on_behind_its_last_event) {
     worker_standin other(loop, "i-other");
     store.put("keyed.servers", other.id(), other.list_entry("llm"));
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -158,9 +158,36 @@
         "i-1", R"({"service":"huvo11a","addr":"10.128.0.9:8080","zone":"z","slots":64,
                    "state":"draining","seq":4})");
     BOOST_REQUIRE(read.has_value());
-    BOOST_TEST(read.value().leaving);
-    BOOST_TEST(read.value().slots == 64U);
+    BOOST_TEST(read.value().target.leaving);
+    BOOST_TEST(read.value().target.slots == 64U);
+    BOOST_TEST((read.value().cold_left == microseconds(0)));
     BOOST_TEST(!platform::read_target("i-1", "[]").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(cold_worker_is_cold_for_what_its_entry_says) {
+    const auto cold = platform::read_target(
+        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":1250})");
+    BOOST_TEST((cold.value().cold_left == milliseconds(1250)));
+    const auto odd = platform::read_target(
+        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":-7})");
+    BOOST_TEST((odd.value().cold_left == microseconds(0)));
+}
+
+BOOST_AUTO_TEST_CASE(service_says_how_long_it_is_cold_and_what_it_bears) {
+    const auto read = platform::read_configuration(
+        R"({"version":1,"routes":[],"services":[{"name":"a","coldStartS":3.5,"coldPerS":9.6},
+            {"name":"b"}]})");
+    BOOST_TEST((read.value().services[0].warmup == target_warmup{milliseconds(3500), 9.6}));
+    BOOST_TEST((read.value().services[1].warmup == target_warmup{}));
+}
+
+BOOST_AUTO_TEST_CASE(record_that_empties_a_domain_names_it_by_its_key) {
+    BOOST_TEST(platform::emptied_domain("evacuate/zg-lucko").value() == "zg-lucko");
+    BOOST_TEST(!platform::emptied_domain("evacuate/").has_value());
+    BOOST_TEST(!platform::emptied_domain("config").has_value());
+    BOOST_TEST(platform::read_emptied("{}").has_value());
+    BOOST_TEST(!platform::read_emptied("{").has_value());
+    BOOST_TEST(!platform::read_emptied("7").has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/worker_standin.hpp
+++ b/tests/platform/worker_standin.hpp
@@ -24,9 +24,11 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
 
     /// What the platform's list says of this worker.
-    std::string list_entry(const std::string& service, const std::string& state = "ready") const {
-        return R"({"service":")" + service + R"(","addr":")" + address() +
-               R"(","zone":"z1","slots":6,"state":")" + state + R"(","seq":1})";
+    std::string list_entry(const std::string& service, const std::string& state = "ready",
+                           const std::string& zone = "z1", int cold_left_ms = 0) const {
+        return R"({"service":")" + service + R"(","addr":")" + address() + R"(","zone":")" + zone +
+               R"(","slots":6,"coldLeftMs":)" + std::to_string(cold_left_ms) + R"(,"state":")" +
+               state + R"(","seq":1})";
     }
 
     /// The headers of each answer of this worker's own.
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -37,6 +37,13 @@
         }
     }
 
+    static target_pool_settings pool_settings() {
+        target_pool_settings settings;
+        settings.failure_domain = "d1";
+        settings.entries = [] { return 4U; };
+        return settings;
+    }
+
     ledger_member self() const {
         return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0};
     }
@@ -48,7 +55,7 @@
     std::unique_ptr<message_bus> bus;
     token_homes members;
     engine_keepers keepers{members};
-    target_pool targets{{"d1"}, random};
+    target_pool targets{pool_settings(), random};
     placement_desk desk{targets, keepers, counters};
     std::vector<std::string> silent;
     std::vector<std::string> answered;
@@ -207,6 +214,36 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(cold_engine_gets_its_rate_from_all_entries_together) {
+    for (const auto& entry : entries) {
+        entry->targets.set_warmup(service, {seconds(30), 10.0});
+        for (int number = 1; number <= 12; ++number) {
+            const std::string id = "e" + std::to_string(number);
+            if (number > 1) {
+                entry->targets.remove(monotonic_now(), id);
+            }
+            entry->targets.note_cold(monotonic_now(), id, seconds(30));
+        }
+    }
+    unsigned placed = 0;
+    const instant begun = monotonic_now();
+    for (std::uint64_t turn = 0; monotonic_now() < begun + seconds(1); ++turn) {
+        placed += place(*entries[turn % 4], prompt(100 + turn)).empty() ? 0 : 1;
+    }
+    // Eight from the keeper and one more, two from those that chose alone, and what they had.
+    BOOST_TEST(placed >= 7U);
+    BOOST_TEST(placed <= 15U);
+    BOOST_TEST(choice.all_cold);
+}
+
+BOOST_AUTO_TEST_CASE(engines_of_an_emptied_domain_are_not_taken_on_a_keepers_word) {
+    asker->targets.set_emptied(monotonic_now(), "d1", true);
+    for (std::uint64_t session = 10; session < 20; ++session) {
+        BOOST_TEST(place(*asker, prompt(session)).empty());
+    }
+    BOOST_TEST((choice.target == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(engines_that_were_tried_are_left_out) {
     const std::string first = place(*asker, prompt(7));
     BOOST_TEST(place(*asker, prompt(7), {first}) != first);
