Let entries name the source of a copy that the keeper doesn't know

Cause: a keeper knows what the ten engines that it keeps have read. After engines restart, or leave with their domain, prompts were read again that engines of other keepers hold; the entry that asks has sent its own requests to all of them.

Tests: target_pool.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -130,6 +130,10 @@
                               std::span<const std::string> tried, const target_filter& passes,
                               turn_owner owner);
 
+    /// Names another source for the engine's copy if this entry knows one that keeps more of the
+    /// prompt than the engine will have.
+    void improve_source(instant now, const engine_request& request, target_choice& choice) const;
+
     /// The engine whose keeper is asked for a prompt: its session's home by hash among those that
     /// may be chosen, or any of them if it has no session. Empty if there is none.
     std::string_view meeting_engine(instant now, std::string_view service,
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -63,6 +63,9 @@
     placement_price price;
 };
 
+/// Parts shorter than this are read as fast as a copy is set up, in tokens.
+constexpr tokens least_copied = 256;
+
 /// Chooses a model engine for each request by what is expected to be lost: by the request itself,
 /// if its first event comes late or prompts that are read beside it hold its events up, and by the
 /// streams that its own prompt holds up. Long prompts and streams that bear no pause part company
@@ -76,6 +79,16 @@
                          std::span<const engine_candidate> candidates,
                          std::span<const std::string_view> sources, const engine_request& request);
 
+    /// Where a prompt's memory is known to be kept.
+    struct kept_prompt {
+        std::string_view engine;
+        tokens kept = 0;
+    };
+
+    /// The source that keeps most of a prompt. Without an engine if none is known to keep any.
+    kept_prompt most_kept(std::span<const std::string_view> sources,
+                          const prompt_shape& shape) const;
+
     /// A request went to an engine with this much to read. Returns its number there. Times are
     /// learnt from it only if `all_known`: if no other requests go there of which this placer
     /// doesn't hear.
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -333,6 +333,27 @@
     return choice;
 }
 
+/// A keeper knows what the engines that it keeps have read, and an entry what its own requests were
+/// read by, at the engines of all keepers.
+void target_pool::improve_source(instant now, const engine_request& request,
+                                 target_choice& choice) const {
+    const prompt_shape& shape = request.shape;
+    if (request.engine.copy_ms_per_token <= 0.0 || shape.parts.empty()) {
+        return;
+    }
+    const tokens shared = shape.prompt - shape.parts.back().length;
+    const tokens there = shape.prompt - choice.unread;
+    if (shared - there < least_copied) {
+        return;
+    }
+    const engine_placer::kept_prompt most =
+        placer_.most_kept(sources(now, choice.target->service), shape);
+    if (most.kept - there >= least_copied && most.engine != choice.target->id) {
+        choice.copy_from = find(most.engine);
+        choice.unread = shape.prompt - most.kept;
+    }
+}
+
 std::string_view target_pool::meeting_engine(instant now, std::string_view service,
                                              const prompt_shape& shape,
                                              std::span<const std::string> tried) {
--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -17,9 +17,6 @@
 /// How soft the bound of the first event is: estimates are some tens of percent off.
 constexpr double first_event_softness = 0.2;
 
-/// Parts shorter than this are read as fast as a copy is set up, in tokens.
-constexpr tokens least_copied = 256;
-
 /// The time to set a copy up, in ms.
 constexpr double copy_start_ms = 4.0;
 
@@ -125,18 +122,22 @@
 /// The engine that keeps most of the prompt. If none is known to keep any, the one that the session
 /// meets at by hash may, since other entries send there too.
 void engine_placer::find_keeper(asked& question, std::span<const std::string_view> sources) const {
-    question.keeper = question.home;
+    const kept_prompt most = most_kept(sources, question.request.shape);
+    question.keeper = most.kept > 0 ? most.engine : question.home;
+    question.most_kept = most.kept;
+}
+
+engine_placer::kept_prompt engine_placer::most_kept(std::span<const std::string_view> sources,
+                                                    const prompt_shape& shape) const {
+    kept_prompt most;
     for (const std::string_view source : sources) {
         const auto found = engines_.find(source);
-        if (found == engines_.end()) {
-            continue;
-        }
-        const tokens kept = found->second.memory.kept(question.request.shape);
-        if (kept > question.most_kept) {
-            question.most_kept = kept;
-            question.keeper = source;
+        const tokens kept = found == engines_.end() ? 0 : found->second.memory.kept(shape);
+        if (kept > most.kept) {
+            most = {source, kept};
         }
     }
+    return most;
 }
 
 engine_choice engine_placer::price_at(instant now, const engine_candidate& candidate,
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -262,7 +262,8 @@
         return;
     }
     counters_.histogram("placement_ask_ms").observe(placed.asked_for);
-    const target_choice choice = from_wire(answer, targets_);
+    target_choice choice = from_wire(answer, targets_);
+    targets_.improve_source(now, wish.request, choice);
     placed.counted_here =
         targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
     wish.chosen(choice, placed);
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -250,6 +250,38 @@
     BOOST_TEST(choice.copy_from->id == home);
 }
 
+BOOST_AUTO_TEST_CASE(source_that_the_keeper_did_not_know_is_named_for_the_copy) {
+    engine_request first = prompt(77, 1);
+    first.engine.copy_ms_per_token = 0.002;
+    pool->begin_run(now, "e1", first, first.shape.prompt, false);
+    engine_request next = prompt(77, 2);
+    next.engine.copy_ms_per_token = 0.002;
+    target_choice choice;
+    choice.target = pool->find("e2");
+    choice.unread = next.shape.prompt;
+    pool->improve_source(now, next, choice);
+    BOOST_REQUIRE(choice.copy_from != nullptr);
+    BOOST_TEST(choice.copy_from->id == "e1");
+    BOOST_TEST(choice.unread == 1000);
+}
+
+BOOST_AUTO_TEST_CASE(source_is_left_as_it_is_if_little_would_be_gained) {
+    engine_request first = prompt(77, 1);
+    first.engine.copy_ms_per_token = 0.002;
+    pool->begin_run(now, "e1", first, first.shape.prompt, false);
+    target_choice choice;
+    choice.target = pool->find("e2");
+    // The engine will have the shared parts; the last one is the request's own.
+    choice.unread = 1000;
+    pool->improve_source(now, first, choice);
+    BOOST_TEST((choice.copy_from == nullptr));
+    // Engines that can't copy read.
+    engine_request reads = prompt(77, 2);
+    choice.unread = reads.shape.prompt;
+    pool->improve_source(now, reads, choice);
+    BOOST_TEST((choice.copy_from == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(only_engines_that_pass_the_filter_are_chosen) {
     for (std::uint64_t session = 10; session < 40; ++session) {
         const target_choice choice = pool->pick_engine(
