--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -13,7 +13,7 @@
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/core/tokens.hpp"
-#include "wrenswitch/decision/gateway/cold_turns.hpp"
+#include "wrenswitch/decision/gateway/cold_targets.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
@@ -69,16 +69,6 @@
     bool all_cold = false;
 };
 
-/// Whose turns at a cold target a choice uses.
-enum class turn_owner {
-    /// The engine's keeper, which chooses for all entries.
-    keeper,
-    /// An entry that can't ask the engine's keeper.
-    stand_in,
-    /// One of the entries that all send to a target which nobody keeps.
-    equal,
-};
-
 /// Chooses a target for each request that goes to one directly: from the load reported with
 /// answers, what this entry has under way, and failures seen. Which of the usable engines a request
 /// with a prompt goes to is the placer's choice.
@@ -97,13 +87,15 @@
     void note_cold(instant now, std::string_view id, microseconds left);
 
     /// True if the target is cold, as far as is known.
-    bool is_cold(instant now, std::string_view id) const;
+    bool is_cold(instant now, std::string_view id) const { return cold_.is_cold(now, id); }
 
     /// What a service's targets bear while they are cold.
-    void set_warmup(const std::string& service, const target_warmup& warmup);
+    void set_warmup(const std::string& service, const target_warmup& warmup) {
+        cold_.set_warmup(service, warmup);
+    }
 
     /// Another process may have given turns at cold engines until now: this one begins anew.
-    void hold_back_turns(instant now);
+    void hold_back_turns(instant now) { cold_.hold_back(now); }
 
     /// The operator wants nothing to go to a failure domain any more, or takes that back. Targets
     /// of a domain that comes back count as cold, since they may have restarted meanwhile. False if
@@ -164,13 +156,6 @@
     /// The target has been silent for longer than answers take.
     void silent(instant now, std::string_view id);
 
-    /// A request without a prompt was answered within this time.
-    void answered_within(const std::string& service, microseconds time);
-
-    /// How long answers of a service take at the most, as far as was seen: a target that says
-    /// nothing for longer is likely to say nothing at all.
-    microseconds longest_usual_answer(const std::string& service) const;
-
     /// The target couldn't be reached or broke off.
     void failed(instant now, std::string_view id);
     /// The target answered a request, well or with a failure of its own.
@@ -206,9 +191,6 @@
         instant ejected_until{};
         /// True from a silence to the next answer.
         bool silent = false;
-        /// Turns while it is cold: those that a keeper gives, and this entry's own.
-        cold_turns kept_turns;
-        cold_turns own_turns;
     };
 
     using states = std::map<std::string, target_state, std::less<>>;
@@ -231,11 +213,7 @@
     candidate_group with_turns(instant now, std::string_view service,
                                std::span<const std::string> tried, turn_owner owner,
                                microseconds longest_wait);
-    microseconds turn_spacing(std::string_view service, turn_owner owner) const;
     static void keep_silent_apart(std::vector<target_state*>& targets, bool repeatable);
-    static cold_turns& turns_of(target_state& state, turn_owner owner);
-    microseconds turn_wait(instant now, target_state& state, turn_owner owner) const;
-    void take_turn(instant now, target_choice& choice, turn_owner owner);
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
     std::vector<std::string_view> sources(instant now, std::string_view service) const;
@@ -243,9 +221,7 @@
     target_pool_settings settings_;
     random_source& random_;
     states targets_;
-    /// The usual time to an answer, in ms, by service.
-    std::map<std::string, double, std::less<>> usual_answer_ms_;
-    std::map<std::string, target_warmup, std::less<>> warmups_;
+    cold_targets cold_;
     /// Failure domains to which nothing may go.
     std::set<std::string, std::less<>> emptied_;
     engine_placer placer_;
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -88,7 +88,7 @@
     };
 
     void choose_homes();
-    static std::vector<ledger_member> largest_among(std::vector<const ledger_member*> members,
+    static std::vector<ledger_member> largest_among(std::span<const ledger_member* const> members,
                                                     std::size_t count);
     bool rests(instant now, const std::string& host) const;
 
--- /dev/null
+++ b/src/decision/gateway/cold_targets.cpp
@@ -0,0 +1,108 @@
+#include "wrenswitch/decision/gateway/cold_targets.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wrenswitch {
+namespace {
+
+/// What an engine's keeper hands out of the rate that a cold engine bears, and what all entries
+/// that can't ask a keeper have beside that, each its share: together a little more than the rate,
+/// and below twice the rate also while members change and two entries keep an engine. After a loss
+/// of all processes every engine is cold, and 48 of them then bear 415 requests a second where 330
+/// come.
+constexpr double kept_part = 0.9;
+constexpr double stand_in_part = 0.15;
+
+/// What the entries together send to a cold target that nobody keeps, each its share.
+constexpr double equal_part = 0.8;
+
+}  // namespace
+
+cold_targets::cold_targets(std::function<std::size_t()> entries, random_source& random)
+    : entries_(std::move(entries)), random_(random) {}
+
+void cold_targets::set_warmup(const std::string& service, const target_warmup& warmup) {
+    warmups_.insert_or_assign(service, warmup);
+}
+
+microseconds cold_targets::warmup_length(std::string_view service) const {
+    const auto warmup = warmups_.find(service);
+    return warmup == warmups_.end() ? microseconds(0) : warmup->second.length;
+}
+
+void cold_targets::note(instant now, std::string_view target, std::string_view service,
+                        microseconds left) {
+    if (left <= microseconds(0)) {
+        return;
+    }
+    target_state& state = targets_[std::string(target)];
+    state.service = service;
+    state.kept.begin(now, now + left, spacing(service, turn_owner::keeper));
+    // Entries learn of it together, and mustn't all have their first turn at the same moment.
+    const auto own = static_cast<double>(spacing(service, turn_owner::equal).count());
+    state.own.begin(now, now + left, microseconds(std::llround(own * random_.unit())));
+}
+
+void cold_targets::forget(std::string_view target) {
+    const auto found = targets_.find(target);
+    if (found != targets_.end()) {
+        targets_.erase(found);
+    }
+}
+
+bool cold_targets::is_cold(instant now, std::string_view target) const {
+    const auto found = targets_.find(target);
+    return found != targets_.end() && found->second.kept.is_cold(now);
+}
+
+const cold_turns& cold_targets::turns_of(const target_state& state, turn_owner owner) {
+    return owner == turn_owner::keeper ? state.kept : state.own;
+}
+
+/// The time between two of the owner's turns. Zero if there is no limit.
+microseconds cold_targets::spacing(std::string_view service, turn_owner owner) const {
+    const auto warmup = warmups_.find(service);
+    const double rate = warmup == warmups_.end() ? 0.0 : warmup->second.requests_per_second;
+    if (rate <= 0.0) {
+        return microseconds(0);
+    }
+    constexpr double microseconds_a_second = 1e6;
+    const double whole = microseconds_a_second / rate;
+    if (owner == turn_owner::keeper) {
+        return microseconds(std::llround(whole / kept_part));
+    }
+    const std::size_t entries = entries_ ? entries_() : 1;
+    const double part = owner == turn_owner::equal ? equal_part : stand_in_part;
+    return microseconds(std::llround(whole / part * static_cast<double>(entries)));
+}
+
+microseconds cold_targets::wait(instant now, std::string_view target, turn_owner owner) const {
+    const auto found = targets_.find(target);
+    if (found == targets_.end() || spacing(found->second.service, owner) <= microseconds(0)) {
+        return microseconds(0);
+    }
+    return turns_of(found->second, owner).wait(now);
+}
+
+microseconds cold_targets::take(instant now, std::string_view target, turn_owner owner) {
+    const microseconds waits = wait(now, target, owner);
+    const auto found = targets_.find(target);
+    if (found != targets_.end()) {
+        target_state& state = found->second;
+        cold_turns& turns = owner == turn_owner::keeper ? state.kept : state.own;
+        turns.take(now, spacing(state.service, owner));
+    }
+    return waits;
+}
+
+void cold_targets::hold_back(instant now) {
+    for (auto& [target, state] : targets_) {
+        if (state.kept.is_cold(now)) {
+            state.kept.hold_back(now, spacing(state.service, turn_owner::keeper));
+        }
+    }
+}
+
+}  // namespace wrenswitch
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -22,27 +22,6 @@
 /// A target that left the list is used only in need, and only for so long.
 constexpr microseconds unlisted_life = seconds(20);
 
-/// What an engine's keeper hands out of the rate that a cold engine bears, and what all entries
-/// that can't ask a keeper have beside that, each its share: together a little more than the rate,
-/// and below twice the rate also while members change and two entries keep an engine. After a loss
-/// of all processes every engine is cold, and 48 of them then bear 415 requests a second where 330
-/// come.
-constexpr double kept_part = 0.9;
-constexpr double stand_in_part = 0.15;
-
-/// What the entries together send to a cold target that nobody keeps, each its share.
-constexpr double equal_part = 0.8;
-
-/// The weight of one answer in the usual time of a service's answers.
-constexpr double answer_time_weight = 0.02;
-
-/// An answer that takes this many times the usual is slow. Of answers that take 30 ms in the mean
-/// and 220 ms at the most, one in some hundreds does.
-constexpr double slow_answer = 6.0;
-
-/// No silence below this says anything.
-constexpr microseconds least_silence = milliseconds(200);
-
 /// How long a request waits for a turn at a cold target if its route has no aim: what most routes
 /// allow.
 constexpr microseconds usual_wait = milliseconds(300);
@@ -50,7 +29,7 @@
 }  // namespace
 
 target_pool::target_pool(target_pool_settings settings, random_source& random)
-    : settings_(std::move(settings)), random_(random) {}
+    : settings_(std::move(settings)), random_(random), cold_(settings_.entries, random) {}
 
 void target_pool::apply(const gateway_target& target, std::uint64_t position) {
     target_state& state = targets_[target.id];
@@ -74,32 +53,8 @@
 
 void target_pool::note_cold(instant now, std::string_view id, microseconds left) {
     const auto found = targets_.find(id);
-    if (found == targets_.end() || left <= microseconds(0)) {
-        return;
-    }
-    target_state& state = found->second;
-    const std::string& service = state.target.service;
-    state.kept_turns.begin(now, now + left, turn_spacing(service, turn_owner::keeper));
-    // Entries learn of it together, and mustn't all have their first turn at the same moment.
-    const auto own = static_cast<double>(turn_spacing(service, turn_owner::equal).count());
-    state.own_turns.begin(now, now + left, microseconds(std::llround(own * random_.unit())));
-}
-
-bool target_pool::is_cold(instant now, std::string_view id) const {
-    const auto found = targets_.find(id);
-    return found != targets_.end() && found->second.kept_turns.is_cold(now);
-}
-
-void target_pool::set_warmup(const std::string& service, const target_warmup& warmup) {
-    warmups_.insert_or_assign(service, warmup);
-}
-
-void target_pool::hold_back_turns(instant now) {
-    for (auto& [id, state] : targets_) {
-        if (state.kept_turns.is_cold(now)) {
-            const std::string& service = state.target.service;
-            state.kept_turns.hold_back(now, turn_spacing(service, turn_owner::keeper));
-        }
+    if (found != targets_.end()) {
+        cold_.note(now, id, found->second.target.service, left);
     }
 }
 
@@ -113,9 +68,8 @@
     }
     emptied_.erase(found);
     for (const auto& [id, state] : targets_) {
-        const auto warmup = warmups_.find(state.target.service);
-        if (state.target.failure_domain == failure_domain && warmup != warmups_.end()) {
-            note_cold(now, id, warmup->second.length);
+        if (state.target.failure_domain == failure_domain) {
+            note_cold(now, id, cold_.warmup_length(state.target.service));
         }
     }
     return true;
@@ -147,7 +101,7 @@
                 std::to_string(state.load.queued) + "/" + std::to_string(age.count()) + "ms";
     }
     text += "," + placer_.describe(now, id);
-    text += state.kept_turns.is_cold(now) ? ",cold" : "";
+    text += is_cold(now, id) ? ",cold" : "";
     return text + (state.listed ? "" : ",unlisted");
 }
 
@@ -170,6 +124,7 @@
         if (done) {
             forgotten.push_back(it->first);
             placer_.forget(it->first);
+            cold_.forget(it->first);
             it = targets_.erase(it);
         } else {
             ++it;
@@ -218,32 +173,6 @@
     return any_listed ? std::vector<target_state*>{} : unlisted;
 }
 
-/// The time between two of the owner's turns at a cold target. Zero if there is no limit.
-microseconds target_pool::turn_spacing(std::string_view service, turn_owner owner) const {
-    const auto warmup = warmups_.find(service);
-    const double rate = warmup == warmups_.end() ? 0.0 : warmup->second.requests_per_second;
-    if (rate <= 0.0) {
-        return microseconds(0);
-    }
-    constexpr double microseconds_a_second = 1e6;
-    const double whole = microseconds_a_second / rate;
-    if (owner == turn_owner::keeper) {
-        return microseconds(std::llround(whole / kept_part));
-    }
-    const std::size_t entries = settings_.entries ? settings_.entries() : 1;
-    const double part = owner == turn_owner::equal ? equal_part : stand_in_part;
-    return microseconds(std::llround(whole / part * static_cast<double>(entries)));
-}
-
-cold_turns& target_pool::turns_of(target_state& state, turn_owner owner) {
-    return owner == turn_owner::keeper ? state.kept_turns : state.own_turns;
-}
-
-microseconds target_pool::turn_wait(instant now, target_state& state, turn_owner owner) const {
-    const bool limited = turn_spacing(state.target.service, owner) > microseconds(0);
-    return limited ? turns_of(state, owner).wait(now) : microseconds(0);
-}
-
 /// The candidates of which those that are cold have a turn in time.
 target_pool::candidate_group target_pool::with_turns(instant now, std::string_view service,
                                                      std::span<const std::string> tried,
@@ -251,19 +180,13 @@
     const microseconds longest = longest_wait > microseconds(0) ? longest_wait : usual_wait;
     candidate_group group;
     group.targets = candidates(now, service, tried, [&](target_state& state) {
-        const bool admitted = turn_wait(now, state, owner) <= longest;
+        const bool admitted = cold_.wait(now, state.target.id, owner) <= longest;
         group.some_cold = group.some_cold || !admitted;
         return admitted;
     });
     return group;
 }
 
-void target_pool::take_turn(instant now, target_choice& choice, turn_owner owner) {
-    target_state& state = targets_.at(choice.target->id);
-    choice.wait = turn_wait(now, state, owner);
-    turns_of(state, owner).take(now, turn_spacing(state.target.service, owner));
-}
-
 /// A request that may be repeated finds out whether a silent target speaks again: it loses nothing,
 /// since it goes elsewhere if not. One that may not be repeated would be lost, so that it goes
 /// there only if there is nothing else.
@@ -290,7 +213,8 @@
     keep_silent_apart(group.targets, repeatable);
     const double aim_s = as_seconds(std::max(aim, usual_wait));
     for (target_state* state : group.targets) {
-        const double wait = as_seconds(turn_wait(now, *state, turn_owner::equal)) / aim_s;
+        const double wait =
+            as_seconds(cold_.wait(now, state->target.id, turn_owner::equal)) / aim_s;
         const double value = plain_cost(*state, now) + wait + jitter * random_.unit();
         if (value < least) {
             least = value;
@@ -299,7 +223,7 @@
     }
     choice.all_cold = choice.target == nullptr && group.some_cold;
     if (choice.target != nullptr) {
-        take_turn(now, choice, turn_owner::equal);
+        choice.wait = cold_.take(now, choice.target->id, turn_owner::equal);
     }
     return choice;
 }
@@ -315,7 +239,7 @@
         if (passes(state->target.id)) {
             among.push_back(state);
             offered.push_back({state->target.id, state->target.slots, failure_rate(*state, now),
-                               as_milliseconds(turn_wait(now, *state, owner))});
+                               as_milliseconds(cold_.wait(now, state->target.id, owner))});
         }
     }
     target_choice choice;
@@ -329,7 +253,7 @@
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
     choice.unread = chosen.unread;
     choice.price = chosen.price;
-    take_turn(now, choice, owner);
+    choice.wait = cold_.take(now, choice.target->id, owner);
     return choice;
 }
 
@@ -471,22 +395,6 @@
     }
 }
 
-void target_pool::answered_within(const std::string& service, microseconds time) {
-    const double took = as_milliseconds(time);
-    const auto [known, first] = usual_answer_ms_.try_emplace(service, took);
-    if (!first) {
-        known->second += answer_time_weight * (took - known->second);
-    }
-}
-
-microseconds target_pool::longest_usual_answer(const std::string& service) const {
-    const auto known = usual_answer_ms_.find(service);
-    const double usual = known == usual_answer_ms_.end() ? 0.0 : known->second;
-    constexpr double microseconds_a_millisecond = 1e3;
-    const microseconds longest(std::llround(slow_answer * usual * microseconds_a_millisecond));
-    return std::max(least_silence, longest);
-}
-
 void target_pool::answered(instant now, std::string_view id, bool well) {
     const auto found = targets_.find(id);
     if (found == targets_.end()) {
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -96,7 +96,7 @@
             answering.push_back(&member);
         }
     }
-    return largest_among(std::move(answering), count);
+    return largest_among(answering, count);
 }
 
 std::vector<ledger_member> token_homes::largest_of_all(std::size_t count) const {
@@ -105,10 +105,10 @@
     for (const auto& [host, member] : members_) {
         all.push_back(&member);
     }
-    return largest_among(std::move(all), count);
+    return largest_among(all, count);
 }
 
-std::vector<ledger_member> token_homes::largest_among(std::vector<const ledger_member*> members,
+std::vector<ledger_member> token_homes::largest_among(std::span<const ledger_member* const> members,
                                                       std::size_t count) {
     // Among equal ones the hash decides, so that not the first names have all the work everywhere.
     using rank = std::pair<double, std::uint64_t>;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -353,7 +353,7 @@
 }
 
 void forwarded_request::watch_silence() {
-    const microseconds longest = context_.targets.longest_usual_answer(admitted_.service);
+    const microseconds longest = context_.plain_answers.longest_usual(admitted_.service);
     context_.loop.call_after(longest, [self = weak_from_this(), attempt = history_.number()] {
         const auto alive = self.lock();
         if (alive && !alive->ended_ && alive->call_ && alive->history_.number() == attempt) {
@@ -423,7 +423,7 @@
     }
     context_.counters.histogram("gateway_target_ms").observe(now - sent_at_);
     if (!engine_request_) {
-        context_.targets.answered_within(admitted_.service, now - sent_at_);
+        context_.plain_answers.observe(admitted_.service, now - sent_at_);
     }
     trace_.add(now, "target_answered",
                {{"target", target_},
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -192,6 +192,7 @@
         dialect_,
         configuration_,
         targets_,
+        plain_answers_,
         lag_.overload(),
         *grants_,
         *tokens_,
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/lag_watch.hpp"
+#include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
@@ -88,6 +89,7 @@
 
     configuration_view configuration_;
     target_pool targets_;
+    answer_times plain_answers_;
     engine_keepers keepers_;
     lag_watch lag_;
     std::unique_ptr<placement_desk> desk_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -12,6 +12,7 @@
 #include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/configuration_view.hpp"
 #include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
@@ -32,6 +33,7 @@
     const gateway_dialect& dialect;
     configuration_view& configuration;
     target_pool& targets;
+    answer_times& plain_answers;
     const overload_watch& overload;
     grant_holder& grants;
     token_exchange& tokens;
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -352,15 +352,6 @@
     BOOST_TEST(!pick("plain", {}, now + seconds(1)).empty());
 }
 
-BOOST_AUTO_TEST_CASE(silence_is_measured_against_the_usual_answers_of_the_service) {
-    BOOST_TEST((pool->longest_usual_answer("plain") == milliseconds(200)));
-    for (int turn = 0; turn < 500; ++turn) {
-        pool->answered_within("plain", milliseconds(turn % 2 == 0 ? 60 : 120));
-    }
-    BOOST_TEST((pool->longest_usual_answer("plain") > milliseconds(500)));
-    BOOST_TEST((pool->longest_usual_answer("plain") < milliseconds(580)));
-}
-
 BOOST_AUTO_TEST_CASE(emptied_domain_gets_nothing_until_it_is_back) {
     BOOST_TEST(pool->set_emptied(now, "d1", true));
     BOOST_TEST(!pool->set_emptied(now, "d1", true));
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -10,6 +10,14 @@
 
 constexpr microseconds longest_request = seconds(3);
 
+/// What a cold plain worker bears in a second, and what may reach it at the most: half as much
+/// again and five.
+constexpr double cold_rate = 6.0;
+constexpr std::size_t most_while_cold = 14;
+
+/// How long gateways that can read the store may take to know of a change.
+constexpr microseconds until_known = milliseconds(1500);
+
 std::string event(int number) {
     return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
 }
@@ -23,7 +31,8 @@
      {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent","timeoutMs":1000,
       "service":"app","maxAttempts":2}],
      "services":[{"name":"llm","healthPath":"/health","maxConns":120,"engine":{"slots":64,"stride":3}},
-      {"name":"app","healthPath":"/health","maxConns":120}],
+      {"name":"app","healthPath":"/health","maxConns":120,"coldStartS":4,"coldPerS":)" +
+           std::to_string(cold_rate) + R"(}],
      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,"idleTimeoutMs":10000},
      "tenants":[{"name":"tenant","apiKeys":["key-1"],"prepaid":)" +
            std::to_string(prepaid) + "}]}";
@@ -44,6 +53,13 @@
     return answer.size() >= body + 4 + wanted;
 }
 
+/// The first worker of each service is in one failure domain, the second in another.
+std::string entry_of(const worker_standin& worker, int cold_left_ms = 0) {
+    const std::string& id = worker.id();
+    return worker.list_entry(id.substr(0, 3), "ready", id.ends_with("1") ? "z1" : "z2",
+                             cold_left_ms);
+}
+
 }  // namespace
 
 soak_fleet::soak_fleet(std::uint64_t seed) : random_(seed), seed_(seed) {
@@ -53,7 +69,7 @@
         worker.answer = [this, &worker](const ingress_exchange_pointer& exchange) {
             serve(worker, exchange);
         };
-        store_.put("keyed.servers", id, worker.list_entry(std::string(id).substr(0, 3)));
+        store_.put("keyed.servers", id, entry_of(worker));
     }
     configure();
     relay_bus_ = raw_socket::listen().port();
@@ -121,6 +137,7 @@
 void soak_fleet::serve(worker_standin& worker, const ingress_exchange_pointer& exchange) {
     const std::string id(exchange->head().header("Request-Id"));
     runs_[id] += 1;
+    arrivals_[worker.id()].push_back(monotonic_now());
     const bool cuts = random_.unit() < cut_share_;
     if (exchange->head().target.starts_with("/stream/")) {
         // The prompt counts once a request, the events as they are handed out.
@@ -372,6 +389,57 @@
     return true;
 }
 
+/// Requests to plain workers at all gateways, some 80 a second.
+void soak_fleet::ask_plain_workers(microseconds length) {
+    std::vector<raw_socket> sockets;
+    const instant end = monotonic_now() + length;
+    for (std::size_t turn = 0; monotonic_now() < end; ++turn) {
+        raw_socket socket = raw_socket::connect(gateways_[turn % gateway_count].listen);
+        socket.send("GET /again/x HTTP/1.1\r\nHost: h.test\r\nRequest-Id: plain" +
+                    std::to_string(++sent_) +
+                    "\r\nCredential: key-1\r\nDeadline-Ms: 1000\r\nConnection: close\r\n\r\n");
+        sockets.push_back(std::move(socket));
+        run_for(milliseconds(12));
+    }
+    run_for(milliseconds(200));
+}
+
+void soak_fleet::check_cold_worker(const worker_standin& worker, instant from) {
+    const std::vector<instant>& times = arrivals_[worker.id()];
+    for (auto first = times.begin(); first != times.end(); ++first) {
+        const auto last = std::lower_bound(first, times.end(), *first + seconds(1));
+        if (*first >= from && static_cast<std::size_t>(last - first) > most_while_cold) {
+            broken_.push_back(std::to_string(last - first) + " requests in a second at cold " +
+                              worker.id());
+            return;
+        }
+    }
+}
+
+void soak_fleet::play_cold_and_emptied() {
+    const worker_standin& worker = *workers_[2];
+    const microseconds cold = seconds(4);
+    const instant turned = monotonic_now();
+    store_.put("keyed.servers", worker.id(),
+               entry_of(worker, static_cast<int>(cold / milliseconds(1))));
+    ask_plain_workers(cold - milliseconds(500));
+    check_cold_worker(worker, turned + until_known);
+
+    store_.put("keyed.op", "evacuate/z1", "{}");
+    run_for(until_known);
+    const std::size_t before = arrivals_[worker.id()].size();
+    ask_plain_workers(seconds(1));
+    if (arrivals_[worker.id()].size() != before) {
+        broken_.push_back("a request reached a worker of an emptied domain");
+    }
+    store_.put("keyed.op", "evacuate/z1", std::nullopt);
+    const std::size_t emptied = arrivals_[worker.id()].size();
+    ask_plain_workers(until_known);
+    if (arrivals_[worker.id()].size() == emptied) {
+        broken_.push_back("no request reached a worker of a domain that was taken back");
+    }
+}
+
 std::vector<std::string> soak_fleet::broken() const {
     std::vector<std::string> all = broken_;
     if (handed_out_ > prepaid_) {
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -37,6 +37,10 @@
     /// True if a stream is answered whole again, at every gateway.
     bool serves_again();
 
+    /// A plain worker turns cold, and then its failure domain is emptied and taken back, while
+    /// requests go on. What reaches the workers against that is kept as broken.
+    void play_cold_and_emptied();
+
     /// What was broken, one line each. Empty if every promise held.
     std::vector<std::string> broken() const;
 
@@ -75,6 +79,8 @@
     void start_relay();
     void serve(worker_standin& worker, const ingress_exchange_pointer& exchange);
     void send_request();
+    void ask_plain_workers(microseconds length);
+    void check_cold_worker(const worker_standin& worker, instant from);
     void collect();
     void keep(client& done);
     void judge(const client& ended, const std::string& answer);
@@ -93,6 +99,8 @@
     std::unique_ptr<wrenswitch::test::child_process> relay_;
     std::vector<client> clients_;
     std::map<std::string, unsigned> runs_;
+    /// When requests reached each worker.
+    std::map<std::string, std::vector<instant>> arrivals_;
     std::map<std::string, request_shape> shapes_;
     std::map<std::string, bool> refused_;
     tokens handed_out_ = 0;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -26,6 +26,7 @@
     }
     BOOST_TEST_CONTEXT(story) {
         BOOST_TEST(fleet.serves_again());
+        fleet.play_cold_and_emptied();
         for (const std::string& broken : fleet.broken()) {
             BOOST_ERROR(broken);
         }
