--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -168,8 +168,8 @@
     const auto cold = platform::read_target(
         "i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":1250})");
     BOOST_TEST((cold.value().cold_left == milliseconds(1250)));
-    const auto odd = platform::read_target(
-        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":-7})");
+    const auto odd =
+        platform::read_target("i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":-7})");
     BOOST_TEST((odd.value().cold_left == microseconds(0)));
 }
 
