Spread an entry's first turn at a cold target over its own spacing

Cause, found by reading: entries that can't ask a keeper share 0.15 of a cold engine's rate, one turn in 18 s each at 26 entries, but their first turns were spread over the 3.4 s of another kind of owner: 25 turns in 2.4 s in place of about 4. And a cold target that the list named before the configuration gave its bound had a turn in hand at every entry at once: 26 of 26, after any start.

Each kind of owner has its own turns and spacing; a bound that comes or changes later holds them back. Both tests fail without it (25 and 26 turns).

--- a/include/wrenswitch/decision/gateway/cold_targets.hpp
+++ b/include/wrenswitch/decision/gateway/cold_targets.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -23,6 +24,8 @@
     equal,
 };
 
+constexpr std::array turn_owners{turn_owner::keeper, turn_owner::stand_in, turn_owner::equal};
+
 /// Which targets are cold, and when a request may be sent to one. The load it answers: after a loss
 /// of power, a crash or an emptied failure domain many targets are cold at once and all entries
 /// send to them; each bears no more than its rate from all together.
@@ -31,8 +34,9 @@
     /// `entries` tells how many entries share what a cold target bears.
     cold_targets(std::function<std::size_t()> entries, random_source& random);
 
-    /// What a service's targets bear while they are cold.
-    void set_warmup(const std::string& service, const target_warmup& warmup);
+    /// What a service's targets bear while they are cold. Those that are known to be cold begin
+    /// anew if that changes: their turns were counted without it.
+    void set_warmup(instant now, const std::string& service, const target_warmup& warmup);
 
     /// How long a target of a service is cold after a start.
     microseconds warmup_length(std::string_view service) const;
@@ -59,12 +63,16 @@
 private:
     struct target_state {
         std::string service;
-        cold_turns kept;
-        cold_turns own;
+        /// By the owner.
+        std::array<cold_turns, turn_owners.size()> turns;
     };
 
-    static const cold_turns& turns_of(const target_state& state, turn_owner owner);
+    static constexpr std::size_t place_of(turn_owner owner) {
+        return static_cast<std::size_t>(owner);
+    }
     microseconds spacing(std::string_view service, turn_owner owner) const;
+    microseconds first_turn(std::string_view service, turn_owner owner);
+    void hold_back(instant now, target_state& state, turn_owner owner);
 
     std::function<std::size_t()> entries_;
     random_source& random_;
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -90,8 +90,8 @@
     bool is_cold(instant now, std::string_view id) const { return cold_.is_cold(now, id); }
 
     /// What a service's targets bear while they are cold.
-    void set_warmup(const std::string& service, const target_warmup& warmup) {
-        cold_.set_warmup(service, warmup);
+    void set_warmup(instant now, const std::string& service, const target_warmup& warmup) {
+        cold_.set_warmup(now, service, warmup);
     }
 
     /// Another process may have given turns at cold engines until now: this one begins anew.
--- a/src/decision/gateway/cold_targets.cpp
+++ b/src/decision/gateway/cold_targets.cpp
@@ -23,8 +23,20 @@
 cold_targets::cold_targets(std::function<std::size_t()> entries, random_source& random)
     : entries_(std::move(entries)), random_(random) {}
 
-void cold_targets::set_warmup(const std::string& service, const target_warmup& warmup) {
-    warmups_.insert_or_assign(service, warmup);
+void cold_targets::set_warmup(instant now, const std::string& service,
+                              const target_warmup& warmup) {
+    target_warmup& known = warmups_[service];
+    if (known == warmup) {
+        return;
+    }
+    known = warmup;
+    for (auto& [target, state] : targets_) {
+        for (const turn_owner owner : turn_owners) {
+            if (state.service == service) {
+                hold_back(now, state, owner);
+            }
+        }
+    }
 }
 
 microseconds cold_targets::warmup_length(std::string_view service) const {
@@ -39,10 +51,9 @@
     }
     target_state& state = targets_[std::string(target)];
     state.service = service;
-    state.kept.begin(now, now + left, spacing(service, turn_owner::keeper));
-    // Entries learn of it together, and mustn't all have their first turn at the same moment.
-    const auto own = static_cast<double>(spacing(service, turn_owner::equal).count());
-    state.own.begin(now, now + left, microseconds(std::llround(own * random_.unit())));
+    for (const turn_owner owner : turn_owners) {
+        state.turns[place_of(owner)].begin(now, now + left, first_turn(service, owner));
+    }
 }
 
 void cold_targets::forget(std::string_view target) {
@@ -54,11 +65,7 @@
 
 bool cold_targets::is_cold(instant now, std::string_view target) const {
     const auto found = targets_.find(target);
-    return found != targets_.end() && found->second.kept.is_cold(now);
-}
-
-const cold_turns& cold_targets::turns_of(const target_state& state, turn_owner owner) {
-    return owner == turn_owner::keeper ? state.kept : state.own;
+    return found != targets_.end() && found->second.turns.front().is_cold(now);
 }
 
 /// The time between two of the owner's turns. Zero if there is no limit.
@@ -78,12 +85,29 @@
     return microseconds(std::llround(whole / part * static_cast<double>(entries)));
 }
 
+/// How long the owner's first turn is away. Entries learn of a cold target together: if the first
+/// turns of all fell into less than one spacing, they would send several times their part.
+microseconds cold_targets::first_turn(std::string_view service, turn_owner owner) {
+    const microseconds whole = spacing(service, owner);
+    if (owner == turn_owner::keeper) {
+        return whole;
+    }
+    return microseconds(std::llround(static_cast<double>(whole.count()) * random_.unit()));
+}
+
+void cold_targets::hold_back(instant now, target_state& state, turn_owner owner) {
+    cold_turns& turns = state.turns[place_of(owner)];
+    if (turns.is_cold(now)) {
+        turns.hold_back(now, first_turn(state.service, owner));
+    }
+}
+
 microseconds cold_targets::wait(instant now, std::string_view target, turn_owner owner) const {
     const auto found = targets_.find(target);
     if (found == targets_.end() || spacing(found->second.service, owner) <= microseconds(0)) {
         return microseconds(0);
     }
-    return turns_of(found->second, owner).wait(now);
+    return found->second.turns[place_of(owner)].wait(now);
 }
 
 microseconds cold_targets::take(instant now, std::string_view target, turn_owner owner) {
@@ -91,17 +115,14 @@
     const auto found = targets_.find(target);
     if (found != targets_.end()) {
         target_state& state = found->second;
-        cold_turns& turns = owner == turn_owner::keeper ? state.kept : state.own;
-        turns.take(now, spacing(state.service, owner));
+        state.turns[place_of(owner)].take(now, spacing(state.service, owner));
     }
     return waits;
 }
 
 void cold_targets::hold_back(instant now) {
     for (auto& [target, state] : targets_) {
-        if (state.kept.is_cold(now)) {
-            state.kept.hold_back(now, spacing(state.service, turn_owner::keeper));
-        }
+        hold_back(now, state, turn_owner::keeper);
     }
 }
 
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -335,7 +335,7 @@
 
 void gateway::apply_limits() {
     for (const gateway_service& service : configuration_.current().services) {
-        targets_.set_warmup(service.name, service.warmup);
+        targets_.set_warmup(monotonic_now(), service.name, service.warmup);
     }
     for (const gateway_account& account : configuration_.current().accounts) {
         if (account.prepaid) {
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -384,7 +384,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(engines_of_a_domain_that_is_back_count_as_cold) {
-    pool->set_warmup("engine", {seconds(3), 10.0});
+    pool->set_warmup(now, "engine", {seconds(3), 10.0});
     pool->set_emptied(now, "d1", true);
     pool->set_emptied(now, "d1", false);
     // Four engines with nine turns a second each, of which none is there at once. What
@@ -412,7 +412,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(new_keeper_does_not_give_turns_that_its_predecessor_gave) {
-    pool->set_warmup("engine", {seconds(3), 10.0});
+    pool->set_warmup(now, "engine", {seconds(3), 10.0});
     pool->note_cold(now, "e1", seconds(3));
     pool->hold_back_turns(now + seconds(1));
     engine_request only = prompt(7, 8);
@@ -423,7 +423,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(cold_engine_leaves_its_surplus_to_warm_ones) {
-    pool->set_warmup("engine", {seconds(3), 10.0});
+    pool->set_warmup(now, "engine", {seconds(3), 10.0});
     pool->note_cold(now, "e1", seconds(3));
     unsigned cold = 0;
     for (std::uint64_t turn = 0; turn < 200; ++turn) {
@@ -442,7 +442,7 @@
         shared.entries = [] { return 26U; };
         target_pool alone(shared, own);
         alone.apply(target("c1", "cold", "d1"));
-        alone.set_warmup("cold", {seconds(3), 9.6});
+        alone.set_warmup(now, "cold", {seconds(3), 9.6});
         alone.note_cold(now, "c1", seconds(3));
         for (int ms = 0; ms < 3000; ms += 5) {
             const target_choice choice = alone.pick(now + milliseconds(ms), "cold", {});
@@ -458,6 +458,43 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(entries_that_can_not_ask_a_keeper_share_a_small_part_of_the_rate) {
+    // Of 9.6 a second 0.15 are theirs, 1.4 a second for all 26 together.
+    unsigned sent = 0;
+    for (std::uint64_t entry = 0; entry < 26; ++entry) {
+        random_source own(entry + 1);
+        target_pool_settings shared;
+        shared.entries = [] { return 26U; };
+        target_pool alone(shared, own);
+        alone.apply(target("c1", "engine", "d1"));
+        alone.set_warmup(now, "engine", {seconds(3), 9.6});
+        alone.note_cold(now, "c1", seconds(3));
+        for (int ms = 0; ms < 2400; ms += 5) {
+            const target_choice choice = alone.pick_engine(
+                now + milliseconds(ms), "engine", prompt(7, 8), {},
+                [](std::string_view) { return true; }, turn_owner::stand_in);
+            sent += choice.target != nullptr ? 1 : 0;
+        }
+    }
+    BOOST_TEST(sent <= 12U);
+}
+
+BOOST_AUTO_TEST_CASE(cold_target_that_is_known_before_its_bound_gives_no_turn_at_once) {
+    unsigned sent = 0;
+    for (std::uint64_t entry = 0; entry < 26; ++entry) {
+        random_source own(entry + 1);
+        target_pool_settings shared;
+        shared.entries = [] { return 26U; };
+        target_pool starting(shared, own);
+        starting.apply(target("c1", "cold", "d1"));
+        starting.note_cold(now, "c1", seconds(3));
+        starting.set_warmup(now, "cold", {seconds(3), 9.6});
+        const target_choice choice = starting.pick(now, "cold", {});
+        sent += choice.target != nullptr && choice.wait < milliseconds(100) ? 1 : 0;
+    }
+    BOOST_TEST(sent <= 5U);
+}
+
 BOOST_AUTO_TEST_CASE(service_without_a_bound_has_no_cold_targets) {
     pool->note_cold(now, "p3", seconds(3));
     for (int turn = 0; turn < 20; ++turn) {
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -216,7 +216,7 @@
 
 BOOST_AUTO_TEST_CASE(cold_engine_gets_its_rate_from_all_entries_together) {
     for (const auto& entry : entries) {
-        entry->targets.set_warmup(service, {seconds(30), 10.0});
+        entry->targets.set_warmup(monotonic_now(), service, {seconds(30), 10.0});
         for (int number = 1; number <= 12; ++number) {
             const std::string id = "e" + std::to_string(number);
             if (number > 1) {
