Ask in one place whether a request may go to another target

target_silent had its own copy of what try_again decides; both ask take_retry now. apply_limits also takes what targets bear, so that it is apply_configuration; the wait that a route's aim allows is worked out once; a filter of targets can't change them; the model says what it stands for.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -195,7 +195,7 @@
 
     using states = std::map<std::string, target_state, std::less<>>;
 
-    using state_filter = std::function<bool(target_state& state)>;
+    using state_filter = std::function<bool(const target_state& state)>;
 
     /// The targets that a request may go to, and whether some more are left out as cold.
     struct candidate_group {
--- a/spec/cold_turns.pml
+++ b/spec/cold_turns.pml
@@ -1,9 +1,10 @@
 /* A cold target gets no more than half as much again as its rate in any window, through changes of its
  * keeper, keepers that are lost and start anew, and a target that turns cold again.
  *
- * It stands for: cold_turns, target_pool (note_cold, hold_back_turns) and placement_desk. Time goes in
- * ticks. A keeper gives a turn each SPACING ticks, so that a WINDOW holds RATE of them. Members change
- * once in a WINDOW at the most, and every entry hears of it within a tick.
+ * It stands for: cold_turns, cold_targets (note, hold_back) and placement_desk. Time goes in ticks. A
+ * keeper gives a turn each SPACING ticks, so that a WINDOW holds two of them. Members change once in a
+ * WINDOW at the most, and every entry hears of it within a tick. What entries send that can't ask a
+ * keeper isn't modelled: it is a fixed small part of the rate.
  *
  * Variants that are broken on purpose, each of which must fail:
  *   SHARE_KEPT_BY_TWO  an entry that takes the keeper for lost gives the engine's turns too
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -26,6 +26,11 @@
 /// allow.
 constexpr microseconds usual_wait = milliseconds(300);
 
+/// How long a request may wait for a turn and still be answered in time, by its route's aim.
+microseconds bearable_wait(microseconds aim) {
+    return aim > microseconds(0) ? aim : usual_wait;
+}
+
 }  // namespace
 
 target_pool::target_pool(target_pool_settings settings, random_source& random)
@@ -177,10 +182,9 @@
 target_pool::candidate_group target_pool::with_turns(instant now, std::string_view service,
                                                      std::span<const std::string> tried,
                                                      turn_owner owner, microseconds longest_wait) {
-    const microseconds longest = longest_wait > microseconds(0) ? longest_wait : usual_wait;
     candidate_group group;
-    group.targets = candidates(now, service, tried, [&](target_state& state) {
-        const bool admitted = cold_.wait(now, state.target.id, owner) <= longest;
+    group.targets = candidates(now, service, tried, [&](const target_state& state) {
+        const bool admitted = cold_.wait(now, state.target.id, owner) <= longest_wait;
         group.some_cold = group.some_cold || !admitted;
         return admitted;
     });
@@ -209,13 +213,13 @@
                                 bool repeatable) {
     target_choice choice;
     double least = std::numeric_limits<double>::infinity();
-    candidate_group group = with_turns(now, service, tried, turn_owner::equal, aim);
+    const microseconds longest_wait = bearable_wait(aim);
+    candidate_group group = with_turns(now, service, tried, turn_owner::equal, longest_wait);
     keep_silent_apart(group.targets, repeatable);
-    const double aim_s = as_seconds(std::max(aim, usual_wait));
-    for (target_state* state : group.targets) {
-        const double wait =
-            as_seconds(cold_.wait(now, state->target.id, turn_owner::equal)) / aim_s;
-        const double value = plain_cost(*state, now) + wait + jitter * random_.unit();
+    for (const target_state* state : group.targets) {
+        const microseconds wait = cold_.wait(now, state->target.id, turn_owner::equal);
+        const double value = plain_cost(*state, now) + as_seconds(wait) / as_seconds(longest_wait) +
+                             jitter * random_.unit();
         if (value < least) {
             least = value;
             choice.target = &state->target;
@@ -234,8 +238,9 @@
                                        const target_filter& passes, turn_owner owner) {
     std::vector<const target_state*> among;
     std::vector<engine_candidate> offered;
-    const candidate_group group = with_turns(now, service, tried, owner, request.first_event_aim);
-    for (target_state* state : group.targets) {
+    const candidate_group group =
+        with_turns(now, service, tried, owner, bearable_wait(request.first_event_aim));
+    for (const target_state* state : group.targets) {
         if (passes(state->target.id)) {
             among.push_back(state);
             offered.push_back({state->target.id, state->target.slots, failure_rate(*state, now),
@@ -282,7 +287,7 @@
                                              const prompt_shape& shape,
                                              std::span<const std::string> tried) {
     std::vector<std::string_view> engines;
-    const auto any = [](target_state&) { return true; };
+    const auto any = [](const target_state&) { return true; };
     for (const target_state* state : candidates(now, service, tried, any)) {
         engines.push_back(state->target.id);
     }
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -377,16 +377,11 @@
     if (called_off_ || !may_repeat(admitted_.route.kind)) {
         return;
     }
-    const bool may_try =
-        time_left() > microseconds(0) &&
-        history_.may_send_again(admitted_.route.kind, admitted_.route.most_attempts);
-    if (!may_try || !context_.retries_of(admitted_.service).take_retry()) {
-        return;
+    if (take_retry()) {
+        history_.note_may_have_run();
+        end_attempt(run_end::left);
+        dispatch();
     }
-    history_.note_may_have_run();
-    end_attempt(run_end::left);
-    context_.counters.counter("gateway_retries_total") += 1;
-    dispatch();
 }
 
 upstream_hooks forwarded_request::hooks_for(unsigned attempt) {
@@ -625,9 +620,9 @@
     fail(status_bad_gateway, "target_lost");
 }
 
-/// Sends the request to another target, if the answer can go on from there and the retries allow
-/// it.
-bool forwarded_request::try_again() {
+/// True if the request may go to another target: the answer can go on from there, and the retries
+/// allow it, of which this takes one.
+bool forwarded_request::take_retry() {
     const bool can_go_on = !to_caller_.begun() || !events_.last_id().empty();
     const bool may_try =
         can_go_on && time_left() > microseconds(0) &&
@@ -636,6 +631,14 @@
         return false;
     }
     context_.counters.counter("gateway_retries_total") += 1;
+    return true;
+}
+
+/// Sends the request to another target, if it may go there.
+bool forwarded_request::try_again() {
+    if (!take_retry()) {
+        return false;
+    }
     dispatch();
     return true;
 }
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -74,6 +74,7 @@
     void end_stream();
     void answer_refused();
     void answer_complete();
+    bool take_retry();
     bool try_again();
     void attempt_broken();
 
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -325,7 +325,7 @@
     if (!configuration_.apply(std::move(read.value()))) {
         return;
     }
-    apply_limits();
+    apply_configuration();
     const gateway_configuration& current = configuration_.current();
     log_event(log_level::information, "configuration_applied",
               {{"version", std::to_string(current.version)},
@@ -333,7 +333,7 @@
                {"accounts", std::to_string(current.accounts.size())}});
 }
 
-void gateway::apply_limits() {
+void gateway::apply_configuration() {
     for (const gateway_service& service : configuration_.current().services) {
         targets_.set_warmup(monotonic_now(), service.name, service.warmup);
     }
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -48,7 +48,7 @@
 
     void configuration_changed(const keyed_record& record);
     void emptied_changed(const std::string& failure_domain, const keyed_record& record);
-    void apply_limits();
+    void apply_configuration();
     void keeper_silent(const std::string& host, bool others_answered);
     void keeper_answered(const std::string& host);
     void peer_silent(const std::string& peer);
