Lay down what roll-outs and regions share: limits of candidates, typed orders and records, messages

One place makes candidates (target_pool); a request's regions and the version it goes to narrow them there, through keepers too. Nothing changes for requests that no configuration binds: the limits are empty then.

--- a/include/wrenswitch/decision/gateway/admission.hpp
+++ b/include/wrenswitch/decision/gateway/admission.hpp
@@ -21,6 +21,8 @@
     std::optional<engine_shape> engine;
     /// True if the account pays for the request's tokens.
     bool counted = false;
+    /// Where it may be: what its route and its account both allow.
+    allowed_regions regions;
 };
 
 /// Why a request isn't admitted.
--- a/include/wrenswitch/decision/gateway/gateway_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -9,6 +9,7 @@
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/core/tokens.hpp"
+#include "wrenswitch/decision/gateway/candidate_limits.hpp"
 #include "wrenswitch/decision/placement/engine_shape.hpp"
 
 namespace wrenswitch {
@@ -56,6 +57,8 @@
     microseconds first_answer_aim{};
     /// The longest pause between events of a stream that is still in time; zero if any is.
     microseconds longest_pause{};
+    /// Where its requests may be.
+    allowed_regions regions;
 };
 
 /// What a service's targets bear while they are cold: after a start, or whenever they turn cold.
@@ -86,6 +89,8 @@
     unsigned priority = 0;
     /// No budget means that nothing is counted.
     std::optional<tokens> prepaid;
+    /// Where its requests may be.
+    allowed_regions regions;
 };
 
 /// What callers may send.
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -13,8 +13,10 @@
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/core/tokens.hpp"
+#include "wrenswitch/decision/gateway/candidate_limits.hpp"
 #include "wrenswitch/decision/gateway/cold_targets.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
+#include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
 
@@ -28,6 +30,8 @@
     std::string failure_domain;
     unsigned slots = 1;
     bool leaving = false;
+    /// Of its software; empty if it doesn't say.
+    std::string version;
 
     friend bool operator==(const gateway_target&, const gateway_target&) = default;
 };
@@ -42,6 +46,7 @@
 /// Settings of a pool.
 struct target_pool_settings {
     std::string failure_domain;
+    region_table regions;
     /// What crossing to another failure domain counts as, in shares of a target's slots.
     double other_domain_cost = 0.05;
     microseconds first_ejection = milliseconds(500);
@@ -114,7 +119,8 @@
     /// is one, leaving out those already tried. A target that was silent of late is tried with
     /// requests that may be repeated; the others go there only in need.
     target_choice pick(instant now, std::string_view service, std::span<const std::string> tried,
-                       microseconds aim = {}, bool repeatable = false);
+                       microseconds aim = {}, bool repeatable = false,
+                       const candidate_limits& limits = {});
 
     /// An engine for a request with a prompt among those that the filter lets pass, leaving out
     /// those already tried.
@@ -129,10 +135,12 @@
     /// The engine whose keeper is asked for a prompt: its session's home by hash among those that
     /// may be chosen, or any of them if it has no session. Empty if there is none.
     std::string_view meeting_engine(instant now, std::string_view service,
-                                    const prompt_shape& shape, std::span<const std::string> tried);
+                                    const engine_request& request,
+                                    std::span<const std::string> tried);
 
-    /// True if the target may be sent requests of the service now.
-    bool usable(std::string_view id, std::string_view service) const;
+    /// True if the target may be sent requests of the service now, within these limits.
+    bool usable(std::string_view id, std::string_view service,
+                const candidate_limits& limits = {}) const;
 
     /// A request went to a target.
     void sent(std::string_view id);
@@ -206,17 +214,22 @@
     void settle_address(target_state& changed);
     static double failure_rate(const target_state& state, instant now);
     static void rate(target_state& state, instant now, bool well);
-    bool may_be_chosen(const target_state& state, std::string_view service) const;
+    bool may_be_chosen(const target_state& state, std::string_view service,
+                       const candidate_limits& limits) const;
+    bool may_hold(const target_state& state, const allowed_regions& regions) const;
     std::vector<target_state*> candidates(instant now, std::string_view service,
                                           std::span<const std::string> tried,
+                                          const candidate_limits& limits,
                                           const state_filter& admits);
+    static void keep_group(std::vector<target_state*>& targets, const version_limit& version);
     candidate_group with_turns(instant now, std::string_view service,
                                std::span<const std::string> tried, turn_owner owner,
-                               microseconds longest_wait);
+                               microseconds longest_wait, const candidate_limits& limits);
     static void keep_silent_apart(std::vector<target_state*>& targets, bool repeatable);
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
-    std::vector<std::string_view> sources(instant now, std::string_view service) const;
+    std::vector<std::string_view> sources(instant now, std::string_view service,
+                                          const allowed_regions& regions) const;
 
     target_pool_settings settings_;
     random_source& random_;
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -23,6 +23,9 @@
     std::string endpoint;
     /// How much it can do, in processor cores; more of the accounts' homes go to the larger ones.
     double capacity = 1.0;
+    std::string failure_domain;
+    /// Empty if none is known.
+    std::string region;
 
     friend bool operator==(const ledger_member&, const ledger_member&) = default;
 };
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "wrenswitch/core/time.hpp"
+#include "wrenswitch/decision/gateway/candidate_limits.hpp"
 #include "wrenswitch/decision/placement/engine_load.hpp"
 #include "wrenswitch/decision/placement/engine_shape.hpp"
 #include "wrenswitch/decision/placement/event_pace.hpp"
@@ -26,6 +27,8 @@
     microseconds first_event_aim{};
     /// The longest pause between events that is still in time; zero if any is.
     microseconds longest_pause{};
+    /// Which engines it may go to.
+    candidate_limits limits;
 };
 
 /// An engine that a request may go to.
--- /dev/null
+++ b/include/wrenswitch/decision/rollout/rollout_judge.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <string>
+
+#include "wrenswitch/core/time.hpp"
+#include "wrenswitch/decision/rollout/rollout_evidence.hpp"
+
+namespace wrenswitch {
+
+/// What is held of a version.
+enum class rollout_opinion {
+    /// Too little is known; the old version goes on serving.
+    undecided,
+    /// It answers worse than the old one: to be rolled back.
+    bad,
+    /// It does as well as the old one, as far as what was asked shows.
+    good,
+};
+
+const char* name_of(rollout_opinion opinion);
+
+/// An opinion and what it rests on, for the log.
+struct rollout_verdict {
+    rollout_opinion opinion = rollout_opinion::undecided;
+    /// In the words of an operator: which test, which route, which figures.
+    std::string reason;
+};
+
+/// Judges a version by its answers, with the old version's at the same time on the same routes as
+/// the control. A sequential test: it may be asked at any time and as often as one likes, and its
+/// errors stay what the settings say.
+class rollout_judge {
+public:
+    struct settings {
+        /// The share of good versions that may be called bad.
+        double wrongly_bad = 0.001;
+        /// The share of bad versions, of the kinds that the judge is made for, that may be called
+        /// good.
+        double wrongly_good = 0.02;
+        /// A verdict on a version's targets rests on at least so many of them, if it has them.
+        std::size_t least_targets = 2;
+    };
+
+    explicit rollout_judge(settings chosen);
+
+    /// `stress` is how much more each target of the new version has had to do than each of the old
+    /// one, for versions whose targets slow down under load; 1 if as much.
+    rollout_verdict judge(const rollout_evidence& evidence, double stress = 1.0) const;
+
+private:
+    settings settings_;
+};
+
+}  // namespace wrenswitch
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -10,8 +10,10 @@
 #include "wrenswitch/core/findings.hpp"
 #include "wrenswitch/decision/gateway/drain_plan.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
+#include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
+#include "wrenswitch/decision/rollout/rollout_order.hpp"
 #include "wrenswitch/drivers/http_client.hpp"
 #include "wrenswitch/drivers/keyed_log.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
@@ -52,6 +54,9 @@
     std::string target_log;
     std::string grant_log;
     std::string member_log;
+    /// The fleet's own log of roll-outs, and the one in which operators read where they stand.
+    std::string rollout_log;
+    std::string status_log;
     std::function<result<gateway_configuration>(std::string_view)> read_configuration;
     std::function<result<listed_target>(std::string_view id, std::string_view value)> read_target;
     /// The failure domain that the operator wants emptied while a record of the configuration's log
@@ -59,6 +64,15 @@
     std::function<std::optional<std::string>(std::string_view key)> emptied_domain;
     /// An error if such a record's value can't be read.
     std::function<result<void>(std::string_view value)> read_emptied;
+    /// The service whose roll-out a record of the configuration's log orders, by its key; nothing
+    /// if the key means something else.
+    std::function<std::optional<std::string>(std::string_view key)> ordered_service;
+    /// An order from such a record, whose offset is its number.
+    std::function<result<rollout_order>(std::string_view service, std::string_view value,
+                                        std::uint64_t number)>
+        read_order;
+    /// The record of the status log that tells operators where a roll-out stands.
+    std::function<keyed_record(const rollout_record& record)> write_status;
     /// The keyed log behind a channel to the platform's service.
     std::function<std::unique_ptr<keyed_log>(service_channel&, const keyed_log_timeouts&)> make_log;
     /// A cheap call that shows whether the service answers.
@@ -71,6 +85,8 @@
 struct gateway_settings {
     std::string host;
     std::string failure_domain;
+    /// The regions of the deployment's failure domains, this host's own among them.
+    region_table regions;
     http_address listen;
     /// Where readiness and metrics are served.
     http_address admin;
@@ -86,6 +102,8 @@
     double capacity = 1.0;
     /// How a planned stop goes.
     drain_plan drain;
+    /// The share of a service's requests that a version may get which isn't proved.
+    double exposed_share = 0.1;
     /// Retries as a share of first tries, for each service, and how many beyond that all entries
     /// together may make.
     double retry_share = 0.1;
--- a/src/decision/gateway/admission.cpp
+++ b/src/decision/gateway/admission.cpp
@@ -44,6 +44,7 @@
     admitted.route = *route;
     admitted.service = split->service;
     admitted.urgency = std::min(least_urgent, route->priority);
+    admitted.regions = route->regions;
     const gateway_service* service = configuration.service(split->service);
     if (service != nullptr) {
         admitted.engine = service->engine;
@@ -56,6 +57,7 @@
         return admission_refusal::unknown_key;
     }
     admitted.account = account->name;
+    admitted.regions = allowed_by_both(route->regions, account->regions);
     admitted.urgency =
         std::min(least_urgent, account->priority * urgencies_an_account + route->priority);
     admitted.counted = admitted.engine.has_value() && account->prepaid.has_value();
--- /dev/null
+++ b/src/decision/gateway/candidate_limits.cpp
@@ -0,0 +1,34 @@
+#include "wrenswitch/decision/gateway/candidate_limits.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace wrenswitch {
+
+allowed_regions allowed_by_both(const allowed_regions& left, const allowed_regions& right) {
+    if (!left || !right) {
+        return left ? left : right;
+    }
+    std::set<std::string, std::less<>> both;
+    std::set_intersection(left->begin(), left->end(), right->begin(), right->end(),
+                          std::inserter(both, both.end()));
+    return both;
+}
+
+bool may_be_in(const allowed_regions& allowed, std::string_view region) {
+    return !allowed || (!region.empty() && allowed->contains(region));
+}
+
+bool version_limit::admits(std::string_view target_version) const {
+    switch (rule) {
+        case version_rule::any:
+            return true;
+        case version_rule::only:
+            return target_version == version;
+        case version_rule::other_than:
+            return target_version != version;
+    }
+    return true;
+}
+
+}  // namespace wrenswitch
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include "wrenswitch/core/digest.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -138,9 +140,30 @@
     return forgotten;
 }
 
-bool target_pool::may_be_chosen(const target_state& state, std::string_view service) const {
+bool target_pool::may_be_chosen(const target_state& state, std::string_view service,
+                                const candidate_limits& limits) const {
     return state.target.service == service && !state.target.leaving && !state.replaced &&
-           !is_emptied(state.target.failure_domain);
+           !is_emptied(state.target.failure_domain) && may_hold(state, limits.regions) &&
+           limits.version.admits(state.target.version);
+}
+
+bool target_pool::may_hold(const target_state& state, const allowed_regions& regions) const {
+    return may_be_in(regions, settings_.regions.region_of(state.target.failure_domain));
+}
+
+/// The first of the version's targets in an order that the seed gives and that is the same at every
+/// process. A target that fails stays in the group: what belongs to the version must show.
+void target_pool::keep_group(std::vector<target_state*>& targets, const version_limit& version) {
+    if (version.rule != version_rule::only || version.group_size == 0 ||
+        targets.size() <= version.group_size) {
+        return;
+    }
+    const auto rank = [&version](const target_state* state) {
+        return spread_hash(state->target.id, version.group_seed);
+    };
+    std::sort(targets.begin(), targets.end(),
+              [&rank](const auto* left, const auto* right) { return rank(left) < rank(right); });
+    targets.resize(version.group_size);
 }
 
 /// The best group that isn't empty: listed and sound; listed and ejected; then, in need, those that
@@ -148,27 +171,28 @@
 std::vector<target_pool::target_state*> target_pool::candidates(instant now,
                                                                 std::string_view service,
                                                                 std::span<const std::string> tried,
+                                                                const candidate_limits& limits,
                                                                 const state_filter& admits) {
-    std::vector<target_state*> sound;
-    std::vector<target_state*> ejected;
+    std::vector<target_state*> allowed;
     std::vector<target_state*> unlisted;
-    bool any_listed = false;
     for (auto& [id, state] : targets_) {
-        if (!may_be_chosen(state, service)) {
-            continue;
-        }
-        any_listed = any_listed || state.listed;
-        if (std::find(tried.begin(), tried.end(), id) != tried.end() || !admits(state)) {
-            continue;
-        }
-        if (!state.listed) {
-            unlisted.push_back(&state);
-        } else if (state.ejected_until > now) {
-            ejected.push_back(&state);
-        } else {
-            sound.push_back(&state);
+        if (may_be_chosen(state, service, limits)) {
+            (state.listed ? allowed : unlisted).push_back(&state);
         }
     }
+    keep_group(allowed, limits.version);
+    const bool any_listed = !allowed.empty();
+    const auto left_out = [&](const target_state* state) {
+        return std::find(tried.begin(), tried.end(), state->target.id) != tried.end() ||
+               !admits(*state);
+    };
+    std::erase_if(allowed, left_out);
+    std::erase_if(unlisted, left_out);
+    std::vector<target_state*> sound;
+    std::vector<target_state*> ejected;
+    for (target_state* state : allowed) {
+        (state->ejected_until > now ? ejected : sound).push_back(state);
+    }
     if (!sound.empty()) {
         return sound;
     }
@@ -181,9 +205,10 @@
 /// The candidates of which those that are cold have a turn in time.
 target_pool::candidate_group target_pool::with_turns(instant now, std::string_view service,
                                                      std::span<const std::string> tried,
-                                                     turn_owner owner, microseconds longest_wait) {
+                                                     turn_owner owner, microseconds longest_wait,
+                                                     const candidate_limits& limits) {
     candidate_group group;
-    group.targets = candidates(now, service, tried, [&](const target_state& state) {
+    group.targets = candidates(now, service, tried, limits, [&](const target_state& state) {
         const bool admitted = cold_.wait(now, state.target.id, owner) <= longest_wait;
         group.some_cold = group.some_cold || !admitted;
         return admitted;
@@ -210,11 +235,12 @@
 
 target_choice target_pool::pick(instant now, std::string_view service,
                                 std::span<const std::string> tried, microseconds aim,
-                                bool repeatable) {
+                                bool repeatable, const candidate_limits& limits) {
     target_choice choice;
     double least = std::numeric_limits<double>::infinity();
     const microseconds longest_wait = bearable_wait(aim);
-    candidate_group group = with_turns(now, service, tried, turn_owner::equal, longest_wait);
+    candidate_group group =
+        with_turns(now, service, tried, turn_owner::equal, longest_wait, limits);
     keep_silent_apart(group.targets, repeatable);
     for (const target_state* state : group.targets) {
         const microseconds wait = cold_.wait(now, state->target.id, turn_owner::equal);
@@ -238,8 +264,8 @@
                                        const target_filter& passes, turn_owner owner) {
     std::vector<const target_state*> among;
     std::vector<engine_candidate> offered;
-    const candidate_group group =
-        with_turns(now, service, tried, owner, bearable_wait(request.first_event_aim));
+    const candidate_group group = with_turns(
+        now, service, tried, owner, bearable_wait(request.first_event_aim), request.limits);
     for (const target_state* state : group.targets) {
         if (passes(state->target.id)) {
             among.push_back(state);
@@ -252,8 +278,8 @@
     if (among.empty()) {
         return choice;
     }
-    const engine_choice chosen =
-        placer_.choose(now, std::string(service), offered, sources(now, service), request);
+    const engine_choice chosen = placer_.choose(
+        now, std::string(service), offered, sources(now, service, request.limits.regions), request);
     choice.target = &among[chosen.index]->target;
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
     choice.unread = chosen.unread;
@@ -276,7 +302,7 @@
         return;
     }
     const engine_placer::kept_prompt most =
-        placer_.most_kept(sources(now, choice.target->service), shape);
+        placer_.most_kept(sources(now, choice.target->service, request.limits.regions), shape);
     if (most.kept - there >= least_copied && most.engine != choice.target->id) {
         choice.copy_from = find(most.engine);
         choice.unread = shape.prompt - most.kept;
@@ -284,33 +310,36 @@
 }
 
 std::string_view target_pool::meeting_engine(instant now, std::string_view service,
-                                             const prompt_shape& shape,
+                                             const engine_request& request,
                                              std::span<const std::string> tried) {
     std::vector<std::string_view> engines;
     const auto any = [](const target_state&) { return true; };
-    for (const target_state* state : candidates(now, service, tried, any)) {
+    for (const target_state* state : candidates(now, service, tried, request.limits, any)) {
         engines.push_back(state->target.id);
     }
     if (engines.empty()) {
         return {};
     }
-    const std::string_view home = home_of(engines, shape);
+    const std::string_view home = home_of(engines, request.shape);
     return home.empty() ? engines[random_.below(engines.size())] : home;
 }
 
-bool target_pool::usable(std::string_view id, std::string_view service) const {
+bool target_pool::usable(std::string_view id, std::string_view service,
+                         const candidate_limits& limits) const {
     const auto found = targets_.find(id);
     if (found == targets_.end()) {
         return false;
     }
-    return found->second.listed && may_be_chosen(found->second, service);
+    return found->second.listed && may_be_chosen(found->second, service, limits);
 }
 
 /// The engines that others may copy from. Those that leave still serve that.
-std::vector<std::string_view> target_pool::sources(instant now, std::string_view service) const {
+std::vector<std::string_view> target_pool::sources(instant now, std::string_view service,
+                                                   const allowed_regions& regions) const {
     std::vector<std::string_view> found;
     for (const auto& [id, state] : targets_) {
-        const bool usable = state.listed && !state.replaced && state.ejected_until <= now;
+        const bool usable = state.listed && !state.replaced && state.ejected_until <= now &&
+                            may_hold(state, regions);
         if (usable && state.target.service == service) {
             found.push_back(id);
         }
--- a/src/drivers/member_directory.cpp
+++ b/src/drivers/member_directory.cpp
@@ -23,6 +23,8 @@
     value.set_process(raw(member.process));
     value.set_endpoint(member.endpoint);
     value.set_capacity(member.capacity);
+    value.set_failure_domain(member.failure_domain);
+    value.set_region(member.region);
     return {member.host, value.SerializeAsString(), 0};
 }
 
@@ -33,8 +35,8 @@
     if (!good) {
         return std::nullopt;
     }
-    return ledger_member{record.key, incarnation_id{value.process()}, value.endpoint(),
-                         value.capacity()};
+    return ledger_member{record.key,       incarnation_id{value.process()}, value.endpoint(),
+                         value.capacity(), value.failure_domain(),          value.region()};
 }
 
 member_directory::member_directory(event_loop& loop, keyed_log& log, std::string name,
--- /dev/null
+++ b/src/roles/gateway/entry_rollouts.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/decision/rollout/rollout_gate.hpp"
+#include "wrenswitch/decision/rollout/rollout_table.hpp"
+
+namespace wrenswitch {
+
+/// All roll-outs as this entry carries them out: one gate for each service with an order. A service
+/// without one costs a look-up in an empty map.
+class entry_rollouts {
+public:
+    entry_rollouts(double exposed_share, metrics& counters);
+
+    /// The operator ordered a roll-out, or changed the order.
+    void ordered(instant now, const rollout_order& order);
+
+    /// The order was withdrawn: as if it were rolled back.
+    void withdrawn(instant now, std::string_view service);
+
+    /// What the log of roll-outs holds of a service.
+    void recorded(instant now, const rollout_record& record);
+
+    /// The decider's word.
+    void told(instant now, const rollout_stand& stand);
+
+    /// The gate of a service, or null if it isn't rolled out.
+    rollout_gate* gate_of(std::string_view service);
+
+    /// The orders that this process knows, newest of each service.
+    std::vector<rollout_order> orders() const;
+
+    /// What the decider is to be told of each roll-out that hasn't ended.
+    struct told_evidence {
+        rollout_report report;
+        const rollout_evidence& evidence;
+    };
+    std::vector<told_evidence> reports(instant now) const;
+
+private:
+    double exposed_share_;
+    metrics& counters_;
+    std::map<std::string, rollout_gate, std::less<>> gates_;
+};
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -231,18 +231,28 @@
     dispatch();
 }
 
+/// What the configuration and a roll-out of the service leave of its targets.
+candidate_limits forwarded_request::limits_now() const {
+    return {admitted_.regions, {}};
+}
+
 void forwarded_request::dispatch() {
     if (admitted_.engine && request_.prompt.prompt > 0 && !engine_request_) {
-        engine_request_ = {request_.prompt, *admitted_.engine, admitted_.route.first_answer_aim,
-                           admitted_.route.longest_pause};
+        engine_request_ = {request_.prompt,
+                           *admitted_.engine,
+                           admitted_.route.first_answer_aim,
+                           admitted_.route.longest_pause,
+                           {}};
     }
+    const candidate_limits limits = limits_now();
     if (!engine_request_) {
         target_chosen(context_.targets.pick(monotonic_now(), admitted_.service, history_.tried(),
                                             admitted_.route.first_answer_aim,
-                                            may_repeat(admitted_.route.kind)),
+                                            may_repeat(admitted_.route.kind), limits),
                       {});
         return;
     }
+    engine_request_->limits = limits;
     placing_ = context_.placements.place(
         admitted_.service, *engine_request_, history_.tried(), time_left(),
         [self = weak_from_this()](const target_choice& choice, const placed_run& run) {
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -50,6 +50,7 @@
     void tokens_answered(reserve_outcome outcome);
     void pay(reserve_outcome outcome);
 
+    candidate_limits limits_now() const;
     void dispatch();
     void target_chosen(const target_choice& choice, const placed_run& run);
     void wait_for_turn(const target_choice& choice, const placed_run& run);
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -38,6 +38,7 @@
 target_pool_settings pool_settings(const gateway_settings& settings, const token_homes& members) {
     target_pool_settings pool;
     pool.failure_domain = settings.failure_domain;
+    pool.regions = settings.regions;
     pool.entries = [&members] { return std::max(least_entries, members.members()); };
     return pool;
 }
@@ -151,7 +152,12 @@
 void gateway::open_exchange() {
     const std::string& reached_at =
         settings_.member_endpoint.empty() ? bus_->endpoint() : settings_.member_endpoint;
-    const ledger_member own{settings_.host, incarnation_, reached_at, settings_.capacity};
+    const ledger_member own{settings_.host,
+                            incarnation_,
+                            reached_at,
+                            settings_.capacity,
+                            settings_.failure_domain,
+                            std::string(settings_.regions.region_of(settings_.failure_domain))};
     members_ = std::make_unique<member_directory>(
         loop_, *log_, dialect_.member_log, own,
         member_directory_hooks{
--- a/src/roles/gateway/placement_codec.cpp
+++ b/src/roles/gateway/placement_codec.cpp
@@ -7,6 +7,53 @@
     return std::chrono::duration_cast<milliseconds>(length).count();
 }
 
+wire::VersionRule to_wire(version_rule rule) {
+    switch (rule) {
+        case version_rule::any:
+            return wire::VERSION_ANY;
+        case version_rule::only:
+            return wire::VERSION_ONLY;
+        case version_rule::other_than:
+            return wire::VERSION_OTHER_THAN;
+    }
+    return wire::VERSION_ANY;
+}
+
+version_rule from_wire(wire::VersionRule rule) {
+    switch (rule) {
+        case wire::VERSION_ONLY:
+            return version_rule::only;
+        case wire::VERSION_OTHER_THAN:
+            return version_rule::other_than;
+        default:
+            return version_rule::any;
+    }
+}
+
+void set_limits(const candidate_limits& limits, wire::PlacementAsk& ask) {
+    if (limits.regions) {
+        ask.set_region_bound(true);
+        for (const std::string& region : *limits.regions) {
+            ask.add_regions(region);
+        }
+    }
+    const version_limit& version = limits.version;
+    ask.set_version_rule(to_wire(version.rule));
+    ask.set_version(version.version);
+    ask.set_group_size(version.group_size);
+    ask.set_group_seed(version.group_seed);
+}
+
+candidate_limits limits_from_wire(const wire::PlacementAsk& ask) {
+    candidate_limits limits;
+    if (ask.region_bound()) {
+        limits.regions.emplace(ask.regions().begin(), ask.regions().end());
+    }
+    limits.version = {from_wire(ask.version_rule()), ask.version(), ask.group_size(),
+                      ask.group_seed()};
+    return limits;
+}
+
 }  // namespace
 
 wire::PlacementAsk to_wire(std::uint64_t run, const std::string& service,
@@ -29,6 +76,7 @@
     for (const std::string& target : tried) {
         ask.add_tried(target);
     }
+    set_limits(request.limits, ask);
     return ask;
 }
 
@@ -44,6 +92,7 @@
     request.engine = engine;
     request.first_event_aim = milliseconds(ask.first_event_aim_ms());
     request.longest_pause = milliseconds(ask.longest_pause_ms());
+    request.limits = limits_from_wire(ask);
     return request;
 }
 
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -57,7 +57,7 @@
     pending_ask wish{
         service, request, {tried.begin(), tried.end()}, left, std::move(chosen), wanted, {},
         now,     {}};
-    const std::string_view home = targets_.meeting_engine(now, service, request.shape, tried);
+    const std::string_view home = targets_.meeting_engine(now, service, request, tried);
     const std::optional<ledger_member> keeper =
         home.empty() ? std::nullopt : keepers_.keeper_of(now, home);
     if (!keeper || silent_.contains(keeper->host)) {
@@ -251,7 +251,7 @@
         return;
     }
     const bool usable =
-        targets_.usable(answer.target(), wish.service) &&
+        targets_.usable(answer.target(), wish.service, wish.request.limits) &&
         std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
     if (!usable) {
         counters_.counter("placement_answers_unusable_total") += 1;
--- a/tests/decision/gateway/admission_test.cpp
+++ b/tests/decision/gateway/admission_test.cpp
@@ -17,7 +17,8 @@
                        route("/open/", "app", 0, true), route("/nowhere/", "", 0, true)};
         made.routes[3].splits.clear();
         made.services = {{"llm", 10, engine_shape{}, {}}, {"app", 10, std::nullopt, {}}};
-        made.accounts = {{"payer", {"key-1"}, 1, 5000}, {"free", {"key-2"}, 9, std::nullopt}};
+        made.accounts = {{"payer", {"key-1"}, 1, 5000, {}},
+                         {"free", {"key-2"}, 9, std::nullopt, {}}};
         view.apply(made);
     }
 
--- a/tests/decision/gateway/configuration_view_test.cpp
+++ b/tests/decision/gateway/configuration_view_test.cpp
@@ -16,7 +16,7 @@
         gateway_configuration made;
         made.version = number;
         made.routes = {route("outer", "/a/"), route("inner", "/a/b/")};
-        made.accounts = {{"tenant", {"key-1", "key-2"}, 0, std::nullopt}};
+        made.accounts = {{"tenant", {"key-1", "key-2"}, 0, std::nullopt, {}}};
         made.services = {{"llm", 10, engine_shape{}, {}}};
         return made;
     }
--- /dev/null
+++ b/tests/decision/gateway/region_table_test.cpp
@@ -0,0 +1,55 @@
+#include "wrenswitch/decision/gateway/region_table.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "wrenswitch/decision/gateway/candidate_limits.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+
+struct region_table_fixture {
+    region_table_fixture() {
+        table.add("n1", "north");
+        table.add("n2", "north");
+        table.add("s1", "south");
+    }
+
+    region_table table;
+};
+
+BOOST_FIXTURE_TEST_SUITE(region_table_test, region_table_fixture)
+
+BOOST_AUTO_TEST_CASE(domain_named_twice_keeps_its_first_region) {
+    BOOST_TEST(!table.add("n1", "south"));
+    BOOST_TEST(table.region_of("n1") == "north");
+}
+
+BOOST_AUTO_TEST_CASE(domain_that_nobody_named_is_a_region_of_its_own) {
+    BOOST_TEST(table.region_of("x").empty());
+    BOOST_TEST(table.are_near("x", "x"));
+    BOOST_TEST(!table.are_near("x", "y"));
+    BOOST_TEST(!table.are_near("x", "n1"));
+    BOOST_TEST(!may_be_in(std::set<std::string, std::less<>>{"north", ""}, table.region_of("x")));
+}
+
+BOOST_AUTO_TEST_CASE(domains_of_one_region_are_near_each_other) {
+    BOOST_TEST(table.are_near("n1", "n2"));
+    BOOST_TEST(!table.are_near("n1", "s1"));
+    BOOST_TEST(table.has_several());
+}
+
+BOOST_AUTO_TEST_CASE(limits_of_route_and_account_both_bind) {
+    const allowed_regions north{{"north", "west"}};
+    const allowed_regions south{{"south", "west"}};
+    const allowed_regions both = allowed_by_both(north, south);
+    BOOST_TEST(may_be_in(both, "west"));
+    BOOST_TEST(!may_be_in(both, "north"));
+    BOOST_TEST(may_be_in(allowed_by_both(std::nullopt, north), "north"));
+    BOOST_TEST(may_be_in(allowed_by_both(std::nullopt, std::nullopt), ""));
+    BOOST_TEST(!may_be_in(std::set<std::string, std::less<>>{}, "north"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -27,7 +27,7 @@
     }
 
     static gateway_target target(const char* id, const char* service, const char* domain) {
-        return {id, service, "127.0.0.1:1", domain, 6, false};
+        return {id, service, "127.0.0.1:1", domain, 6, false, {}};
     }
 
     std::string pick(const char* service = "plain", std::vector<std::string> tried = {},
@@ -300,7 +300,7 @@
     lone.shape.parts.clear();
     std::set<std::string_view> met;
     for (int turn = 0; turn < 100; ++turn) {
-        met.insert(pool->meeting_engine(now, "engine", lone.shape, {}));
+        met.insert(pool->meeting_engine(now, "engine", lone, {}));
     }
     BOOST_TEST(met.size() == 4U);
 }
@@ -308,9 +308,9 @@
 BOOST_AUTO_TEST_CASE(session_meets_at_the_engine_that_is_chosen_while_all_are_idle) {
     for (std::uint64_t session = 10; session < 40; ++session) {
         const engine_request asked = prompt(session, 5);
-        BOOST_TEST(pool->meeting_engine(now, "engine", asked.shape, {}) == pick_engine(asked));
+        BOOST_TEST(pool->meeting_engine(now, "engine", asked, {}) == pick_engine(asked));
     }
-    BOOST_TEST(pool->meeting_engine(now, "unknown", prompt(1, 2).shape, {}).empty());
+    BOOST_TEST(pool->meeting_engine(now, "unknown", prompt(1, 2), {}).empty());
 }
 
 BOOST_AUTO_TEST_CASE(leaving_unlisted_or_foreign_target_is_not_usable) {
@@ -359,7 +359,7 @@
         BOOST_TEST(pick() == "p3");
     }
     BOOST_TEST((choose(*pool, prompt(7, 8)).target == nullptr));
-    BOOST_TEST(pool->meeting_engine(now, "engine", prompt(7, 8).shape, {}).empty());
+    BOOST_TEST(pool->meeting_engine(now, "engine", prompt(7, 8), {}).empty());
     BOOST_TEST(!pool->usable("e1", "engine"));
     BOOST_TEST(pool->set_emptied(now, "d1", false));
     BOOST_TEST(!pool->set_emptied(now, "d1", false));
--- a/tests/decision/grants/token_homes_test.cpp
+++ b/tests/decision/grants/token_homes_test.cpp
@@ -11,8 +11,12 @@
 constexpr instant now{seconds(100)};
 
 ledger_member member(int number, double capacity = 1.0, std::uint64_t process = 1) {
-    return {"h" + std::to_string(number), incarnation_id{process},
-            "tcp://10.0.0." + std::to_string(number) + ":1", capacity};
+    return {"h" + std::to_string(number),
+            incarnation_id{process},
+            "tcp://10.0.0." + std::to_string(number) + ":1",
+            capacity,
+            {},
+            {}};
 }
 
 /// Twelve members of equal capacity, of which four are homes.
@@ -135,7 +139,11 @@
             const bool is_large = number < 2;
             mixed.apply({(is_large ? "large-" : "small-") + std::to_string(round) + "-" +
                              std::to_string(number),
-                         incarnation_id{1}, "tcp://x", is_large ? 0.5 : 0.05});
+                         incarnation_id{1},
+                         "tcp://x",
+                         is_large ? 0.5 : 0.05,
+                         {},
+                         {}});
         }
         large += mixed.home_of(now, "a")->host.starts_with("large") ? 1 : 0;
     }
--- a/tests/decision/placement/engine_keepers_test.cpp
+++ b/tests/decision/placement/engine_keepers_test.cpp
@@ -22,7 +22,7 @@
 
     static ledger_member member(int number) {
         const std::string host = "h" + std::to_string(number);
-        return {host, incarnation_id{1}, "tcp://" + host, number <= 4 ? 0.5 : 0.1};
+        return {host, incarnation_id{1}, "tcp://" + host, number <= 4 ? 0.5 : 0.1, {}, {}};
     }
 
     std::map<std::string, int> engines_by_keeper(instant at = now) {
--- a/tests/drivers/member_directory_test.cpp
+++ b/tests/drivers/member_directory_test.cpp
@@ -16,10 +16,11 @@
 class listed_process {
 public:
     listed_process(event_loop& loop, keyed_log& log, int number, std::uint64_t process = 1)
-        : directory(loop, log, "members",
-                    {"h" + std::to_string(number), incarnation_id{process}, "tcp://x:1", 0.2},
-                    {[this](const ledger_member& member) { seen[member.host] = member; },
-                     [this](const std::string& host) { seen.erase(host); }, [](bool) {}}) {
+        : directory(
+              loop, log, "members",
+              {"h" + std::to_string(number), incarnation_id{process}, "tcp://x:1", 0.2, {}, {}},
+              {[this](const ledger_member& member) { seen[member.host] = member; },
+               [this](const std::string& host) { seen.erase(host); }, [](bool) {}}) {
         directory.start();
     }
 
@@ -37,7 +38,7 @@
 BOOST_FIXTURE_TEST_SUITE(member_directory_test, directory_fixture)
 
 BOOST_AUTO_TEST_CASE(member_written_and_read_is_the_same) {
-    const ledger_member member{"host", incarnation_id{7}, "tcp://10.0.0.1:2", 0.25};
+    const ledger_member member{"host", incarnation_id{7}, "tcp://10.0.0.1:2", 0.25, "d1", "north"};
     BOOST_TEST((decode_member(encode_member(member)) == member));
 }
 
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -33,7 +33,8 @@
             }
         });
         for (int target = 1; target <= 12; ++target) {
-            targets.apply({"e" + std::to_string(target), service, "127.0.0.1:1", "d1", 32, false});
+            targets.apply(
+                {"e" + std::to_string(target), service, "127.0.0.1:1", "d1", 32, false, {}});
         }
     }
 
@@ -45,7 +46,7 @@
     }
 
     ledger_member self() const {
-        return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0};
+        return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0, {}, {}};
     }
 
     std::string host;
@@ -206,7 +207,7 @@
     for (int number = 1; number <= 12; ++number) {
         const std::string id = "e" + std::to_string(number);
         if (id != "e5") {
-            asker->targets.apply({id, service, "127.0.0.1:1", "d1", 32, true});
+            asker->targets.apply({id, service, "127.0.0.1:1", "d1", 32, true, {}});
         }
     }
     for (std::uint64_t session = 10; session < 20; ++session) {
--- a/tests/roles/token_exchange_test.cpp
+++ b/tests/roles/token_exchange_test.cpp
@@ -65,7 +65,7 @@
         waiters.serve(monotonic_now());
     }
 
-    ledger_member self() const { return {host, incarnation_id{1}, bus->endpoint(), 1.0}; }
+    ledger_member self() const { return {host, incarnation_id{1}, bus->endpoint(), 1.0, {}, {}}; }
 
     std::string host;
     bool listens = true;
