--- a/include/wrenswitch/drivers/event_loop.hpp
+++ b/include/wrenswitch/drivers/event_loop.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -15,6 +16,12 @@
     virtual ~timer() = default;
 };
 
+/// The bytes that a process's connections have carried since it began.
+struct traffic_counts {
+    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
+};
+
 /// The one event loop of a process. All of the fleet's code runs on it, one step at a time.
 class event_loop {
 public:
@@ -48,8 +55,12 @@
     /// libevent's own handle, for the other drivers.
     event_base* base() const { return base_; }
 
+    /// What callers', targets' and other entries' connections carried, which the drivers count here.
+    traffic_counts& traffic() { return traffic_; }
+
 private:
     event_base* base_;
+    traffic_counts traffic_;
     std::unique_ptr<timer> terminate_;
     std::unique_ptr<timer> interrupt_;
     std::unique_ptr<timer> hangup_;
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -100,6 +100,8 @@
     std::uint16_t relay_port = 0;
     /// What this process may use, in processor cores. Larger entries are homes of more accounts.
     double capacity = 1.0;
+    /// What this host's link carries each way; zero if that isn't known.
+    double link_bytes_per_second = 0.0;
     /// How a planned stop goes.
     drain_plan drain;
     /// The share of a service's requests that a version may get which isn't proved.
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -234,6 +234,7 @@
             return;
         }
         evbuffer_drain(input, taken.value());
+        context_.loop.traffic().received += taken.value();
         if (head_is_overdue()) {
             refuse(status_timeout);
             return;
@@ -297,6 +298,7 @@
     if (stream_ == nullptr) {
         return;
     }
+    context_.loop.traffic().sent += bytes.size();
     if (held_.empty()) {
         send_directly(stream_, bytes);
         return;
@@ -306,6 +308,7 @@
 }
 
 void ingress_connection::write_soon(std::string_view bytes) {
+    context_.loop.traffic().sent += bytes.size();
     held_ += bytes;
 }
 
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -20,6 +20,8 @@
     ingress_handler handler;
     std::function<void(ingress_connection*)> on_gone;
     bool draining = false;
+    /// True while callers should go on over other connections.
+    bool sheds = false;
 };
 
 /// One caller's connection: reads one request at a time and writes its answer.
@@ -42,7 +44,7 @@
     void finish_answer(bool keep);
     void abort();
     bool open() const { return stream_ != nullptr; }
-    bool keeps_alive() const { return keep_alive_ && !context_.draining; }
+    bool keeps_alive() const { return keep_alive_ && !context_.draining && !context_.sheds; }
     std::size_t unsent_bytes() const;
 
 private:
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -55,18 +55,29 @@
     std::size_t connections() const override { return connections_.size(); }
     void begin_drain() override { context_.draining = true; }
 
+    void shed(bool sheds) override {
+        context_.sheds = sheds;
+        if (sheds) {
+            close_idle();
+        }
+    }
+
     void stop_listening() override {
         context_.draining = true;
         if (listener_ != nullptr) {
             evconnlistener_free(std::exchange(listener_, nullptr));
         }
+        close_idle();
+    }
+
+private:
+    void close_idle() {
         const auto open = connections_;
         for (const auto& [key, connection] : open) {
             connection->close_if_idle();
         }
     }
 
-private:
     static void on_accept(evconnlistener*, evutil_socket_t socket, sockaddr*, int, void* self) {
         static_cast<libevent_ingress*>(self)->accept(socket);
     }
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -108,6 +108,7 @@
         return;
     }
     sent_ = true;
+    loop_.traffic().sent += unsent_.size();
     send_directly(stream_, unsent_);
     unsent_ = {};
 }
@@ -147,6 +148,7 @@
     const ssize_t length =
         ::recv(bufferevent_getfd(stream_), buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (length > 0) {
+        loop_.traffic().received += static_cast<std::uint64_t>(length);
         take_in({buffer.data(), static_cast<std::size_t>(length)});
         return;
     }
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -73,7 +73,10 @@
       homes_(settings.host, {}),
       targets_(pool_settings(settings, homes_), random_),
       keepers_(homes_),
-      lag_(loop, [this] { return context_->requests.size(); }) {}
+      lag_(
+          loop, [this] { return context_->requests.size(); },
+          [this](instant now) { look_at_link(now); }),
+      link_({settings.link_bytes_per_second}) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -200,6 +203,7 @@
         targets_,
         plain_answers_,
         lag_.overload(),
+        link_,
         *grants_,
         *tokens_,
         *placements_,
@@ -264,9 +268,32 @@
             limits.idle_timeout};
 }
 
+/// Callers whose bytes don't fit go on elsewhere: over new connections, which the platform leads to
+/// other entries once this one isn't ready.
+void gateway::look_at_link(instant now) {
+    const traffic_counts& traffic = loop_.traffic();
+    const bool shed_before = link_.sheds();
+    const bool full_before = link_.is_full();
+    link_.observe(now, traffic.received + bus_->bytes_received(),
+                  traffic.sent + bus_->bytes_sent());
+    if (link_.is_full() != full_before) {
+        log_event(log_level::warning, link_.is_full() ? "link_full" : "link_has_room",
+                  {{"received_share", std::to_string(link_.received_share())},
+                   {"send_queue_ms", millis_text(link_.send_queue())},
+                   {"connections", std::to_string(ingress_->connections())}});
+    }
+    if (link_.sheds() == shed_before) {
+        return;
+    }
+    ingress_->shed(link_.sheds());
+    log_event(log_level::warning, link_.sheds() ? "callers_sent_away" : "callers_taken_again",
+              {{"received_share", std::to_string(link_.received_share())},
+               {"send_queue_ms", millis_text(link_.send_queue())}});
+}
+
 bool gateway::ready() {
-    return !stopping_ && configuration_.known() && ledger_->live() && target_follower_->live() &&
-           !isolated();
+    return !stopping_ && !link_.sheds() && configuration_.known() && ledger_->live() &&
+           target_follower_->live() && !isolated();
 }
 
 void gateway::serve_admin(const http_exchange_pointer& exchange) {
@@ -279,6 +306,8 @@
             static_cast<double>(context_->requests.size());
         metrics_.gauge("gateway_refused_share") = lag_.overload().refused_share();
         metrics_.gauge("gateway_connections") = static_cast<double>(ingress_->connections());
+        metrics_.gauge("gateway_link_received_share") = link_.received_share();
+        metrics_.gauge("gateway_link_send_queue_seconds") = as_seconds(link_.send_queue());
         exchange->reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                         metrics_.to_prometheus_text());
         return;
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include "roles/gateway/lag_watch.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
+#include "wrenswitch/decision/gateway/link_watch.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -43,6 +44,7 @@
     result<void> open_servers();
     void open_metrics();
     ingress_limits limits_now() const;
+    void look_at_link(instant now);
     bool ready();
     void serve_admin(const http_exchange_pointer& exchange);
 
@@ -92,6 +94,7 @@
     answer_times plain_answers_;
     engine_keepers keepers_;
     lag_watch lag_;
+    link_watch link_;
     std::unique_ptr<placement_desk> desk_;
     std::unique_ptr<placement_exchange> placements_;
     isolation_watch reach_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -14,6 +14,7 @@
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/link_watch.hpp"
 #include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
@@ -35,6 +36,7 @@
     target_pool& targets;
     answer_times& plain_answers;
     const overload_watch& overload;
+    const link_watch& link;
     grant_holder& grants;
     token_exchange& tokens;
     placement_exchange& placements;
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t most_lines = 1'000'000;
 constexpr double most_cores = 10'000.0;
 constexpr double most_slack = 10'000.0;
+constexpr double most_link_mbps = 1e6;
 
 milliseconds read_ms(settings_reader& reader, std::string_view name, microseconds fallback,
                      std::int64_t most) {
@@ -49,6 +50,9 @@
     settings.drain.grace =
         read_ms(reader, "listen_after_stop_ms", settings.drain.grace, longest_drain_ms);
     settings.capacity = reader.number_or("capacity", settings.capacity, 0.0, most_cores);
+    constexpr double bytes_a_megabit = 1e6 / 8.0;
+    settings.link_bytes_per_second =
+        bytes_a_megabit * reader.number_or("link_mbps", 0.0, 0.0, most_link_mbps);
     settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
     settings.retry_slack = reader.number_or("retry_slack", settings.retry_slack, 0.0, most_slack);
     settings.token_wait = read_ms(reader, "token_wait_ms", settings.token_wait, longest_wait_ms);
--- a/src/roles/gateway/lag_watch.cpp
+++ b/src/roles/gateway/lag_watch.cpp
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-lag_watch::lag_watch(event_loop& loop, std::function<std::size_t()> requests)
-    : loop_(loop), requests_(std::move(requests)) {}
+lag_watch::lag_watch(event_loop& loop, std::function<std::size_t()> requests,
+                     std::function<void(instant)> looked)
+    : loop_(loop), requests_(std::move(requests)), looked_(std::move(looked)) {}
 
 lag_watch::~lag_watch() {
     *alive_ = false;
@@ -35,7 +36,9 @@
 }
 
 void lag_watch::look(microseconds lag) {
-    overload_.observe(monotonic_now(), lag);
+    const instant now = monotonic_now();
+    overload_.observe(now, lag);
+    looked_(now);
     const bool overloaded = overload_.refused_share() > 0.0;
     if (overloaded == std::exchange(was_overloaded_, overloaded)) {
         return;
--- a/src/roles/gateway/lag_watch.hpp
+++ b/src/roles/gateway/lag_watch.hpp
@@ -17,8 +17,10 @@
 /// ceases to be overloaded.
 class lag_watch {
 public:
-    /// The loop must outlive this. `requests` counts what is under way, for the log.
-    lag_watch(event_loop& loop, std::function<std::size_t()> requests);
+    /// The loop must outlive this. `requests` counts what is under way, for the log; `looked` is
+    /// called at each look.
+    lag_watch(event_loop& loop, std::function<std::size_t()> requests,
+              std::function<void(instant)> looked);
     ~lag_watch();
     lag_watch(const lag_watch&) = delete;
     lag_watch& operator=(const lag_watch&) = delete;
@@ -33,6 +35,7 @@
 
     event_loop& loop_;
     std::function<std::size_t()> requests_;
+    std::function<void(instant)> looked_;
     overload_watch overload_;
     bool was_overloaded_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
