Let callers go to other entries while an entry's link is full

Cause: one account's callers all hang at one small entry and send it more than its link carries; everything else waits behind their bytes. Nobody is held for lost while the own link is full.

--- a/src/decision/gateway/link_watch.cpp
+++ b/src/decision/gateway/link_watch.cpp
@@ -10,7 +10,7 @@
 constexpr microseconds rate_memory = milliseconds(200);
 
 /// A link counts as full by what comes in from this share on: heads of packets aren't counted here.
-constexpr double full_share = 0.92;
+constexpr double full_share = 0.88;
 
 /// It has room again below this one.
 constexpr double free_share = 0.6;
@@ -69,8 +69,8 @@
         return;
     }
     const bool again = shed_length_ > microseconds(0) && now - shed_until_ < settings_.soon;
-    shed_length_ = again ? std::min(shed_length_ * 2, settings_.longest_length)
-                         : settings_.first_length;
+    shed_length_ =
+        again ? std::min(shed_length_ * 2, settings_.longest_length) : settings_.first_length;
     sheds_ = true;
     shed_until_ = now + shed_length_;
 }
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -47,6 +47,12 @@
     return std::string(address.substr(0, address.rfind(':')));
 }
 
+link_watch_settings link_settings(const gateway_settings& settings) {
+    link_watch_settings link;
+    link.bytes_per_second = settings.link_bytes_per_second;
+    return link;
+}
+
 /// Tells when a log is lost or regained.
 std::function<void(bool)> reachable_hook(const std::string& log) {
     return [log](bool reachable) {
@@ -76,7 +82,7 @@
       lag_(
           loop, [this] { return context_->requests.size(); },
           [this](instant now) { look_at_link(now); }),
-      link_({settings.link_bytes_per_second}) {}
+      link_(link_settings(settings)) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -178,10 +184,10 @@
             reachable_hook(dialect_.member_log)});
     tokens_ = std::make_unique<token_exchange>(
         loop_, *bus_, homes_, *grants_, *waiters_, metrics_, exchange_settings(settings_),
-        token_exchange::hooks{[this] { ledger_->append_if_due(); },
-                              [this] { return ledger_->live() && !stopping_; },
-                              [this] { return grant_log_answers_; },
-                              [this](const std::string& host) { peer_silent(host); }});
+        token_exchange::hooks{
+            [this] { ledger_->append_if_due(); }, [this] { return ledger_->live() && !stopping_; },
+            [this] { return grant_log_answers_; }, [this] { return link_.is_full(); },
+            [this](const std::string& host) { peer_silent(host); }});
     desk_ = std::make_unique<placement_desk>(targets_, keepers_, metrics_);
     placements_ = std::make_unique<placement_exchange>(
         loop_, *bus_, targets_, keepers_, *desk_, metrics_,
@@ -384,7 +390,7 @@
 /// The keeper may be a home too; what is silent as one won't answer as the other. An entry that is
 /// late took 37 to 86 keepers in ten seconds for lost whose answers it hadn't read.
 void gateway::keeper_silent(const std::string& host, bool others_answered) {
-    if (others_answered && homes_.failed(monotonic_now(), host)) {
+    if (others_answered && !link_.is_full() && homes_.failed(monotonic_now(), host)) {
         log_event(log_level::warning, "engine_keeper_lost", {{"keeper", host}});
     }
     peer_silent(host);
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -222,7 +222,7 @@
 void token_exchange::home_is_silent(std::uint64_t number) {
     const std::string home = pending_.at(number).asked;
     counters_.counter("token_homes_silent_total") += 1;
-    if (homes_.failed(monotonic_now(), home)) {
+    if (!hooks_.link_is_full() && homes_.failed(monotonic_now(), home)) {
         log_event(log_level::warning, "token_home_lost", {{"home", home}});
     }
     hooks_.home_silent(home);
--- a/src/roles/gateway/token_exchange.hpp
+++ b/src/roles/gateway/token_exchange.hpp
@@ -49,6 +49,9 @@
         std::function<bool()> can_help;
         /// True while the ledger's log answers.
         std::function<bool()> log_answers;
+        /// True while this process's own link is full, so that what comes late says nothing of
+        /// others.
+        std::function<bool()> link_is_full;
         /// A home that was asked has said nothing.
         std::function<void(const std::string& host)> home_silent;
     };
--- a/tests/drivers/ingress_server_test.cpp
+++ b/tests/drivers/ingress_server_test.cpp
@@ -200,6 +200,28 @@
     BOOST_TEST(socket.received().find("Connection: close") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(shedding_server_ends_what_rests_and_what_is_answered_until_it_stops_shedding) {
+    answer_at_once = false;
+    raw_socket busy = connect();
+    busy.send(get);
+    raw_socket resting = connect();
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 1 && server->connections() == 2; }));
+    server->shed(true);
+    BOOST_TEST(run_until([&] { return resting.ended(); }));
+    exchanges[0]->answer(200, {}, "done");
+    BOOST_TEST(run_until([&] { return busy.ended(); }));
+    BOOST_TEST(busy.received().find("Connection: close") != std::string::npos);
+    BOOST_TEST(busy.received().find("done") != std::string::npos);
+    server->shed(false);
+    raw_socket kept = connect();
+    kept.send(get);
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 2; }));
+    exchanges[1]->answer(200, {}, "kept");
+    BOOST_REQUIRE(run_until([&] { return kept.received().find("kept") != std::string::npos; }));
+    BOOST_TEST(kept.received().find("Connection: close") == std::string::npos);
+    BOOST_TEST(!kept.ended());
+}
+
 BOOST_AUTO_TEST_CASE(stopped_server_finishes_what_runs_and_ends_what_rests) {
     answer_at_once = false;
     raw_socket busy = connect();
--- a/tests/roles/token_exchange_test.cpp
+++ b/tests/roles/token_exchange_test.cpp
@@ -29,7 +29,7 @@
           waiters(grants),
           exchange(loop, *bus, homes, grants, waiters, counters, quick_settings(),
                    {[this, &shared] { append(shared); }, [this] { return can_help; },
-                    [this] { return log_answers; },
+                    [this] { return log_answers; }, [this] { return link_is_full; },
                     [this](const std::string& home) { silent.push_back(home); }}) {
         grants.set_limit(account, limit);
         grants.draw_ahead_if(
@@ -71,6 +71,7 @@
     bool listens = true;
     bool can_help = true;
     bool log_answers = true;
+    bool link_is_full = false;
     std::vector<wire::Envelope> unheard;
     std::vector<std::string> silent;
     metrics counters;
@@ -288,6 +289,15 @@
     BOOST_TEST(entry.silent == expected, boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(entry_whose_own_link_is_full_holds_no_silent_home_for_lost) {
+    entry_process& entry = asker();
+    const std::string first = entry.homes.home_of(monotonic_now(), account)->host;
+    entry.link_is_full = true;
+    home().listens = false;
+    BOOST_TEST((reserve(entry, 5000) == reserve_outcome::reserved));
+    BOOST_TEST(entry.homes.home_of(monotonic_now(), account)->host == first);
+}
+
 BOOST_AUTO_TEST_CASE(waiting_requests_are_refused_when_nobody_is_reached) {
     for (const auto& each : entries) {
         each->listens = false;
