--- a/src/roles/entry/request_flow.cpp
+++ b/src/roles/entry/request_flow.cpp
@@ -23,9 +23,6 @@
 constexpr unsigned most_key_redirects = 3;
 constexpr microseconds overload_retry = seconds(1);
 
-/// A caller that leaves so much untaken is cut off.
-constexpr std::size_t most_unsent_bytes = 4U * 1024U * 1024U;
-
 constexpr unsigned status_payment_required = 402;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_unprocessable = 422;
@@ -52,7 +49,8 @@
       on_end_(std::move(on_end)),
       name_(std::to_string(request_.number)),
       arrived_(monotonic_now()),
-      deadline_(arrived_ + request_.deadline) {}
+      deadline_(arrived_ + request_.deadline),
+      reply_(exchange_, name_, request_.streamed, arrived_, parts.counters) {}
 
 void request_flow::start() {
     parts_.counters.counter("requests_total") += 1;
@@ -262,7 +260,7 @@
     tried_guards_.push_back(guard_);
     started_ = false;
     next_chunk_ = 0;
-    body_.clear();
+    reply_.restart();
     parts_.picker.sent(guard_, request_.prefix);
     counted_at_guard_ = true;
 
@@ -298,7 +296,7 @@
     guard_endpoint_ = endpoint;
     attempt_ = attempt_id{};
     next_chunk_ = request_.from_chunk;
-    body_.clear();
+    reply_.restart();
     parts_.counters.counter("joins_total") += 1;
     wire::Envelope message;
     message.set_sender(raw(parts_.own));
@@ -462,7 +460,7 @@
 }
 
 bool request_flow::may_run_again() const {
-    return request_.repeatable && !reply_started_;
+    return request_.repeatable && !reply_.started();
 }
 
 /// What became of the ticket cannot be learnt. A request that may be repeated gets another one.
@@ -510,34 +508,7 @@
         return;
     }
     ++next_chunk_;
-    status_ = chunk.status();
-    if (!chunk.content_type().empty()) {
-        content_type_ = chunk.content_type();
-    }
-    deliver(chunk.data());
-}
-
-void request_flow::deliver(std::string_view data) {
-    if (!request_.streamed) {
-        body_.append(data);
-        return;
-    }
-    if (!reply_started_) {
-        start_reply(status_, content_type_);
-    }
-    exchange_->send_piece(data);
-    if (exchange_->unsent_bytes() > most_unsent_bytes) {
-        parts_.counters.counter("slow_readers_cut_total") += 1;
-        exchange_->cut();
-    }
-}
-
-void request_flow::start_reply(unsigned status, std::string_view content_type) {
-    reply_started_ = true;
-    parts_.counters.quantiles("first_byte_seconds").observe(as_seconds(monotonic_now() - arrived_));
-    exchange_->start_stream(status, {{"Content-Type", std::string(content_type)},
-                                     {"X-Request-Id", name_},
-                                     {"Cache-Control", "no-cache"}});
+    reply_.add(chunk.status(), chunk.content_type(), chunk.data());
 }
 
 void request_flow::on_end(incarnation_id guard, const wire::AnswerEnd& end_message) {
@@ -565,20 +536,7 @@
 
 void request_flow::finish_whole() {
     parts_.counters.counter("answers_whole_total") += 1;
-    if (!request_.streamed) {
-        parts_.counters.quantiles("answer_seconds").observe(as_seconds(monotonic_now() - arrived_));
-        const unsigned status = status_ == 0 ? 200 : status_;
-        exchange_->reply(
-            status,
-            {{"Content-Type", content_type_.empty() ? "application/json" : content_type_},
-             {"X-Request-Id", name_}},
-            body_);
-    } else {
-        if (!reply_started_) {
-            start_reply(status_ == 0 ? 200 : status_, content_type_);
-        }
-        exchange_->end_stream();
-    }
+    reply_.finish();
     end();
 }
 
@@ -586,14 +544,7 @@
                         microseconds retry_after) {
     parts_.counters.counter("answers_refused_total{code=\"" + code + "\"}") += 1;
     parts_.events.add(timeline_kind::request_answered, name_, attempt_, ticket_.id, code);
-    const api_error error{status, std::move(code), std::move(message), fate, retry_after};
-    if (reply_started_) {
-        // The caller must see that the answer is not whole: an error event, and no proper end.
-        exchange_->send_piece("data: " + error.to_json() + "\n\n");
-        exchange_->end_stream();
-    } else {
-        error.send(*exchange_, name_);
-    }
+    reply_.fail({status, std::move(code), std::move(message), fate, retry_after});
     end();
 }
 
@@ -644,7 +595,7 @@
 }
 
 void request_flow::on_deadline() {
-    if (phase_ == flow_phase::ended || reply_started_) {
+    if (phase_ == flow_phase::ended || reply_.started()) {
         return;
     }
     if (phase_ == flow_phase::reserving || phase_ == flow_phase::backing_off) {
--- a/src/roles/entry/request_flow.hpp
+++ b/src/roles/entry/request_flow.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "drivers/bus_codec.hpp"
+#include "roles/entry/caller_reply.hpp"
 #include "roles/entry/caller_request.hpp"
 #include "roles/entry/fleet_view.hpp"
 #include "roles/entry/home_desk.hpp"
@@ -94,8 +95,6 @@
     void replace_ticket();
     void ask_next_home();
     void tell_started();
-    void deliver(std::string_view data);
-    void start_reply(unsigned status, std::string_view content_type);
     void finish_whole();
     void fail(unsigned status, std::string code, std::string message, request_fate fate,
               microseconds retry_after);
@@ -116,6 +115,7 @@
     flow_phase phase_ = flow_phase::reserving;
     instant arrived_;
     instant deadline_;
+    caller_reply reply_;
 
     std::vector<incarnation_id> tried_homes_;
     incarnation_id home_{};
@@ -133,10 +133,6 @@
     /// Counts the phases, so that a timer of an earlier one does nothing.
     std::uint64_t step_ = 0;
     std::uint32_t next_chunk_ = 0;
-    unsigned status_ = 0;
-    std::string content_type_;
-    std::string body_;
-    bool reply_started_ = false;
     bool caller_gone_ = false;
 };
 
--- a/src/roles/guard/guard.cpp
+++ b/src/roles/guard/guard.cpp
@@ -1,7 +1,6 @@
 #include "roles/guard/guard.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
@@ -21,9 +20,6 @@
 constexpr unsigned failures_until_down = 3;
 constexpr microseconds down_time = seconds(2);
 
-/// A repeat of a busy answer is told so much later.
-constexpr std::uint32_t retry_after_ms = 1000;
-
 }  // namespace
 
 guard::guard(event_loop& loop, const guard_settings& settings)
@@ -32,7 +28,8 @@
       timeline_(settings.process.timeline_events),
       queue_(settings.admission),
       answers_(settings.answers),
-      target_(loop, settings.target) {}
+      target_(loop, settings.target),
+      target_load_(loop, target_) {}
 
 result<void> guard::start() {
     log_ = make_http_log_service(loop_, settings_.process.log);
@@ -41,6 +38,8 @@
         return bus.error();
     }
     bus_ = std::move(bus.value());
+    replies_ = std::make_unique<guard_replies>(
+        *bus_, own_, [this] { return load(); }, metrics_, timeline_);
     bus_->on_message([this](const message_origin& origin, const wire::Envelope& message) {
         on_message(origin, message);
     });
@@ -71,7 +70,7 @@
     control_->start();
     tick_ = loop_.call_every(tick_period, [this] { tick(); });
     charge_timer_ = loop_.call_every(charge_period, [this] { charges_->report(monotonic_now()); });
-    load_timer_ = loop_.call_every(load_period, [this] { poll_target_load(); });
+    load_timer_ = loop_.call_every(load_period, [this] { target_load_.poll(); });
     log_event(log_level::information, "listening",
               {{"bus", bus_->endpoint()}, {"operator_port", std::to_string(server_->port())}});
     return outcome::success();
@@ -207,7 +206,7 @@
         return;
     }
     if (reason != refusal_reason::none) {
-        refuse(origin, dispatch.request(), attempt_id{dispatch.attempt()}, reason);
+        replies_->refuse({origin, dispatch.request(), attempt_id{dispatch.attempt()}}, reason);
         return;
     }
     take_in(origin, dispatch);
@@ -222,8 +221,9 @@
         if (reason == refusal_reason::behind && item.until > now) {
             early_.push_back(std::move(item));
         } else if (reason != refusal_reason::none) {
-            refuse(item.origin, item.dispatch.request(), attempt_id{item.dispatch.attempt()},
-                   reason);
+            replies_->refuse(
+                {item.origin, item.dispatch.request(), attempt_id{item.dispatch.attempt()}},
+                reason);
         } else {
             take_in(item.origin, item.dispatch);
         }
@@ -250,7 +250,7 @@
     std::optional<queued_request> displaced;
     const refusal_reason reason = queue_.push(request, displaced);
     if (reason != refusal_reason::none) {
-        refuse(origin, dispatch.request(), id, reason);
+        replies_->refuse({origin, dispatch.request(), id}, reason);
         return;
     }
     attempts_.emplace(id, std::move(state));
@@ -260,7 +260,7 @@
     pump();
     const auto waiting = attempts_.find(id);
     if (waiting != attempts_.end() && !waiting->second.started) {
-        accept(waiting->second.listeners.front(), false);
+        replies_->accept(waiting->second.listeners.front(), false);
     }
 }
 
@@ -294,7 +294,7 @@
         answers_.begin(state.used.key);
         running_keys_[state.used.key] = next.attempt;
     }
-    accept(state.listeners.front(), true);
+    replies_->accept(state.listeners.front(), true);
 
     target_request request;
     request.method = state.dispatch.method();
@@ -328,8 +328,8 @@
         answers_.append(state.used.key, piece);
     }
     const std::uint32_t index = state.next_chunk++;
-    for (const listener& to : state.listeners) {
-        send_chunk(to, index, state.status, state.content_type, piece);
+    for (const answer_listener& to : state.listeners) {
+        replies_->send_chunk(to, index, state.status, state.content_type, piece);
     }
 }
 
@@ -348,9 +348,9 @@
     sample.between_tokens = end.between_tokens;
     sample.in_flight = static_cast<unsigned>(book_->running());
     sample.failed = end.not_run || !end.whole;
-    sample.reported_batch = target_batch_;
-    sample.reported_queue = target_queue_;
-    sample.reported_memory = target_memory_;
+    sample.reported_batch = target_load_.last().batch;
+    sample.reported_queue = target_load_.last().queue;
+    sample.reported_memory = target_load_.last().memory;
     limiter_->observe(sample);
 
     target_failures_ = sample.failed ? target_failures_ + 1 : 0;
@@ -364,8 +364,8 @@
         charges_->forget(state.used.id);
         answers_.drop(state.used.key);
         metrics_.counter("guard_not_run_total") += 1;
-        for (const listener& to : state.listeners) {
-            refuse(to.origin, to.request, to.attempt, refusal_reason::target_down);
+        for (const answer_listener& to : state.listeners) {
+            replies_->refuse(to, refusal_reason::target_down);
         }
         pump();
         return;
@@ -384,31 +384,31 @@
     metrics_.quantiles("guard_between_tokens_seconds").observe(as_seconds(end.between_tokens));
     timeline_.add(timeline_kind::attempt_ended, state.request_name, id, state.used.id,
                   std::to_string(end.cost) + (end.whole ? " tokens" : " tokens, cut"));
-    for (const listener& to : state.listeners) {
-        send_end(to, state.next_chunk, end.whole, end.cost);
+    for (const answer_listener& to : state.listeners) {
+        replies_->send_end(to, state.next_chunk, end.whole, end.cost);
     }
     pump();
 }
 
 void guard::on_join(const message_origin& origin, const wire::Join& join) {
     const digest key{join.key_high(), join.key_low()};
-    const listener to{origin, join.request(), attempt_id{}};
+    const answer_listener to{origin, join.request(), attempt_id{}};
     const kept_answer* kept = answers_.find(key);
     if (kept == nullptr) {
-        refuse(origin, join.request(), attempt_id{}, refusal_reason::no_answer_kept);
+        replies_->refuse(to, refusal_reason::no_answer_kept);
         return;
     }
     metrics_.counter("guard_joins_total") += 1;
-    accept(to, true);
+    replies_->accept(to, true);
     std::uint32_t index = 0;
     for (const std::string& chunk : kept->chunks) {
         if (index >= join.from_chunk()) {
-            send_chunk(to, index, kept->status, kept->content_type, chunk);
+            replies_->send_chunk(to, index, kept->status, kept->content_type, chunk);
         }
         ++index;
     }
     if (kept->ended) {
-        send_end(to, index, kept->whole, kept->cost);
+        replies_->send_end(to, index, kept->whole, kept->cost);
         return;
     }
     const auto running = running_keys_.find(key);
@@ -428,7 +428,8 @@
         return;
     }
     // It runs to its end: what it costs is then known exactly, and a repeat can have the answer.
-    std::erase_if(found->second.listeners, [id](const listener& to) { return to.attempt == id; });
+    std::erase_if(found->second.listeners,
+                  [id](const answer_listener& to) { return to.attempt == id; });
 }
 
 void guard::on_void(const message_origin& origin, const wire::VoidRequest& request) {
@@ -477,28 +478,6 @@
     bus_->answer(origin, answer);
 }
 
-void guard::poll_target_load() {
-    if (load_call_ != nullptr) {
-        return;
-    }
-    http_request request;
-    request.target = "/load";
-    request.timeout = seconds(1);
-    load_call_ = target_.send(std::move(request), [this](const result<http_reply>& reply) {
-        loop_.call_after(microseconds(0), [this] { load_call_.reset(); });
-        if (!reply) {
-            target_batch_ = target_queue_ = target_memory_ = -1.0;
-            return;
-        }
-        const auto parsed = nlohmann::json::parse(reply.value().body, nullptr, false);
-        if (parsed.is_object()) {
-            target_batch_ = parsed.value("batch", -1.0);
-            target_queue_ = parsed.value("queue", -1.0);
-            target_memory_ = parsed.value("memory", -1.0);
-        }
-    });
-}
-
 wire::LoadReport guard::load() const {
     wire::LoadReport report;
     report.set_guard(raw(own_));
@@ -510,33 +489,6 @@
     return report;
 }
 
-void guard::accept(const listener& to, bool started) {
-    wire::Envelope message;
-    message.set_sender(raw(own_));
-    wire::Accepted& accepted = *message.mutable_accepted();
-    accepted.set_request(to.request);
-    accepted.set_attempt(raw(to.attempt));
-    accepted.set_started(started);
-    *accepted.mutable_load() = load();
-    bus_->answer(to.origin, message);
-}
-
-void guard::refuse(const message_origin& origin, std::uint64_t request, attempt_id attempt,
-                   refusal_reason reason) {
-    metrics_.counter("guard_refusals_total{reason=\"" + std::string(name_of(reason)) + "\"}") += 1;
-    timeline_.add(timeline_kind::attempt_refused, std::to_string(request), attempt, {},
-                  std::string(name_of(reason)));
-    wire::Envelope message;
-    message.set_sender(raw(own_));
-    wire::Refused& refused = *message.mutable_refused();
-    refused.set_request(request);
-    refused.set_attempt(raw(attempt));
-    refused.set_reason(encode_refusal(reason));
-    refused.set_retry_after_ms(retry_after_ms);
-    *refused.mutable_load() = load();
-    bus_->answer(origin, message);
-}
-
 void guard::refuse_queued(const queued_request& item, refusal_reason reason) {
     const auto found = attempts_.find(item.attempt);
     if (found == attempts_.end()) {
@@ -544,40 +496,11 @@
     }
     const attempt_state state = std::move(found->second);
     attempts_.erase(found);
-    for (const listener& to : state.listeners) {
-        refuse(to.origin, to.request, to.attempt, reason);
+    for (const answer_listener& to : state.listeners) {
+        replies_->refuse(to, reason);
     }
 }
 
-void guard::send_chunk(const listener& to, std::uint32_t index, unsigned status,
-                       std::string_view content_type, std::string_view data) {
-    wire::Envelope message;
-    message.set_sender(raw(own_));
-    wire::AnswerChunk& chunk = *message.mutable_answer_chunk();
-    chunk.set_request(to.request);
-    chunk.set_attempt(raw(to.attempt));
-    chunk.set_index(index);
-    chunk.set_status(status);
-    if (index == 0) {
-        chunk.set_content_type(std::string(content_type));
-    }
-    chunk.set_data(data.data(), data.size());
-    bus_->answer(to.origin, message);
-}
-
-void guard::send_end(const listener& to, std::uint32_t chunks, bool whole, tokens cost) {
-    wire::Envelope message;
-    message.set_sender(raw(own_));
-    wire::AnswerEnd& end = *message.mutable_answer_end();
-    end.set_request(to.request);
-    end.set_attempt(raw(to.attempt));
-    end.set_chunks(chunks);
-    end.set_whole(whole);
-    end.set_tokens(cost);
-    *end.mutable_load() = load();
-    bus_->answer(to.origin, message);
-}
-
 void guard::drain(std::function<void()> done) {
     drained_ = std::move(done);
     leaving_ = true;
--- a/src/roles/guard/guard.hpp
+++ b/src/roles/guard/guard.hpp
@@ -9,8 +9,10 @@
 
 #include "drivers/bus_codec.hpp"
 #include "roles/guard/charge_reporter.hpp"
+#include "roles/guard/guard_replies.hpp"
 #include "roles/guard/guard_settings.hpp"
 #include "roles/guard/target_call.hpp"
+#include "roles/guard/target_load_watch.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/timeline.hpp"
@@ -34,18 +36,11 @@
     void drain(std::function<void()> done);
 
 private:
-    /// Who wants an answer: an entry's request, over the connection it came by.
-    struct listener {
-        message_origin origin;
-        std::uint64_t request = 0;
-        attempt_id attempt{};
-    };
-
     /// An attempt that waits or runs.
     struct attempt_state {
         wire::Dispatch dispatch;
         ticket used;
-        std::vector<listener> listeners;
+        std::vector<answer_listener> listeners;
         std::string request_name;
         std::unique_ptr<target_call> call;
         unsigned status = 0;
@@ -76,13 +71,7 @@
     void on_head(attempt_id id, unsigned status, std::string_view content_type);
     void on_piece(attempt_id id, std::string_view piece);
     void on_end(attempt_id id, const target_end& end);
-    void send_end(const listener& to, std::uint32_t chunks, bool whole, tokens cost);
-    void send_chunk(const listener& to, std::uint32_t index, unsigned status,
-                    std::string_view content_type, std::string_view data);
-    void refuse(const message_origin& origin, std::uint64_t request, attempt_id attempt,
-                refusal_reason reason);
     void refuse_queued(const queued_request& item, refusal_reason reason);
-    void accept(const listener& to, bool started);
     wire::LoadReport load() const;
 
     void on_control_applied(const control_record& record, const control_effect& effect);
@@ -90,7 +79,6 @@
     void register_self();
     void tick();
     void retry_early();
-    void poll_target_load();
     void finish_drain_if_idle();
     void handle_http(const http_exchange_pointer& exchange);
 
@@ -101,6 +89,7 @@
     timeline timeline_;
     std::unique_ptr<log_service> log_;
     std::unique_ptr<message_bus> bus_;
+    std::unique_ptr<guard_replies> replies_;
     std::unique_ptr<http_server> server_;
     std::unique_ptr<control_replica> control_;
     std::unique_ptr<charge_book> book_;
@@ -109,6 +98,7 @@
     admission_queue queue_;
     answer_buffer answers_;
     http_client target_;
+    target_load_watch target_load_;
     incarnation_id own_{};
     bool registering_ = false;
     bool active_ = false;
@@ -122,10 +112,6 @@
     std::deque<early_dispatch> early_;
     unsigned target_failures_ = 0;
     instant target_down_until_{};
-    double target_batch_ = -1.0;
-    double target_queue_ = -1.0;
-    double target_memory_ = -1.0;
-    std::unique_ptr<http_call> load_call_;
     std::unique_ptr<timer> tick_;
     std::unique_ptr<timer> charge_timer_;
     std::unique_ptr<timer> load_timer_;
--- /dev/null
+++ b/src/roles/guard/guard_replies.cpp
@@ -0,0 +1,77 @@
+#include "roles/guard/guard_replies.hpp"
+
+#include <string>
+#include <utility>
+
+namespace wrenswitch {
+namespace {
+
+/// A repeat of a busy answer is told so much later.
+constexpr std::uint32_t retry_after_ms = 1000;
+
+}  // namespace
+
+guard_replies::guard_replies(message_bus& bus, const incarnation_id& own,
+                             std::function<wire::LoadReport()> load, metrics& counters,
+                             timeline& events)
+    : bus_(bus), own_(own), load_(std::move(load)), counters_(counters), events_(events) {}
+
+wire::Envelope guard_replies::make_message() const {
+    wire::Envelope message;
+    message.set_sender(raw(own_));
+    return message;
+}
+
+void guard_replies::accept(const answer_listener& to, bool started) {
+    wire::Envelope message = make_message();
+    wire::Accepted& accepted = *message.mutable_accepted();
+    accepted.set_request(to.request);
+    accepted.set_attempt(raw(to.attempt));
+    accepted.set_started(started);
+    *accepted.mutable_load() = load_();
+    bus_.answer(to.origin, message);
+}
+
+void guard_replies::refuse(const answer_listener& to, refusal_reason reason) {
+    counters_.counter("guard_refusals_total{reason=\"" + std::string(name_of(reason)) + "\"}") += 1;
+    events_.add(timeline_kind::attempt_refused, std::to_string(to.request), to.attempt, {},
+                std::string(name_of(reason)));
+    wire::Envelope message = make_message();
+    wire::Refused& refused = *message.mutable_refused();
+    refused.set_request(to.request);
+    refused.set_attempt(raw(to.attempt));
+    refused.set_reason(encode_refusal(reason));
+    refused.set_retry_after_ms(retry_after_ms);
+    *refused.mutable_load() = load_();
+    bus_.answer(to.origin, message);
+}
+
+void guard_replies::send_chunk(const answer_listener& to, std::uint32_t index, unsigned status,
+                               std::string_view content_type, std::string_view data) {
+    wire::Envelope message = make_message();
+    wire::AnswerChunk& chunk = *message.mutable_answer_chunk();
+    chunk.set_request(to.request);
+    chunk.set_attempt(raw(to.attempt));
+    chunk.set_index(index);
+    chunk.set_status(status);
+    if (index == 0) {
+        chunk.set_content_type(std::string(content_type));
+    }
+    chunk.set_data(data.data(), data.size());
+    bus_.answer(to.origin, message);
+}
+
+void guard_replies::send_end(const answer_listener& to, std::uint32_t chunks, bool whole,
+                             tokens cost) {
+    wire::Envelope message = make_message();
+    wire::AnswerEnd& end = *message.mutable_answer_end();
+    end.set_request(to.request);
+    end.set_attempt(raw(to.attempt));
+    end.set_chunks(chunks);
+    end.set_whole(whole);
+    end.set_tokens(cost);
+    *end.mutable_load() = load_();
+    bus_.answer(to.origin, message);
+}
+
+}  // namespace wrenswitch
