Keep requests that are bound to regions in them, from settings and configuration to every choice

The gateway's settings name the region of each failure domain (template: the platform's table of zones), the configuration names allowed regions of routes and accounts. A limit that can't be read allows nothing and is told; refusing the whole configuration would keep keys in force that were taken away, and what the limit is to end. Names that stand twice in settings are findings: a parsed object keeps the last only.

Ways that a bound request's body or memory could have left by, found by reading each of them: a turn at a cold target was taken up without its limits; a configuration that changed while a request waited did not bind it; a keeper's answer named a source that was not checked; an unbound request with the same parts had their memory copied into another region. Each has a test. Ruled out: remembering for each part whose prompt it was read for; no copy between regions needs no such memory. A key on a public route binds its request too.

Without regions in the settings nothing changes for what is not bound. Changed test fixture: placement_exchange_test's pools have a table of regions; its cases are as they were.

--- a/include/wrenswitch/core/settings_reader.hpp
+++ b/include/wrenswitch/core/settings_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -12,7 +13,8 @@
 namespace wrenswitch {
 
 /// Reads one JSON object of settings member by member. Whatever is missing, of the wrong type, out
-/// of range or unknown becomes a finding; reading goes on, so that all findings come together.
+/// of range, unknown or given twice becomes a finding; reading goes on, so that all findings come
+/// together.
 class settings_reader {
 public:
     /// Parses a text. A syntax error is a finding with its byte offset.
@@ -46,6 +48,10 @@
     /// An optional list of texts.
     std::vector<std::string> texts_or_empty(std::string_view name);
 
+    /// The members of an optional object whose values are all texts, by name. Those that are empty
+    /// or no texts are findings and left out.
+    std::map<std::string, std::string> named_texts_or_empty(std::string_view name);
+
     /// Reports each member that was not asked for. To be called once, at the end.
     void finish();
 
--- a/include/wrenswitch/decision/gateway/admission.hpp
+++ b/include/wrenswitch/decision/gateway/admission.hpp
@@ -23,6 +23,8 @@
     bool counted = false;
     /// Where it may be: what its route and its account both allow.
     allowed_regions regions;
+    /// The version of the configuration that it was admitted by.
+    std::uint64_t configuration = 0;
 };
 
 /// Why a request isn't admitted.
@@ -38,4 +40,11 @@
                                                         std::string_view path, std::string_view key,
                                                         double fraction);
 
+/// Where an admitted request may be by now: what it was admitted with, narrowed by what a newer
+/// configuration says of its route and account. A request that waits thus goes nowhere that either
+/// forbids.
+allowed_regions regions_now(const configuration_view& configuration,
+                            const admitted_request& admitted, std::string_view host,
+                            std::string_view path);
+
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/gateway/gateway_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -108,6 +108,8 @@
     std::vector<gateway_service> services;
     std::vector<gateway_account> accounts;
     gateway_limits limits;
+    /// Limits that couldn't be read and are taken at their strictest, each with its place.
+    std::vector<std::string> unreadable_limits;
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/gateway/region_table.hpp
+++ b/include/wrenswitch/decision/gateway/region_table.hpp
@@ -22,6 +22,11 @@
     /// True if there are two regions or more.
     bool has_several() const;
 
+    /// True if no failure domain has a region.
+    bool empty() const { return regions_.empty(); }
+
+    friend bool operator==(const region_table&, const region_table&) = default;
+
 private:
     std::map<std::string, std::string, std::less<>> regions_;
 };
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -142,6 +142,18 @@
     bool usable(std::string_view id, std::string_view service,
                 const candidate_limits& limits = {}) const;
 
+    /// True if the service has a target in one of these regions, sound or not: a request that is
+    /// bound to them and finds none free may find one later.
+    bool has_target_in(std::string_view service, const allowed_regions& regions) const;
+
+    /// True if a copy of a prompt's memory may go from one engine to another for a request that is
+    /// bound to these regions, or to none. Memory stays in its region: it is made of the prompts
+    /// that were read there, some of which may be bound, and others ask for the same parts.
+    bool may_copy(std::string_view from, std::string_view to, const allowed_regions& regions) const;
+
+    /// The region of a target, for logs and figures; empty if none is known.
+    std::string_view region_of(std::string_view id) const;
+
     /// A request went to a target.
     void sent(std::string_view id);
 
@@ -228,6 +240,7 @@
     static void keep_silent_apart(std::vector<target_state*>& targets, bool repeatable);
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
+    void keep_memory_near(target_choice& choice, const engine_request& request) const;
     std::vector<std::string_view> sources(instant now, std::string_view service,
                                           const allowed_regions& regions) const;
 
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -85,7 +85,8 @@
 struct gateway_settings {
     std::string host;
     std::string failure_domain;
-    /// The regions of the deployment's failure domains, this host's own among them.
+    /// The regions of the deployment's failure domains, this host's own among them. Without any,
+    /// requests that are bound to regions are refused.
     region_table regions;
     http_address listen;
     /// Where readiness and metrics are served.
--- a/src/core/settings_reader.cpp
+++ b/src/core/settings_reader.cpp
@@ -29,6 +29,43 @@
 
 namespace {
 
+/// Finds names that one object has twice, of which a parsed object keeps the last only.
+class repeated_names {
+public:
+    explicit repeated_names(findings& problems) : problems_(problems) {}
+
+    void take(json::parse_event_t event, const json& parsed) {
+        if (event == json::parse_event_t::object_start) {
+            open_.emplace_back();
+        } else if (event == json::parse_event_t::object_end) {
+            open_.pop_back();
+        } else if (event == json::parse_event_t::key) {
+            take_name(parsed.get<std::string>());
+        }
+    }
+
+private:
+    struct open_object {
+        std::set<std::string> names;
+        std::string last;
+    };
+
+    void take_name(const std::string& name) {
+        open_.back().last = name;
+        if (open_.back().names.insert(name).second) {
+            return;
+        }
+        std::string place;
+        for (const open_object& each : open_) {
+            place += "/" + each.last;
+        }
+        problems_.add(place, "the name twice", "each name once");
+    }
+
+    findings& problems_;
+    std::vector<open_object> open_;
+};
+
 std::string range_text(std::int64_t least, std::int64_t most) {
     return "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
 }
@@ -47,7 +84,12 @@
     auto initial = std::make_unique<state>();
     initial->problems = &problems;
     try {
-        initial->object = json::parse(text);
+        repeated_names repeated(problems);
+        initial->object =
+            json::parse(text, [&repeated](int, json::parse_event_t event, const json& parsed) {
+                repeated.take(event, parsed);
+                return true;
+            });
     } catch (const json::parse_error& problem) {
         problems.add("byte " + std::to_string(problem.byte), "text that is not JSON",
                      "a JSON object");
@@ -157,6 +199,27 @@
     return value->get<std::vector<std::string>>();
 }
 
+std::map<std::string, std::string> settings_reader::named_texts_or_empty(std::string_view name) {
+    const json* value = state_->find(name);
+    if (value == nullptr) {
+        return {};
+    }
+    if (!value->is_object()) {
+        state_->report(name, value->dump(), "an object of texts");
+        return {};
+    }
+    std::map<std::string, std::string> texts;
+    for (const auto& [key, item] : value->items()) {
+        if (key.empty() || !item.is_string() || item.get_ref<const std::string&>().empty()) {
+            state_->report(std::string(name) + "/" + key, item.dump(),
+                           "a name and a text that are not empty");
+            continue;
+        }
+        texts.emplace(key, item.get<std::string>());
+    }
+    return texts;
+}
+
 void settings_reader::finish() {
     for (const auto& [name, value] : state_->object.items()) {
         if (state_->asked.count(name) == 0) {
--- a/src/decision/gateway/admission.cpp
+++ b/src/decision/gateway/admission.cpp
@@ -45,23 +45,43 @@
     admitted.service = split->service;
     admitted.urgency = std::min(least_urgent, route->priority);
     admitted.regions = route->regions;
+    admitted.configuration = configuration.current().version;
     const gateway_service* service = configuration.service(split->service);
     if (service != nullptr) {
         admitted.engine = service->engine;
     }
+    const gateway_account* account = configuration.account_of_key(key);
+    if (account != nullptr) {
+        // Also on a public route, which needs no key: the caller says whose request it is.
+        admitted.regions = allowed_by_both(route->regions, account->regions);
+    }
     if (route->is_public || !configuration.wants_keys()) {
         return admitted;
     }
-    const gateway_account* account = configuration.account_of_key(key);
     if (account == nullptr) {
         return admission_refusal::unknown_key;
     }
     admitted.account = account->name;
-    admitted.regions = allowed_by_both(route->regions, account->regions);
     admitted.urgency =
         std::min(least_urgent, account->priority * urgencies_an_account + route->priority);
     admitted.counted = admitted.engine.has_value() && account->prepaid.has_value();
     return admitted;
 }
 
+allowed_regions regions_now(const configuration_view& configuration,
+                            const admitted_request& admitted, std::string_view host,
+                            std::string_view path) {
+    if (configuration.current().version == admitted.configuration) {
+        return admitted.regions;
+    }
+    allowed_regions regions = admitted.regions;
+    if (const gateway_route* route = configuration.route_of(host, path)) {
+        regions = allowed_by_both(regions, route->regions);
+    }
+    if (const gateway_account* account = configuration.account(admitted.account)) {
+        regions = allowed_by_both(regions, account->regions);
+    }
+    return regions;
+}
+
 }  // namespace wrenswitch
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -284,10 +284,23 @@
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
     choice.unread = chosen.unread;
     choice.price = chosen.price;
+    keep_memory_near(choice, request);
     choice.wait = cold_.take(now, choice.target->id, owner);
     return choice;
 }
 
+/// Takes back a copy that may not be: the engine reads what it doesn't keep itself.
+void target_pool::keep_memory_near(target_choice& choice, const engine_request& request) const {
+    if (choice.copy_from == nullptr ||
+        may_copy(choice.copy_from->id, choice.target->id, request.limits.regions)) {
+        return;
+    }
+    choice.copy_from = nullptr;
+    const std::string_view self = choice.target->id;
+    choice.unread =
+        request.shape.prompt - placer_.most_kept(std::span(&self, 1), request.shape).kept;
+}
+
 /// A keeper knows what the engines that it keeps have read, and an entry what its own requests were
 /// read by, at the engines of all keepers.
 void target_pool::improve_source(instant now, const engine_request& request,
@@ -303,7 +316,8 @@
     }
     const engine_placer::kept_prompt most =
         placer_.most_kept(sources(now, choice.target->service, request.limits.regions), shape);
-    if (most.kept - there >= least_copied && most.engine != choice.target->id) {
+    if (most.kept - there >= least_copied && most.engine != choice.target->id &&
+        may_copy(most.engine, choice.target->id, request.limits.regions)) {
         choice.copy_from = find(most.engine);
         choice.unread = shape.prompt - most.kept;
     }
@@ -333,6 +347,34 @@
     return found->second.listed && may_be_chosen(found->second, service, limits);
 }
 
+bool target_pool::has_target_in(std::string_view service, const allowed_regions& regions) const {
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& known) {
+        const target_state& state = known.second;
+        return state.target.service == service && !state.replaced && may_hold(state, regions);
+    });
+}
+
+bool target_pool::may_copy(std::string_view from, std::string_view to,
+                           const allowed_regions& regions) const {
+    const auto source = targets_.find(from);
+    const auto goal = targets_.find(to);
+    if (source == targets_.end() || goal == targets_.end() || !may_hold(source->second, regions) ||
+        !may_hold(goal->second, regions)) {
+        return false;
+    }
+    // Without a table of regions nothing that is bound was ever read anywhere.
+    return settings_.regions.empty() ||
+           settings_.regions.are_near(source->second.target.failure_domain,
+                                      goal->second.target.failure_domain);
+}
+
+std::string_view target_pool::region_of(std::string_view id) const {
+    const auto found = targets_.find(id);
+    return found == targets_.end()
+               ? std::string_view{}
+               : settings_.regions.region_of(found->second.target.failure_domain);
+}
+
 /// The engines that others may copy from. Those that leave still serve that.
 std::vector<std::string_view> target_pool::sources(instant now, std::string_view service,
                                                    const allowed_regions& regions) const {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -26,6 +26,8 @@
 constexpr microseconds until_tokens = milliseconds(500);
 constexpr microseconds until_targets = milliseconds(200);
 constexpr microseconds until_turns = milliseconds(400);
+/// A region without targets stays so for longer than one that is merely busy.
+constexpr microseconds until_region_has_targets = seconds(1);
 constexpr microseconds until_elsewhere = milliseconds(50);
 constexpr microseconds until_less_busy = milliseconds(150);
 
@@ -56,6 +58,18 @@
            ",lost_here=" + whole(price.lost_here) + ",lost_beside=" + whole(price.lost_beside);
 }
 
+/// Where a request may be, for logs.
+std::string describe(const allowed_regions& regions) {
+    if (!regions) {
+        return "any";
+    }
+    std::string names;
+    for (const std::string& region : *regions) {
+        names += (names.empty() ? "" : ",") + region;
+    }
+    return names.empty() ? "none" : names;
+}
+
 }  // namespace
 
 forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
@@ -70,8 +84,8 @@
             alive->caller_gone();
         }
     });
-    if (read_request() && admit_request() && can_end_before_stop() && reaches_others() &&
-        has_time()) {
+    if (read_request() && admit_request() && may_be_somewhere() && can_end_before_stop() &&
+        reaches_others() && has_time()) {
         set_deadline();
         take_tokens();
     }
@@ -114,6 +128,16 @@
     return false;
 }
 
+/// A request that may be nowhere is told so before tokens are drawn for it and engines asked.
+bool forwarded_request::may_be_somewhere() {
+    if (!admitted_.regions ||
+        context_.targets.has_target_in(admitted_.service, admitted_.regions)) {
+        return true;
+    }
+    refuse(status_unavailable, "no_target_in_allowed_regions", until_region_has_targets);
+    return false;
+}
+
 /// A process that is about to stop takes no request that it would have to cut.
 bool forwarded_request::can_end_before_stop() {
     if (!context_.stopping_since) {
@@ -237,6 +261,8 @@
 }
 
 void forwarded_request::dispatch() {
+    admitted_.regions =
+        regions_now(context_.configuration, admitted_, request_.host, request_.path);
     if (admitted_.engine && request_.prompt.prompt > 0 && !engine_request_) {
         engine_request_ = {request_.prompt,
                            *admitted_.engine,
@@ -288,9 +314,11 @@
     });
 }
 
-/// The target may have been lost or emptied meanwhile; then another is looked for.
+/// The target may have been lost, emptied or forbidden meanwhile; then another is looked for.
 void forwarded_request::turn_came() {
-    if (!context_.targets.usable(turn_->target, admitted_.service)) {
+    admitted_.regions =
+        regions_now(context_.configuration, admitted_, request_.host, request_.path);
+    if (!context_.targets.usable(turn_->target, admitted_.service, {admitted_.regions, {}})) {
         drop_turn();
         dispatch();
         return;
@@ -298,8 +326,8 @@
     turn_at_target turn = std::move(*turn_);
     turn_.reset();
     turn.choice.target = context_.targets.find(turn.target);
-    turn.choice.copy_from =
-        turn.copy_from.empty() ? nullptr : context_.targets.find(turn.copy_from);
+    const bool copies = context_.targets.may_copy(turn.copy_from, turn.target, admitted_.regions);
+    turn.choice.copy_from = copies ? context_.targets.find(turn.copy_from) : nullptr;
     send_to(turn.choice, turn.run);
 }
 
@@ -320,6 +348,8 @@
         fail(status_bad_gateway, "no_target_left");
     } else if (all_cold) {
         refuse(status_unavailable, "targets_cold", until_turns);
+    } else if (admitted_.regions) {
+        refuse(status_unavailable, "no_target_in_allowed_regions", until_targets);
     } else {
         refuse(status_unavailable, "no_target", until_targets);
     }
@@ -350,6 +380,7 @@
                 {"asked_for_us", std::to_string(run.asked_for.count())},
                 {"left_ms", millis_text(time_left())}});
     run_ = run;
+    count_by_region("gateway_sent_by_region_total");
     context_.targets.sent(target_);
     const std::string_view copy_from =
         choice.copy_from == nullptr ? std::string_view{} : choice.copy_from->address;
@@ -740,6 +771,19 @@
     finish(reason, status);
 }
 
+/// Counts by the regions of this entry, to which the caller came, and of the last target. A region
+/// that nobody named, or that of no target, is empty.
+void forwarded_request::count_by_region(std::string_view what) const {
+    const gateway_settings& settings = context_.settings;
+    std::string name(what);
+    name += "{caller=\"";
+    name += settings.regions.region_of(settings.failure_domain);
+    name += "\",target=\"";
+    name += context_.targets.region_of(target_);
+    name += "\"}";
+    context_.counters.counter(name) += 1;
+}
+
 /// Counts the end and tells the request's story: all of one that failed, and of a sample of the
 /// rest.
 void forwarded_request::note_end(std::string_view outcome, unsigned status) {
@@ -747,6 +791,8 @@
     const instant now = monotonic_now();
     const microseconds took = now - exchange_->received();
     const std::string_view result = served ? "served" : (status == 0 ? "cut" : "failed");
+    count_by_region(status == status_unavailable ? "gateway_refused_by_region_total"
+                                                 : "gateway_requests_by_region_total");
     context_.counters.histogram("gateway_request_ms{outcome=\"" + std::string(result) + "\"}")
         .observe(took);
     trace_.add(now, "request_ended",
@@ -756,6 +802,8 @@
                 {"configuration", std::to_string(context_.configuration.current().version)},
                 {"account", admitted_.account},
                 {"target", target_},
+                {"target_region", std::string(context_.targets.region_of(target_))},
+                {"allowed_regions", describe(admitted_.regions)},
                 {"attempts", std::to_string(history_.number())},
                 {"tokens", std::to_string(charge_.spent())},
                 {"prompt", std::to_string(charge_.prompt_spent())},
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -41,6 +41,7 @@
 private:
     bool read_request();
     bool admit_request();
+    bool may_be_somewhere();
     tokens tokens_per_event() const;
     bool can_end_before_stop();
     bool reaches_others();
@@ -58,6 +59,7 @@
     void drop_turn();
     void send_to(const target_choice& choice, const placed_run& run);
     void no_target_left(bool all_cold);
+    void count_by_region(std::string_view what) const;
     upstream_hooks hooks_for(unsigned attempt);
 
     void watch_silence();
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -31,6 +31,9 @@
 /// An entry that knows of no others assumes this many.
 constexpr std::size_t least_entries = 4;
 
+/// Unreadable limits of one configuration that are told one by one; all are counted.
+constexpr std::size_t most_told = 5;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -333,6 +336,13 @@
     }
     apply_configuration();
     const gateway_configuration& current = configuration_.current();
+    metrics_.counter("gateway_limits_unreadable_total") += current.unreadable_limits.size();
+    for (const std::string& place :
+         std::span(current.unreadable_limits)
+             .first(std::min(most_told, current.unreadable_limits.size()))) {
+        log_event(log_level::error, "limit_unreadable",
+                  {{"version", std::to_string(current.version)}, {"place", place}});
+    }
     log_event(log_level::information, "configuration_applied",
               {{"version", std::to_string(current.version)},
                {"routes", std::to_string(current.routes.size())},
@@ -568,7 +578,7 @@
     });
 }
 
-/// Takes up what may change while a process runs; addresses and names need a new start.
+/// Takes up what may change while a process runs; addresses, names and regions need a new start.
 void gateway::reload(const std::string& text) {
     findings problems;
     std::optional<gateway_settings> read = read_gateway_settings(text, problems);
@@ -579,7 +589,7 @@
     const bool moved = read->listen.to_text() != settings_.listen.to_text() ||
                        read->admin.to_text() != settings_.admin.to_text() ||
                        read->service.to_text() != settings_.service.to_text() ||
-                       read->host != settings_.host;
+                       read->host != settings_.host || read->regions != settings_.regions;
     settings_.token_wait = read->token_wait;
     settings_.short_token_wait = read->short_token_wait;
     tokens_->set_settings(exchange_settings(settings_));
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -28,6 +28,20 @@
     return policy;
 }
 
+/// A failure domain that nobody named gets nothing that is bound. A deployment that names regions
+/// and leaves this host's own out is a mistake, whose callers would all lose their own region.
+region_table read_regions(settings_reader& reader, const std::string& own, findings& problems) {
+    region_table regions;
+    for (const auto& [failure_domain, region] : reader.named_texts_or_empty("regions")) {
+        regions.add(failure_domain, region);
+    }
+    if (!regions.empty() && regions.region_of(own).empty()) {
+        problems.add("/regions", "no region for this host's failure domain \"" + own + "\"",
+                     "a region for each failure domain");
+    }
+    return regions;
+}
+
 }  // namespace
 
 std::optional<gateway_settings> read_gateway_settings(std::string_view text, findings& problems) {
@@ -35,6 +49,7 @@
     gateway_settings settings;
     settings.host = reader.text("host");
     settings.failure_domain = reader.text("failure_domain");
+    settings.regions = read_regions(reader, settings.failure_domain, problems);
     settings.listen = read_address(reader, "listen", problems);
     settings.admin = read_address(reader, "admin", problems);
     settings.service = read_address(reader, "service", problems);
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -263,12 +263,24 @@
     }
     counters_.histogram("placement_ask_ms").observe(placed.asked_for);
     target_choice choice = from_wire(answer, targets_);
+    drop_forbidden_copy(wish.request, choice);
     targets_.improve_source(now, wish.request, choice);
     placed.counted_here =
         targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
     wish.chosen(choice, placed);
 }
 
+/// The keeper's settings or its list may be older than this entry's.
+void placement_exchange::drop_forbidden_copy(const engine_request& request, target_choice& choice) {
+    if (choice.copy_from == nullptr ||
+        targets_.may_copy(choice.copy_from->id, choice.target->id, request.limits.regions)) {
+        return;
+    }
+    counters_.counter("placement_copies_forbidden_total") += 1;
+    choice.copy_from = nullptr;
+    choice.unread = request.shape.prompt;
+}
+
 void placement_exchange::first_event(const placed_run& run) {
     const instant now = monotonic_now();
     if (run.counted_here != 0) {
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -113,6 +113,7 @@
     void try_another_keeper(std::uint64_t run, pending_ask wish);
     void on_ask(const message_origin& origin, const wire::Envelope& message);
     void on_answer(const message_origin& origin, const wire::Envelope& message);
+    void drop_forbidden_copy(const engine_request& request, target_choice& choice);
     void take_news(const wire::RunNewsBatch& batch);
     void tell(const std::string& endpoint, const wire::RunNews& news);
     void send_news();
--- a/tests/core/settings_reader_test.cpp
+++ b/tests/core/settings_reader_test.cpp
@@ -41,4 +41,32 @@
     BOOST_TEST(problems.items().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(name_that_stands_twice_is_a_finding_with_its_place) {
+    settings_reader reader = settings_reader::parse(
+        R"({"host": "a", "spots": {"x": "1", "y": "2", "x": "3"}, "list": [{"x": 1}, {"x": 2}],
+            "host": "b"})",
+        problems);
+    BOOST_REQUIRE(problems.items().size() == 2U);
+    BOOST_TEST(problems.items()[0].place == "/spots/x");
+    BOOST_TEST(problems.items()[0].found == "the name twice");
+    BOOST_TEST(problems.items()[1].place == "/host");
+}
+
+BOOST_AUTO_TEST_CASE(object_of_texts_is_read_by_name) {
+    settings_reader reader = settings_reader::parse(
+        R"({"good": {"x": "1", "y": "2"}, "bad": {"x": "", "y": 3, "": "4", "z": "5"},
+            "list": []})",
+        problems);
+    BOOST_TEST(reader.named_texts_or_empty("absent").empty());
+    BOOST_TEST((reader.named_texts_or_empty("good") ==
+                std::map<std::string, std::string>{{"x", "1"}, {"y", "2"}}));
+    BOOST_TEST(problems.empty());
+    BOOST_TEST(
+        (reader.named_texts_or_empty("bad") == std::map<std::string, std::string>{{"z", "5"}}));
+    BOOST_TEST(problems.items().size() == 3U);
+    reader.named_texts_or_empty("list");
+    BOOST_REQUIRE(problems.items().size() == 4U);
+    BOOST_TEST(problems.items()[3].allowed == "an object of texts");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/decision/gateway/admission_test.cpp
+++ b/tests/decision/gateway/admission_test.cpp
@@ -33,6 +33,19 @@
         return made;
     }
 
+    /// A newer configuration that binds all routes and all accounts to regions.
+    void bind(const allowed_regions& routes, const allowed_regions& accounts) {
+        gateway_configuration made = view.current();
+        made.version += 1;
+        for (gateway_route& each : made.routes) {
+            each.regions = routes;
+        }
+        for (gateway_account& each : made.accounts) {
+            each.regions = accounts;
+        }
+        view.apply(made);
+    }
+
     admitted_request admitted(const char* path, const char* key) {
         return std::get<admitted_request>(admit(view, "h", path, key, 0.5));
     }
@@ -78,4 +91,41 @@
     BOOST_TEST((refused("/engine/x", "key-1") == admission_refusal::no_configuration));
 }
 
+BOOST_AUTO_TEST_CASE(request_may_be_where_its_route_and_its_account_allow) {
+    BOOST_TEST(!admitted("/engine/x", "key-1").regions.has_value());
+    bind({{"north", "west"}}, std::nullopt);
+    BOOST_TEST((admitted("/engine/x", "key-1").regions == allowed_regions{{"north", "west"}}));
+    bind(std::nullopt, {{"south"}});
+    BOOST_TEST((admitted("/engine/x", "key-1").regions == allowed_regions{{"south"}}));
+    bind({{"north", "west"}}, {{"south", "west"}});
+    BOOST_TEST((admitted("/engine/x", "key-1").regions == allowed_regions{{"west"}}));
+    bind({{"north"}}, {{"south"}});
+    BOOST_TEST(admitted("/engine/x", "key-1").regions->empty());
+}
+
+BOOST_AUTO_TEST_CASE(key_on_a_public_route_binds_its_request_too) {
+    bind(std::nullopt, {{"south"}});
+    BOOST_TEST((admitted("/open/x", "key-1").regions == allowed_regions{{"south"}}));
+    BOOST_TEST(admitted("/open/x", "key-1").account.empty());
+    BOOST_TEST(!admitted("/open/x", "").regions.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(request_that_waits_is_bound_by_each_newer_configuration) {
+    bind({{"north", "west"}}, std::nullopt);
+    const admitted_request waiting = admitted("/engine/x", "key-1");
+    const auto may_be = [&] { return regions_now(view, waiting, "h", "/engine/x"); };
+    BOOST_TEST((may_be() == allowed_regions{{"north", "west"}}));
+    bind({{"west"}}, std::nullopt);
+    BOOST_TEST((may_be() == allowed_regions{{"west"}}));
+    bind(std::nullopt, {{"north"}});
+    BOOST_TEST((may_be() == allowed_regions{{"north"}}));
+    // A configuration that takes the limit away doesn't free what was admitted with it.
+    bind(std::nullopt, std::nullopt);
+    BOOST_TEST((may_be() == allowed_regions{{"north", "west"}}));
+    gateway_configuration bare;
+    bare.version = 100;
+    view.apply(bare);
+    BOOST_TEST((may_be() == allowed_regions{{"north", "west"}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -190,4 +190,48 @@
     BOOST_TEST(!platform::read_emptied("7").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(regions_of_routes_and_accounts_are_read) {
+    const auto read = platform::read_configuration(
+        R"({"version":1,"services":[],"routes":[
+             {"name":"a","host":"h","pathPrefix":"/a","service":"s","allowedRegions":["n","s"]},
+             {"name":"b","host":"h","pathPrefix":"/b","service":"s","allowedRegions":[]},
+             {"name":"c","host":"h","pathPrefix":"/c","service":"s","allowedRegions":null},
+             {"name":"d","host":"h","pathPrefix":"/d","service":"s"}],
+            "tenants":[{"name":"t","allowedRegions":["n"]},{"name":"u"}]})");
+    BOOST_REQUIRE(read.has_value());
+    const gateway_configuration& config = read.value();
+    BOOST_TEST((config.routes[0].regions == allowed_regions{{"n", "s"}}));
+    BOOST_REQUIRE(config.routes[1].regions.has_value());
+    BOOST_TEST(config.routes[1].regions->empty());
+    BOOST_TEST(!config.routes[2].regions.has_value());
+    BOOST_TEST(!config.routes[3].regions.has_value());
+    BOOST_TEST((config.accounts[0].regions == allowed_regions{{"n"}}));
+    BOOST_TEST(!config.accounts[1].regions.has_value());
+    BOOST_TEST(config.unreadable_limits.empty());
+}
+
+BOOST_AUTO_TEST_CASE(limit_that_can_not_be_read_allows_nothing_and_is_told) {
+    for (const char* odd : {R"("n")", "7", R"(["n",3])", R"({"n":true})", "false", "[[]]"}) {
+        BOOST_TEST_CONTEXT(odd) {
+            const auto read = platform::read_configuration(
+                R"({"version":1,"services":[],"routes":[
+                     {"name":"a","host":"h","pathPrefix":"/a","service":"s","allowedRegions":)" +
+                std::string(odd) + R"(},
+                     {"name":"b","host":"h","pathPrefix":"/b","service":"s"}],
+                    "tenants":[{"name":"t","allowedRegions":)" +
+                odd + "}]}");
+            BOOST_REQUIRE(read.has_value());
+            const gateway_configuration& config = read.value();
+            BOOST_REQUIRE(config.routes[0].regions.has_value());
+            BOOST_TEST(config.routes[0].regions->empty());
+            BOOST_TEST(!config.routes[1].regions.has_value());
+            BOOST_REQUIRE(config.accounts[0].regions.has_value());
+            BOOST_TEST(config.accounts[0].regions->empty());
+            BOOST_REQUIRE(config.unreadable_limits.size() == 2U);
+            BOOST_TEST(config.unreadable_limits[0] == "routes/a/allowedRegions");
+            BOOST_TEST(config.unreadable_limits[1] == "accounts/t/allowedRegions");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -41,10 +41,23 @@
     static target_pool_settings pool_settings() {
         target_pool_settings settings;
         settings.failure_domain = "d1";
+        settings.regions.add("d1", "north");
+        settings.regions.add("d2", "south");
         settings.entries = [] { return 4U; };
         return settings;
     }
 
+    /// All engines but one are listed in another failure domain.
+    void move_all_but(const std::string& kept, const std::string& domain) {
+        for (const gateway_target& target : targets.listed()) {
+            if (target.id != kept) {
+                gateway_target moved = target;
+                moved.failure_domain = domain;
+                targets.apply(moved);
+            }
+        }
+    }
+
     ledger_member self() const {
         return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0, {}, {}};
     }
@@ -90,6 +103,17 @@
         asker = entries[1].get();
     }
 
+    static std::vector<std::string> all_but(const std::string& kept) {
+        std::vector<std::string> others;
+        for (int number = 1; number <= 12; ++number) {
+            const std::string id = "e" + std::to_string(number);
+            if (id != kept) {
+                others.push_back(id);
+            }
+        }
+        return others;
+    }
+
     static engine_request prompt(std::uint64_t session, tokens length = 9000) {
         engine_request made;
         made.shape = {length, 400, 150, {{session, length / 2}, {session + 1, length / 2}}};
@@ -247,6 +271,50 @@
     BOOST_TEST((choice.target == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(bound_request_is_kept_in_its_region_by_the_keeper) {
+    for (const auto& entry : entries) {
+        entry->move_all_but("e5", "d2");
+    }
+    engine_request bound = prompt(7);
+    bound.limits.regions = {{"north"}};
+    for (std::uint64_t session = 10; session < 20; ++session) {
+        bound.shape.parts[0].id = session;
+        BOOST_TEST(place(*asker, bound) == "e5");
+        BOOST_TEST(run.keeper == "h1");
+    }
+    BOOST_TEST(place(*asker, bound, {"e5"}).empty());
+    bound.limits.regions = allowed_regions{std::in_place};
+    BOOST_TEST(place(*asker, bound).empty());
+}
+
+BOOST_AUTO_TEST_CASE(engine_outside_its_regions_is_not_taken_on_a_keepers_word) {
+    // The keeper's list is older: it believes all engines to be in the north.
+    asker->move_all_but("e5", "d2");
+    engine_request bound = prompt(7);
+    bound.limits.regions = {{"north"}};
+    for (std::uint64_t session = 10; session < 20; ++session) {
+        bound.shape.parts[0].id = session;
+        BOOST_TEST(place(*asker, bound) == "e5");
+    }
+    BOOST_TEST(asker->counters.counter("placement_answers_unusable_total") > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(copy_across_regions_is_not_taken_on_a_keepers_word) {
+    for (const auto& entry : entries) {
+        entry->engine.copy_ms_per_token = 0.002;
+    }
+    engine_request request = prompt(7);
+    request.engine.copy_ms_per_token = 0.002;
+    BOOST_TEST(place(*entries[2], request, all_but("e3")) == "e3");
+    asker->move_all_but("e5", "d2");
+    BOOST_TEST(place(*asker, request, all_but("e5")) == "e5");
+    BOOST_TEST((choice.copy_from == nullptr));
+    BOOST_TEST(asker->counters.counter("placement_copies_forbidden_total") == 1U);
+    // An entry that knows both engines to be in one region takes the keeper's word.
+    BOOST_TEST(place(*entries[3], request, all_but("e6")) == "e6");
+    BOOST_TEST((choice.copy_from != nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(engines_that_were_tried_are_left_out) {
     const std::string first = place(*asker, prompt(7));
     BOOST_TEST(place(*asker, prompt(7), {first}) != first);
