--- a/tests/platform/region_live_test.cpp
+++ b/tests/platform/region_live_test.cpp
@@ -219,6 +219,18 @@
     BOOST_TEST(seen_in_south() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(limits_hold_while_the_store_is_dark) {
+    start();
+    BOOST_TEST(all_are(statuses("flow", "key-free", 1), 200U));
+    store.silent = true;
+    BOOST_TEST(all_are(statuses("bound"), 200U));
+    // Streams are paid for: no more of them than there are tokens in hand.
+    for (const unsigned status : statuses("flow")) {
+        BOOST_TEST((status == 200U || status == 503U));
+    }
+    BOOST_TEST(seen_in_south() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(entry_that_knows_no_configuration_refuses_all) {
     store.busy = true;
     launch(north);
