Wait for a slow target when nobody else may answer, and count late answers by region

A plain target that says nothing for six times the usual answer is left for another one, if the request may be repeated. With no other target allowed the request was ended as 502 though its target was at work (seen by the new live test: one allowed target that takes 600 ms). It is now waited for. Late answers are counted by the regions of entry and target.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -146,6 +146,10 @@
     /// bound to them and finds none free may find one later.
     bool has_target_in(std::string_view service, const allowed_regions& regions) const;
 
+    /// True if there is a target that a request may go to, beside those already tried.
+    bool has_another(instant now, std::string_view service, std::span<const std::string> tried,
+                     const candidate_limits& limits);
+
     /// True if a copy of a prompt's memory may go from one engine to another for a request that is
     /// bound to these regions, or to none. Memory stays in its region: it is made of the prompts
     /// that were read there, some of which may be bound, and others ask for the same parts.
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -354,6 +354,12 @@
     });
 }
 
+bool target_pool::has_another(instant now, std::string_view service,
+                              std::span<const std::string> tried, const candidate_limits& limits) {
+    const auto any = [](const target_state&) { return true; };
+    return !candidates(now, service, tried, limits, any).empty();
+}
+
 bool target_pool::may_copy(std::string_view from, std::string_view to,
                            const allowed_regions& regions) const {
     const auto source = targets_.find(from);
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -418,6 +418,10 @@
     if (called_off_ || !may_repeat(admitted_.route.kind)) {
         return;
     }
+    if (!context_.targets.has_another(now, admitted_.service, history_.tried(), limits_now())) {
+        // It may still answer, and nobody else can.
+        return;
+    }
     if (take_retry()) {
         history_.note_may_have_run();
         end_attempt(run_end::left);
@@ -503,6 +507,7 @@
     if (!to_caller_.begun()) {
         context_.counters.histogram("gateway_first_event_ms")
             .observe(monotonic_now() - exchange_->received());
+        note_first_answer();
     }
     if (!to_caller_.pass_events(answer_, whole.bytes)) {
         caller_gone();
@@ -597,6 +602,7 @@
         cut("resumed_with_" + std::to_string(answer_.status));
         return;
     }
+    note_first_answer();
     to_caller_.pass_whole(answer_, answer_body_);
     finish("served", answer_.status);
 }
@@ -771,6 +777,14 @@
     finish(reason, status);
 }
 
+/// Counts an answer, or the first event of a stream, that comes later than its route's aim.
+void forwarded_request::note_first_answer() const {
+    const microseconds aim = admitted_.route.first_answer_aim;
+    if (aim > microseconds(0) && monotonic_now() - exchange_->received() > aim) {
+        count_by_region("gateway_late_by_region_total");
+    }
+}
+
 /// Counts by the regions of this entry, to which the caller came, and of the last target. A region
 /// that nobody named, or that of no target, is empty.
 void forwarded_request::count_by_region(std::string_view what) const {
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -60,6 +60,7 @@
     void send_to(const target_choice& choice, const placed_run& run);
     void no_target_left(bool all_cold);
     void count_by_region(std::string_view what) const;
+    void note_first_answer() const;
     upstream_hooks hooks_for(unsigned attempt);
 
     void watch_silence();
--- a/tests/decision/gateway/target_regions_test.cpp
+++ b/tests/decision/gateway/target_regions_test.cpp
@@ -99,6 +99,16 @@
     BOOST_TEST(pool->has_target_in("plain", in({"north"}).regions));
 }
 
+BOOST_AUTO_TEST_CASE(another_target_is_one_that_is_allowed_and_untried) {
+    const auto another = [this](std::vector<std::string> tried, const candidate_limits& limits) {
+        return pool->has_another(now, "plain", tried, limits);
+    };
+    BOOST_TEST(another({"plain-n1"}, in({"north"})));
+    BOOST_TEST(!another({"plain-s1"}, in({"south"})));
+    BOOST_TEST(another({"plain-s1"}, {}));
+    BOOST_TEST(!another({}, in({})));
+}
+
 BOOST_AUTO_TEST_CASE(retry_of_a_bound_request_stays_in_its_regions) {
     BOOST_TEST((picked(in({"north"}), {"plain-n1"}) == names{"plain-n2"}));
     BOOST_TEST((picked(in({"north"}), {"plain-n1", "plain-n2"}) == names{""}));
--- a/tests/platform/region_fleet.hpp
+++ b/tests/platform/region_fleet.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <unistd.h>
-
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
@@ -13,6 +11,7 @@
 #include "platform/store_standin.hpp"
 #include "platform/worker_standin.hpp"
 #include "support/child_process.hpp"
+#include "support/fixed_port.hpp"
 #include "support/loop_runner.hpp"
 #include "support/loopback_proxy.hpp"
 #include "support/raw_socket.hpp"
@@ -46,6 +45,8 @@
     std::string table = R"({"zone-north":"north","zone-south":"south"})";
     /// What a cold plain worker bears in a second; zero if it makes no difference.
     double cold_rate = 0.0;
+    /// The time within which routes want an answer.
+    int aim_ms = 1900;
     std::uint64_t version = 0;
 
     region_fleet() {
@@ -55,9 +56,9 @@
         for (std::size_t at = 0; at < entries.size(); ++at) {
             entry& each = entries[at];
             each.region = at == 0 ? "north" : "south";
-            each.listen = free_port();
-            each.admin = free_port();
-            each.bus = free_port();
+            each.listen = fixed_port();
+            each.admin = fixed_port();
+            each.bus = fixed_port();
             each.bus_way = std::make_unique<loopback_proxy>(loop, each.bus);
             each.settings_file = "/tmp/wrenregion_test_" + std::to_string(each.listen) + ".json";
         }
@@ -75,19 +76,6 @@
         }
     }
 
-    /// A port below those that the system gives to connections, so that none of these takes it
-    /// before the gateway does or while it is started anew.
-    static std::uint16_t free_port() {
-        constexpr int first = 20'000;
-        constexpr int processes = 400;
-        constexpr int ports_a_process = 30;
-        static int next = first + ::getpid() % processes * ports_a_process;
-        while (raw_socket::listen(static_cast<std::uint16_t>(next)).port() != next) {
-            next += 1;
-        }
-        return static_cast<std::uint16_t>(next++);
-    }
-
     void answer_with_events(worker_standin& engine) const {
         engine.answer = [&engine](const ingress_exchange_pointer& exchange) {
             exchange->begin_answer(200, engine.signed_headers(exchange));
@@ -102,13 +90,14 @@
                   worker.list_entry(service, state, "zone-" + region, cold_left_ms));
     }
 
-    static std::string route(const std::string& name, const std::string& service,
-                             const std::string& kind, const std::string& regions = {}) {
+    std::string route(const std::string& name, const std::string& service, const std::string& kind,
+                      const std::string& regions = {}) const {
         const std::string limit = regions.empty() ? "" : R"(,"allowedRegions":)" + regions;
         return R"({"name":")" + name + R"(","host":"h.test","pathPrefix":"/)" + name +
                R"(/","kind":")" + kind +
-               R"(","resumable":true,"timeoutMs":2000,"targetLatencyMs":1900,"service":")" +
-               service + R"(","maxAttempts":2)" + limit + "}";
+               R"(","resumable":true,"timeoutMs":2000,"targetLatencyMs":)" +
+               std::to_string(aim_ms) + R"(,"service":")" + service + R"(","maxAttempts":2)" +
+               limit + "}";
     }
 
     void configure() {
--- a/tests/platform/region_live_test.cpp
+++ b/tests/platform/region_live_test.cpp
@@ -219,6 +219,23 @@
     BOOST_TEST(seen_in_south() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(late_answers_are_counted_by_the_regions_of_entry_and_target) {
+    aim_ms = 500;
+    configure();
+    start();
+    BOOST_TEST(status_of(ask(south, "bound")) == 200U);
+    BOOST_TEST(figures(south).find("gateway_late_by_region_total") == std::string::npos);
+    north_app.answer = [this](const ingress_exchange_pointer& exchange) {
+        loop.call_after(milliseconds(600), [this, exchange] {
+            exchange->answer(200, north_app.signed_headers(exchange), "");
+        });
+    };
+    BOOST_TEST(status_of(ask(south, "bound")) == 200U);
+    BOOST_TEST(
+        figures(south).find("gateway_late_by_region_total{caller=\"south\",target=\"north\"} "
+                            "1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(limits_hold_while_the_store_is_dark) {
     start();
     BOOST_TEST(all_are(statuses("flow", "key-free", 1), 200U));
