--- a/tests/platform/region_live_test.cpp
+++ b/tests/platform/region_live_test.cpp
@@ -313,6 +313,29 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(region_whose_entry_and_targets_are_lost_comes_back) {
+    start();
+    north.process->signal(SIGKILL);
+    list(north_app, "app", "north", "draining");
+    list(north_llm, "llm", "north", "draining");
+    run_for(milliseconds(700));
+    for (int turn = 0; turn < 6; ++turn) {
+        BOOST_TEST(status_of(ask(south, "again")) == 200U);
+        BOOST_TEST(status_of(ask(south, "stream")) == 200U);
+        BOOST_TEST(status_of(ask(south, "bound")) == 503U);
+    }
+    BOOST_TEST(seen_in_north() == 0U);
+    launch(north);
+    list(north_app, "app", "north");
+    list(north_llm, "llm", "north");
+    BOOST_REQUIRE(run_until([&] { return is_ready(north); }, seconds(10)));
+    run_for(milliseconds(700));
+    forget_seen();
+    BOOST_TEST(all_are(statuses("bound"), 200U));
+    BOOST_TEST(all_are(statuses("flow"), 200U));
+    BOOST_TEST(seen_in_north() == 24U);
+}
+
 BOOST_AUTO_TEST_CASE(entry_tells_that_a_region_is_cut_off_and_back) {
     start();
     const auto told = [this](const std::string& event) {
