--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -31,6 +31,9 @@
 /// An entry that knows of no others assumes this many.
 constexpr std::size_t least_entries = 4;
 
+/// Unreadable limits of one configuration that are told one by one; all are counted.
+constexpr std::size_t most_told = 5;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_unavailable = 503;
@@ -77,6 +80,7 @@
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_requests_per_second, metrics_),
       homes_(settings.host, {}),
+      far_regions_(std::string(settings.regions.region_of(settings.failure_domain))),
       targets_(pool_settings(settings, homes_), random_),
       keepers_(homes_),
       lag_(
@@ -368,6 +372,13 @@
     }
     apply_configuration();
     const gateway_configuration& current = configuration_.current();
+    metrics_.counter("gateway_limits_unreadable_total") += current.unreadable_limits.size();
+    for (const std::string& place :
+         std::span(current.unreadable_limits)
+             .first(std::min(most_told, current.unreadable_limits.size()))) {
+        log_event(log_level::error, "limit_unreadable",
+                  {{"version", std::to_string(current.version)}, {"place", place}});
+    }
     log_event(log_level::information, "configuration_applied",
               {{"version", std::to_string(current.version)},
                {"routes", std::to_string(current.routes.size())},
@@ -429,6 +440,20 @@
               {{"silent_peers", std::to_string(silent)}, {"last_heard_ms", millis_text(silence)}});
 }
 
+void gateway::look_at_regions() {
+    for (const region_news& news : far_regions_.look(monotonic_now(), homes_.answers())) {
+        if (news.cut_off) {
+            metrics_.counter("gateway_regions_cut_off_total") += 1;
+        }
+        log_event(log_level::warning, news.cut_off ? "region_cut_off" : "region_back",
+                  {{"region", news.region},
+                   {"silent", std::to_string(news.silent)},
+                   {"members", std::to_string(news.members)},
+                   {"since_ms", millis_text(news.since)}});
+    }
+    metrics_.gauge("gateway_regions_cut_off") = static_cast<double>(far_regions_.cut_off());
+}
+
 const engine_shape* gateway::engine_of(const std::string& service) const {
     const gateway_service* known = configuration_.service(service);
     return known == nullptr || !known->engine ? nullptr : &*known->engine;
@@ -556,6 +581,7 @@
     metrics_.counter("log_lines_unread_total") = dropped_log_lines();
     grants_->set_append_time(ledger_->append_time());
     look_whether_isolated();
+    look_at_regions();
     tokens_->return_free(now);
     ledger_->append_if_due();
     waiters_->serve(now);
@@ -603,7 +629,7 @@
     });
 }
 
-/// Takes up what may change while a process runs; addresses and names need a new start.
+/// Takes up what may change while a process runs; addresses, names and regions need a new start.
 void gateway::reload(const std::string& text) {
     findings problems;
     std::optional<gateway_settings> read = read_gateway_settings(text, problems);
@@ -614,7 +640,7 @@
     const bool moved = read->listen.to_text() != settings_.listen.to_text() ||
                        read->admin.to_text() != settings_.admin.to_text() ||
                        read->service.to_text() != settings_.service.to_text() ||
-                       read->host != settings_.host;
+                       read->host != settings_.host || read->regions != settings_.regions;
     settings_.token_wait = read->token_wait;
     settings_.short_token_wait = read->short_token_wait;
     tokens_->set_settings(exchange_settings(settings_));
