Wait for keepers and homes of tokens by the way that was measured to them

The entries' directory carries their regions, and each entry now learns the way to those of other regions from their answers, those that came too late among them (peer_distances); it is added to what is waited for and to the silence that counts as lost. Nothing is added within a region, or where the settings name none. The table of regions comes from the settings' member "regions".

--- a/include/wrenswitch/core/settings_reader.hpp
+++ b/include/wrenswitch/core/settings_reader.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -46,6 +47,9 @@
     /// An optional list of texts.
     std::vector<std::string> texts_or_empty(std::string_view name);
 
+    /// An optional table of texts that are not empty.
+    std::map<std::string, std::string> text_table_or_empty(std::string_view name);
+
     /// Reports each member that was not asked for. To be called once, at the end.
     void finish();
 
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -12,6 +12,7 @@
 
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/core/time.hpp"
+#include "wrenswitch/decision/grants/peer_distances.hpp"
 
 namespace wrenswitch {
 
@@ -38,6 +39,10 @@
     /// How long a home that didn't answer is passed over, at first and at the most.
     microseconds first_rest = seconds(1);
     microseconds longest_rest = seconds(8);
+    /// Where this entry stands; empty if it isn't known.
+    std::string own_region{};
+    /// What the way to an entry of another region and back is taken for until it is measured.
+    microseconds far_round_trip = milliseconds(40);
 };
 
 /// Names each client account's home: the entry that draws the account's tokens from the ledger and
@@ -76,6 +81,16 @@
     /// A home answered. True if it was believed to be out of reach.
     bool answered(std::string_view host);
 
+    /// The way to a member and back; zero within this entry's region.
+    microseconds round_trip(const ledger_member& member) const {
+        return distances_.round_trip(member.host, member.region);
+    }
+
+    /// A member answered after this time.
+    void answered_after(const ledger_member& member, microseconds took) {
+        distances_.observe(member.host, member.region, took);
+    }
+
     /// How many members there are.
     std::size_t members() const { return members_.size(); }
 
@@ -97,6 +112,7 @@
 
     std::string own_host_;
     token_home_settings settings_;
+    peer_distances distances_;
     std::map<std::string, ledger_member, std::less<>> members_;
     /// The hosts that are homes.
     std::vector<std::string> homes_;
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -87,6 +87,8 @@
     std::string failure_domain;
     /// The regions of the deployment's failure domains, this host's own among them.
     region_table regions;
+    /// What the way to another region and back is taken for until it is measured.
+    microseconds far_round_trip = milliseconds(40);
     http_address listen;
     /// Where readiness and metrics are served.
     http_address admin;
--- a/src/core/settings_reader.cpp
+++ b/src/core/settings_reader.cpp
@@ -157,6 +157,22 @@
     return value->get<std::vector<std::string>>();
 }
 
+std::map<std::string, std::string> settings_reader::text_table_or_empty(std::string_view name) {
+    const json* value = state_->find(name);
+    if (value == nullptr) {
+        return {};
+    }
+    const bool all_texts =
+        value->is_object() && std::all_of(value->begin(), value->end(), [](const json& item) {
+            return item.is_string() && !item.get_ref<const std::string&>().empty();
+        });
+    if (!all_texts) {
+        state_->report(name, value->dump(), "a table of texts that are not empty");
+        return {};
+    }
+    return value->get<std::map<std::string, std::string>>();
+}
+
 void settings_reader::finish() {
     for (const auto& [name, value] : state_->object.items()) {
         if (state_->asked.count(name) == 0) {
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -27,7 +27,9 @@
 }  // namespace
 
 token_homes::token_homes(std::string own_host, token_home_settings settings)
-    : own_host_(std::move(own_host)), settings_(settings) {}
+    : own_host_(std::move(own_host)),
+      settings_(std::move(settings)),
+      distances_(settings_.own_region, settings_.far_round_trip) {}
 
 void token_homes::apply(const ledger_member& member) {
     const auto known = members_.find(member.host);
@@ -45,6 +47,7 @@
         return;
     }
     resting_.erase(found->first);
+    distances_.forget(host);
     members_.erase(found);
     version_ += 1;
     choose_homes();
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -43,6 +43,13 @@
     return pool;
 }
 
+token_home_settings home_settings(const gateway_settings& settings) {
+    token_home_settings homes;
+    homes.own_region = settings.regions.region_of(settings.failure_domain);
+    homes.far_round_trip = settings.far_round_trip;
+    return homes;
+}
+
 std::string host_of(std::string_view address) {
     return std::string(address.substr(0, address.rfind(':')));
 }
@@ -70,7 +77,7 @@
       dialect_(dialect),
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_requests_per_second, metrics_),
-      homes_(settings.host, {}),
+      homes_(settings.host, home_settings(settings)),
       targets_(pool_settings(settings, homes_), random_),
       keepers_(homes_),
       lag_(loop, [this] { return context_->requests.size(); }) {}
@@ -182,11 +189,16 @@
     desk_ = std::make_unique<placement_desk>(targets_, keepers_, metrics_);
     placements_ = std::make_unique<placement_exchange>(
         loop_, *bus_, targets_, keepers_, *desk_, metrics_,
-        placement_exchange::hooks{[this](const std::string& service) { return engine_of(service); },
-                                  [this](const std::string& host, bool others_answered) {
-                                      keeper_silent(host, others_answered);
-                                  },
-                                  [this](const std::string& host) { keeper_answered(host); }});
+        placement_exchange::hooks{
+            [this](const std::string& service) { return engine_of(service); },
+            [this](const std::string& host, bool others_answered) {
+                keeper_silent(host, others_answered);
+            },
+            [this](const std::string& host) { keeper_answered(host); },
+            [this](const ledger_member& keeper) { return homes_.round_trip(keeper); },
+            [this](const ledger_member& keeper, microseconds took) {
+                homes_.answered_after(keeper, took);
+            }});
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
 }
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -28,6 +28,14 @@
     return policy;
 }
 
+region_table read_regions(settings_reader& reader) {
+    region_table regions;
+    for (const auto& [failure_domain, region] : reader.text_table_or_empty("regions")) {
+        regions.add(failure_domain, region);
+    }
+    return regions;
+}
+
 }  // namespace
 
 std::optional<gateway_settings> read_gateway_settings(std::string_view text, findings& problems) {
@@ -35,6 +43,9 @@
     gateway_settings settings;
     settings.host = reader.text("host");
     settings.failure_domain = reader.text("failure_domain");
+    settings.regions = read_regions(reader);
+    settings.far_round_trip =
+        read_ms(reader, "far_round_trip_ms", settings.far_round_trip, longest_wait_ms);
     settings.listen = read_address(reader, "listen", problems);
     settings.admin = read_address(reader, "admin", problems);
     settings.service = read_address(reader, "service", problems);
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 /// How long a keeper's answer is waited for. The way there and back takes some 2 ms; half of that
-/// time again is lost to processes that are busy, and no aim of a route is below some hundreds.
+/// time again is lost to processes that are busy, and no aim of a route is below some hundreds. The
+/// way to another region comes on top: with 20 ms for one that is 40 ms away each ask was given up,
+/// and two regions' days with trouble lost 0.08 of their worth.
 constexpr microseconds longest_ask = milliseconds(20);
 
 /// A keeper that has said nothing for this long after an ask is out of reach: some times what a
@@ -82,7 +84,8 @@
     counters_.counter("placement_asks_total") += 1;
     wish.asked = monotonic_now();
     const instant asked = wish.asked;
-    const microseconds longest = wish.is_last ? longest_cold_ask : longest_ask;
+    const microseconds longest =
+        (wish.is_last ? longest_cold_ask : longest_ask) + hooks_.round_trip(wish.keeper);
     pending_.insert_or_assign(run, std::move(wish));
     loop_.call_after(longest, [this, run, asked, alive = alive_] {
         if (*alive) {
@@ -99,21 +102,24 @@
     pending_ask wish = std::move(found->second);
     pending_.erase(found);
     counters_.counter("placement_asks_late_total") += 1;
-    watch(wish.keeper.host, wish.asked);
+    watch(wish.keeper, wish.asked);
+    remember_late(run, wish);
     if (!wish.wanted.expired()) {
         choose_alone(run, std::move(wish));
     }
 }
 
 /// Passes a keeper over until it says something, and takes it for lost if that takes too long.
-void placement_exchange::watch(const std::string& host, instant asked) {
+void placement_exchange::watch(const ledger_member& keeper, instant asked) {
+    const std::string& host = keeper.host;
     const auto heard = heard_.find(host);
     const bool answered_since = heard != heard_.end() && heard->second >= asked;
     if (answered_since || !silent_.insert(host).second) {
         return;
     }
-    const instant due = monotonic_now() + longest_silence;
-    loop_.call_after(longest_silence, [this, host, asked, due, alive = alive_] {
+    const microseconds longest = longest_silence + hooks_.round_trip(keeper);
+    const instant due = monotonic_now() + longest;
+    loop_.call_after(longest, [this, host, asked, due, alive = alive_] {
         if (!*alive) {
             return;
         }
@@ -126,6 +132,20 @@
     });
 }
 
+/// What comes too late from a far keeper still tells how far it is, and that it isn't lost: else a
+/// way that became longer than what is waited for would never be learnt.
+void placement_exchange::remember_late(std::uint64_t run, const pending_ask& wish) {
+    if (hooks_.round_trip(wish.keeper) == microseconds(0)) {
+        return;
+    }
+    late_.insert_or_assign(run, late_ask{wish.keeper, wish.asked});
+    loop_.call_after(longest_silence, [this, run, alive = alive_] {
+        if (*alive) {
+            late_.erase(run);
+        }
+    });
+}
+
 /// The keeper can't be asked: the choice rests on this entry's own runs, and mostly on where the
 /// session's memory is looked for. Cold engines have next to no turns for an entry that doesn't
 /// ask, so that a keeper is asked all the same, and more patiently.
@@ -214,11 +234,23 @@
     bus_.answer(origin, reply);
 }
 
+void placement_exchange::keeper_spoke(const ledger_member& keeper, instant asked) {
+    const instant now = monotonic_now();
+    heard_[keeper.host] = now;
+    answered_ask_ = std::max(answered_ask_, asked);
+    silent_.erase(keeper.host);
+    hooks_.keeper_answered(keeper.host);
+    hooks_.answered_after(keeper, now - asked);
+}
+
 void placement_exchange::on_answer(const message_origin& origin, const wire::Envelope& message) {
     const wire::PlacementAnswer& answer = message.placement_answer();
     const auto found = pending_.find(answer.run());
     const bool counted = !answer.target().empty();
     if (found == pending_.end()) {
+        if (const auto late = late_.extract(answer.run()); !late.empty()) {
+            keeper_spoke(late.mapped().keeper, late.mapped().asked);
+        }
         // It came too late: the keeper must not count a run that went elsewhere.
         if (counted) {
             wire::RunNews news;
@@ -231,10 +263,7 @@
     const instant now = monotonic_now();
     pending_ask wish = std::move(found->second);
     pending_.erase(found);
-    heard_[wish.keeper.host] = now;
-    answered_ask_ = std::max(answered_ask_, wish.asked);
-    silent_.erase(wish.keeper.host);
-    hooks_.keeper_answered(wish.keeper.host);
+    keeper_spoke(wish.keeper, wish.asked);
     placed_run placed{answer.run(),
                       answer.target(),
                       wish.keeper.host,
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -54,6 +54,13 @@
         std::function<void(const std::string& host, bool others_answered)> keeper_silent;
         /// A keeper answered.
         std::function<void(const std::string& host)> keeper_answered;
+        /// The way to a keeper and back; none if it is near.
+        std::function<microseconds(const ledger_member& keeper)> round_trip = [](const auto&) {
+            return microseconds(0);
+        };
+        /// A keeper answered after this time, in time or not.
+        std::function<void(const ledger_member& keeper, microseconds took)> answered_after =
+            [](const auto&, microseconds) {};
     };
 
     /// Ends the wish for a choice when it is dropped.
@@ -105,13 +112,20 @@
         bool is_last = false;
     };
 
+    struct late_ask {
+        ledger_member keeper;
+        instant asked{};
+    };
+
     void ask(std::uint64_t run, pending_ask wish);
     void give_up(std::uint64_t run, instant asked);
-    void watch(const std::string& host, instant asked);
+    void watch(const ledger_member& keeper, instant asked);
+    void remember_late(std::uint64_t run, const pending_ask& wish);
     void choose_alone(std::uint64_t run, pending_ask wish);
     void choose_at_own_desk(std::uint64_t run, pending_ask wish);
     void try_another_keeper(std::uint64_t run, pending_ask wish);
     void on_ask(const message_origin& origin, const wire::Envelope& message);
+    void keeper_spoke(const ledger_member& keeper, instant asked);
     void on_answer(const message_origin& origin, const wire::Envelope& message);
     void take_news(const wire::RunNewsBatch& batch);
     void tell(const std::string& endpoint, const wire::RunNews& news);
@@ -126,6 +140,9 @@
     hooks hooks_;
     random_source random_;
     std::map<std::uint64_t, pending_ask> pending_;
+    /// Asks that passed their time, for as long as their answers may still tell how far a keeper
+    /// is.
+    std::map<std::uint64_t, late_ask> late_;
     /// Keepers that let an ask pass its time and have said nothing since.
     std::set<std::string> silent_;
     /// When the latest ask that was answered went out.
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -82,7 +82,7 @@
     }
     auto wanted = std::make_shared<handle>();
     const auto number = random_.next_id<incarnation_id>();
-    pending_[raw(number)] = {account, amount, std::move(told), wanted, {}, {}, 0, false, 0, 0};
+    pending_[raw(number)] = {account, amount, std::move(told), wanted, {}, {}, {}, 0, false, 0, 0};
     ask_or_follow(raw(number));
     return {reserve_outcome::short_of_tokens, std::move(wanted)};
 }
@@ -184,7 +184,8 @@
 
 void token_exchange::ask(std::uint64_t number, const ledger_member& home) {
     pending_reservation& present = pending_.at(number);
-    present.asked = home.host;
+    present.asked = home;
+    present.asked_at = monotonic_now();
     present.tried.push_back(home.host);
     counters_.counter("token_asks_total") += 1;
     wire::Envelope message;
@@ -194,7 +195,7 @@
     body.set_amount(present.amount);
     body.set_ahead(wanted_ahead(number, present.account));
     bus_.send(home.endpoint, message);
-    watch_silence(number, settings_.silence);
+    watch_silence(number, settings_.silence + homes_.round_trip(home));
 }
 
 void token_exchange::watch_silence(std::uint64_t number, microseconds longest) {
@@ -220,7 +221,7 @@
 }
 
 void token_exchange::home_is_silent(std::uint64_t number) {
-    const std::string home = pending_.at(number).asked;
+    const std::string home = pending_.at(number).asked.host;
     counters_.counter("token_homes_silent_total") += 1;
     if (homes_.failed(monotonic_now(), home)) {
         log_event(log_level::warning, "token_home_lost", {{"home", home}});
@@ -373,8 +374,8 @@
     const wire::TokenAnswer& answer = message.token_answer();
     const auto found = pending_.find(answer.ask());
     const bool awaited = found != pending_.end() && !found->second.waits_here;
-    if (awaited && homes_.answered(found->second.asked)) {
-        log_event(log_level::information, "token_home_regained", {{"home", found->second.asked}});
+    if (awaited) {
+        home_answered(found->second);
     }
     if (answer.outcome() == wire::TOKENS_GIVEN) {
         take_given(message);
@@ -385,7 +386,8 @@
     }
     switch (answer.outcome()) {
         case wire::TOKENS_WAITING:
-            watch_silence(answer.ask(), settings_.waiting_silence);
+            watch_silence(answer.ask(),
+                          settings_.waiting_silence + homes_.round_trip(found->second.asked));
             // Those behind it get places of their own in the home's queue.
             release_followers(answer.ask(), answer.account());
             return;
@@ -400,6 +402,17 @@
     }
 }
 
+/// Only the first answer to an ask tells how far the home is: the next one waited for the ledger.
+void token_exchange::home_answered(pending_reservation& present) {
+    const ledger_member& home = present.asked;
+    if (homes_.answered(home.host)) {
+        log_event(log_level::information, "token_home_regained", {{"home", home.host}});
+    }
+    if (const instant asked = std::exchange(present.asked_at, {}); asked != instant{}) {
+        homes_.answered_after(home, monotonic_now() - asked);
+    }
+}
+
 void token_exchange::take_returned(const wire::Envelope& message) {
     for (const wire::TokenAmount& part : message.token_return().amounts()) {
         if (part.amount() > 0) {
--- a/src/roles/gateway/token_exchange.hpp
+++ b/src/roles/gateway/token_exchange.hpp
@@ -90,8 +90,9 @@
         answer_hook told;
         std::weak_ptr<handle> wanted;
         std::vector<std::string> tried;
-        /// The host that was asked last.
-        std::string asked;
+        /// The host that was asked last, and when.
+        ledger_member asked;
+        instant asked_at{};
         /// Counts what is waited for, so that a timer that was overtaken does nothing.
         unsigned step = 0;
         /// True once it waits in this process's own queue, since no home is left to ask.
@@ -118,6 +119,7 @@
 
     void on_ask(const message_origin& origin, const wire::Envelope& message);
     void on_answer(const wire::Envelope& message);
+    void home_answered(pending_reservation& present);
     void take_given(const wire::Envelope& message);
     void take_returned(const wire::Envelope& message);
     tokens reserve_ahead(const std::string& account, tokens ahead);
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "support/loop_runner.hpp"
+#include "support/loopback_proxy.hpp"
 
 namespace {
 
@@ -15,10 +16,11 @@
 
 /// One entry that places requests and may be a keeper, over a real bus.
 struct placing_entry {
-    placing_entry(event_loop& loop, int number)
+    placing_entry(event_loop& loop, int number, std::string stands_in = {})
         : host("h" + std::to_string(number)),
+          region(std::move(stands_in)),
           bus(message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value()),
-          members(host, {}),
+          members(host, home_settings(region)),
           exchange(loop, *bus, targets, keepers, desk, counters,
                    {[this](const std::string&) { return knows_engines ? &engine : nullptr; },
                     [this](const std::string& keeper, bool others_answered) {
@@ -26,7 +28,11 @@
                         others_had_answered = others_answered;
                         members.failed(monotonic_now(), keeper);
                     },
-                    [this](const std::string& keeper) { answered.push_back(keeper); }}) {
+                    [this](const std::string& keeper) { answered.push_back(keeper); },
+                    [this](const ledger_member& keeper) { return members.round_trip(keeper); },
+                    [this](const ledger_member& keeper, microseconds took) {
+                        members.answered_after(keeper, took);
+                    }}) {
         bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
             if (listens) {
                 taken = exchange.on_message(origin, message);
@@ -45,11 +51,18 @@
         return settings;
     }
 
+    static token_home_settings home_settings(const std::string& region) {
+        token_home_settings settings;
+        settings.own_region = region;
+        return settings;
+    }
+
     ledger_member self() const {
-        return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0, {}, {}};
+        return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0, {}, region};
     }
 
     std::string host;
+    std::string region;
     metrics counters;
     random_source random;
     engine_shape engine{3, 200'000, 0.0};
@@ -119,6 +132,41 @@
     }
 };
 
+/// The same with the keeper in another region than the others, 25 ms away.
+struct far_keeper_fixture : placement_exchange_fixture {
+    std::unique_ptr<loopback_proxy> way;
+    std::vector<std::unique_ptr<placing_entry>> regional;
+
+    far_keeper_fixture() {
+        for (int number = 1; number <= 4; ++number) {
+            regional.push_back(
+                std::make_unique<placing_entry>(loop, number, number == 1 ? "north" : "south"));
+        }
+        keeper = regional[0].get();
+        asker = regional[1].get();
+        const std::string endpoint = keeper->bus->endpoint();
+        const std::string port = endpoint.substr(endpoint.rfind(':') + 1);
+        way = std::make_unique<loopback_proxy>(loop, static_cast<std::uint16_t>(std::stoi(port)));
+        way->delay = milliseconds(25);
+        for (const auto& entry : regional) {
+            for (const auto& member : regional) {
+                entry->members.apply(seen_by(*entry, *member));
+            }
+        }
+        // The first ask makes the connection.
+        place(*asker, prompt(3));
+        BOOST_REQUIRE(run_until([&] { return !asker->answered.empty(); }));
+    }
+
+    ledger_member seen_by(const placing_entry& entry, const placing_entry& member) const {
+        ledger_member seen = member.self();
+        if (entry.region != member.region && member.region == "north") {
+            seen.endpoint = "tcp://127.0.0.1:" + std::to_string(way->port());
+        }
+        return seen;
+    }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(placement_exchange_test, placement_exchange_fixture)
@@ -300,4 +348,34 @@
     BOOST_REQUIRE(run_until([&] { return !asker->taken; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(far_keeper_is_waited_for_by_its_distance, far_keeper_fixture) {
+    BOOST_TEST(!place(*asker, prompt(7)).empty());
+    BOOST_TEST(run.keeper == "h1");
+    BOOST_TEST((run.asked_for >= milliseconds(50)));
+    BOOST_TEST(asker->silent.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(keeper_that_became_farther_is_learnt_from_answers_that_came_too_late,
+                        far_keeper_fixture) {
+    way->delay = milliseconds(60);
+    unsigned asked = 0;
+    do {
+        place(*asker, prompt(7 + 2 * asked));
+        asked += 1;
+        const std::size_t answers = asker->answered.size();
+        run_until([&] { return asker->answered.size() > answers; }, milliseconds(200));
+    } while (run.keeper.empty() && asked < 20U);
+    BOOST_TEST(run.keeper == "h1");
+    BOOST_TEST((run.asked_for >= milliseconds(120)));
+}
+
+BOOST_FIXTURE_TEST_CASE(far_keeper_that_is_cut_off_is_not_waited_for_twice, far_keeper_fixture) {
+    way->silent = true;
+    place(*asker, prompt(5));
+    const instant asked = monotonic_now();
+    BOOST_TEST(!place(*asker, prompt(7)).empty());
+    BOOST_TEST((monotonic_now() - asked < milliseconds(10)));
+    BOOST_TEST(run.keeper.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
