Keep each region's engines in that region, and go there first

With one keeper for an engine wherever it is, half of all choices waited 40 ms for a word, and what was chosen was 40 ms away as often. An engine's keeper is now an entry of the engine's own region (all entries name the same one; where a region has none, those of all others do), and a request meets in its entry's region, but a session whose shared parts take longer to read than the way there and back twice meets at one engine for all regions. If the keeper of the own region expects a fifth of the request to be lost, one of another region is asked too while the place is held, and the better one is used; in vain at the most every 300 ms. Engines copy memory within a region alone. Plain targets of another region count 0.6 of a target's slots and the way against the aim more, so that the own are used until nearly full; relays of the own region go before others. Without regions, or with one, nothing changes: tests compare the choices.

Changes to existing tests: engine_placer_test passes sources as a struct; placement_exchange_test's entries may have a region. Under a load of 25 on 12 cores timing tests of test_roles failed now and then (20 ms asks); none failed in six runs after each other a minute later, nor in this run.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -47,8 +47,13 @@
 struct target_pool_settings {
     std::string failure_domain;
     region_table regions;
+    /// What the way to another region and back is taken for.
+    microseconds far_round_trip = milliseconds(40);
     /// What crossing to another failure domain counts as, in shares of a target's slots.
     double other_domain_cost = 0.05;
+    /// The same for crossing to another region, beside the time that takes: one's own targets are
+    /// used until they are nearly full, since a request waits for nothing before that.
+    double other_region_cost = 0.6;
     microseconds first_ejection = milliseconds(500);
     microseconds longest_ejection = seconds(8);
     /// How long a report of load counts.
@@ -74,6 +79,14 @@
     bool all_cold = false;
 };
 
+/// Where the keeper that is asked for an engine is to be.
+enum class meeting_place {
+    /// In the own region if that has engines.
+    nearest,
+    /// Only in another region.
+    another_region,
+};
+
 /// Chooses a target for each request that goes to one directly: from the load reported with
 /// answers, what this entry has under way, and failures seen. Which of the usable engines a request
 /// with a prompt goes to is the placer's choice.
@@ -132,11 +145,17 @@
     /// prompt than the engine will have.
     void improve_source(instant now, const engine_request& request, target_choice& choice) const;
 
+    /// Which region a target is in, where a deployment has several; empty if it isn't known.
+    std::string_view region_of(std::string_view id) const;
+
     /// The engine whose keeper is asked for a prompt: its session's home by hash among those that
-    /// may be chosen, or any of them if it has no session. Empty if there is none.
+    /// may be chosen, or any of them if it has no session. Those of the own region go before all
+    /// others unless the session's shared parts take longer to read than the way takes. Empty if
+    /// there is none.
     std::string_view meeting_engine(instant now, std::string_view service,
                                     const engine_request& request,
-                                    std::span<const std::string> tried);
+                                    std::span<const std::string> tried,
+                                    meeting_place place = meeting_place::nearest);
 
     /// True if the target may be sent requests of the service now, within these limits.
     bool usable(std::string_view id, std::string_view service,
@@ -226,12 +245,17 @@
                                std::span<const std::string> tried, turn_owner owner,
                                microseconds longest_wait, const candidate_limits& limits);
     static void keep_silent_apart(std::vector<target_state*>& targets, bool repeatable);
+    bool is_far(const target_state& state) const;
+    std::string_view copies_within(const target_state& state) const;
+    bool is_worth_the_way(std::string_view service, const prompt_shape& shape) const;
+    void keep_near(std::vector<target_state*>& targets) const;
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
-    std::vector<std::string_view> sources(instant now, std::string_view service,
-                                          const allowed_regions& regions) const;
+    std::vector<engine_source> sources(instant now, std::string_view service,
+                                       const allowed_regions& regions) const;
 
     target_pool_settings settings_;
+    bool has_several_regions_;
     random_source& random_;
     states targets_;
     cold_targets cold_;
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -65,12 +65,17 @@
                                          std::span<const std::string> tried = {}) const;
 
     /// The members with the most capacity, for work that some entries do for all: the same ones at
-    /// every entry, leaving out those that don't answer.
-    std::vector<ledger_member> largest(instant now, std::size_t count) const;
+    /// every entry, leaving out those that don't answer. Of one region alone if one is named.
+    std::vector<ledger_member> largest(instant now, std::size_t count,
+                                       std::string_view region = {}) const;
 
     /// The same with those that don't answer this entry, so that all entries with the same members
     /// name the same ones, whoever they reach.
-    std::vector<ledger_member> largest_of_all(std::size_t count) const;
+    std::vector<ledger_member> largest_of_all(std::size_t count,
+                                              std::string_view region = {}) const;
+
+    /// How many members each region has; those whose region isn't known count nowhere.
+    std::map<std::string, std::size_t, std::less<>> members_by_region() const;
 
     /// True if this host is the account's home.
     bool is_home(instant now, std::string_view account) const;
@@ -86,6 +91,9 @@
         return distances_.round_trip(member.host, member.region);
     }
 
+    /// True if a member is known to be in another region than this entry.
+    bool is_far(const ledger_member& member) const { return distances_.is_far(member.region); }
+
     /// A member answered after this time.
     void answered_after(const ledger_member& member, microseconds took) {
         distances_.observe(member.host, member.region, took);
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -29,6 +29,9 @@
     microseconds longest_pause{};
     /// Which engines it may go to.
     candidate_limits limits;
+    /// What the way from its entry to the engines of the keeper's region and back adds to the time
+    /// to the first event.
+    microseconds way{};
 };
 
 /// An engine that a request may go to.
@@ -39,6 +42,16 @@
     double failure_rate = 0.0;
     /// How long the request would have to wait before it may be sent there, in ms.
     double wait_ms = 0.0;
+    /// Where it is; engines of one region alone copy from each other.
+    std::string_view region{};
+    /// The way there and back, in ms, if it is in another region than the caller's entry.
+    double way_ms = 0.0;
+};
+
+/// An engine from which another one may copy.
+struct engine_source {
+    std::string_view id;
+    std::string_view region{};
 };
 
 /// What a request is expected to lose at an engine, in tokens of requests, and why.
@@ -80,7 +93,7 @@
     /// from one of the sources.
     engine_choice choose(instant now, const std::string& service,
                          std::span<const engine_candidate> candidates,
-                         std::span<const std::string_view> sources, const engine_request& request);
+                         std::span<const engine_source> sources, const engine_request& request);
 
     /// Where a prompt's memory is known to be kept.
     struct kept_prompt {
@@ -88,8 +101,9 @@
         tokens kept = 0;
     };
 
-    /// The source that keeps most of a prompt. Without an engine if none is known to keep any.
-    kept_prompt most_kept(std::span<const std::string_view> sources,
+    /// The source in a region that keeps most of a prompt. Without an engine if none is known to
+    /// keep any.
+    kept_prompt most_kept(std::span<const engine_source> sources, std::string_view region,
                           const prompt_shape& shape) const;
 
     /// A request went to an engine with this much to read. Returns its number there. Times are
@@ -107,6 +121,9 @@
     /// A request's answer has ended, or never came.
     void end(instant now, std::string_view target, std::uint64_t number);
 
+    /// How long an ordinary engine of a service reads a whole prompt, in ms.
+    double reading_ms(std::string_view service, tokens prompt) const;
+
     /// What is believed of a target, for logs.
     std::string describe(instant now, std::string_view target) const;
 
@@ -135,8 +152,9 @@
         double usual_pace_ms = 0.0;
     };
 
-    /// What is the same for all candidates of one choice.
+    /// What is the same for all candidates of one choice that are in one region.
     struct asked {
+        std::string_view region;
         const engine_request& request;
         const service_state& service;
         std::string_view home;
@@ -149,7 +167,10 @@
     engine_state& state_of(const std::string& service, const std::string& target,
                            const engine_shape& engine);
     void learn_usual_pace(const std::string& service, std::span<engine_state* const> states);
-    void find_keeper(asked& question, std::span<const std::string_view> sources) const;
+    std::vector<asked> ask_by_region(std::span<const engine_candidate> candidates,
+                                     std::span<const engine_source> sources,
+                                     const engine_request& request, const service_state& service);
+    void find_keeper(asked& question, std::span<const engine_source> sources) const;
     static engine_choice price_at(instant now, const engine_candidate& candidate,
                                   const engine_state& state, const asked& question);
     static placement_price price(instant now, const engine_candidate& candidate,
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -36,7 +36,10 @@
 }  // namespace
 
 target_pool::target_pool(target_pool_settings settings, random_source& random)
-    : settings_(std::move(settings)), random_(random), cold_(settings_.entries, random) {}
+    : settings_(std::move(settings)),
+      has_several_regions_(settings_.regions.has_several()),
+      random_(random),
+      cold_(settings_.entries, random) {}
 
 void target_pool::apply(const gateway_target& target, std::uint64_t position) {
     target_state& state = targets_[target.id];
@@ -244,7 +247,9 @@
     keep_silent_apart(group.targets, repeatable);
     for (const target_state* state : group.targets) {
         const microseconds wait = cold_.wait(now, state->target.id, turn_owner::equal);
-        const double value = plain_cost(*state, now) + as_seconds(wait) / as_seconds(longest_wait) +
+        const microseconds way = is_far(*state) ? settings_.far_round_trip : microseconds(0);
+        const double value = plain_cost(*state, now) +
+                             as_seconds(wait + way) / as_seconds(longest_wait) +
                              jitter * random_.unit();
         if (value < least) {
             least = value;
@@ -269,8 +274,11 @@
     for (const target_state* state : group.targets) {
         if (passes(state->target.id)) {
             among.push_back(state);
+            const microseconds way =
+                request.way + (is_far(*state) ? settings_.far_round_trip : microseconds(0));
             offered.push_back({state->target.id, state->target.slots, failure_rate(*state, now),
-                               as_milliseconds(cold_.wait(now, state->target.id, owner))});
+                               as_milliseconds(cold_.wait(now, state->target.id, owner)),
+                               copies_within(*state), as_milliseconds(way)});
         }
     }
     target_choice choice;
@@ -302,7 +310,8 @@
         return;
     }
     const engine_placer::kept_prompt most =
-        placer_.most_kept(sources(now, choice.target->service, request.limits.regions), shape);
+        placer_.most_kept(sources(now, choice.target->service, request.limits.regions),
+                          copies_within(targets_.find(choice.target->id)->second), shape);
     if (most.kept - there >= least_copied && most.engine != choice.target->id) {
         choice.copy_from = find(most.engine);
         choice.unread = shape.prompt - most.kept;
@@ -311,10 +320,18 @@
 
 std::string_view target_pool::meeting_engine(instant now, std::string_view service,
                                              const engine_request& request,
-                                             std::span<const std::string> tried) {
+                                             std::span<const std::string> tried,
+                                             meeting_place place) {
     std::vector<std::string_view> engines;
     const auto any = [](const target_state&) { return true; };
-    for (const target_state* state : candidates(now, service, tried, request.limits, any)) {
+    std::vector<target_state*> among = candidates(now, service, tried, request.limits, any);
+    if (place == meeting_place::another_region) {
+        std::erase_if(among, [this](const target_state* state) { return !is_far(*state); });
+    } else if (has_several_regions_ && !is_worth_the_way(service, request.shape)) {
+        keep_near(among);
+    }
+    engines.reserve(among.size());
+    for (const target_state* state : among) {
         engines.push_back(state->target.id);
     }
     if (engines.empty()) {
@@ -324,6 +341,46 @@
     return home.empty() ? engines[random_.below(engines.size())] : home;
 }
 
+/// A session whose shared parts take longer to read than the way there and back, once to ask and
+/// once to go, meets at one engine for all regions: with one in each, parts were read again twice
+/// as often.
+bool target_pool::is_worth_the_way(std::string_view service, const prompt_shape& shape) const {
+    if (shape.parts.empty()) {
+        return false;
+    }
+    const tokens shared = shape.prompt - shape.parts.back().length;
+    return placer_.reading_ms(service, shared) > 2.0 * as_milliseconds(settings_.far_round_trip);
+}
+
+std::string_view target_pool::region_of(std::string_view id) const {
+    const auto found = targets_.find(id);
+    return found == targets_.end() || !has_several_regions_
+               ? std::string_view{}
+               : settings_.regions.region_of(found->second.target.failure_domain);
+}
+
+bool target_pool::is_far(const target_state& state) const {
+    return has_several_regions_ &&
+           !settings_.regions.are_near(settings_.failure_domain, state.target.failure_domain);
+}
+
+/// Engines copy from those of the same place alone: a token's memory is some hundred thousand
+/// bytes, and a region's link bears 45 of them a second.
+std::string_view target_pool::copies_within(const target_state& state) const {
+    if (!has_several_regions_) {
+        return {};
+    }
+    const std::string_view region = settings_.regions.region_of(state.target.failure_domain);
+    return region.empty() ? std::string_view(state.target.failure_domain) : region;
+}
+
+void target_pool::keep_near(std::vector<target_state*>& targets) const {
+    const auto far = [this](const target_state* state) { return is_far(*state); };
+    if (!std::all_of(targets.begin(), targets.end(), far)) {
+        std::erase_if(targets, far);
+    }
+}
+
 bool target_pool::usable(std::string_view id, std::string_view service,
                          const candidate_limits& limits) const {
     const auto found = targets_.find(id);
@@ -334,14 +391,14 @@
 }
 
 /// The engines that others may copy from. Those that leave still serve that.
-std::vector<std::string_view> target_pool::sources(instant now, std::string_view service,
-                                                   const allowed_regions& regions) const {
-    std::vector<std::string_view> found;
+std::vector<engine_source> target_pool::sources(instant now, std::string_view service,
+                                                const allowed_regions& regions) const {
+    std::vector<engine_source> found;
     for (const auto& [id, state] : targets_) {
         const bool usable = state.listed && !state.replaced && state.ejected_until <= now &&
                             may_hold(state, regions);
         if (usable && state.target.service == service) {
-            found.push_back(id);
+            found.push_back({id, copies_within(state)});
         }
     }
     return found;
@@ -361,7 +418,8 @@
     const bool other_domain = state.target.failure_domain != settings_.failure_domain;
     const double slots = std::max(1U, state.target.slots);
     return occupancy(state, now) / slots + failure_cost * failure_rate(state, now) +
-           (other_domain ? settings_.other_domain_cost : 0.0);
+           (other_domain ? settings_.other_domain_cost : 0.0) +
+           (is_far(state) ? settings_.other_region_cost : 0.0);
 }
 
 void target_pool::sent(std::string_view id) {
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -91,22 +91,36 @@
     return best == nullptr ? std::nullopt : std::optional(members_.at(*best));
 }
 
-std::vector<ledger_member> token_homes::largest(instant now, std::size_t count) const {
+std::vector<ledger_member> token_homes::largest(instant now, std::size_t count,
+                                                std::string_view region) const {
     std::vector<const ledger_member*> answering;
     answering.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        if (!rests(now, host)) {
+        if (!rests(now, host) && (region.empty() || member.region == region)) {
             answering.push_back(&member);
         }
     }
     return largest_among(answering, count);
 }
 
-std::vector<ledger_member> token_homes::largest_of_all(std::size_t count) const {
+std::map<std::string, std::size_t, std::less<>> token_homes::members_by_region() const {
+    std::map<std::string, std::size_t, std::less<>> counts;
+    for (const auto& [host, member] : members_) {
+        if (!member.region.empty()) {
+            counts[member.region] += 1;
+        }
+    }
+    return counts;
+}
+
+std::vector<ledger_member> token_homes::largest_of_all(std::size_t count,
+                                                       std::string_view region) const {
     std::vector<const ledger_member*> all;
     all.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        all.push_back(&member);
+        if (region.empty() || member.region == region) {
+            all.push_back(&member);
+        }
     }
     return largest_among(all, count);
 }
--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -41,6 +41,10 @@
 /// request: entries that know nothing of each other choose the same.
 constexpr double home_share = 0.01;
 
+/// What going to another region costs, as a share of the request, beside its time: the bytes there
+/// and back, and what one region's load in the other takes from its own.
+constexpr double crossing_share = 0.05;
+
 /// Bounds of what one engine is taken to be slower than most: estimates beyond are no speed but
 /// trouble, which other terms see.
 constexpr double least_slowness = 0.5;
@@ -53,15 +57,6 @@
     return static_cast<double>(shape.prompt + expected_output(shape));
 }
 
-std::vector<std::string_view> ids_of(std::span<const engine_candidate> candidates) {
-    std::vector<std::string_view> ids;
-    ids.reserve(candidates.size());
-    for (const engine_candidate& candidate : candidates) {
-        ids.push_back(candidate.id);
-    }
-    return ids;
-}
-
 }  // namespace
 
 engine_placer::engine_state& engine_placer::state_of(const std::string& service,
@@ -75,7 +70,7 @@
 
 engine_choice engine_placer::choose(instant now, const std::string& service,
                                     std::span<const engine_candidate> candidates,
-                                    std::span<const std::string_view> sources,
+                                    std::span<const engine_source> sources,
                                     const engine_request& request) {
     std::vector<engine_state*> states;
     states.reserve(candidates.size());
@@ -87,18 +82,14 @@
         states.back()->load.watch_bound(as_milliseconds(request.longest_pause));
     }
     learn_usual_pace(service, states);
-    asked question{request,
-                   services_[service],
-                   home_of(ids_of(candidates), request.shape),
-                   stake_of(request.shape),
-                   0,
-                   {}};
-    if (request.engine.copy_ms_per_token > 0.0) {
-        find_keeper(question, sources);
-    }
+    const std::vector<asked> questions =
+        ask_by_region(candidates, sources, request, services_[service]);
     engine_choice best;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        engine_choice choice = price_at(now, candidates[index], *states[index], question);
+        const auto question = std::find_if(
+            questions.begin(), questions.end(),
+            [&](const asked& each) { return each.region == candidates[index].region; });
+        engine_choice choice = price_at(now, candidates[index], *states[index], *question);
         choice.index = index;
         if (index == 0 || choice.price.sum < best.price.sum) {
             best = std::move(choice);
@@ -107,6 +98,26 @@
     return best;
 }
 
+std::vector<engine_placer::asked> engine_placer::ask_by_region(
+    std::span<const engine_candidate> candidates, std::span<const engine_source> sources,
+    const engine_request& request, const service_state& service) {
+    std::map<std::string_view, std::vector<std::string_view>> regions;
+    for (const engine_candidate& candidate : candidates) {
+        regions[candidate.region].push_back(candidate.id);
+    }
+    std::vector<asked> questions;
+    for (const auto& [region, engines] : regions) {
+        asked question{
+            region, request, service, home_of(engines, request.shape), stake_of(request.shape),
+            0,      {}};
+        if (request.engine.copy_ms_per_token > 0.0) {
+            find_keeper(question, sources);
+        }
+        questions.push_back(question);
+    }
+    return questions;
+}
+
 void engine_placer::learn_usual_pace(const std::string& service,
                                      std::span<engine_state* const> states) {
     std::vector<double> known;
@@ -125,20 +136,24 @@
 
 /// The engine that keeps most of the prompt. If none is known to keep any, the one that the session
 /// meets at by hash may, since other entries send there too.
-void engine_placer::find_keeper(asked& question, std::span<const std::string_view> sources) const {
-    const kept_prompt most = most_kept(sources, question.request.shape);
+void engine_placer::find_keeper(asked& question, std::span<const engine_source> sources) const {
+    const kept_prompt most = most_kept(sources, question.region, question.request.shape);
     question.keeper = most.kept > 0 ? most.engine : question.home;
     question.most_kept = most.kept;
 }
 
-engine_placer::kept_prompt engine_placer::most_kept(std::span<const std::string_view> sources,
+engine_placer::kept_prompt engine_placer::most_kept(std::span<const engine_source> sources,
+                                                    std::string_view region,
                                                     const prompt_shape& shape) const {
     kept_prompt most;
-    for (const std::string_view source : sources) {
-        const auto found = engines_.find(source);
+    for (const engine_source& source : sources) {
+        if (source.region != region) {
+            continue;
+        }
+        const auto found = engines_.find(source.id);
         const tokens kept = found == engines_.end() ? 0 : found->second.memory.kept(shape);
         if (kept > most.kept) {
-            most = {source, kept};
+            most = {source.id, kept};
         }
     }
     return most;
@@ -179,8 +194,9 @@
         reading_share * static_cast<double>(unread) + copying_share * static_cast<double>(copied);
     const double aim = std::max(1.0, as_milliseconds(request.first_event_aim));
     const double home = candidate.id == question.home ? home_share : 0.0;
-    const double preference =
-        waiting_share * price.first_event_ms / aim + crowding_share * runs / slots - home;
+    const double crossing = candidate.way_ms > 0.0 ? crossing_share : 0.0;
+    const double preference = waiting_share * price.first_event_ms / aim +
+                              crowding_share * runs / slots + crossing - home;
     price.sum = price.lost_here + price.lost_beside + engine_time + stake * preference;
     return price;
 }
@@ -199,7 +215,7 @@
                    : 0.0;
     const double alone = question.service.model.first_event_ms(request.shape.prompt, unread);
     const double before = std::max(candidate.wait_ms, state.load.backlog_ms(now));
-    return before + state.load.overdue_ms(now) + slot_wait + copying +
+    return candidate.way_ms + before + state.load.overdue_ms(now) + slot_wait + copying +
            slowness(state, question.service) * alone;
 }
 
@@ -308,6 +324,12 @@
     }
 }
 
+double engine_placer::reading_ms(std::string_view service, tokens prompt) const {
+    const auto found = services_.find(service);
+    return (found == services_.end() ? reading_model() : found->second.model)
+        .reading_ms(prompt, prompt);
+}
+
 std::string engine_placer::describe(instant now, std::string_view target) const {
     const auto found = engines_.find(target);
     if (found == engines_.end()) {
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <bus.pb.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "wrenswitch/core/digest.hpp"
@@ -39,6 +40,7 @@
     target_pool_settings pool;
     pool.failure_domain = settings.failure_domain;
     pool.regions = settings.regions;
+    pool.far_round_trip = settings.far_round_trip;
     pool.entries = [&members] { return std::max(least_entries, members.members()); };
     return pool;
 }
@@ -50,6 +52,15 @@
     return homes;
 }
 
+/// Where engines are, if that makes a difference.
+engine_keepers::region_hook engine_regions(const gateway_settings& settings,
+                                           const target_pool& targets) {
+    if (!settings.regions.has_several()) {
+        return {};
+    }
+    return [&targets](std::string_view engine) { return targets.region_of(engine); };
+}
+
 std::string host_of(std::string_view address) {
     return std::string(address.substr(0, address.rfind(':')));
 }
@@ -79,7 +90,7 @@
       events_(settings.log_requests_per_second, metrics_),
       homes_(settings.host, home_settings(settings)),
       targets_(pool_settings(settings, homes_), random_),
-      keepers_(homes_),
+      keepers_(homes_, engine_regions(settings, targets_)),
       lag_(loop, [this] { return context_->requests.size(); }) {}
 
 gateway::~gateway() {
@@ -438,7 +449,7 @@
 }
 
 /// Relays stand beside engines' targets. Each gateway begins with another one, those of its own
-/// failure domain first.
+/// failure domain first, then those of its own region.
 std::vector<std::string> gateway::relay_endpoints() const {
     if (settings_.relay_port == 0) {
         return {};
@@ -452,7 +463,9 @@
     }
     const auto rank = [this](const gateway_target& target) {
         const bool elsewhere = target.failure_domain != settings_.failure_domain;
-        return std::pair(elsewhere, spread_hash(target.id, spread_hash(settings_.host)));
+        const bool is_far =
+            !settings_.regions.are_near(target.failure_domain, settings_.failure_domain);
+        return std::tuple(is_far, elsewhere, spread_hash(target.id, spread_hash(settings_.host)));
     };
     std::sort(beside.begin(), beside.end(),
               [&rank](const gateway_target& left, const gateway_target& right) {
--- a/src/roles/gateway/placement_codec.cpp
+++ b/src/roles/gateway/placement_codec.cpp
@@ -77,6 +77,7 @@
         ask.add_tried(target);
     }
     set_limits(request.limits, ask);
+    ask.set_way_us(static_cast<std::uint32_t>(request.way.count()));
     return ask;
 }
 
@@ -93,6 +94,7 @@
     request.first_event_aim = milliseconds(ask.first_event_aim_ms());
     request.longest_pause = milliseconds(ask.longest_pause_ms());
     request.limits = limits_from_wire(ask);
+    request.way = microseconds(ask.way_us());
     return request;
 }
 
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -30,6 +30,18 @@
 /// is found among a few.
 constexpr std::size_t most_cold_keepers = 4;
 
+/// A keeper of another region is asked too if this share of a request is expected to be lost at the
+/// best engine of the own region: the word takes the way there and back, and so does the answer.
+constexpr double loss_to_ask_afar = 0.2;
+
+/// A request goes to another region if less than this share of what it would lose in its own is
+/// lost there: bytes between regions are dear, and its account's memory is in the own one.
+constexpr double gain_to_cross = 0.7;
+
+/// An entry that asked another region in vain doesn't ask again for so long: when both are full
+/// each request would wait for nothing and hold two places.
+constexpr microseconds vain_rest = milliseconds(300);
+
 /// News of runs wait this long for company: a part of what reading a usual prompt takes.
 constexpr microseconds news_wait = milliseconds(20);
 
@@ -57,8 +69,8 @@
     const auto run = static_cast<std::uint64_t>(random_.next_id<incarnation_id>());
     auto wanted = std::make_shared<handle>();
     pending_ask wish{
-        service, request, {tried.begin(), tried.end()}, left, std::move(chosen), wanted, {},
-        now,     {}};
+        service, request, {tried.begin(), tried.end()}, left, std::move(chosen), wanted, {}, now,
+        {},      {}};
     const std::string_view home = targets_.meeting_engine(now, service, request, tried);
     const std::optional<ledger_member> keeper =
         home.empty() ? std::nullopt : keepers_.keeper_of(now, home);
@@ -68,6 +80,7 @@
         return wanted;
     }
     wish.keeper = *keeper;
+    wish.request.way = hooks_.round_trip(*keeper);
     if (keepers_.is_own(now, home)) {
         choose_at_own_desk(run, std::move(wish));
     } else {
@@ -104,7 +117,9 @@
     counters_.counter("placement_asks_late_total") += 1;
     watch(wish.keeper, wish.asked);
     remember_late(run, wish);
-    if (!wish.wanted.expired()) {
+    if (wish.offer) {
+        use_offer(std::move(wish));
+    } else if (!wish.wanted.expired()) {
         choose_alone(run, std::move(wish));
     }
 }
@@ -181,7 +196,82 @@
         choose_alone(run, std::move(wish));
         return;
     }
-    wish.chosen(choice, {run, choice.target->id, "self", {}, 0, microseconds(0), {}});
+    const near_offer offer{run,
+                           choice.target->id,
+                           choice.copy_from == nullptr ? "" : choice.copy_from->id,
+                           choice.unread,
+                           choice.price,
+                           choice.wait,
+                           {},
+                           microseconds(0)};
+    if (!ask_afar(offer, wish)) {
+        wish.chosen(choice, {run, choice.target->id, "self", {}, 0, microseconds(0), {}});
+    }
+}
+
+/// Asks a keeper of another region too if the best engine of the own region would lose much of the
+/// request. True if the wish now waits for that.
+bool placement_exchange::ask_afar(const near_offer& offer, pending_ask& wish) {
+    const instant now = monotonic_now();
+    const auto stake =
+        static_cast<double>(wish.request.shape.prompt + expected_output(wish.request.shape));
+    const double lost = offer.price.lost_here + offer.price.lost_beside;
+    if (wish.offer || lost < loss_to_ask_afar * stake || now < no_ask_afar_until_) {
+        return false;
+    }
+    const std::string_view engine = targets_.meeting_engine(
+        now, wish.service, wish.request, wish.tried, meeting_place::another_region);
+    const std::optional<ledger_member> keeper =
+        engine.empty() ? std::nullopt : keepers_.keeper_of(now, engine);
+    const bool is_far = keeper && hooks_.round_trip(*keeper) > microseconds(0);
+    if (!is_far || silent_.contains(keeper->host)) {
+        return false;
+    }
+    counters_.counter("placement_asks_afar_total") += 1;
+    wish.offer = offer;
+    wish.keeper = *keeper;
+    wish.request.way = hooks_.round_trip(*keeper);
+    ask(static_cast<std::uint64_t>(random_.next_id<incarnation_id>()), std::move(wish));
+    return true;
+}
+
+void placement_exchange::take_back(const near_offer& offer) {
+    ended({offer.run, offer.target, offer.keeper.host, offer.keeper.endpoint, 0, {}, {}},
+          run_end::left);
+}
+
+/// Goes on with what the keeper of the own region offered, if that may still be used.
+void placement_exchange::use_offer(pending_ask wish) {
+    const instant now = monotonic_now();
+    const near_offer offer = std::move(*wish.offer);
+    if (wish.wanted.expired()) {
+        take_back(offer);
+        return;
+    }
+    if (!targets_.usable(offer.target, wish.service, wish.request.limits)) {
+        take_back(offer);
+        choose_alone(offer.run, std::move(wish));
+        return;
+    }
+    target_choice choice;
+    choice.target = targets_.find(offer.target);
+    choice.copy_from = offer.copy_from.empty() ? nullptr : targets_.find(offer.copy_from);
+    choice.unread = offer.unread;
+    choice.price = offer.price;
+    choice.wait = offer.wait;
+    placed_run placed{offer.run,
+                      offer.target,
+                      offer.keeper.host.empty() ? "self" : offer.keeper.host,
+                      offer.keeper.endpoint,
+                      0,
+                      offer.asked_for,
+                      {}};
+    if (!offer.keeper.host.empty()) {
+        targets_.improve_source(now, wish.request, choice);
+        placed.counted_here =
+            targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
+    }
+    wish.chosen(choice, placed);
 }
 
 /// The engines of one keeper have no turn in time, those of another may.
@@ -273,6 +363,13 @@
                       {}};
     if (wish.wanted.expired()) {
         ended(placed, run_end::left);
+        if (wish.offer) {
+            take_back(*wish.offer);
+        }
+        return;
+    }
+    if (wish.offer) {
+        choose_region(answer, placed, std::move(wish));
         return;
     }
     if (!counted && answer.all_cold()) {
@@ -292,12 +389,45 @@
     }
     counters_.histogram("placement_ask_ms").observe(placed.asked_for);
     target_choice choice = from_wire(answer, targets_);
+    const near_offer offer{answer.run(), answer.target(), answer.copy_from(), choice.unread,
+                           choice.price, choice.wait,     wish.keeper,        placed.asked_for};
+    const bool is_near = hooks_.round_trip(wish.keeper) == microseconds(0);
+    if (is_near && ask_afar(offer, wish)) {
+        return;
+    }
     targets_.improve_source(now, wish.request, choice);
     placed.counted_here =
         targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
     wish.chosen(choice, placed);
 }
 
+/// A keeper of another region answered while one of the own region holds a place: the better one is
+/// used and the other one taken back.
+void placement_exchange::choose_region(const wire::PlacementAnswer& answer, placed_run placed,
+                                       pending_ask wish) {
+    const bool usable =
+        targets_.usable(answer.target(), wish.service, wish.request.limits) &&
+        std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
+    const placement_price& near = wish.offer->price;
+    const double lost_near = near.lost_here + near.lost_beside;
+    const bool better =
+        usable && answer.lost_here() + answer.lost_beside() < gain_to_cross * lost_near;
+    if (!better) {
+        no_ask_afar_until_ = monotonic_now() + vain_rest;
+        if (!answer.target().empty()) {
+            ended(placed, run_end::left);
+        }
+        use_offer(std::move(wish));
+        return;
+    }
+    counters_.counter("placements_afar_total") += 1;
+    take_back(*wish.offer);
+    target_choice choice = from_wire(answer, targets_);
+    placed.counted_here =
+        targets_.begin_run(monotonic_now(), placed.target, wish.request, choice.unread, false);
+    wish.chosen(choice, placed);
+}
+
 void placement_exchange::first_event(const placed_run& run) {
     const instant now = monotonic_now();
     if (run.counted_here != 0) {
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -17,6 +17,7 @@
 #include "wrenswitch/drivers/message_bus.hpp"
 
 namespace wrenswitch::wire {
+class PlacementAnswer;
 class RunNewsBatch;
 class RunNews;
 }  // namespace wrenswitch::wire
@@ -96,6 +97,20 @@
     bool on_message(const message_origin& origin, const wire::Envelope& message);
 
 private:
+    /// What a keeper of the own region offered while one of another region is asked too. The
+    /// engine's place there is held.
+    struct near_offer {
+        std::uint64_t run = 0;
+        std::string target;
+        std::string copy_from;
+        tokens unread = 0;
+        placement_price price;
+        microseconds wait{};
+        /// Empty if it was this entry itself.
+        ledger_member keeper;
+        microseconds asked_for{};
+    };
+
     struct pending_ask {
         std::string service;
         engine_request request;
@@ -106,6 +121,7 @@
         std::weak_ptr<handle> wanted;
         ledger_member keeper;
         instant asked{};
+        std::optional<near_offer> offer;
         /// Keepers whose engines are cold and have no turn in time.
         std::vector<std::string> cold_keepers;
         /// True if nobody is asked after this.
@@ -124,6 +140,10 @@
     void choose_alone(std::uint64_t run, pending_ask wish);
     void choose_at_own_desk(std::uint64_t run, pending_ask wish);
     void try_another_keeper(std::uint64_t run, pending_ask wish);
+    bool ask_afar(const near_offer& offer, pending_ask& wish);
+    void take_back(const near_offer& offer);
+    void use_offer(pending_ask wish);
+    void choose_region(const wire::PlacementAnswer& answer, placed_run placed, pending_ask wish);
     void on_ask(const message_origin& origin, const wire::Envelope& message);
     void keeper_spoke(const ledger_member& keeper, instant asked);
     void on_answer(const message_origin& origin, const wire::Envelope& message);
@@ -145,6 +165,8 @@
     std::map<std::uint64_t, late_ask> late_;
     /// Keepers that let an ask pass its time and have said nothing since.
     std::set<std::string> silent_;
+    /// Until when no other region is asked, since one had nothing better.
+    instant no_ask_afar_until_{};
     /// When the latest ask that was answered went out.
     instant answered_ask_{};
     /// When each keeper last answered.
--- a/tests/decision/placement/engine_keepers_test.cpp
+++ b/tests/decision/placement/engine_keepers_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <set>
 
 namespace {
 
@@ -34,6 +35,32 @@
     }
 };
 
+/// The same entries in two regions, odd ones in the north, with engines of both.
+struct regional_keepers_fixture {
+    token_homes members{"h3", regional_settings("north")};
+    engine_keepers keepers{members, region_of};
+
+    regional_keepers_fixture() { fill(members); }
+
+    static token_home_settings regional_settings(const std::string& region) {
+        token_home_settings settings;
+        settings.own_region = region;
+        return settings;
+    }
+
+    static void fill(token_homes& directory) {
+        for (int number = 1; number <= 20; ++number) {
+            ledger_member each = keepers_fixture::member(number);
+            each.region = number % 2 == 0 ? "south" : "north";
+            directory.apply(each);
+        }
+    }
+
+    static std::string_view region_of(std::string_view engine) {
+        return (engine.back() - '0') % 2 == 0 ? "south" : "north";
+    }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(engine_keepers_test, keepers_fixture)
@@ -116,4 +143,73 @@
     BOOST_TEST(!none.is_own(now, "e1"));
 }
 
+BOOST_FIXTURE_TEST_CASE(engine_is_kept_by_an_entry_of_its_own_region, regional_keepers_fixture) {
+    token_homes others{"h8", regional_settings("south")};
+    engine_keepers theirs{others, region_of};
+    fill(others);
+    std::set<std::string> named;
+    for (int engine = 0; engine < 180; ++engine) {
+        const std::string id = "e" + std::to_string(engine);
+        const ledger_member keeper = *keepers.keeper_of(now, id);
+        BOOST_TEST(keeper.region == region_of(id));
+        BOOST_TEST(theirs.keeper_of(now, id)->host == keeper.host);
+        BOOST_TEST(keepers.is_own_for_all(now, id) == (keeper.host == "h3"));
+        named.insert(keeper.host);
+    }
+    // Two for the ten entries of each region: the largest ones.
+    BOOST_TEST(named == (std::set<std::string>{"h1", "h2", "h3", "h4"}));
+}
+
+BOOST_FIXTURE_TEST_CASE(region_without_an_entry_that_answers_is_kept_from_another_one,
+                        regional_keepers_fixture) {
+    for (int number = 2; number <= 20; number += 2) {
+        members.failed(now, "h" + std::to_string(number));
+    }
+    BOOST_TEST(keepers.keeper_of(now, "e2")->region == "north");
+    // Who gives turns at cold engines doesn't depend on who is reached from here.
+    for (int engine = 0; engine < 180; engine += 2) {
+        BOOST_TEST(!keepers.is_own_for_all(now, "e" + std::to_string(engine)));
+    }
+    BOOST_TEST(keepers.keeper_of(now + seconds(2), "e2")->region == "south");
+}
+
+BOOST_FIXTURE_TEST_CASE(region_whose_entries_have_left_is_kept_for_all_from_another_one,
+                        regional_keepers_fixture) {
+    const std::uint64_t before = keepers.changes(now);
+    for (int number = 2; number <= 20; number += 2) {
+        members.remove("h" + std::to_string(number));
+    }
+    bool is_own = false;
+    for (int engine = 0; engine < 180; engine += 2) {
+        const std::string id = "e" + std::to_string(engine);
+        BOOST_TEST(keepers.keeper_of(now, id)->region == "north");
+        is_own = is_own || keepers.is_own_for_all(now, id);
+    }
+    BOOST_TEST(is_own);
+    BOOST_TEST(keepers.changes(now) > before);
+}
+
+BOOST_FIXTURE_TEST_CASE(keeper_without_room_is_followed_by_one_of_the_own_region_first,
+                        regional_keepers_fixture) {
+    BOOST_TEST(keepers.another(now, std::vector<std::string>{"h3"}, 0.99)->host == "h1");
+    const std::vector<std::string> near{"h1", "h3"};
+    BOOST_TEST(keepers.another(now, near, 0.0)->region == "south");
+    const std::vector<std::string> all{"h1", "h2", "h3", "h4"};
+    BOOST_TEST(!keepers.another(now, all, 0.5).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(one_region_has_the_keepers_that_no_region_has, keepers_fixture) {
+    token_homes single{"h3", regional_keepers_fixture::regional_settings("north")};
+    engine_keepers theirs{single};
+    for (int number = 1; number <= 20; ++number) {
+        ledger_member each = member(number);
+        each.region = "north";
+        single.apply(each);
+    }
+    for (int engine = 0; engine < 180; ++engine) {
+        const std::string id = "e" + std::to_string(engine);
+        BOOST_TEST(theirs.keeper_of(now, id)->host == keepers.keeper_of(now, id)->host);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/decision/placement/engine_placer_test.cpp
+++ b/tests/decision/placement/engine_placer_test.cpp
@@ -41,10 +41,10 @@
     engine_choice choose_with(engine_placer& with, const engine_request& asked,
                               instant at = now) const {
         std::vector<engine_candidate> candidates;
-        std::vector<std::string_view> sources;
+        std::vector<engine_source> sources;
         for (const std::string& id : ids) {
             candidates.push_back({id, 64, 0.0});
-            sources.push_back(id);
+            sources.push_back({id});
         }
         return with.choose(at, service, candidates, sources, asked);
     }
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include <bus.pb.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "support/loop_runner.hpp"
@@ -16,9 +17,11 @@
 
 /// One entry that places requests and may be a keeper, over a real bus.
 struct placing_entry {
-    placing_entry(event_loop& loop, int number, std::string stands_in = {})
+    placing_entry(event_loop& loop, int number, std::string stands_in = {},
+                  bool has_engines_by_region = false)
         : host("h" + std::to_string(number)),
           region(std::move(stands_in)),
+          engines_by_region(has_engines_by_region),
           bus(message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value()),
           members(host, home_settings(region)),
           exchange(loop, *bus, targets, keepers, desk, counters,
@@ -39,14 +42,25 @@
             }
         });
         for (int target = 1; target <= 12; ++target) {
-            targets.apply(
-                {"e" + std::to_string(target), service, "127.0.0.1:1", "d1", 32, false, {}});
+            const bool is_northern = engines_by_region && target > 6;
+            targets.apply({"e" + std::to_string(target),
+                           service,
+                           "127.0.0.1:1",
+                           is_northern ? "d2" : "d1",
+                           32,
+                           false,
+                           {}});
         }
     }
 
-    static target_pool_settings pool_settings() {
+    target_pool_settings pool_settings() const {
         target_pool_settings settings;
         settings.failure_domain = "d1";
+        if (engines_by_region) {
+            settings.failure_domain = region == "north" ? "d2" : "d1";
+            settings.regions.add("d1", "south");
+            settings.regions.add("d2", "north");
+        }
         settings.entries = [] { return 4U; };
         return settings;
     }
@@ -63,12 +77,13 @@
 
     std::string host;
     std::string region;
+    bool engines_by_region = false;
     metrics counters;
     random_source random;
     engine_shape engine{3, 200'000, 0.0};
     std::unique_ptr<message_bus> bus;
     token_homes members;
-    engine_keepers keepers{members};
+    engine_keepers keepers{members, [this](std::string_view id) { return targets.region_of(id); }};
     target_pool targets{pool_settings(), random};
     placement_desk desk{targets, keepers, counters};
     std::vector<std::string> silent;
@@ -137,10 +152,10 @@
     std::unique_ptr<loopback_proxy> way;
     std::vector<std::unique_ptr<placing_entry>> regional;
 
-    far_keeper_fixture() {
+    explicit far_keeper_fixture(bool engines_by_region = false) {
         for (int number = 1; number <= 4; ++number) {
-            regional.push_back(
-                std::make_unique<placing_entry>(loop, number, number == 1 ? "north" : "south"));
+            regional.push_back(std::make_unique<placing_entry>(
+                loop, number, number == 1 ? "north" : "south", engines_by_region));
         }
         keeper = regional[0].get();
         asker = regional[1].get();
@@ -154,10 +169,14 @@
             }
         }
         // The first ask makes the connection.
-        place(*asker, prompt(3));
+        const auto first = asker->exchange.place(service, long_to_read(3), {}, seconds(5),
+                                                 [](const target_choice&, const placed_run&) {});
         BOOST_REQUIRE(run_until([&] { return !asker->answered.empty(); }));
     }
 
+    /// A session that meets at one engine for all regions.
+    static engine_request long_to_read(std::uint64_t session) { return prompt(session, 14'000); }
+
     ledger_member seen_by(const placing_entry& entry, const placing_entry& member) const {
         ledger_member seen = member.self();
         if (entry.region != member.region && member.region == "north") {
@@ -167,6 +186,47 @@
     }
 };
 
+/// Six engines in each of two regions; the entries but one are in the south.
+struct two_regions_fixture : far_keeper_fixture {
+    placing_entry* near_keeper = nullptr;
+
+    two_regions_fixture() : far_keeper_fixture(true) {
+        const std::string host = asker->keepers.keeper_of(monotonic_now(), "e1")->host;
+        for (const auto& entry : regional) {
+            near_keeper = entry->host == host ? entry.get() : near_keeper;
+        }
+        for (const auto& entry : regional) {
+            if (entry->region == "south" && entry.get() != near_keeper) {
+                asker = entry.get();
+            }
+        }
+        // Connections in both regions.
+        place(*asker, chat(1));
+        for (std::uint64_t session = 900; !has_answered("h1"); session += 2) {
+            const auto wish = begin(*asker, long_to_read(session));
+            run_for(milliseconds(150));
+        }
+    }
+
+    bool has_answered(const std::string& host) const {
+        const std::vector<std::string>& hosts = asker->answered;
+        return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+    }
+
+    /// Has next to nothing that a session shares.
+    static engine_request chat(std::uint64_t session) { return prompt(session, 900); }
+
+    /// Every engine of the south reads for a long time.
+    void fill_the_south() const {
+        for (int number = 1; number <= 6; ++number) {
+            near_keeper->targets.begin_run(monotonic_now(), "e" + std::to_string(number),
+                                           prompt(500, 150'000), 150'000, true);
+        }
+    }
+
+    std::string region_of_last() const { return std::string(asker->targets.region_of(run.target)); }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(placement_exchange_test, placement_exchange_fixture)
@@ -378,4 +438,76 @@
     BOOST_TEST(run.keeper.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(request_is_placed_in_its_own_region_without_a_word_from_afar,
+                        two_regions_fixture) {
+    way->silent = true;
+    for (std::uint64_t session = 101; session < 121; session += 2) {
+        place(*asker, chat(session));
+        BOOST_TEST(region_of_last() == "south");
+        BOOST_TEST(run.keeper == near_keeper->host);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(request_that_would_be_late_in_its_region_goes_to_another_one,
+                        two_regions_fixture) {
+    const std::size_t before = near_keeper->desk.runs();
+    fill_the_south();
+    place(*asker, chat(101));
+    BOOST_TEST(region_of_last() == "north");
+    BOOST_TEST(run.keeper == "h1");
+    // What was held for it in its own region is given back.
+    BOOST_REQUIRE(run_until([&] { return near_keeper->desk.runs() == before; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(request_stays_in_a_full_region_while_the_others_are_out_of_reach,
+                        two_regions_fixture) {
+    fill_the_south();
+    way->silent = true;
+    place(*asker, chat(101));
+    BOOST_TEST(region_of_last() == "south");
+    BOOST_TEST(run.keeper == near_keeper->host);
+    const instant asked = monotonic_now();
+    place(*asker, chat(103));
+    BOOST_TEST(region_of_last() == "south");
+    BOOST_TEST((monotonic_now() - asked < milliseconds(40)));
+}
+
+BOOST_FIXTURE_TEST_CASE(other_region_that_is_full_too_is_not_asked_each_time, two_regions_fixture) {
+    fill_the_south();
+    for (int number = 7; number <= 12; ++number) {
+        keeper->targets.begin_run(monotonic_now(), "e" + std::to_string(number),
+                                  prompt(500, 150'000), 150'000, true);
+    }
+    const std::size_t before = keeper->desk.runs();
+    const double asked = asker->counters.counter("placement_asks_afar_total");
+    for (std::uint64_t session = 101; session < 111; session += 2) {
+        place(*asker, chat(session));
+        BOOST_TEST(region_of_last() == "south");
+    }
+    BOOST_TEST(asker->counters.counter("placement_asks_afar_total") == asked + 1.0);
+    BOOST_REQUIRE(run_until([&] { return keeper->desk.runs() == before; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(request_that_is_bound_to_a_full_region_stays_there, two_regions_fixture) {
+    fill_the_south();
+    engine_request bound = chat(101);
+    bound.limits.regions = {{"south"}};
+    place(*asker, bound);
+    BOOST_TEST(region_of_last() == "south");
+}
+
+BOOST_FIXTURE_TEST_CASE(place_held_for_a_caller_who_left_is_given_back_in_both_regions,
+                        two_regions_fixture) {
+    const std::size_t near_before = near_keeper->desk.runs();
+    const std::size_t far_before = keeper->desk.runs();
+    fill_the_south();
+    const double asked = asker->counters.counter("placement_asks_afar_total");
+    auto wish = begin(*asker, chat(101));
+    BOOST_REQUIRE(
+        run_until([&] { return asker->counters.counter("placement_asks_afar_total") > asked; }));
+    wish.reset();
+    BOOST_REQUIRE(run_until([&] { return near_keeper->desk.runs() == near_before; }));
+    BOOST_REQUIRE(run_until([&] { return keeper->desk.runs() == far_before; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
