Price a choice made alone without the way to the keeper that was asked

A request whose far keeper said nothing kept the way there and back as a part of the time to its first event when its entry then chose by itself, and one that was sent on to another keeper kept the first one's. The way is set anew at each.

--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -125,6 +125,7 @@
 /// ask, so that a keeper is asked all the same, and more patiently.
 void placement_exchange::choose_alone(std::uint64_t run, pending_ask wish) {
     const instant now = monotonic_now();
+    wish.request.way = microseconds(0);
     const target_choice choice = targets_.pick_engine(
         now, wish.service, wish.request, wish.tried, [](std::string_view) { return true; },
         turn_owner::stand_in);
@@ -155,16 +156,9 @@
         choose_alone(run, std::move(wish));
         return;
     }
-    const near_offer offer{run,
-                           choice.target->id,
-                           choice.copy_from == nullptr ? "" : choice.copy_from->id,
-                           choice.unread,
-                           choice.price,
-                           choice.wait,
-                           {},
-                           microseconds(0)};
+    const near_offer offer = offer_of(run, choice, {}, microseconds(0));
     if (!ask_afar(offer, wish)) {
-        wish.chosen(choice, {run, choice.target->id, "self", {}, 0, microseconds(0), {}});
+        wish.chosen(choice, run_of(offer));
     }
 }
 
@@ -195,14 +189,13 @@
 }
 
 void placement_exchange::take_back(const near_offer& offer) {
-    ended({offer.run, offer.target, offer.keeper.host, offer.keeper.endpoint, 0, {}, {}},
-          run_end::left);
+    ended(run_of(offer), run_end::left);
 }
 
 /// Goes on with what the keeper of the own region offered, if that may still be used.
 void placement_exchange::use_offer(pending_ask wish) {
     const instant now = monotonic_now();
-    const near_offer offer = std::move(*wish.offer);
+    const near_offer offer = *std::exchange(wish.offer, std::nullopt);
     if (wish.wanted.expired()) {
         take_back(offer);
         return;
@@ -212,19 +205,8 @@
         choose_alone(offer.run, std::move(wish));
         return;
     }
-    target_choice choice;
-    choice.target = targets_.find(offer.target);
-    choice.copy_from = offer.copy_from.empty() ? nullptr : targets_.find(offer.copy_from);
-    choice.unread = offer.unread;
-    choice.price = offer.price;
-    choice.wait = offer.wait;
-    placed_run placed{offer.run,
-                      offer.target,
-                      offer.keeper.host.empty() ? "self" : offer.keeper.host,
-                      offer.keeper.endpoint,
-                      0,
-                      offer.asked_for,
-                      {}};
+    target_choice choice = choice_of(offer, targets_);
+    placed_run placed = run_of(offer);
     if (!offer.keeper.host.empty()) {
         targets_.improve_source(now, wish.request, choice);
         placed.counted_here =
@@ -246,6 +228,7 @@
     }
     counters_.counter("placements_at_another_keeper_total") += 1;
     wish.keeper = *next;
+    wish.request.way = reach_.round_trip(*next);
     if (next->host == keepers_.own_host()) {
         choose_at_own_desk(run, std::move(wish));
     } else {
@@ -337,8 +320,7 @@
     }
     counters_.histogram("placement_ask_ms").observe(placed.asked_for);
     target_choice choice = from_wire(answer, targets_);
-    const near_offer offer{answer.run(), answer.target(), answer.copy_from(), choice.unread,
-                           choice.price, choice.wait,     wish.keeper,        placed.asked_for};
+    const near_offer offer = offer_of(answer.run(), choice, wish.keeper, placed.asked_for);
     const bool is_near = reach_.round_trip(wish.keeper) == microseconds(0);
     if (is_near && ask_afar(offer, wish)) {
         return;
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "roles/gateway/keeper_reach.hpp"
+#include "roles/gateway/near_offer.hpp"
 #include "roles/gateway/placement_desk.hpp"
 #include "roles/gateway/run_news_sender.hpp"
 #include "wrenswitch/core/metrics.hpp"
@@ -24,23 +25,6 @@
 
 namespace wrenswitch {
 
-/// A request that was placed at an engine.
-struct placed_run {
-    /// Unique in the fleet; zero if there is no run.
-    std::uint64_t number = 0;
-    std::string target;
-    /// The host that keeps the engine's load, for logs; empty if this entry chose by itself.
-    std::string keeper;
-    /// Where the keeper is told how the run fares; empty if it is this entry, or nobody.
-    std::string keeper_endpoint;
-    /// Its number at the engine as this entry counts it, or zero if only its own desk does.
-    std::uint64_t counted_here = 0;
-    /// How long the choice took: as old is what it knew of the engine's load.
-    microseconds asked_for{};
-    /// The spans of events that came, which the keeper is told at the end.
-    std::vector<microseconds> spans;
-};
-
 /// Finds an engine for each request with a prompt: asks the keeper of the session's home engine,
 /// and chooses by this entry's own runs if no keeper answers in time. A request costs three small
 /// messages, however many entries and engines there are.
@@ -97,20 +81,6 @@
     bool on_message(const message_origin& origin, const wire::Envelope& message);
 
 private:
-    /// What a keeper of the own region offered while one of another region is asked too. The
-    /// engine's place there is held.
-    struct near_offer {
-        std::uint64_t run = 0;
-        std::string target;
-        std::string copy_from;
-        tokens unread = 0;
-        placement_price price;
-        microseconds wait{};
-        /// Empty if it was this entry itself.
-        ledger_member keeper;
-        microseconds asked_for{};
-    };
-
     struct pending_ask {
         std::string service;
         engine_request request;
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -510,4 +510,27 @@
     BOOST_REQUIRE(run_until([&] { return keeper->desk.runs() == far_before; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(choice_made_alone_does_not_price_the_way_to_the_keeper_that_was_asked,
+                        two_regions_fixture) {
+    std::uint64_t session = 101;
+    const auto meets_afar = [&] {
+        const std::string_view met =
+            asker->targets.meeting_engine(monotonic_now(), service, long_to_read(session), {});
+        return asker->targets.region_of(met) == "north";
+    };
+    while (!meets_afar()) {
+        session += 2;
+    }
+    way->silent = true;
+    const double expected = asker->targets
+                                .pick_engine(
+                                    monotonic_now(), service, long_to_read(session), {},
+                                    [](std::string_view) { return true; }, turn_owner::stand_in)
+                                .price.first_event_ms;
+    place(*asker, long_to_read(session));
+    BOOST_TEST(run.keeper.empty());
+    BOOST_TEST(region_of_last() == "south");
+    BOOST_TEST(choice.price.first_event_ms < expected + 5.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
