--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -12,6 +12,7 @@
 
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/core/time.hpp"
+#include "wrenswitch/decision/grants/peer_distances.hpp"
 
 namespace wrenswitch {
 
@@ -26,6 +27,8 @@
     std::string failure_domain;
     /// Empty if none is known.
     std::string region;
+    /// What a call to the platform's store took when the process started; zero if that isn't known.
+    microseconds store_call{};
 
     friend bool operator==(const ledger_member&, const ledger_member&) = default;
 };
@@ -38,6 +41,10 @@
     /// How long a home that didn't answer is passed over, at first and at the most.
     microseconds first_rest = seconds(1);
     microseconds longest_rest = seconds(8);
+    /// Where this entry stands; empty if it isn't known.
+    std::string own_region{};
+    /// What the way to an entry of another region and back is taken for until it is measured.
+    microseconds far_round_trip = milliseconds(40);
 };
 
 /// How often a member was asked, by what came of it.
@@ -50,6 +57,7 @@
 
 /// Names each client account's home: the entry that draws the account's tokens from the ledger and
 /// hands them to the other entries. Every entry chooses by the same hash, so they need no talk.
+/// Where there are several regions, homes are in the one that is nearest to the store.
 /// Entries that see other members name other homes, which costs a few more appends and nothing
 /// else: a home hands out only what the ledger granted to it.
 class token_homes {
@@ -68,12 +76,20 @@
                                          std::span<const std::string> tried = {}) const;
 
     /// The members with the most capacity, for work that some entries do for all: the same ones at
-    /// every entry, leaving out those that don't answer.
-    std::vector<ledger_member> largest(instant now, std::size_t count) const;
+    /// every entry, leaving out those that don't answer. Of one region alone if one is named.
+    std::vector<ledger_member> largest(instant now, std::size_t count,
+                                       std::string_view region = {}) const;
 
     /// The same with those that don't answer this entry, so that all entries with the same members
     /// name the same ones, whoever they reach.
-    std::vector<ledger_member> largest_of_all(std::size_t count) const;
+    std::vector<ledger_member> largest_of_all(std::size_t count,
+                                              std::string_view region = {}) const;
+
+    /// How many members each region has; those whose region isn't known count nowhere.
+    std::map<std::string, std::size_t, std::less<>> members_by_region() const;
+
+    /// The homes that are in another region than this entry.
+    std::vector<ledger_member> far_homes() const;
 
     /// True if this host is the account's home.
     bool is_home(instant now, std::string_view account) const;
@@ -87,6 +103,19 @@
     /// What came of asking each member since its present process was known.
     std::vector<member_answers> answers() const;
 
+    /// The way to a member and back; zero within this entry's region.
+    microseconds round_trip(const ledger_member& member) const {
+        return distances_.round_trip(member.host, member.region);
+    }
+
+    /// True if a member is known to be in another region than this entry.
+    bool is_far(const ledger_member& member) const { return distances_.is_far(member.region); }
+
+    /// A member answered after this time.
+    void answered_after(const ledger_member& member, microseconds took) {
+        distances_.observe(member.host, member.region, took);
+    }
+
     /// How many members there are.
     std::size_t members() const { return members_.size(); }
 
@@ -107,12 +136,14 @@
     };
 
     void choose_homes();
+    std::string_view region_nearest_to_store() const;
     static std::vector<ledger_member> largest_among(std::span<const ledger_member* const> members,
                                                     std::size_t count);
     bool rests(instant now, const std::string& host) const;
 
     std::string own_host_;
     token_home_settings settings_;
+    peer_distances distances_;
     std::map<std::string, ledger_member, std::less<>> members_;
     /// The hosts that are homes.
     std::vector<std::string> homes_;
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -88,6 +88,8 @@
     /// The regions of the deployment's failure domains, this host's own among them. Without any,
     /// requests that are bound to regions are refused.
     region_table regions;
+    /// What the way to another region and back is taken for until it is measured.
+    microseconds far_round_trip = milliseconds(40);
     http_address listen;
     /// Where readiness and metrics are served.
     http_address admin;
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -15,6 +15,9 @@
 
 constexpr double least_capacity = 1e-3;
 
+/// Calls to the store that differ by less are equally far: what a busy process takes longer.
+constexpr microseconds store_call_step = milliseconds(10);
+
 /// The rank of a member in a weighted rendezvous: lower is better, and twice the capacity wins
 /// twice as often.
 double weighted_rank(const ledger_member& member) {
@@ -27,7 +30,9 @@
 }  // namespace
 
 token_homes::token_homes(std::string own_host, token_home_settings settings)
-    : own_host_(std::move(own_host)), settings_(settings) {}
+    : own_host_(std::move(own_host)),
+      settings_(std::move(settings)),
+      distances_(settings_.own_region, settings_.far_round_trip) {}
 
 void token_homes::apply(const ledger_member& member) {
     const auto known = members_.find(member.host);
@@ -47,16 +52,44 @@
     }
     resting_.erase(found->first);
     asked_.erase(found->first);
+    distances_.forget(host);
     members_.erase(found);
     version_ += 1;
     choose_homes();
 }
 
+/// Of the regions whose fastest call to the store is known, the one where it took least; empty if
+/// none is known, or there is but one region. Differences below a step don't count.
+std::string_view token_homes::region_nearest_to_store() const {
+    std::map<std::string_view, microseconds> fastest;
+    for (const auto& [host, member] : members_) {
+        if (member.region.empty() || member.store_call == microseconds(0)) {
+            continue;
+        }
+        const microseconds rounded = member.store_call / store_call_step * store_call_step;
+        const auto [known, first] = fastest.try_emplace(member.region, rounded);
+        known->second = first ? rounded : std::min(known->second, rounded);
+    }
+    if (fastest.size() < 2) {
+        return {};
+    }
+    return std::min_element(
+               fastest.begin(), fastest.end(),
+               [](const auto& left, const auto& right) { return left.second < right.second; })
+        ->first;
+}
+
+/// An append to the ledger holds only if nobody else appended since its writer read, and from afar
+/// that is 40 ms: homes that were 20 ms from the store lost to those beside it, for 0.7 s at a
+/// start, and their accounts' requests were refused meanwhile.
 void token_homes::choose_homes() {
+    const std::string_view region = region_nearest_to_store();
     std::vector<std::pair<double, std::string>> ranked;
     ranked.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        ranked.emplace_back(weighted_rank(member), host);
+        if (region.empty() || member.region == region) {
+            ranked.emplace_back(weighted_rank(member), host);
+        }
     }
     std::sort(ranked.begin(), ranked.end());
     ranked.resize(std::min(ranked.size(), settings_.most_homes));
@@ -90,22 +123,36 @@
     return best == nullptr ? std::nullopt : std::optional(members_.at(*best));
 }
 
-std::vector<ledger_member> token_homes::largest(instant now, std::size_t count) const {
+std::vector<ledger_member> token_homes::largest(instant now, std::size_t count,
+                                                std::string_view region) const {
     std::vector<const ledger_member*> answering;
     answering.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        if (!rests(now, host)) {
+        if (!rests(now, host) && (region.empty() || member.region == region)) {
             answering.push_back(&member);
         }
     }
     return largest_among(answering, count);
 }
 
-std::vector<ledger_member> token_homes::largest_of_all(std::size_t count) const {
+std::map<std::string, std::size_t, std::less<>> token_homes::members_by_region() const {
+    std::map<std::string, std::size_t, std::less<>> counts;
+    for (const auto& [host, member] : members_) {
+        if (!member.region.empty()) {
+            counts[member.region] += 1;
+        }
+    }
+    return counts;
+}
+
+std::vector<ledger_member> token_homes::largest_of_all(std::size_t count,
+                                                       std::string_view region) const {
     std::vector<const ledger_member*> all;
     all.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        all.push_back(&member);
+        if (region.empty() || member.region == region) {
+            all.push_back(&member);
+        }
     }
     return largest_among(all, count);
 }
@@ -129,6 +176,17 @@
     return chosen;
 }
 
+std::vector<ledger_member> token_homes::far_homes() const {
+    std::vector<ledger_member> far;
+    for (const std::string& host : homes_) {
+        const ledger_member& home = members_.at(host);
+        if (is_far(home)) {
+            far.push_back(home);
+        }
+    }
+    return far;
+}
+
 bool token_homes::is_home(instant now, std::string_view account) const {
     const std::optional<ledger_member> home = home_of(now, account);
     return home && home->host == own_host_;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <bus.pb.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "wrenswitch/core/digest.hpp"
@@ -42,10 +43,27 @@
     target_pool_settings pool;
     pool.failure_domain = settings.failure_domain;
     pool.regions = settings.regions;
+    pool.far_round_trip = settings.far_round_trip;
     pool.entries = [&members] { return std::max(least_entries, members.members()); };
     return pool;
 }
 
+token_home_settings home_settings(const gateway_settings& settings) {
+    token_home_settings homes;
+    homes.own_region = settings.regions.region_of(settings.failure_domain);
+    homes.far_round_trip = settings.far_round_trip;
+    return homes;
+}
+
+/// Where engines are, if that makes a difference.
+engine_keepers::region_hook engine_regions(const gateway_settings& settings,
+                                           const target_pool& targets) {
+    if (!settings.regions.has_several()) {
+        return {};
+    }
+    return [&targets](std::string_view engine) { return targets.region_of(engine); };
+}
+
 std::string host_of(std::string_view address) {
     return std::string(address.substr(0, address.rfind(':')));
 }
@@ -79,10 +97,10 @@
       dialect_(dialect),
       incarnation_(random_.next_id<incarnation_id>()),
       events_(settings.log_requests_per_second, metrics_),
-      homes_(settings.host, {}),
+      homes_(settings.host, home_settings(settings)),
       far_regions_(std::string(settings.regions.region_of(settings.failure_domain))),
       targets_(pool_settings(settings, homes_), random_),
-      keepers_(homes_),
+      keepers_(homes_, engine_regions(settings, targets_)),
       lag_(
           loop, [this] { return context_->requests.size(); },
           [this](instant now) { look_at_link(now); }),
@@ -170,7 +188,8 @@
                             reached_at,
                             settings_.capacity,
                             settings_.failure_domain,
-                            std::string(settings_.regions.region_of(settings_.failure_domain))};
+                            std::string(settings_.regions.region_of(settings_.failure_domain)),
+                            {}};
     members_ = std::make_unique<member_directory>(
         loop_, *log_, dialect_.member_log, own,
         member_directory_hooks{
@@ -185,7 +204,8 @@
                 homes_.remove(host);
                 log_event(log_level::information, "member_left", {{"host", host}});
             },
-            reachable_hook(dialect_.member_log)});
+            reachable_hook(dialect_.member_log)},
+        settings_.regions.has_several());
     tokens_ = std::make_unique<token_exchange>(
         loop_, *bus_, homes_, *grants_, *waiters_, metrics_, exchange_settings(settings_),
         token_exchange::hooks{
@@ -195,11 +215,16 @@
     desk_ = std::make_unique<placement_desk>(targets_, keepers_, metrics_);
     placements_ = std::make_unique<placement_exchange>(
         loop_, *bus_, targets_, keepers_, *desk_, metrics_,
-        placement_exchange::hooks{[this](const std::string& service) { return engine_of(service); },
-                                  [this](const std::string& host, bool others_answered) {
-                                      keeper_silent(host, others_answered);
-                                  },
-                                  [this](const std::string& host) { keeper_answered(host); }});
+        placement_exchange::hooks{
+            [this](const std::string& service) { return engine_of(service); },
+            [this](const std::string& host, bool others_answered) {
+                keeper_silent(host, others_answered);
+            },
+            [this](const std::string& host) { keeper_answered(host); },
+            [this](const ledger_member& keeper) { return homes_.round_trip(keeper); },
+            [this](const ledger_member& keeper, microseconds took) {
+                homes_.answered_after(keeper, took);
+            }});
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
 }
@@ -486,7 +511,7 @@
 }
 
 /// Relays stand beside engines' targets. Each gateway begins with another one, those of its own
-/// failure domain first.
+/// failure domain first, then those of its own region.
 std::vector<std::string> gateway::relay_endpoints() const {
     if (settings_.relay_port == 0) {
         return {};
@@ -500,7 +525,9 @@
     }
     const auto rank = [this](const gateway_target& target) {
         const bool elsewhere = target.failure_domain != settings_.failure_domain;
-        return std::pair(elsewhere, spread_hash(target.id, spread_hash(settings_.host)));
+        const bool is_far =
+            !settings_.regions.are_near(target.failure_domain, settings_.failure_domain);
+        return std::tuple(is_far, elsewhere, spread_hash(target.id, spread_hash(settings_.host)));
     };
     std::sort(beside.begin(), beside.end(),
               [&rank](const gateway_target& left, const gateway_target& right) {
@@ -582,6 +609,7 @@
     grants_->set_append_time(ledger_->append_time());
     look_whether_isolated();
     look_at_regions();
+    tokens_->open_ways();
     tokens_->return_free(now);
     ledger_->append_if_due();
     waiters_->serve(now);
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -51,6 +51,8 @@
     settings.host = reader.text("host");
     settings.failure_domain = reader.text("failure_domain");
     settings.regions = read_regions(reader, settings.failure_domain, problems);
+    settings.far_round_trip =
+        read_ms(reader, "far_round_trip_ms", settings.far_round_trip, longest_wait_ms);
     settings.listen = read_address(reader, "listen", problems);
     settings.admin = read_address(reader, "admin", problems);
     settings.service = read_address(reader, "service", problems);
--- a/src/roles/gateway/placement_codec.cpp
+++ b/src/roles/gateway/placement_codec.cpp
@@ -77,6 +77,7 @@
         ask.add_tried(target);
     }
     set_limits(request.limits, ask);
+    ask.set_way_us(static_cast<std::uint32_t>(request.way.count()));
     return ask;
 }
 
@@ -93,6 +94,7 @@
     request.first_event_aim = milliseconds(ask.first_event_aim_ms());
     request.longest_pause = milliseconds(ask.longest_pause_ms());
     request.limits = limits_from_wire(ask);
+    request.way = microseconds(ask.way_us());
     return request;
 }
 
@@ -111,6 +113,7 @@
     answer.set_pause_ms(static_cast<float>(choice.price.pause_ms));
     answer.set_lost_here(static_cast<float>(choice.price.lost_here));
     answer.set_lost_beside(static_cast<float>(choice.price.lost_beside));
+    answer.set_sum(static_cast<float>(choice.price.sum));
     answer.set_wait_us(static_cast<std::uint32_t>(choice.wait.count()));
     return answer;
 }
@@ -125,6 +128,7 @@
     choice.price.pause_ms = answer.pause_ms();
     choice.price.lost_here = answer.lost_here();
     choice.price.lost_beside = answer.lost_beside();
+    choice.price.sum = answer.sum();
     choice.wait = microseconds(answer.wait_us());
     return choice;
 }
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -5,20 +5,17 @@
 #include <algorithm>
 #include <utility>
 
-#include "roles/gateway/lag_watch.hpp"
 #include "roles/gateway/placement_codec.hpp"
 
 namespace wrenswitch {
 namespace {
 
 /// How long a keeper's answer is waited for. The way there and back takes some 2 ms; half of that
-/// time again is lost to processes that are busy, and no aim of a route is below some hundreds.
+/// time again is lost to processes that are busy, and no aim of a route is below some hundreds. The
+/// way to another region comes on top: with 20 ms for one that is 40 ms away each ask was given up,
+/// and two regions' days with trouble lost 0.08 of their worth.
 constexpr microseconds longest_ask = milliseconds(20);
 
-/// A keeper that has said nothing for this long after an ask is out of reach: some times what a
-/// lost packet takes to be sent again.
-constexpr microseconds longest_silence = milliseconds(300);
-
 /// The same while engines are cold and this entry has no turn of its own to use instead: longer
 /// than what lies before a message on the link of a small entry, 10 Mbit/s, that has one account's
 /// callers after a loss of all processes. With 20 ms two such entries refused 340 requests in 3 s.
@@ -28,8 +25,18 @@
 /// is found among a few.
 constexpr std::size_t most_cold_keepers = 4;
 
-/// News of runs wait this long for company: a part of what reading a usual prompt takes.
-constexpr microseconds news_wait = milliseconds(20);
+/// A keeper of another region is asked too if this share of a request is expected to be lost at the
+/// best engine of the own region: the word takes the way there and back, and so does the answer.
+constexpr double loss_to_ask_afar = 0.2;
+
+/// A request goes to another region if it loses and costs less than this share there of what it
+/// would in its own, with what is read again: both are estimates, and each is some tens of percent
+/// off.
+constexpr double gain_to_cross = 0.8;
+
+/// An entry that asked another region in vain doesn't ask again for so long: when both are full
+/// each request would wait for nothing and hold two places.
+constexpr microseconds vain_rest = milliseconds(300);
 
 }  // namespace
 
@@ -42,7 +49,11 @@
       keepers_(keepers),
       desk_(desk),
       counters_(counters),
-      hooks_(std::move(needs)) {}
+      engine_of_(std::move(needs.engine_of)),
+      reach_(loop, counters,
+             {std::move(needs.keeper_silent), std::move(needs.keeper_answered),
+              std::move(needs.round_trip), std::move(needs.answered_after)}),
+      news_(loop, bus, counters) {}
 
 placement_exchange::~placement_exchange() {
     *alive_ = false;
@@ -55,17 +66,18 @@
     const auto run = static_cast<std::uint64_t>(random_.next_id<incarnation_id>());
     auto wanted = std::make_shared<handle>();
     pending_ask wish{
-        service, request, {tried.begin(), tried.end()}, left, std::move(chosen), wanted, {},
-        now,     {}};
+        service, request, {tried.begin(), tried.end()}, left, std::move(chosen), wanted, {}, now,
+        {},      {}};
     const std::string_view home = targets_.meeting_engine(now, service, request, tried);
     const std::optional<ledger_member> keeper =
         home.empty() ? std::nullopt : keepers_.keeper_of(now, home);
-    if (!keeper || silent_.contains(keeper->host)) {
+    if (!keeper || reach_.is_silent(keeper->host)) {
         wish.keeper = keeper.value_or(ledger_member{});
         choose_alone(run, std::move(wish));
         return wanted;
     }
     wish.keeper = *keeper;
+    wish.request.way = reach_.round_trip(*keeper);
     if (keepers_.is_own(now, home)) {
         choose_at_own_desk(run, std::move(wish));
     } else {
@@ -82,7 +94,8 @@
     counters_.counter("placement_asks_total") += 1;
     wish.asked = monotonic_now();
     const instant asked = wish.asked;
-    const microseconds longest = wish.is_last ? longest_cold_ask : longest_ask;
+    const microseconds longest =
+        (wish.is_last ? longest_cold_ask : longest_ask) + reach_.round_trip(wish.keeper);
     pending_.insert_or_assign(run, std::move(wish));
     loop_.call_after(longest, [this, run, asked, alive = alive_] {
         if (*alive) {
@@ -99,38 +112,20 @@
     pending_ask wish = std::move(found->second);
     pending_.erase(found);
     counters_.counter("placement_asks_late_total") += 1;
-    watch(wish.keeper.host, wish.asked);
-    if (!wish.wanted.expired()) {
+    reach_.no_answer(run, wish.keeper, wish.asked);
+    if (wish.offer) {
+        use_offer(std::move(wish));
+    } else if (!wish.wanted.expired()) {
         choose_alone(run, std::move(wish));
     }
 }
 
-/// Passes a keeper over until it says something, and takes it for lost if that takes too long.
-void placement_exchange::watch(const std::string& host, instant asked) {
-    const auto heard = heard_.find(host);
-    const bool answered_since = heard != heard_.end() && heard->second >= asked;
-    if (answered_since || !silent_.insert(host).second) {
-        return;
-    }
-    const instant due = monotonic_now() + longest_silence;
-    loop_.call_after(longest_silence, [this, host, asked, due, alive = alive_] {
-        if (!*alive) {
-            return;
-        }
-        // The answer may lie unread in a process that is this late itself.
-        const bool late = monotonic_now() - due > own_lateness;
-        if (silent_.erase(host) > 0 && !late) {
-            counters_.counter("placement_keepers_silent_total") += 1;
-            hooks_.keeper_silent(host, answered_ask_ > asked);
-        }
-    });
-}
-
 /// The keeper can't be asked: the choice rests on this entry's own runs, and mostly on where the
 /// session's memory is looked for. Cold engines have next to no turns for an entry that doesn't
 /// ask, so that a keeper is asked all the same, and more patiently.
 void placement_exchange::choose_alone(std::uint64_t run, pending_ask wish) {
     const instant now = monotonic_now();
+    wish.request.way = microseconds(0);
     const target_choice choice = targets_.pick_engine(
         now, wish.service, wish.request, wish.tried, [](std::string_view) { return true; },
         turn_owner::stand_in);
@@ -161,14 +156,70 @@
         choose_alone(run, std::move(wish));
         return;
     }
-    wish.chosen(choice, {run, choice.target->id, "self", {}, 0, microseconds(0), {}});
+    const near_offer offer = offer_of(run, choice, {}, microseconds(0));
+    if (!ask_afar(offer, wish)) {
+        wish.chosen(choice, run_of(offer));
+    }
+}
+
+/// Asks a keeper of another region too if the best engine of the own region would lose much of the
+/// request. True if the wish now waits for that.
+bool placement_exchange::ask_afar(const near_offer& offer, pending_ask& wish) {
+    const instant now = monotonic_now();
+    const auto stake =
+        static_cast<double>(wish.request.shape.prompt + expected_output(wish.request.shape));
+    const double lost = offer.price.lost_here + offer.price.lost_beside;
+    if (wish.offer || lost < loss_to_ask_afar * stake || now < no_ask_afar_until_) {
+        return false;
+    }
+    const std::string_view engine = targets_.meeting_engine(
+        now, wish.service, wish.request, wish.tried, meeting_place::another_region);
+    const std::optional<ledger_member> keeper =
+        engine.empty() ? std::nullopt : keepers_.keeper_of(now, engine);
+    const bool is_far = keeper && reach_.round_trip(*keeper) > microseconds(0);
+    if (!is_far || reach_.is_silent(keeper->host)) {
+        return false;
+    }
+    counters_.counter("placement_asks_afar_total") += 1;
+    wish.offer = offer;
+    wish.keeper = *keeper;
+    wish.request.way = reach_.round_trip(*keeper);
+    ask(static_cast<std::uint64_t>(random_.next_id<incarnation_id>()), std::move(wish));
+    return true;
+}
+
+void placement_exchange::take_back(const near_offer& offer) {
+    ended(run_of(offer), run_end::left);
+}
+
+/// Goes on with what the keeper of the own region offered, if that may still be used.
+void placement_exchange::use_offer(pending_ask wish) {
+    const instant now = monotonic_now();
+    const near_offer offer = *std::exchange(wish.offer, std::nullopt);
+    if (wish.wanted.expired()) {
+        take_back(offer);
+        return;
+    }
+    if (!targets_.usable(offer.target, wish.service, wish.request.limits)) {
+        take_back(offer);
+        choose_alone(offer.run, std::move(wish));
+        return;
+    }
+    target_choice choice = choice_of(offer, targets_);
+    placed_run placed = run_of(offer);
+    if (!offer.keeper.host.empty()) {
+        targets_.improve_source(now, wish.request, choice);
+        placed.counted_here =
+            targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
+    }
+    wish.chosen(choice, placed);
 }
 
 /// The engines of one keeper have no turn in time, those of another may.
 void placement_exchange::try_another_keeper(std::uint64_t run, pending_ask wish) {
     wish.cold_keepers.push_back(wish.keeper.host);
     std::vector<std::string> passed_over = wish.cold_keepers;
-    passed_over.insert(passed_over.end(), silent_.begin(), silent_.end());
+    passed_over.insert(passed_over.end(), reach_.silent().begin(), reach_.silent().end());
     const auto next = keepers_.another(monotonic_now(), passed_over, random_.unit());
     if (!next || wish.cold_keepers.size() >= most_cold_keepers) {
         wish.is_last = true;
@@ -177,6 +228,7 @@
     }
     counters_.counter("placements_at_another_keeper_total") += 1;
     wish.keeper = *next;
+    wish.request.way = reach_.round_trip(*next);
     if (next->host == keepers_.own_host()) {
         choose_at_own_desk(run, std::move(wish));
     } else {
@@ -202,7 +254,7 @@
 
 void placement_exchange::on_ask(const message_origin& origin, const wire::Envelope& message) {
     const wire::PlacementAsk& ask = message.placement_ask();
-    const engine_shape* engine = hooks_.engine_of(ask.service());
+    const engine_shape* engine = engine_of_(ask.service());
     target_choice choice;
     if (engine != nullptr) {
         const std::vector<std::string> tried(ask.tried().begin(), ask.tried().end());
@@ -219,22 +271,20 @@
     const auto found = pending_.find(answer.run());
     const bool counted = !answer.target().empty();
     if (found == pending_.end()) {
+        reach_.answered_late(answer.run());
         // It came too late: the keeper must not count a run that went elsewhere.
         if (counted) {
             wire::RunNews news;
             news.set_run(answer.run());
             news.set_end(wire::RUN_LEFT);
-            tell(origin.endpoint, news);
+            news_.tell(origin.endpoint, news);
         }
         return;
     }
     const instant now = monotonic_now();
     pending_ask wish = std::move(found->second);
     pending_.erase(found);
-    heard_[wish.keeper.host] = now;
-    answered_ask_ = std::max(answered_ask_, wish.asked);
-    silent_.erase(wish.keeper.host);
-    hooks_.keeper_answered(wish.keeper.host);
+    reach_.answered(wish.keeper, wish.asked);
     placed_run placed{answer.run(),
                       answer.target(),
                       wish.keeper.host,
@@ -244,6 +294,13 @@
                       {}};
     if (wish.wanted.expired()) {
         ended(placed, run_end::left);
+        if (wish.offer) {
+            take_back(*wish.offer);
+        }
+        return;
+    }
+    if (wish.offer) {
+        choose_region(answer, placed, std::move(wish));
         return;
     }
     if (!counted && answer.all_cold()) {
@@ -264,6 +321,11 @@
     counters_.histogram("placement_ask_ms").observe(placed.asked_for);
     target_choice choice = from_wire(answer, targets_);
     drop_forbidden_copy(wish.request, choice);
+    const near_offer offer = offer_of(answer.run(), choice, wish.keeper, placed.asked_for);
+    const bool is_near = reach_.round_trip(wish.keeper) == microseconds(0);
+    if (is_near && ask_afar(offer, wish)) {
+        return;
+    }
     targets_.improve_source(now, wish.request, choice);
     placed.counted_here =
         targets_.begin_run(now, placed.target, wish.request, choice.unread, false);
@@ -281,6 +343,31 @@
     choice.unread = request.shape.prompt;
 }
 
+/// A keeper of another region answered while one of the own region holds a place: the better one is
+/// used and the other one taken back.
+void placement_exchange::choose_region(const wire::PlacementAnswer& answer, placed_run placed,
+                                       pending_ask wish) {
+    const bool usable =
+        targets_.usable(answer.target(), wish.service, wish.request.limits) &&
+        std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
+    const bool better = usable && answer.sum() < gain_to_cross * wish.offer->price.sum;
+    if (!better) {
+        no_ask_afar_until_ = monotonic_now() + vain_rest;
+        if (!answer.target().empty()) {
+            ended(placed, run_end::left);
+        }
+        use_offer(std::move(wish));
+        return;
+    }
+    counters_.counter("placements_afar_total") += 1;
+    take_back(*wish.offer);
+    target_choice choice = from_wire(answer, targets_);
+    drop_forbidden_copy(wish.request, choice);
+    placed.counted_here =
+        targets_.begin_run(monotonic_now(), placed.target, wish.request, choice.unread, false);
+    wish.chosen(choice, placed);
+}
+
 void placement_exchange::first_event(const placed_run& run) {
     const instant now = monotonic_now();
     if (run.counted_here != 0) {
@@ -293,7 +380,7 @@
     wire::RunNews news;
     news.set_run(run.number);
     news.set_first_event(true);
-    tell(run.keeper_endpoint, news);
+    news_.tell(run.keeper_endpoint, news);
 }
 
 void placement_exchange::next_events(placed_run& run, microseconds span) {
@@ -321,7 +408,7 @@
     for (const microseconds span : run.spans) {
         news.add_spans_us(static_cast<std::uint32_t>(span.count()));
     }
-    tell(run.keeper_endpoint, news);
+    news_.tell(run.keeper_endpoint, news);
 }
 
 void placement_exchange::take_news(const wire::RunNewsBatch& batch) {
@@ -339,31 +426,4 @@
     }
 }
 
-/// Puts news into the batch for a keeper.
-void placement_exchange::tell(const std::string& endpoint, const wire::RunNews& news) {
-    std::unique_ptr<wire::RunNewsBatch>& batch = news_[endpoint];
-    if (!batch) {
-        batch = std::make_unique<wire::RunNewsBatch>();
-    }
-    *batch->add_runs() = news;
-    if (std::exchange(sending_planned_, true)) {
-        return;
-    }
-    loop_.call_after(news_wait, [this, alive = alive_] {
-        if (*alive) {
-            send_news();
-        }
-    });
-}
-
-void placement_exchange::send_news() {
-    sending_planned_ = false;
-    for (const auto& [endpoint, batch] : std::exchange(news_, {})) {
-        wire::Envelope message;
-        message.mutable_run_news()->Swap(batch.get());
-        bus_.send(endpoint, message);
-        counters_.counter("run_news_batches_total") += 1;
-    }
-}
-
 }  // namespace wrenswitch
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -4,11 +4,13 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
+#include "roles/gateway/keeper_reach.hpp"
+#include "roles/gateway/near_offer.hpp"
 #include "roles/gateway/placement_desk.hpp"
+#include "roles/gateway/run_news_sender.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
@@ -17,29 +19,12 @@
 #include "wrenswitch/drivers/message_bus.hpp"
 
 namespace wrenswitch::wire {
+class PlacementAnswer;
 class RunNewsBatch;
-class RunNews;
 }  // namespace wrenswitch::wire
 
 namespace wrenswitch {
 
-/// A request that was placed at an engine.
-struct placed_run {
-    /// Unique in the fleet; zero if there is no run.
-    std::uint64_t number = 0;
-    std::string target;
-    /// The host that keeps the engine's load, for logs; empty if this entry chose by itself.
-    std::string keeper;
-    /// Where the keeper is told how the run fares; empty if it is this entry, or nobody.
-    std::string keeper_endpoint;
-    /// Its number at the engine as this entry counts it, or zero if only its own desk does.
-    std::uint64_t counted_here = 0;
-    /// How long the choice took: as old is what it knew of the engine's load.
-    microseconds asked_for{};
-    /// The spans of events that came, which the keeper is told at the end.
-    std::vector<microseconds> spans;
-};
-
 /// Finds an engine for each request with a prompt: asks the keeper of the session's home engine,
 /// and chooses by this entry's own runs if no keeper answers in time. A request costs three small
 /// messages, however many entries and engines there are.
@@ -54,6 +39,13 @@
         std::function<void(const std::string& host, bool others_answered)> keeper_silent;
         /// A keeper answered.
         std::function<void(const std::string& host)> keeper_answered;
+        /// The way to a keeper and back; none if it is near.
+        std::function<microseconds(const ledger_member& keeper)> round_trip = [](const auto&) {
+            return microseconds(0);
+        };
+        /// A keeper answered after this time, in time or not.
+        std::function<void(const ledger_member& keeper, microseconds took)> answered_after =
+            [](const auto&, microseconds) {};
     };
 
     /// Ends the wish for a choice when it is dropped.
@@ -99,6 +91,7 @@
         std::weak_ptr<handle> wanted;
         ledger_member keeper;
         instant asked{};
+        std::optional<near_offer> offer;
         /// Keepers whose engines are cold and have no turn in time.
         std::vector<std::string> cold_keepers;
         /// True if nobody is asked after this.
@@ -107,16 +100,17 @@
 
     void ask(std::uint64_t run, pending_ask wish);
     void give_up(std::uint64_t run, instant asked);
-    void watch(const std::string& host, instant asked);
     void choose_alone(std::uint64_t run, pending_ask wish);
     void choose_at_own_desk(std::uint64_t run, pending_ask wish);
     void try_another_keeper(std::uint64_t run, pending_ask wish);
+    bool ask_afar(const near_offer& offer, pending_ask& wish);
+    void take_back(const near_offer& offer);
+    void use_offer(pending_ask wish);
+    void choose_region(const wire::PlacementAnswer& answer, placed_run placed, pending_ask wish);
     void on_ask(const message_origin& origin, const wire::Envelope& message);
     void on_answer(const message_origin& origin, const wire::Envelope& message);
     void drop_forbidden_copy(const engine_request& request, target_choice& choice);
     void take_news(const wire::RunNewsBatch& batch);
-    void tell(const std::string& endpoint, const wire::RunNews& news);
-    void send_news();
 
     event_loop& loop_;
     message_bus& bus_;
@@ -124,18 +118,13 @@
     engine_keepers& keepers_;
     placement_desk& desk_;
     metrics& counters_;
-    hooks hooks_;
+    std::function<const engine_shape*(const std::string& service)> engine_of_;
+    keeper_reach reach_;
+    run_news_sender news_;
     random_source random_;
     std::map<std::uint64_t, pending_ask> pending_;
-    /// Keepers that let an ask pass its time and have said nothing since.
-    std::set<std::string> silent_;
-    /// When the latest ask that was answered went out.
-    instant answered_ask_{};
-    /// When each keeper last answered.
-    std::map<std::string, instant> heard_;
-    /// What keepers are to be told, by where they are reached.
-    std::map<std::string, std::unique_ptr<wire::RunNewsBatch>> news_;
-    bool sending_planned_ = false;
+    /// Until when no other region is asked, since one had nothing better.
+    instant no_ask_afar_until_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/roles/gateway/token_exchange.hpp
+++ b/src/roles/gateway/token_exchange.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -80,6 +81,9 @@
     /// Moves what is free here and belongs elsewhere to the accounts' homes.
     void return_free(instant now);
 
+    /// Makes the connections to homes of other regions before a request needs them.
+    void open_ways();
+
     void set_settings(const token_exchange_settings& settings) { settings_ = settings; }
 
     /// Which home an account's tokens come from, for logs.
@@ -93,8 +97,9 @@
         answer_hook told;
         std::weak_ptr<handle> wanted;
         std::vector<std::string> tried;
-        /// The host that was asked last.
-        std::string asked;
+        /// The host that was asked last, and when.
+        ledger_member asked;
+        instant asked_at{};
         /// Counts what is waited for, so that a timer that was overtaken does nothing.
         unsigned step = 0;
         /// True once it waits in this process's own queue, since no home is left to ask.
@@ -121,6 +126,7 @@
 
     void on_ask(const message_origin& origin, const wire::Envelope& message);
     void on_answer(const wire::Envelope& message);
+    void home_answered(pending_reservation& present);
     void take_given(const wire::Envelope& message);
     void take_returned(const wire::Envelope& message);
     tokens reserve_ahead(const std::string& account, tokens ahead);
@@ -140,6 +146,8 @@
     /// The reservation of each account that asks for those behind it too, and these in their order.
     std::map<std::string, std::uint64_t> leaders_;
     std::map<std::string, std::vector<std::uint64_t>> followers_;
+    /// Homes of other regions that were greeted, by where they are reached.
+    std::set<std::string> greeted_;
     /// Waits of other entries in this process's queue, by a number of this process's.
     std::map<std::uint64_t, std::shared_ptr<handle>> waiting_asks_;
     std::uint64_t last_waiting_ask_ = 0;
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -2,9 +2,11 @@
 
 #include <bus.pb.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "support/loop_runner.hpp"
+#include "support/loopback_proxy.hpp"
 
 namespace {
 
@@ -15,10 +17,13 @@
 
 /// One entry that places requests and may be a keeper, over a real bus.
 struct placing_entry {
-    placing_entry(event_loop& loop, int number)
+    placing_entry(event_loop& loop, int number, std::string stands_in = {},
+                  bool has_engines_by_region = false)
         : host("h" + std::to_string(number)),
+          region(std::move(stands_in)),
+          engines_by_region(has_engines_by_region),
           bus(message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value()),
-          members(host, {}),
+          members(host, home_settings(region)),
           exchange(loop, *bus, targets, keepers, desk, counters,
                    {[this](const std::string&) { return knows_engines ? &engine : nullptr; },
                     [this](const std::string& keeper, bool others_answered) {
@@ -26,23 +31,39 @@
                         others_had_answered = others_answered;
                         members.failed(monotonic_now(), keeper);
                     },
-                    [this](const std::string& keeper) { answered.push_back(keeper); }}) {
+                    [this](const std::string& keeper) { answered.push_back(keeper); },
+                    [this](const ledger_member& keeper) { return members.round_trip(keeper); },
+                    [this](const ledger_member& keeper, microseconds took) {
+                        members.answered_after(keeper, took);
+                    }}) {
         bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
             if (listens) {
                 taken = exchange.on_message(origin, message);
             }
         });
         for (int target = 1; target <= 12; ++target) {
-            targets.apply(
-                {"e" + std::to_string(target), service, "127.0.0.1:1", "d1", 32, false, {}});
+            const bool is_northern = engines_by_region && target > 6;
+            targets.apply({"e" + std::to_string(target),
+                           service,
+                           "127.0.0.1:1",
+                           is_northern ? "d2" : "d1",
+                           32,
+                           false,
+                           {}});
         }
     }
 
-    static target_pool_settings pool_settings() {
+    target_pool_settings pool_settings() const {
         target_pool_settings settings;
         settings.failure_domain = "d1";
-        settings.regions.add("d1", "north");
-        settings.regions.add("d2", "south");
+        if (engines_by_region) {
+            settings.failure_domain = region == "north" ? "d2" : "d1";
+            settings.regions.add("d1", "south");
+            settings.regions.add("d2", "north");
+        } else {
+            settings.regions.add("d1", "north");
+            settings.regions.add("d2", "south");
+        }
         settings.entries = [] { return 4U; };
         return settings;
     }
@@ -58,17 +79,25 @@
         }
     }
 
+    static token_home_settings home_settings(const std::string& region) {
+        token_home_settings settings;
+        settings.own_region = region;
+        return settings;
+    }
+
     ledger_member self() const {
-        return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0, {}, {}};
+        return {host, incarnation_id{1}, bus->endpoint(), host == "h1" ? 2.0 : 1.0, {}, region};
     }
 
     std::string host;
+    std::string region;
+    bool engines_by_region = false;
     metrics counters;
     random_source random;
     engine_shape engine{3, 200'000, 0.0};
     std::unique_ptr<message_bus> bus;
     token_homes members;
-    engine_keepers keepers{members};
+    engine_keepers keepers{members, [this](std::string_view id) { return targets.region_of(id); }};
     target_pool targets{pool_settings(), random};
     placement_desk desk{targets, keepers, counters};
     std::vector<std::string> silent;
@@ -143,6 +172,86 @@
     }
 };
 
+/// The same with the keeper in another region than the others, 25 ms away.
+struct far_keeper_fixture : placement_exchange_fixture {
+    std::unique_ptr<loopback_proxy> way;
+    std::vector<std::unique_ptr<placing_entry>> regional;
+
+    explicit far_keeper_fixture(bool engines_by_region = false) {
+        for (int number = 1; number <= 4; ++number) {
+            regional.push_back(std::make_unique<placing_entry>(
+                loop, number, number == 1 ? "north" : "south", engines_by_region));
+        }
+        keeper = regional[0].get();
+        asker = regional[1].get();
+        const std::string endpoint = keeper->bus->endpoint();
+        const std::string port = endpoint.substr(endpoint.rfind(':') + 1);
+        way = std::make_unique<loopback_proxy>(loop, static_cast<std::uint16_t>(std::stoi(port)));
+        way->delay = milliseconds(25);
+        for (const auto& entry : regional) {
+            for (const auto& member : regional) {
+                entry->members.apply(seen_by(*entry, *member));
+            }
+        }
+        // The first ask makes the connection.
+        const auto first = asker->exchange.place(service, long_to_read(3), {}, seconds(5),
+                                                 [](const target_choice&, const placed_run&) {});
+        BOOST_REQUIRE(run_until([&] { return !asker->answered.empty(); }));
+    }
+
+    /// A session that meets at one engine for all regions.
+    static engine_request long_to_read(std::uint64_t session) { return prompt(session, 14'000); }
+
+    ledger_member seen_by(const placing_entry& entry, const placing_entry& member) const {
+        ledger_member seen = member.self();
+        if (entry.region != member.region && member.region == "north") {
+            seen.endpoint = "tcp://127.0.0.1:" + std::to_string(way->port());
+        }
+        return seen;
+    }
+};
+
+/// Six engines in each of two regions; the entries but one are in the south.
+struct two_regions_fixture : far_keeper_fixture {
+    placing_entry* near_keeper = nullptr;
+
+    two_regions_fixture() : far_keeper_fixture(true) {
+        const std::string host = asker->keepers.keeper_of(monotonic_now(), "e1")->host;
+        for (const auto& entry : regional) {
+            near_keeper = entry->host == host ? entry.get() : near_keeper;
+        }
+        for (const auto& entry : regional) {
+            if (entry->region == "south" && entry.get() != near_keeper) {
+                asker = entry.get();
+            }
+        }
+        // Connections in both regions.
+        place(*asker, chat(1));
+        for (std::uint64_t session = 900; !has_answered("h1"); session += 2) {
+            const auto wish = begin(*asker, long_to_read(session));
+            run_for(milliseconds(150));
+        }
+    }
+
+    bool has_answered(const std::string& host) const {
+        const std::vector<std::string>& hosts = asker->answered;
+        return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+    }
+
+    /// Has next to nothing that a session shares.
+    static engine_request chat(std::uint64_t session) { return prompt(session, 900); }
+
+    /// Every engine of the south reads for a long time.
+    void fill_the_south() const {
+        for (int number = 1; number <= 6; ++number) {
+            near_keeper->targets.begin_run(monotonic_now(), "e" + std::to_string(number),
+                                           prompt(500, 150'000), 150'000, true);
+        }
+    }
+
+    std::string region_of_last() const { return std::string(asker->targets.region_of(run.target)); }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(placement_exchange_test, placement_exchange_fixture)
@@ -368,4 +477,129 @@
     BOOST_REQUIRE(run_until([&] { return !asker->taken; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(far_keeper_is_waited_for_by_its_distance, far_keeper_fixture) {
+    BOOST_TEST(!place(*asker, prompt(7)).empty());
+    BOOST_TEST(run.keeper == "h1");
+    BOOST_TEST((run.asked_for >= milliseconds(50)));
+    BOOST_TEST(asker->silent.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(keeper_that_became_farther_is_learnt_from_answers_that_came_too_late,
+                        far_keeper_fixture) {
+    way->delay = milliseconds(60);
+    unsigned asked = 0;
+    do {
+        place(*asker, prompt(7 + 2 * asked));
+        asked += 1;
+        const std::size_t answers = asker->answered.size();
+        run_until([&] { return asker->answered.size() > answers; }, milliseconds(200));
+    } while (run.keeper.empty() && asked < 20U);
+    BOOST_TEST(run.keeper == "h1");
+    BOOST_TEST((run.asked_for >= milliseconds(120)));
+}
+
+BOOST_FIXTURE_TEST_CASE(far_keeper_that_is_cut_off_is_not_waited_for_twice, far_keeper_fixture) {
+    way->silent = true;
+    place(*asker, prompt(5));
+    const instant asked = monotonic_now();
+    BOOST_TEST(!place(*asker, prompt(7)).empty());
+    BOOST_TEST((monotonic_now() - asked < milliseconds(10)));
+    BOOST_TEST(run.keeper.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(request_is_placed_in_its_own_region_without_a_word_from_afar,
+                        two_regions_fixture) {
+    way->silent = true;
+    for (std::uint64_t session = 101; session < 121; session += 2) {
+        place(*asker, chat(session));
+        BOOST_TEST(region_of_last() == "south");
+        BOOST_TEST(run.keeper == near_keeper->host);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(request_that_would_be_late_in_its_region_goes_to_another_one,
+                        two_regions_fixture) {
+    const std::size_t before = near_keeper->desk.runs();
+    fill_the_south();
+    place(*asker, chat(101));
+    BOOST_TEST(region_of_last() == "north");
+    BOOST_TEST(run.keeper == "h1");
+    // What was held for it in its own region is given back.
+    BOOST_REQUIRE(run_until([&] { return near_keeper->desk.runs() == before; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(request_stays_in_a_full_region_while_the_others_are_out_of_reach,
+                        two_regions_fixture) {
+    fill_the_south();
+    way->silent = true;
+    place(*asker, chat(101));
+    BOOST_TEST(region_of_last() == "south");
+    BOOST_TEST(run.keeper == near_keeper->host);
+    const instant asked = monotonic_now();
+    place(*asker, chat(103));
+    BOOST_TEST(region_of_last() == "south");
+    BOOST_TEST((monotonic_now() - asked < milliseconds(40)));
+}
+
+BOOST_FIXTURE_TEST_CASE(other_region_that_is_full_too_is_not_asked_each_time, two_regions_fixture) {
+    fill_the_south();
+    for (int number = 7; number <= 12; ++number) {
+        keeper->targets.begin_run(monotonic_now(), "e" + std::to_string(number),
+                                  prompt(500, 150'000), 150'000, true);
+    }
+    const std::size_t before = keeper->desk.runs();
+    const double asked = asker->counters.counter("placement_asks_afar_total");
+    for (std::uint64_t session = 101; session < 111; session += 2) {
+        place(*asker, chat(session));
+        BOOST_TEST(region_of_last() == "south");
+    }
+    BOOST_TEST(asker->counters.counter("placement_asks_afar_total") == asked + 1.0);
+    BOOST_REQUIRE(run_until([&] { return keeper->desk.runs() == before; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(request_that_is_bound_to_a_full_region_stays_there, two_regions_fixture) {
+    fill_the_south();
+    engine_request bound = chat(101);
+    bound.limits.regions = {{"south"}};
+    place(*asker, bound);
+    BOOST_TEST(region_of_last() == "south");
+}
+
+BOOST_FIXTURE_TEST_CASE(place_held_for_a_caller_who_left_is_given_back_in_both_regions,
+                        two_regions_fixture) {
+    const std::size_t near_before = near_keeper->desk.runs();
+    const std::size_t far_before = keeper->desk.runs();
+    fill_the_south();
+    const double asked = asker->counters.counter("placement_asks_afar_total");
+    auto wish = begin(*asker, chat(101));
+    BOOST_REQUIRE(
+        run_until([&] { return asker->counters.counter("placement_asks_afar_total") > asked; }));
+    wish.reset();
+    BOOST_REQUIRE(run_until([&] { return near_keeper->desk.runs() == near_before; }));
+    BOOST_REQUIRE(run_until([&] { return keeper->desk.runs() == far_before; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(choice_made_alone_does_not_price_the_way_to_the_keeper_that_was_asked,
+                        two_regions_fixture) {
+    std::uint64_t session = 101;
+    const auto meets_afar = [&] {
+        const std::string_view met =
+            asker->targets.meeting_engine(monotonic_now(), service, long_to_read(session), {});
+        return asker->targets.region_of(met) == "north";
+    };
+    while (!meets_afar()) {
+        session += 2;
+    }
+    way->silent = true;
+    const double expected = asker->targets
+                                .pick_engine(
+                                    monotonic_now(), service, long_to_read(session), {},
+                                    [](std::string_view) { return true; }, turn_owner::stand_in)
+                                .price.first_event_ms;
+    place(*asker, long_to_read(session));
+    BOOST_TEST(run.keeper.empty());
+    BOOST_TEST(region_of_last() == "south");
+    BOOST_TEST(choice.price.first_event_ms < expected + 5.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
