Let the soak hold requests to their regions

Two regions among its targets and gateways, two bound routes and a bound account (one request of four), checked at the targets; bound requests must reach some. The existing checks stay; the third gateway stands in the other region now. A gateway that doesn't serve again says with what and what it wrote.

Its ports could be taken by connections while a gateway was started anew; they are now below those, as in region_live_test.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <fstream>
 
+#include "support/fixed_port.hpp"
+
 namespace wrenswitch::testing {
 namespace {
 
@@ -29,12 +31,17 @@
      {"name":"once","host":"h.test","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":1000,
       "service":"app","maxAttempts":1},
      {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent","timeoutMs":1000,
-      "service":"app","maxAttempts":2}],
+      "service":"app","maxAttempts":2},
+     {"name":"stream-south","host":"h.test","pathPrefix":"/stream/south/","kind":"streaming",
+      "timeoutMs":2000,"service":"llm","maxAttempts":1,"allowedRegions":["south"]},
+     {"name":"again-south","host":"h.test","pathPrefix":"/again/south/","kind":"idempotent",
+      "timeoutMs":1000,"service":"app","maxAttempts":2,"allowedRegions":["south"]}],
      "services":[{"name":"llm","healthPath":"/health","maxConns":120,"engine":{"slots":64,"stride":3}},
       {"name":"app","healthPath":"/health","maxConns":120,"coldStartS":4,"coldPerS":)" +
            std::to_string(cold_rate) + R"(}],
      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,"idleTimeoutMs":10000},
-     "tenants":[{"name":"tenant","apiKeys":["key-1"],"prepaid":)" +
+     "tenants":[{"name":"southern","apiKeys":["key-south"],"allowedRegions":["south"]},
+      {"name":"tenant","apiKeys":["key-1"],"prepaid":)" +
            std::to_string(prepaid) + "}]}";
 }
 
@@ -53,10 +60,20 @@
     return answer.size() >= body + 4 + wanted;
 }
 
-/// The first worker of each service is in one failure domain, the second in another.
+/// The end of a process's output, enough to see its state.
+std::string last_lines(const std::string& output) {
+    constexpr std::size_t most = 1500;
+    return output.substr(output.size() - std::min(most, output.size()));
+}
+
+/// The first worker of each service is in one failure domain and region, the second in another.
+bool is_south(const worker_standin& worker) {
+    return worker.id().ends_with("2");
+}
+
 std::string entry_of(const worker_standin& worker, int cold_left_ms = 0) {
     const std::string& id = worker.id();
-    return worker.list_entry(id.substr(0, 3), "ready", id.ends_with("1") ? "z1" : "z2",
+    return worker.list_entry(id.substr(0, 3), "ready", is_south(worker) ? "z2" : "z1",
                              cold_left_ms);
 }
 
@@ -72,13 +89,13 @@
         store_.put("keyed.servers", id, entry_of(worker));
     }
     configure();
-    relay_bus_ = raw_socket::listen().port();
+    relay_bus_ = fixed_port();
     start_relay();
     gateways_.resize(gateway_count);
     for (std::size_t index = 0; index < gateway_count; ++index) {
-        gateways_[index].listen = raw_socket::listen().port();
-        gateways_[index].admin = raw_socket::listen().port();
-        gateways_[index].bus = raw_socket::listen().port();
+        gateways_[index].listen = fixed_port();
+        gateways_[index].admin = fixed_port();
+        gateways_[index].bus = fixed_port();
         gateways_[index].way = std::make_unique<loopback_proxy>(loop, store_.port());
         gateways_[index].bus_way = std::make_unique<loopback_proxy>(loop, gateways_[index].bus);
         start_gateway(index);
@@ -115,9 +132,10 @@
 void soak_fleet::start_gateway(std::size_t index) {
     gateway_process& gateway = gateways_[index];
     const std::string path = settings_path("gate" + std::to_string(index));
-    std::ofstream(path) << R"({"host":"front-)" << index
-                        << R"(","failure_domain":"z1","listen":"127.0.0.1:)" << gateway.listen
-                        << R"(","admin":"127.0.0.1:)" << gateway.admin
+    std::ofstream(path) << R"({"host":"front-)" << index << R"(","failure_domain":")"
+                        << (index + 1 < gateway_count ? "z1" : "z2")
+                        << R"(","regions":{"z1":"north","z2":"south"},"listen":"127.0.0.1:)"
+                        << gateway.listen << R"(","admin":"127.0.0.1:)" << gateway.admin
                         << R"(","service":"127.0.0.1:)" << gateway.way->port()
                         << R"(","bus_endpoint":"tcp://127.0.0.1:)" << gateway.bus
                         << R"(","member_endpoint":"tcp://127.0.0.1:)" << gateway.bus_way->port()
@@ -138,6 +156,7 @@
     const std::string id(exchange->head().header("Request-Id"));
     runs_[id] += 1;
     arrivals_[worker.id()].push_back(monotonic_now());
+    check_region(worker, exchange->head());
     const bool cuts = random_.unit() < cut_share_;
     if (exchange->head().target.starts_with("/stream/")) {
         // The prompt counts once a request, the events as they are handed out.
@@ -163,13 +182,28 @@
     exchange->answer(200, worker.signed_headers(exchange), "body of " + id);
 }
 
+void soak_fleet::check_region(const worker_standin& worker, const message_head& head) {
+    const bool bound =
+        head.target.find("/south/") != std::string::npos || head.header("Tenant") == "southern";
+    bound_runs_ += bound ? 1 : 0;
+    if (bound && !is_south(worker)) {
+        broken_.push_back("a bound request reached another region: " +
+                          std::string(head.header("Request-Id")));
+    }
+}
+
 void soak_fleet::send_request() {
     const std::string id = "r" + std::to_string(++last_id_);
     sent_ += 1;
     const auto shape = static_cast<request_shape>(random_.below(3));
-    const std::string path = shape == request_shape::stream       ? "/stream/x"
+    // One of four is bound to a region, by its route or, where it isn't paid for, by its account.
+    const bool bound = last_id_ % 4 == 0;
+    const std::string path = shape == request_shape::stream
+                                 ? (bound ? "/stream/south/x" : "/stream/x")
                              : shape == request_shape::single_run ? "/once/x"
+                             : bound && last_id_ % 8 == 0         ? "/again/south/x"
                                                                   : "/again/x";
+    const std::string key = bound && shape != request_shape::stream ? "key-south" : "key-1";
     const std::string usage = shape == request_shape::stream ? "Token-Usage: 100,30\r\n" : "";
     const std::size_t index = random_.below(gateway_count);
     gateway_process& gateway = gateways_[index];
@@ -186,7 +220,7 @@
         made.socket = raw_socket::connect(gateway.listen);
     }
     made.socket.send("POST " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: " + id +
-                     "\r\nCredential: key-1\r\nDeadline-Ms: 2000\r\n" +
+                     "\r\nCredential: " + key + "\r\nDeadline-Ms: 2000\r\n" +
                      (keeps ? "" : "Connection: close\r\n") + usage +
                      "Content-Length: 2\r\n\r\nhi");
     shapes_[id] = shape;
@@ -370,8 +404,9 @@
         if (gateways_[index].process->ended()) {
             start_gateway(index);
         }
+        std::string last;
         const bool answered = run_until(
-            [this, index] {
+            [this, index, &last] {
                 if (gateways_[index].process->ended()) {
                     start_gateway(index);
                 }
@@ -380,10 +415,14 @@
                             std::to_string(++last_id_) +
                             "\r\nCredential: key-1\r\nConnection: close\r\n\r\n");
                 run_until([&] { return socket.ended(); }, milliseconds(500));
-                return socket.received().starts_with("HTTP/1.1 200");
+                last = socket.received();
+                return last.starts_with("HTTP/1.1 200");
             },
             seconds(10));
         if (!answered) {
+            broken_.push_back("gateway " + std::to_string(index) + " doesn't serve again: \"" +
+                              last.substr(0, last.find("\r\n")) + "\", it wrote at last: " +
+                              last_lines(gateways_[index].process->output()));
             return false;
         }
     }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -51,6 +51,8 @@
     std::size_t served() const { return served_; }
     /// The requests of the play, of which served() were answered whole.
     std::size_t sent() const { return sent_; }
+    /// Runs of requests that were bound to a region.
+    std::size_t bound_runs() const { return bound_runs_; }
     const std::vector<std::string>& faults() const { return faults_; }
 
 private:
@@ -83,6 +85,8 @@
     void start_gateway(std::size_t index);
     void start_relay();
     void serve(worker_standin& worker, const ingress_exchange_pointer& exchange);
+    /// A request came to a worker, and may be bound to the other region.
+    void check_region(const worker_standin& worker, const message_head& head);
     void send_request();
     void ask_plain_workers(microseconds length);
     void check_cold_worker(const worker_standin& worker, instant from);
@@ -116,6 +120,7 @@
     std::size_t last_id_ = 0;
     std::size_t sent_ = 0;
     std::size_t served_ = 0;
+    std::size_t bound_runs_ = 0;
     std::vector<std::string> broken_;
     std::vector<std::string> faults_;
 };
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -34,6 +34,7 @@
             BOOST_ERROR(broken);
         }
         BOOST_TEST(fleet.served() * 10 > fleet.sent());
+        BOOST_TEST(fleet.bound_runs() * 100 > fleet.sent());
     }
 }
 
