--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -418,7 +418,8 @@
     if (called_off_ || !may_repeat(admitted_.route.kind)) {
         return;
     }
-    if (!context_.targets.has_another(now, admitted_.service, history_.tried(), limits_now())) {
+    if (!context_.targets.has_another(now, admitted_.service, history_.tried(),
+                                      {admitted_.regions, {}})) {
         // It may still answer, and nobody else can.
         return;
     }
