--- a/src/roles/gateway/placement_desk.cpp
+++ b/src/roles/gateway/placement_desk.cpp
@@ -1,7 +1,11 @@
 #include "roles/gateway/placement_desk.hpp"
 
+#include <placement.pb.h>
+
 #include <algorithm>
 
+#include "roles/gateway/placement_codec.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -92,6 +96,20 @@
     }
 }
 
+void placement_desk::take_news(instant now, const wire::RunNewsBatch& batch) {
+    for (const wire::RunNews& news : batch.runs()) {
+        if (news.first_event()) {
+            first_event(now, news.run());
+        }
+        for (const std::uint32_t span : news.spans_us()) {
+            next_events(now, news.run(), microseconds(span));
+        }
+        if (news.end() != wire::RUN_GOES_ON) {
+            ended_elsewhere(now, news.run(), from_wire(news.end()));
+        }
+    }
+}
+
 void placement_desk::drop_lapsed(instant now) {
     for (auto it = runs_.begin(); it != runs_.end();) {
         const auto run = it++;
--- a/src/roles/gateway/placement_desk.hpp
+++ b/src/roles/gateway/placement_desk.hpp
@@ -11,6 +11,10 @@
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/placement/engine_keepers.hpp"
 
+namespace wrenswitch::wire {
+class RunNewsBatch;
+}  // namespace wrenswitch::wire
+
 namespace wrenswitch {
 
 /// How a run at an engine ended, for what is believed of the engine.
@@ -50,6 +54,9 @@
     /// A run of this entry's own has ended.
     void ended_here(instant now, std::uint64_t run);
 
+    /// What other entries tell of their runs.
+    void take_news(instant now, const wire::RunNewsBatch& batch);
+
     /// Ends the runs whose callers have no time left: their entry must be gone.
     void drop_lapsed(instant now);
 
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -246,7 +246,7 @@
         return true;
     }
     if (message.has_run_news()) {
-        take_news(message.run_news());
+        desk_.take_news(monotonic_now(), message.run_news());
         return true;
     }
     return false;
@@ -266,6 +266,12 @@
     bus_.answer(origin, reply);
 }
 
+bool placement_exchange::may_use(const wire::PlacementAnswer& answer,
+                                 const pending_ask& wish) const {
+    return targets_.usable(answer.target(), wish.service, wish.request.limits) &&
+           std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
+}
+
 void placement_exchange::on_answer(const message_origin& origin, const wire::Envelope& message) {
     const wire::PlacementAnswer& answer = message.placement_answer();
     const auto found = pending_.find(answer.run());
@@ -307,10 +313,7 @@
         try_another_keeper(answer.run(), std::move(wish));
         return;
     }
-    const bool usable =
-        targets_.usable(answer.target(), wish.service, wish.request.limits) &&
-        std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
-    if (!usable) {
+    if (!may_use(answer, wish)) {
         counters_.counter("placement_answers_unusable_total") += 1;
         if (counted) {
             ended(placed, run_end::left);
@@ -335,10 +338,8 @@
 /// used and the other one taken back.
 void placement_exchange::choose_region(const wire::PlacementAnswer& answer, placed_run placed,
                                        pending_ask wish) {
-    const bool usable =
-        targets_.usable(answer.target(), wish.service, wish.request.limits) &&
-        std::find(wish.tried.begin(), wish.tried.end(), answer.target()) == wish.tried.end();
-    const bool better = usable && answer.sum() < gain_to_cross * wish.offer->price.sum;
+    const bool better =
+        may_use(answer, wish) && answer.sum() < gain_to_cross * wish.offer->price.sum;
     if (!better) {
         no_ask_afar_until_ = monotonic_now() + vain_rest;
         if (!answer.target().empty()) {
@@ -398,19 +399,4 @@
     news_.tell(run.keeper_endpoint, news);
 }
 
-void placement_exchange::take_news(const wire::RunNewsBatch& batch) {
-    const instant now = monotonic_now();
-    for (const wire::RunNews& news : batch.runs()) {
-        if (news.first_event()) {
-            desk_.first_event(now, news.run());
-        }
-        for (const std::uint32_t span : news.spans_us()) {
-            desk_.next_events(now, news.run(), microseconds(span));
-        }
-        if (news.end() != wire::RUN_GOES_ON) {
-            desk_.ended_elsewhere(now, news.run(), from_wire(news.end()));
-        }
-    }
-}
-
 }  // namespace wrenswitch
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -20,7 +20,6 @@
 
 namespace wrenswitch::wire {
 class PlacementAnswer;
-class RunNewsBatch;
 }  // namespace wrenswitch::wire
 
 namespace wrenswitch {
@@ -108,8 +107,8 @@
     void use_offer(pending_ask wish);
     void choose_region(const wire::PlacementAnswer& answer, placed_run placed, pending_ask wish);
     void on_ask(const message_origin& origin, const wire::Envelope& message);
+    bool may_use(const wire::PlacementAnswer& answer, const pending_ask& wish) const;
     void on_answer(const message_origin& origin, const wire::Envelope& message);
-    void take_news(const wire::RunNewsBatch& batch);
 
     event_loop& loop_;
     message_bus& bus_;
