Choose versions at the entry while a service is rolled out, within a bound that each entry keeps by itself

Cause: nothing told an unproved version's targets from the others; an order had no effect. rollout_gate decides each request's version, counts what the version got and what came of it, and refuses at the send what the bound leaves no place for; rollout_run is a request's part in it, entry_rollouts keeps one gate a service with an order. Until the log and the decider are wired in, an ordered roll-out stays waiting: the old version serves.

Ruled out: cohorts by session alone. A session may hold all of a route, so that a route got nothing or everything; between half and one and a half of its part a route takes the cohort, outside of that the count decides.

The list may be read before the order: a target of a version that no other one of its service has waits for a read of the configuration's log that began after it was met.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -18,6 +18,7 @@
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
+#include "wrenswitch/decision/rollout/version_quarantine.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
 
 namespace wrenswitch {
@@ -85,6 +86,20 @@
     /// target that was listed there last; whatever was there before it is gone.
     void apply(const gateway_target& target, std::uint64_t position = 0);
 
+    /// A target was met that wasn't in the list before. One of a version that no other target of
+    /// its service has is held back until the operators' orders were read, unless all are of it.
+    void hold_back_new_version(instant now, std::string_view id);
+
+    /// The operators' orders were read to their end by a read that began then.
+    void orders_read(instant began) { quarantine_.orders_read(began); }
+
+    /// True if targets are held back until the orders are read.
+    bool waits_for_orders() const;
+
+    /// True if the service has targets and all that are known of it, also those that left the list
+    /// of late, are of this version.
+    bool has_only_version(std::string_view service, std::string_view version) const;
+
     /// The list no longer has this target: it left, crashed, or the list lost it.
     void remove(instant now, std::string_view id);
 
@@ -221,6 +236,7 @@
                                           std::span<const std::string> tried,
                                           const candidate_limits& limits,
                                           const state_filter& admits);
+    bool is_held_back(const target_state& state, const version_limit& version) const;
     static void keep_group(std::vector<target_state*>& targets, const version_limit& version);
     candidate_group with_turns(instant now, std::string_view service,
                                std::span<const std::string> tried, turn_owner owner,
@@ -237,6 +253,7 @@
     cold_targets cold_;
     /// Failure domains to which nothing may go.
     std::set<std::string, std::less<>> emptied_;
+    version_quarantine quarantine_;
     engine_placer placer_;
 };
 
--- a/include/wrenswitch/decision/placement/prompt_shape.hpp
+++ b/include/wrenswitch/decision/placement/prompt_shape.hpp
@@ -29,6 +29,10 @@
     std::vector<prompt_part> parts;
 };
 
+/// What a prompt's session shares: the part before the last, which is the request's own. There must
+/// be a part.
+std::uint64_t session_of(const prompt_shape& shape);
+
 /// The engine at which the requests of a prompt's session meet by hash: entries that know nothing
 /// of each other name the same one. Empty if there are no engines, or no parts that others could
 /// share.
--- a/include/wrenswitch/decision/rollout/rollout_gate.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_gate.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/gateway/candidate_limits.hpp"
@@ -21,6 +21,10 @@
     std::uint64_t session = 0;
     /// True if the request can go on at another target after a break.
     bool can_move = false;
+    /// True if it was sent to a target before: an unproved version isn't tried with it again.
+    bool again = false;
+    /// True if the versions that it should go to have no target for it.
+    bool in_need = false;
 };
 
 /// One service's roll-out as one entry sees it: which version each request goes to, the bound on
@@ -34,15 +38,28 @@
     const rollout_stand& stand() const { return stand_; }
 
     /// Takes the decider's word, or the log's final state. One for another order is ignored, and
-    /// nothing follows a final phase.
-    void take(const rollout_stand& stand);
+    /// nothing follows a final phase. True if the phase changed.
+    bool take(instant now, const rollout_stand& stand);
 
-    /// The versions that a request may go to.
-    version_limit limit_for(instant now, const rollout_request& request);
+    /// The operator took the order back. What is completed stays so.
+    bool withdraw(instant now);
+
+    /// All targets that the service has were of the ordered version before the order came: there is
+    /// nothing to be proved and nothing to move from.
+    void note_in_force() { in_force_ = true; }
+
+    /// The versions that a request may go to; nothing if it has to be refused for now.
+    std::optional<version_limit> limit_for(instant now, const rollout_request& request) const;
+
+    /// The versions that are left for a request whose limit has no candidates. The new one gets it
+    /// only within the bound; nothing if the request has to be refused.
+    std::optional<version_limit> limit_without_candidates(const version_limit& limit) const;
 
     /// A request goes to a target of this version. To be asked right before the send: false if the
-    /// version isn't proved and the bound is used up meanwhile; the request must not go there.
-    bool begin(instant now, const rollout_request& request, const std::string& version);
+    /// request must not go there any more, since the bound is used up or the phase changed
+    /// meanwhile.
+    bool begin(instant now, const rollout_request& request, const std::string& version,
+               const std::string& target);
 
     /// What came of a request that began at a target of this version. `first` is the time to its
     /// first event or head, if one came, and `pace` that of an event after it, if it is known.
@@ -50,22 +67,53 @@
     void end(const rollout_request& request, const std::string& version, const std::string& target,
              answer how, std::optional<microseconds> first, std::optional<microseconds> pace);
 
+    /// A request that was under way at an old target when the order came, and that can't go on
+    /// elsewhere, or its end.
+    void note_bound_to_old() { bound_to_old_ += 1; }
+    void note_unbound() { bound_to_old_ -= bound_to_old_ > 0 ? 1 : 0; }
+
     /// A request of the service has reached a target, of whatever version.
     void note_reached() { exposure_.note_reached(); }
 
+    const exposure_budget& exposure() const { return exposure_; }
     const rollout_evidence& evidence() const { return evidence_; }
     rollout_report report(instant now) const;
 
+    /// How much of the order's time is left by the newest word of the decider.
+    microseconds left(instant now) const { return stand_.left - (now - stand_at_); }
+
 private:
+    /// How many requests of a route went to either version.
+    struct route_sums {
+        std::uint64_t of_old = 0;
+        std::uint64_t of_new = 0;
+    };
+
     bool is_new(const std::string& version) const { return version == order_.version; }
+    bool is_over() const;
+    bool in_last_moments(instant now) const;
+    bool past_deadline(instant now) const;
+    bool must_leave_old(instant now, const rollout_request& request) const;
+    bool may_expose(instant now, const rollout_request& request) const;
+    bool may_begin_at_new(instant now) const;
+    bool wanted_by_canary(const rollout_request& request) const;
+    double usable_part(instant now, const rollout_request& request) const;
+    version_limit only_new() const;
+    version_limit only_old() const { return {version_rule::other_than, order_.version, 0, 0}; }
+    std::optional<version_limit> limit_under_way(instant now, const rollout_request& request) const;
+    void look_whether_bad();
 
     rollout_order order_;
+    double exposed_share_;
     instant known_since_;
     rollout_stand stand_;
+    instant stand_at_;
     exposure_budget exposure_;
     rollout_evidence evidence_;
+    std::map<std::string, route_sums, std::less<>> routes_;
     /// Requests under way at old targets that can't go on elsewhere.
     std::uint64_t bound_to_old_ = 0;
+    bool in_force_ = false;
     bool found_bad_ = false;
 };
 
--- a/include/wrenswitch/drivers/keyed_follower.hpp
+++ b/include/wrenswitch/drivers/keyed_follower.hpp
@@ -54,6 +54,9 @@
     /// The offset of the next record.
     std::uint64_t position() const { return position_; }
 
+    /// When the read began that was answered last. Whatever the log held then is applied.
+    instant last_read_began() const { return last_read_began_; }
+
     /// When the log last answered.
     instant last_answer() const { return last_answer_; }
 
@@ -68,13 +71,13 @@
     void read_all();
     void read_after_pause();
     void read_next(microseconds hold);
-    void on_all(const result<keyed_page>& page);
-    void on_page(const result<keyed_page>& page);
+    void on_all(instant began, const result<keyed_page>& page);
+    void on_page(instant began, const result<keyed_page>& page);
     void apply(const keyed_record& record);
     void apply_new(std::span<const keyed_record> records);
     void drop_missing(const keyed_page& page);
     void failed_once();
-    void answered();
+    void answered(instant began);
 
     event_loop& loop_;
     keyed_log& log_;
@@ -87,6 +90,7 @@
     bool reachable_ = true;
     microseconds retry_;
     instant last_answer_{};
+    instant last_read_began_{};
     /// Counts reads, so that the answer of one that was given up is dropped.
     std::uint64_t read_number_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -82,6 +82,48 @@
     return true;
 }
 
+void target_pool::hold_back_new_version(instant now, std::string_view id) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return;
+    }
+    const gateway_target& target = found->second.target;
+    const bool known = std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+        const target_state& other = entry.second;
+        return other.listed && other.target.id != target.id &&
+               other.target.service == target.service && other.target.version == target.version &&
+               !quarantine_.contains(entry.first);
+    });
+    if (!known) {
+        quarantine_.add(now, id);
+    }
+}
+
+/// An order before this one's targets may be unread: whatever it is of, another version serves.
+bool target_pool::is_held_back(const target_state& state, const version_limit& version) const {
+    return version.rule == version_rule::any && quarantine_.contains(state.target.id) &&
+           !has_only_version(state.target.service, state.target.version);
+}
+
+bool target_pool::waits_for_orders() const {
+    return std::any_of(targets_.begin(), targets_.end(),
+                       [this](const auto& entry) { return is_held_back(entry.second, {}); });
+}
+
+bool target_pool::has_only_version(std::string_view service, std::string_view version) const {
+    bool any = false;
+    for (const auto& [id, state] : targets_) {
+        if (state.target.service != service) {
+            continue;
+        }
+        if (state.target.version != version) {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 void target_pool::remove(instant now, std::string_view id) {
     const auto found = targets_.find(id);
     if (found != targets_.end() && found->second.listed) {
@@ -132,6 +174,7 @@
             forgotten.push_back(it->first);
             placer_.forget(it->first);
             cold_.forget(it->first);
+            quarantine_.remove(it->first);
             it = targets_.erase(it);
         } else {
             ++it;
@@ -144,7 +187,7 @@
                                 const candidate_limits& limits) const {
     return state.target.service == service && !state.target.leaving && !state.replaced &&
            !is_emptied(state.target.failure_domain) && may_hold(state, limits.regions) &&
-           limits.version.admits(state.target.version);
+           limits.version.admits(state.target.version) && !is_held_back(state, limits.version);
 }
 
 bool target_pool::may_hold(const target_state& state, const allowed_regions& regions) const {
--- a/src/decision/placement/prompt_shape.cpp
+++ b/src/decision/placement/prompt_shape.cpp
@@ -5,17 +5,12 @@
 #include "wrenswitch/core/digest.hpp"
 
 namespace wrenswitch {
-namespace {
 
-/// The part of a prompt that its session shares: the one before the last, which is the request's
-/// own.
 std::uint64_t session_of(const prompt_shape& shape) {
     const std::size_t parts = shape.parts.size();
     return shape.parts[parts > 1 ? parts - 2 : 0].id;
 }
 
-}  // namespace
-
 std::string_view home_of(std::span<const std::string_view> engines, const prompt_shape& shape) {
     if (shape.parts.empty()) {
         return {};
--- a/src/drivers/keyed_follower.cpp
+++ b/src/drivers/keyed_follower.cpp
@@ -24,21 +24,23 @@
 
 void keyed_follower::read_all() {
     const std::uint64_t number = ++read_number_;
-    log_.newest(settings_.log, [this, number, alive = alive_](const result<keyed_page>& page) {
+    log_.newest(settings_.log, [this, number, began = monotonic_now(),
+                                alive = alive_](const result<keyed_page>& page) {
         if (*alive && number == read_number_) {
-            on_all(page);
+            on_all(began, page);
         }
     });
 }
 
 void keyed_follower::read_next(microseconds hold) {
     const std::uint64_t number = ++read_number_;
-    log_.read(settings_.log, position_, hold,
-              [this, number, alive = alive_](const result<keyed_page>& page) {
-                  if (*alive && number == read_number_) {
-                      on_page(page);
-                  }
-              });
+    log_.read(
+        settings_.log, position_, hold,
+        [this, number, began = monotonic_now(), alive = alive_](const result<keyed_page>& page) {
+            if (*alive && number == read_number_) {
+                on_page(began, page);
+            }
+        });
 }
 
 void keyed_follower::look_now() {
@@ -47,12 +49,12 @@
     }
 }
 
-void keyed_follower::on_all(const result<keyed_page>& page) {
+void keyed_follower::on_all(instant began, const result<keyed_page>& page) {
     if (!page) {
         failed_once();
         return;
     }
-    answered();
+    answered(began);
     // An answer that is older than what was read before says nothing new.
     if (!live_ || page.value().end >= position_) {
         drop_missing(page.value());
@@ -62,8 +64,12 @@
         position_ = page.value().end;
     }
     live_ = true;
+    const std::uint64_t number = read_number_;
     hooks_.caught_up();
-    read_next(settings_.hold);
+    if (number == read_number_) {
+        // Else the hook asked for another look already.
+        read_next(settings_.hold);
+    }
 }
 
 /// Keys that were there before and aren't any more were dropped by records that are gone.
@@ -84,7 +90,7 @@
     }
 }
 
-void keyed_follower::on_page(const result<keyed_page>& page) {
+void keyed_follower::on_page(instant began, const result<keyed_page>& page) {
     if (!page && page.error().code == error_code::expired) {
         read_all();
         return;
@@ -93,7 +99,7 @@
         failed_once();
         return;
     }
-    answered();
+    answered(began);
     const bool came = !page.value().records.empty();
     apply_new(page.value().records);
     const std::uint64_t number = read_number_;
@@ -177,9 +183,10 @@
     retry_ = std::min(retry_ * 2, settings_.longest_retry);
 }
 
-void keyed_follower::answered() {
+void keyed_follower::answered(instant began) {
     retry_ = settings_.first_retry;
     last_answer_ = monotonic_now();
+    last_read_began_ = began;
     if (!std::exchange(reachable_, true)) {
         hooks_.reachable(true);
     }
--- /dev/null
+++ b/src/roles/gateway/entry_rollouts.cpp
@@ -0,0 +1,146 @@
+#include "roles/gateway/entry_rollouts.hpp"
+
+#include <utility>
+
+#include "wrenswitch/core/log.hpp"
+
+namespace wrenswitch {
+namespace {
+
+std::string labelled(std::string_view name, const rollout_gate& gate) {
+    return std::string(name) + "{service=\"" + gate.order().service + "\"}";
+}
+
+bool is_over(const rollout_gate& gate) {
+    const rollout_phase phase = gate.stand().phase;
+    return phase == rollout_phase::completed || phase == rollout_phase::rolled_back;
+}
+
+}  // namespace
+
+entry_rollouts::entry_rollouts(double exposed_share, metrics& counters)
+    : exposed_share_(exposed_share), counters_(counters) {}
+
+bool entry_rollouts::ordered(instant now, const rollout_order& order, bool in_force) {
+    const auto known = gates_.find(order.service);
+    if (known != gates_.end() && known->second.order().number >= order.number) {
+        return false;
+    }
+    rollout_gate& gate =
+        gates_.insert_or_assign(order.service, rollout_gate(now, order, exposed_share_))
+            .first->second;
+    if (in_force) {
+        gate.note_in_force();
+    }
+    counters_.counter("rollout_orders_total") += 1;
+    log_event(log_level::information, "rollout_ordered",
+              {{"service", order.service},
+               {"order", std::to_string(order.number)},
+               {"version", order.version},
+               {"duration_ms", millis_text(order.duration)},
+               {"in_force", in_force ? "yes" : "no"}});
+    if (const rollout_record* record = records_.find(order.service)) {
+        apply_record(now, gate, *record);
+    }
+    return true;
+}
+
+void entry_rollouts::withdrawn(instant now, std::string_view service) {
+    const auto known = gates_.find(service);
+    if (known == gates_.end()) {
+        return;
+    }
+    counters_.counter("rollout_orders_withdrawn_total") += 1;
+    if (known->second.withdraw(now)) {
+        tell_phase(now, known->second, "withdrawn");
+    }
+}
+
+void entry_rollouts::recorded(instant now, const rollout_record& record) {
+    records_.apply(record);
+    const auto known = gates_.find(record.service);
+    if (known != gates_.end()) {
+        apply_record(now, known->second, record);
+    }
+}
+
+/// Only a final state is taken from the log: before it the decider's word counts, which is newer.
+void entry_rollouts::apply_record(instant now, rollout_gate& gate,
+                                  const rollout_record& record) const {
+    if (record.state == rollout_state::running) {
+        return;
+    }
+    rollout_stand ended;
+    ended.service = record.service;
+    ended.order = record.order;
+    ended.version = record.version;
+    ended.phase = record.state == rollout_state::completed ? rollout_phase::completed
+                                                           : rollout_phase::rolled_back;
+    if (gate.take(now, ended)) {
+        tell_phase(now, gate, "log: " + record.reason);
+    }
+}
+
+void entry_rollouts::told(instant now, const rollout_stand& stand) {
+    const auto known = gates_.find(stand.service);
+    if (known != gates_.end() && known->second.take(now, stand)) {
+        tell_phase(now, known->second, "decider");
+    }
+}
+
+rollout_gate* entry_rollouts::gate_of(std::string_view service) {
+    const auto known = gates_.find(service);
+    return known == gates_.end() ? nullptr : &known->second;
+}
+
+std::vector<rollout_order> entry_rollouts::orders() const {
+    std::vector<rollout_order> all;
+    for (const auto& [service, gate] : gates_) {
+        all.push_back(gate.order());
+    }
+    return all;
+}
+
+std::vector<entry_rollouts::told_evidence> entry_rollouts::reports(instant now) const {
+    std::vector<told_evidence> all;
+    for (const auto& [service, gate] : gates_) {
+        if (!is_over(gate)) {
+            all.push_back({gate.report(now), gate.evidence()});
+        }
+    }
+    return all;
+}
+
+void entry_rollouts::observe(instant now) {
+    for (const auto& [service, gate] : gates_) {
+        counters_.gauge(labelled("rollout_phase", gate)) = static_cast<double>(gate.stand().phase);
+        counters_.gauge(labelled("rollout_left_s", gate)) = as_seconds(gate.left(now));
+        counters_.gauge(labelled("rollout_reached", gate)) =
+            static_cast<double>(gate.exposure().reached());
+        counters_.gauge(labelled("rollout_exposed", gate)) =
+            static_cast<double>(gate.exposure().sent());
+    }
+}
+
+void entry_rollouts::tell_phase(instant now, const rollout_gate& gate,
+                                std::string_view cause) const {
+    const rollout_report report = gate.report(now);
+    const answer_counts of_new = gate.evidence().of_new_version();
+    const answer_counts of_old = gate.evidence().of_old_version();
+    log_event(log_level::information, "rollout_phase",
+              {{"service", gate.order().service},
+               {"order", std::to_string(gate.order().number)},
+               {"version", gate.order().version},
+               {"phase", name_of(gate.stand().phase)},
+               {"cause", std::string(cause)},
+               {"left_ms", millis_text(gate.left(now))},
+               {"known_for_ms", millis_text(report.known_for)},
+               {"reached_here", std::to_string(report.reached)},
+               {"exposed_here", std::to_string(report.exposed)},
+               {"new_well", std::to_string(of_new.well)},
+               {"new_badly", std::to_string(of_new.badly)},
+               {"old_well", std::to_string(of_old.well)},
+               {"old_badly", std::to_string(of_old.badly)}});
+}
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/entry_rollouts.hpp
+++ b/src/roles/gateway/entry_rollouts.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -18,8 +17,9 @@
 public:
     entry_rollouts(double exposed_share, metrics& counters);
 
-    /// The operator ordered a roll-out, or changed the order.
-    void ordered(instant now, const rollout_order& order);
+    /// The operator ordered a roll-out, or changed the order. `in_force` says that all targets of
+    /// the service were of the version before. True if it is news.
+    bool ordered(instant now, const rollout_order& order, bool in_force = false);
 
     /// The order was withdrawn: as if it were rolled back.
     void withdrawn(instant now, std::string_view service);
@@ -43,10 +43,18 @@
     };
     std::vector<told_evidence> reports(instant now) const;
 
+    /// Brings the gauges up to date.
+    void observe(instant now);
+
 private:
+    void tell_phase(instant now, const rollout_gate& gate, std::string_view cause) const;
+    void apply_record(instant now, rollout_gate& gate, const rollout_record& record) const;
+
     double exposed_share_;
     metrics& counters_;
     std::map<std::string, rollout_gate, std::less<>> gates_;
+    /// The log's records, which may come before the orders that they are of.
+    rollout_table records_;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "roles/gateway/target_request.hpp"
+#include "wrenswitch/core/digest.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -59,7 +60,10 @@
 }  // namespace
 
 forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
-    : context_(context), exchange_(std::move(exchange)), to_caller_(exchange_, context.dialect) {}
+    : context_(context),
+      exchange_(std::move(exchange)),
+      to_caller_(exchange_, context.dialect),
+      rollout_(context.rollouts) {}
 
 void forwarded_request::start() {
     context_.requests.insert(shared_from_this());
@@ -93,6 +97,9 @@
                         context_.random.unit());
     if (auto* admitted = std::get_if<admitted_request>(&answer)) {
         admitted_ = std::move(*admitted);
+        const bool has_session = !request_.prompt.parts.empty();
+        rollout_.belongs_to(admitted_.service, admitted_.route,
+                            has_session ? session_of(request_.prompt) : spread_hash(request_.id));
         return true;
     }
     const auto refusal = std::get<admission_refusal>(answer);
@@ -231,11 +238,6 @@
     dispatch();
 }
 
-/// What the configuration and a roll-out of the service leave of its targets.
-candidate_limits forwarded_request::limits_now() const {
-    return {admitted_.regions, {}};
-}
-
 void forwarded_request::dispatch() {
     if (admitted_.engine && request_.prompt.prompt > 0 && !engine_request_) {
         engine_request_ = {request_.prompt,
@@ -244,7 +246,17 @@
                            admitted_.route.longest_pause,
                            {}};
     }
-    const candidate_limits limits = limits_now();
+    const auto versions = rollout_.choose_versions(monotonic_now(), history_.number() + 1);
+    if (versions) {
+        choose_target(*versions);
+    } else {
+        refuse_without_target(false);
+    }
+}
+
+/// What the configuration and a roll-out of the service leave of its targets is what may be chosen.
+void forwarded_request::choose_target(const version_limit& versions) {
+    const candidate_limits limits{admitted_.regions, versions};
     if (!engine_request_) {
         target_chosen(context_.targets.pick(monotonic_now(), admitted_.service, history_.tried(),
                                             admitted_.route.first_answer_aim,
@@ -253,13 +265,18 @@
         return;
     }
     engine_request_->limits = limits;
-    placing_ = context_.placements.place(
+    const unsigned choice = ++choices_;
+    auto placing = context_.placements.place(
         admitted_.service, *engine_request_, history_.tried(), time_left(),
-        [self = weak_from_this()](const target_choice& choice, const placed_run& run) {
+        [self = weak_from_this()](const target_choice& chosen, const placed_run& run) {
             if (const auto alive = self.lock()) {
-                alive->target_chosen(choice, run);
+                alive->target_chosen(chosen, run);
             }
         });
+    if (choice == choices_) {
+        // Else the answer came at once, and another choice began.
+        placing_ = std::move(placing);
+    }
 }
 
 void forwarded_request::target_chosen(const target_choice& choice, const placed_run& run) {
@@ -310,12 +327,25 @@
     }
     const placed_run run = std::move(turn_->run);
     turn_.reset();
+    give_back(run);
+}
+
+/// An engine was chosen, and the request doesn't go there.
+void forwarded_request::give_back(const placed_run& run) {
     if (run.number != 0) {
         context_.placements.ended(run, run_end::left);
     }
 }
 
 void forwarded_request::no_target_left(bool all_cold) {
+    if (const auto versions = rollout_.look_further(all_cold)) {
+        choose_target(*versions);
+    } else {
+        refuse_without_target(all_cold);
+    }
+}
+
+void forwarded_request::refuse_without_target(bool all_cold) {
     if (history_.may_have_run()) {
         fail(status_bad_gateway, "no_target_left");
     } else if (all_cold) {
@@ -328,6 +358,11 @@
 void forwarded_request::send_to(const target_choice& choice, const placed_run& run) {
     const gateway_target& target = *choice.target;
     const instant now = monotonic_now();
+    if (!rollout_.begin(now, target)) {
+        give_back(run);
+        dispatch();
+        return;
+    }
     target_ = target.id;
     history_.begin(target.id);
     answer_ = message_head{};
@@ -389,7 +424,7 @@
     }
     if (take_retry()) {
         history_.note_may_have_run();
-        end_attempt(run_end::left);
+        end_attempt(run_end::left, rollout_gate::answer::badly);
         dispatch();
     }
 }
@@ -440,8 +475,12 @@
         return;
     }
     history_.note_may_have_run();
+    rollout_.note_reached();
     charge_.prompt_read(now);
     streaming_ = is_stream(admitted_.route.kind) && head.status == status_ok;
+    if (!streaming_) {
+        rollout_.note_first(now);
+    }
 }
 
 /// Engines stand on the fleet's own hosts: one that answers shows that this entry reaches them.
@@ -485,6 +524,7 @@
     const microseconds gap = stream_.note(now, count);
     if (first) {
         context_.placements.first_event(run_);
+        rollout_.note_first(now);
         return;
     }
     if (const std::optional<microseconds> span = stream_.take_span()) {
@@ -505,11 +545,14 @@
 void forwarded_request::on_end() {
     const bool well = answer_.status < first_server_error || answer_refused_;
     if (called_off_) {
-        end_attempt(run_end::left);
+        end_attempt(run_end::left, rollout_gate::answer::silent);
         call_off_ended();
         return;
     }
-    end_attempt(well ? run_end::answered_well : run_end::answered_badly);
+    const bool whole = well && !(streaming_ && events_.has_rest());
+    const auto answer = whole ? rollout_gate::answer::well : rollout_gate::answer::badly;
+    end_attempt(well ? run_end::answered_well : run_end::answered_badly,
+                answer_refused_ ? rollout_gate::answer::silent : answer);
     context_.targets.answered(monotonic_now(), target_, well);
     if (answer_refused_) {
         if (answer_.status == status_misdirected) {
@@ -570,8 +613,9 @@
     finish("served", answer_.status);
 }
 
-void forwarded_request::end_attempt(run_end how) {
+void forwarded_request::end_attempt(run_end how, rollout_gate::answer answer) {
     call_.reset();
+    rollout_.end(answer, stream_.pace());
     context_.targets.finished(target_);
     const placed_run run = std::exchange(run_, {});
     if (run.number != 0) {
@@ -580,7 +624,9 @@
 }
 
 void forwarded_request::on_failed(upstream_failure failure) {
-    end_attempt(called_off_ ? run_end::left : run_end::failed);
+    const bool says_nothing = called_off_ || failure == upstream_failure::not_sent;
+    end_attempt(called_off_ ? run_end::left : run_end::failed,
+                says_nothing ? rollout_gate::answer::silent : rollout_gate::answer::badly);
     if (called_off_) {
         if (failure != upstream_failure::cut_short) {
             assume_unseen();
@@ -659,7 +705,7 @@
     }
     const bool sent = call_ != nullptr && call_->sent();
     if (call_) {
-        end_attempt(run_end::left);
+        end_attempt(run_end::left, sent ? answer_at_deadline() : rollout_gate::answer::silent);
     }
     if (!sent && !history_.may_have_run()) {
         refuse(status_unavailable, "deadline_before_sending", until_targets);
@@ -672,6 +718,20 @@
     fail(status_gateway_timeout, "deadline");
 }
 
+/// A target that had most of the time that the caller gave, and didn't end, did badly. One that got
+/// the request late says nothing.
+rollout_gate::answer forwarded_request::answer_at_deadline() const {
+    const microseconds had = deadline_ - sent_at_;
+    const microseconds given = deadline_ - exchange_->received();
+    return had * 2 >= given ? rollout_gate::answer::badly : rollout_gate::answer::silent;
+}
+
+void forwarded_request::join_rollout(const std::string& service) {
+    if (!ended_ && call_ != nullptr && admitted_.service == service) {
+        rollout_.join(context_.targets.find(target_));
+    }
+}
+
 /// Calls the run off. A target that hadn't begun ends the connection without a word, so that the
 /// account needn't pay for what the caller never could have got.
 void forwarded_request::caller_gone() {
@@ -700,7 +760,7 @@
         return;
     }
     if (call_) {
-        end_attempt(run_end::left);
+        end_attempt(run_end::left, rollout_gate::answer::silent);
     }
     finish("caller_gone", 0);
 }
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -11,6 +11,7 @@
 #include "roles/gateway/incoming_request.hpp"
 #include "roles/gateway/request_charge.hpp"
 #include "roles/gateway/request_trace.hpp"
+#include "roles/gateway/rollout_run.hpp"
 #include "roles/gateway/stream_watch.hpp"
 #include "wrenswitch/decision/gateway/admission.hpp"
 #include "wrenswitch/decision/gateway/attempt_history.hpp"
@@ -38,6 +39,9 @@
     /// Begins. The request keeps itself in the context until it has ended.
     void start();
 
+    /// A roll-out of this service was ordered while the request may be under way.
+    void join_rollout(const std::string& service);
+
 private:
     bool read_request();
     bool admit_request();
@@ -50,14 +54,16 @@
     void tokens_answered(reserve_outcome outcome);
     void pay(reserve_outcome outcome);
 
-    candidate_limits limits_now() const;
     void dispatch();
+    void choose_target(const version_limit& versions);
     void target_chosen(const target_choice& choice, const placed_run& run);
     void wait_for_turn(const target_choice& choice, const placed_run& run);
     void turn_came();
     void drop_turn();
+    void give_back(const placed_run& run);
     void send_to(const target_choice& choice, const placed_run& run);
     void no_target_left(bool all_cold);
+    void refuse_without_target(bool all_cold);
     upstream_hooks hooks_for(unsigned attempt);
 
     void watch_silence();
@@ -67,7 +73,8 @@
     void on_piece(std::string_view piece);
     void on_end();
     void on_failed(upstream_failure failure);
-    void end_attempt(run_end how);
+    void end_attempt(run_end how, rollout_gate::answer answer);
+    rollout_gate::answer answer_at_deadline() const;
     void attempt_unsent();
 
     void pass_stream(std::string_view piece);
@@ -106,11 +113,14 @@
     /// The target of the attempt under way, or empty.
     std::string target_;
     attempt_history history_;
+    rollout_run rollout_;
     std::unique_ptr<upstream_call> call_;
     /// Set if the request's prompt goes to a model engine.
     std::optional<engine_request> engine_request_;
     /// Kept while an engine is looked for.
     std::shared_ptr<placement_exchange::handle> placing_;
+    /// Counts the looks for an engine.
+    unsigned choices_ = 0;
     /// Set while the request waits for its turn at a cold target.
     std::optional<turn_at_target> turn_;
     /// The run at an engine that is under way.
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -73,7 +73,8 @@
       homes_(settings.host, {}),
       targets_(pool_settings(settings, homes_), random_),
       keepers_(homes_),
-      lag_(loop, [this] { return context_->requests.size(); }) {}
+      lag_(loop, [this] { return context_->requests.size(); }),
+      rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -130,7 +131,8 @@
         loop_, *log_,
         keyed_follower_settings{.log = dialect_.configuration_log, .only_newest = true},
         keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
-                             [] {}, reachable_hook(dialect_.configuration_log)});
+                             [this] { orders_read(); },
+                             reachable_hook(dialect_.configuration_log)});
     target_follower_ = std::make_unique<keyed_follower>(
         loop_, *log_,
         keyed_follower_settings{.log = dialect_.target_log, .pause = target_read_pause},
@@ -203,6 +205,7 @@
         *grants_,
         *tokens_,
         *placements_,
+        rollouts_.entry(),
         random_,
         metrics_,
         events_,
@@ -318,7 +321,8 @@
         emptied_changed(*emptied, record);
         return;
     }
-    if (record.key != dialect_.configuration_key || !record.value) {
+    if (rollouts_.configuration_changed(monotonic_now(), record) ||
+        record.key != dialect_.configuration_key || !record.value) {
         return;
     }
     result<gateway_configuration> read = dialect_.read_configuration(*record.value);
@@ -339,6 +343,29 @@
                {"accounts", std::to_string(current.accounts.size())}});
 }
 
+gateway_rollouts::hooks gateway::rollout_hooks() {
+    const auto in_force = [this](const rollout_order& order) {
+        // A process that starts may not know all targets yet.
+        return configuration_follower_->live() && target_follower_->live() &&
+               targets_.has_only_version(order.service, order.version);
+    };
+    const auto ordered = [this](const std::string& service) {
+        for (const std::shared_ptr<forwarded_request>& request : context_->requests) {
+            request->join_rollout(service);
+        }
+    };
+    return {in_force, ordered};
+}
+
+/// A target of a new version waits for a read that began after it was met. The one that is held
+/// open ends within 700 ms; another that isn't held follows it.
+void gateway::orders_read() {
+    targets_.orders_read(configuration_follower_->last_read_began());
+    if (targets_.waits_for_orders()) {
+        configuration_follower_->look_now();
+    }
+}
+
 void gateway::apply_configuration() {
     for (const gateway_service& service : configuration_.current().services) {
         targets_.set_warmup(monotonic_now(), service.name, service.warmup);
@@ -415,6 +442,9 @@
     const bool news = known == nullptr || !(*known == target);
     targets_.apply(target, record.offset);
     targets_.note_cold(monotonic_now(), target.id, read.value().cold_left);
+    if (known == nullptr) {
+        targets_.hold_back_new_version(monotonic_now(), target.id);
+    }
     if (news) {
         log_event(log_level::information, "target_listed",
                   {{"target", record.key},
@@ -525,6 +555,7 @@
     ledger_->append_if_due();
     waiters_->serve(now);
     desk_->drop_lapsed(now);
+    rollouts_.tick(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
         pools_.erase(id);
     }
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "roles/gateway/event_log.hpp"
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
+#include "roles/gateway/gateway_rollouts.hpp"
 #include "roles/gateway/lag_watch.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
@@ -48,6 +49,8 @@
 
     void configuration_changed(const keyed_record& record);
     void emptied_changed(const std::string& failure_domain, const keyed_record& record);
+    gateway_rollouts::hooks rollout_hooks();
+    void orders_read();
     void apply_configuration();
     void keeper_silent(const std::string& host, bool others_answered);
     void keeper_answered(const std::string& host);
@@ -94,6 +97,7 @@
     lag_watch lag_;
     std::unique_ptr<placement_desk> desk_;
     std::unique_ptr<placement_exchange> placements_;
+    gateway_rollouts rollouts_;
     isolation_watch reach_;
     bool was_isolated_ = false;
     std::map<std::string, retry_budget> retries_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "roles/gateway/entry_rollouts.hpp"
 #include "roles/gateway/event_log.hpp"
 #include "roles/gateway/placement_exchange.hpp"
 #include "roles/gateway/token_exchange.hpp"
@@ -38,6 +39,7 @@
     grant_holder& grants;
     token_exchange& tokens;
     placement_exchange& placements;
+    entry_rollouts& rollouts;
     random_source& random;
     metrics& counters;
     event_log& events;
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -49,6 +49,7 @@
     settings.drain.grace =
         read_ms(reader, "listen_after_stop_ms", settings.drain.grace, longest_drain_ms);
     settings.capacity = reader.number_or("capacity", settings.capacity, 0.0, most_cores);
+    settings.exposed_share = reader.number_or("exposed_share", settings.exposed_share, 0.0, 1.0);
     settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
     settings.retry_slack = reader.number_or("retry_slack", settings.retry_slack, 0.0, most_slack);
     settings.token_wait = read_ms(reader, "token_wait_ms", settings.token_wait, longest_wait_ms);
--- /dev/null
+++ b/src/roles/gateway/rollout_run.cpp
@@ -0,0 +1,98 @@
+#include "roles/gateway/rollout_run.hpp"
+
+#include <utility>
+
+namespace wrenswitch {
+
+void rollout_run::belongs_to(const std::string& service, const gateway_route& route,
+                             std::uint64_t session) {
+    service_ = service;
+    request_.route = route.name;
+    request_.session = session;
+    request_.can_move = may_repeat(route.kind) && route.most_attempts > 1;
+}
+
+std::optional<version_limit> rollout_run::choose_versions(instant now, unsigned attempt) {
+    const rollout_gate* gate = rollouts_.gate_of(service_);
+    limit_ = {};
+    if (gate == nullptr) {
+        return limit_;
+    }
+    request_.again = attempt > 1;
+    request_.in_need = false;
+    std::optional<version_limit> limit = gate->limit_for(now, request_);
+    limit_ = limit.value_or(version_limit{});
+    return limit;
+}
+
+std::optional<version_limit> rollout_run::look_further(bool all_cold) {
+    const rollout_gate* gate = rollouts_.gate_of(service_);
+    const bool may_wait = all_cold && limit_.rule != version_rule::only;
+    if (gate == nullptr || may_wait || std::exchange(request_.in_need, true)) {
+        return std::nullopt;
+    }
+    std::optional<version_limit> limit = gate->limit_without_candidates(limit_);
+    limit_ = limit.value_or(version_limit{});
+    return limit;
+}
+
+bool rollout_run::begin(instant now, const gateway_target& target) {
+    order_.reset();
+    began_ = now;
+    first_.reset();
+    joined_ = false;
+    rollout_gate* gate = rollouts_.gate_of(service_);
+    if (gate == nullptr) {
+        return true;
+    }
+    if (!gate->begin(now, request_, target.version, target.id)) {
+        return false;
+    }
+    order_ = gate->order().number;
+    version_ = target.version;
+    target_ = target.id;
+    return true;
+}
+
+void rollout_run::join(const gateway_target* target) {
+    rollout_gate* gate = rollouts_.gate_of(service_);
+    const bool at_old = target != nullptr && gate != nullptr &&
+                        target->version != gate->order().version && !request_.can_move;
+    if (!at_old || order_ == gate->order().number) {
+        return;
+    }
+    gate->note_bound_to_old();
+    order_ = gate->order().number;
+    joined_ = true;
+}
+
+rollout_gate* rollout_run::gate_under_way() {
+    rollout_gate* gate = order_ ? rollouts_.gate_of(service_) : nullptr;
+    return gate != nullptr && gate->order().number == order_ ? gate : nullptr;
+}
+
+void rollout_run::note_reached() {
+    rollout_gate* gate = gate_under_way();
+    if (gate != nullptr && !joined_) {
+        gate->note_reached();
+    }
+}
+
+void rollout_run::note_first(instant now) {
+    first_ = first_.value_or(now - began_);
+}
+
+void rollout_run::end(rollout_gate::answer how, std::optional<microseconds> pace) {
+    rollout_gate* gate = gate_under_way();
+    order_.reset();
+    if (gate == nullptr) {
+        return;
+    }
+    if (joined_) {
+        gate->note_unbound();
+        return;
+    }
+    gate->end(request_, version_, target_, how, first_, pace);
+}
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/stream_watch.hpp
+++ b/src/roles/gateway/stream_watch.hpp
@@ -16,6 +16,7 @@
     /// The stream goes on at another target: the wait for its first event is no pause of that one.
     void begin_attempt() {
         events_ = 0;
+        first_events_ = 0;
         span_events_ = 0;
     }
 
@@ -24,6 +25,8 @@
     microseconds note(instant now, std::size_t count) {
         if (events_ == 0) {
             span_began_ = now;
+            first_ = now;
+            first_events_ = count;
         } else {
             span_events_ += count;
         }
@@ -49,11 +52,22 @@
     /// When the last one came.
     instant last() const { return last_; }
 
+    /// The time of the present attempt's events behind the first ones, by event, if some came.
+    std::optional<microseconds> pace() const {
+        if (events_ <= first_events_) {
+            return std::nullopt;
+        }
+        return (last_ - first_) / static_cast<microseconds::rep>(events_ - first_events_);
+    }
+
     /// The longest time between two events of one attempt.
     microseconds longest_pause() const { return longest_pause_; }
 
 private:
     std::size_t events_ = 0;
+    /// When the first ones came, and how many these were.
+    instant first_{};
+    std::size_t first_events_ = 0;
     instant last_{};
     microseconds longest_pause_{};
     /// The span that isn't complete yet.
--- /dev/null
+++ b/tests/roles/entry_rollouts_test.cpp
@@ -0,0 +1,181 @@
+#include "roles/gateway/entry_rollouts.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "roles/gateway/gateway_rollouts.hpp"
+#include "roles/gateway/rollout_run.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+
+constexpr instant now{seconds(100)};
+
+struct rollouts_fixture {
+    metrics counters;
+    entry_rollouts rollouts{0.1, counters};
+
+    static rollout_order order(std::uint64_t number, const std::string& version = "v2",
+                               const std::string& service = "app") {
+        return {service, version, seconds(8), number};
+    }
+
+    static rollout_record record(std::uint64_t number, rollout_state state,
+                                 const std::string& version = "v2") {
+        return {"app", number, version, state, {}, {}, "why"};
+    }
+
+    rollout_phase phase() { return rollouts.gate_of("app")->stand().phase; }
+
+    void tell(std::uint64_t number, rollout_phase phase, const std::string& version = "v2") {
+        rollout_stand stand;
+        stand.service = "app";
+        stand.order = number;
+        stand.version = version;
+        stand.phase = phase;
+        stand.canary_part = 1.0;
+        stand.left = seconds(5);
+        rollouts.told(now, stand);
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_rollouts_test, rollouts_fixture)
+
+BOOST_AUTO_TEST_CASE(service_without_an_order_has_no_gate) {
+    BOOST_TEST((rollouts.gate_of("app") == nullptr));
+    BOOST_TEST(rollouts.reports(now).empty());
+    tell(1, rollout_phase::canary);
+    rollouts.withdrawn(now, "app");
+    rollouts.recorded(now, record(1, rollout_state::completed));
+    BOOST_TEST((rollouts.gate_of("app") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(newest_order_counts_and_begins_anew) {
+    BOOST_TEST(rollouts.ordered(now, order(5)));
+    tell(5, rollout_phase::rolled_back);
+    BOOST_TEST(!rollouts.ordered(now, order(5)));
+    BOOST_TEST(!rollouts.ordered(now, order(4, "v1")));
+    BOOST_TEST((phase() == rollout_phase::rolled_back));
+    BOOST_TEST(rollouts.ordered(now, order(9)));
+    BOOST_TEST((phase() == rollout_phase::waiting));
+    tell(5, rollout_phase::completed);
+    BOOST_TEST((phase() == rollout_phase::waiting));
+}
+
+BOOST_AUTO_TEST_CASE(orders_of_several_services_stand_side_by_side) {
+    rollouts.ordered(now, order(5));
+    rollouts.ordered(now, order(6, "v7", "llm"));
+    BOOST_TEST(rollouts.orders().size() == 2U);
+    tell(5, rollout_phase::canary);
+    BOOST_TEST((rollouts.gate_of("llm")->stand().phase == rollout_phase::waiting));
+    BOOST_TEST(rollouts.reports(now).size() == 2U);
+    tell(5, rollout_phase::completed);
+    BOOST_TEST(rollouts.reports(now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(final_record_ends_a_roll_out_and_a_running_one_says_nothing) {
+    rollouts.ordered(now, order(5));
+    tell(5, rollout_phase::canary);
+    rollouts.recorded(now, record(5, rollout_state::running));
+    BOOST_TEST((phase() == rollout_phase::canary));
+    rollouts.recorded(now, record(4, rollout_state::completed));
+    rollouts.recorded(now, record(5, rollout_state::completed, "v3"));
+    BOOST_TEST((phase() == rollout_phase::canary));
+    rollouts.recorded(now, record(5, rollout_state::rolled_back));
+    BOOST_TEST((phase() == rollout_phase::rolled_back));
+}
+
+BOOST_AUTO_TEST_CASE(record_that_came_before_its_order_is_taken_with_it) {
+    rollouts.recorded(now, record(5, rollout_state::completed));
+    rollouts.ordered(now, order(5));
+    BOOST_TEST((phase() == rollout_phase::completed));
+}
+
+BOOST_AUTO_TEST_CASE(withdrawn_order_is_rolled_back_here_at_once) {
+    rollouts.ordered(now, order(5));
+    tell(5, rollout_phase::moving);
+    rollouts.withdrawn(now, "app");
+    BOOST_TEST((phase() == rollout_phase::rolled_back));
+    rollouts.ordered(now, order(8));
+    BOOST_TEST((phase() == rollout_phase::waiting));
+}
+
+BOOST_AUTO_TEST_CASE(request_is_counted_by_the_order_that_it_began_under) {
+    rollouts.ordered(now, order(5));
+    gateway_route route;
+    route.name = "once";
+    rollout_run run(rollouts);
+    run.belongs_to("app", route, 3);
+    BOOST_TEST((run.choose_versions(now, 1)->rule == version_rule::other_than));
+    gateway_target target;
+    target.id = "o1";
+    target.version = "v1";
+    BOOST_TEST(run.begin(now, target));
+    rollouts.ordered(now, order(9));
+    run.note_reached();
+    run.end(rollout_gate::answer::well);
+    BOOST_TEST(rollouts.gate_of("app")->report(now).reached == 0U);
+    BOOST_TEST(rollouts.gate_of("app")->evidence().counts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(request_from_before_the_order_holds_up_the_move_and_gives_no_budget) {
+    gateway_route route;
+    rollout_run run(rollouts);
+    run.belongs_to("app", route, 3);
+    gateway_target target;
+    target.version = "v1";
+    BOOST_TEST((run.choose_versions(now, 1)->rule == version_rule::any));
+    BOOST_TEST(run.begin(now, target));
+    rollouts.ordered(now, order(5));
+    run.join(&target);
+    run.join(&target);
+    tell(5, rollout_phase::moving);
+    const instant late = now + seconds(5);
+    BOOST_TEST(!rollouts.gate_of("app")->report(late).moved);
+    run.note_reached();
+    run.end(rollout_gate::answer::well);
+    BOOST_TEST(rollouts.gate_of("app")->report(late).moved);
+    BOOST_TEST(rollouts.gate_of("app")->report(late).reached == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(version_without_targets_is_looked_for_elsewhere_once) {
+    rollouts.ordered(now, order(5));
+    tell(5, rollout_phase::completed);
+    rollout_run run(rollouts);
+    run.belongs_to("app", {}, 3);
+    BOOST_TEST((run.choose_versions(now, 1)->rule == version_rule::only));
+    BOOST_TEST((run.look_further(false)->rule == version_rule::other_than));
+    BOOST_TEST(!run.look_further(false).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(unreadable_order_changes_nothing) {
+    gateway_dialect dialect;
+    gateway_rollouts part(dialect, 0.1, counters, {});
+    BOOST_TEST(!part.configuration_changed(now, {"order/app", "v2", 5}));
+    dialect.ordered_service = [](std::string_view key) -> std::optional<std::string> {
+        return key.starts_with("order/") ? std::optional(std::string(key.substr(6))) : std::nullopt;
+    };
+    dialect.read_order = [](std::string_view service, std::string_view value,
+                            std::uint64_t number) -> result<rollout_order> {
+        if (value.empty()) {
+            return failed(error_code::bad_input, "no version");
+        }
+        return rollout_order{std::string(service), std::string(value), {}, number};
+    };
+    std::vector<std::string> told;
+    gateway_rollouts orders(dialect, 0.1, counters,
+                            {[](const rollout_order&) { return false; },
+                             [&told](const std::string& service) { told.push_back(service); }});
+    BOOST_TEST(!orders.configuration_changed(now, {"config", "v2", 4}));
+    BOOST_TEST(orders.configuration_changed(now, {"order/app", "v2", 5}));
+    BOOST_TEST(orders.configuration_changed(now, {"order/app", "", 6}));
+    BOOST_TEST(orders.entry().gate_of("app")->order().number == 5U);
+    BOOST_TEST(counters.counter("rollout_orders_unreadable_total") == 1U);
+    BOOST_TEST(orders.configuration_changed(now, {"order/app", std::nullopt, 7}));
+    BOOST_TEST((orders.entry().gate_of("app")->stand().phase == rollout_phase::rolled_back));
+    BOOST_TEST(told.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
