Let a canary follow a part of the budget that rises, and give stand-ins of targets versions and flaws

A canary of sessions alone used at most 1.5 times its part however fast the part rose, so that a stress could not be made; it takes any request of a route below its own share while less than 0.8 of the part is used. Tests: rollout_gate canary_follows_a_part_that_rises.

--- a/include/wrenswitch/decision/rollout/exposure_budget.hpp
+++ b/include/wrenswitch/decision/rollout/exposure_budget.hpp
@@ -21,6 +21,12 @@
         return static_cast<double>(sent_ + 1) <= share_ * part * static_cast<double>(reached_);
     }
 
+    /// How much of such a part is used; one or more if all is.
+    double used(double part) const {
+        const double allowed = share_ * part * static_cast<double>(reached_);
+        return allowed > 0.0 ? static_cast<double>(sent_) / allowed : 1.0;
+    }
+
     /// A request goes to the new version.
     void note_sent() { sent_ += 1; }
 
--- a/src/decision/rollout/rollout_gate.cpp
+++ b/src/decision/rollout/rollout_gate.cpp
@@ -30,6 +30,10 @@
 constexpr double least_route_share = 0.5;
 constexpr double most_route_share = 1.5;
 
+/// If less than this of the canary's part is used, any request is taken whose route has less than
+/// its own: the part may have risen, and sessions that are on their way don't follow so fast.
+constexpr double least_used = 0.8;
+
 /// So many bad answers of the new version beyond the old one's share are enough for an entry by
 /// itself. Half of the 50 in all from which on each further request counts.
 constexpr double sure_bad_answers = 25.0;
@@ -107,7 +111,8 @@
     const route_sums sums = found == routes_.end() ? route_sums{} : found->second;
     const double fair = part * static_cast<double>(sums.of_old + sums.of_new);
     const double with_this = static_cast<double>(sums.of_new + 1);
-    if (with_this <= least_route_share * fair) {
+    const bool behind = exposure_.used(stand_.canary_part) < least_used;
+    if (with_this <= (behind ? 1.0 : least_route_share) * fair) {
         return true;
     }
     return with_this <= most_route_share * fair + 1.0 &&
--- a/tests/decision/rollout/rollout_gate_test.cpp
+++ b/tests/decision/rollout/rollout_gate_test.cpp
@@ -148,6 +148,18 @@
     BOOST_TEST(at_new["read"] >= 400);
 }
 
+BOOST_AUTO_TEST_CASE(canary_follows_a_part_that_rises) {
+    tell(rollout_phase::canary, seconds(6), 0.1);
+    serve_many(4000);
+    const std::uint64_t before = exposed;
+    tell(rollout_phase::canary, seconds(4), 0.4);
+    serve_many(2000);
+    // From 36 to 216 of 6000, which is more than the part itself within this time.
+    BOOST_TEST(before >= 28U);
+    BOOST_TEST(exposed >= 160U);
+    BOOST_TEST(exposed <= 216U);
+}
+
 BOOST_AUTO_TEST_CASE(request_that_was_sent_before_goes_to_the_old_version) {
     tell(rollout_phase::canary, seconds(6), 1.0);
     serve_many(1000);
--- a/tests/platform/worker_standin.hpp
+++ b/tests/platform/worker_standin.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/core/time.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 
 namespace wrenswitch::testing {
@@ -12,7 +15,7 @@
 /// sent, and answers as a test says; by default with its own name and the request's identifier.
 class worker_standin {
 public:
-    worker_standin(event_loop& loop, std::string id) : id_(std::move(id)) {
+    worker_standin(event_loop& loop, std::string id) : loop_(loop), id_(std::move(id)) {
         server_ =
             std::move(ingress_server::start(
                           loop, "127.0.0.1", 0, [] { return ingress_limits{}; },
@@ -28,7 +31,7 @@
                            const std::string& zone = "z1", int cold_left_ms = 0) const {
         return R"({"service":")" + service + R"(","addr":")" + address() + R"(","zone":")" + zone +
                R"(","slots":6,"coldLeftMs":)" + std::to_string(cold_left_ms) + R"(,"state":")" +
-               state + R"(","seq":1})";
+               state + (version.empty() ? "" : R"(","version":")" + version) + R"(","seq":1})";
     }
 
     /// The headers of each answer of this worker's own.
@@ -38,6 +41,30 @@
                 {"Load-Report", "1,0,6"}};
     }
 
+    /// Of its software; empty if it doesn't say.
+    std::string version;
+
+    /// What is wrong with its software. All that is said has to hold for an answer to be bad.
+    struct flaws {
+        /// The share of answers that are failures, and how much later the others come.
+        double failing = 0.0;
+        microseconds slower{};
+        /// From then on, on paths that begin so, with more than so many requests under way.
+        instant from{};
+        std::string path;
+        std::size_t above = 0;
+    };
+    flaws wrong;
+    /// How long an answer takes.
+    microseconds work{};
+
+    /// When a request came, by its number in `seen`, and which answers were bad.
+    struct arrival {
+        instant at{};
+        bool bad = false;
+    };
+    std::vector<arrival> arrivals;
+
     /// The answer, if a test wants another.
     std::function<void(const ingress_exchange_pointer&)> answer;
     /// Every request that expected this worker.
@@ -53,13 +80,43 @@
         }
         seen.push_back(exchange->head());
         exchanges.push_back(exchange);
+        arrivals.push_back({monotonic_now(), false});
         if (answer) {
             answer(exchange);
             return;
         }
-        exchange->answer(200, signed_headers(exchange), "body of " + id_);
+        under_way_ += 1;
+        const bool flawed = is_flawed(exchange->head().target);
+        const bool failing = flawed && random_.unit() < wrong.failing;
+        const bool slow = flawed && wrong.slower > microseconds(0);
+        arrivals.back().bad = failing || slow;
+        const microseconds takes = work + (slow ? wrong.slower : microseconds(0));
+        if (takes == microseconds(0)) {
+            end(exchange, failing);
+            return;
+        }
+        loop_.call_after(takes, [this, exchange, failing, alive = std::weak_ptr(alive_)] {
+            if (!alive.expired()) {
+                end(exchange, failing);
+            }
+        });
+    }
+
+    bool is_flawed(std::string_view path) const {
+        return (wrong.failing > 0.0 || wrong.slower > microseconds(0)) &&
+               monotonic_now() >= wrong.from && path.starts_with(wrong.path) &&
+               under_way_ > wrong.above;
+    }
+
+    void end(const ingress_exchange_pointer& exchange, bool failing) {
+        under_way_ -= 1;
+        exchange->answer(failing ? 500 : 200, signed_headers(exchange), "body of " + id_);
     }
 
+    event_loop& loop_;
+    random_source random_{7};
+    std::size_t under_way_ = 0;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::string id_;
     std::unique_ptr<ingress_server> server_;
 };
