Move lasting streams first, and let what no version may get wait for the deadline

Requests that can't go on elsewhere and find the bound used up in the last 400 ms waited for nothing: they were refused. They now wait for the deadline, after which a version that is held for good has no bound. Streams that can't be resumed leave the old targets 1.2 s before it, since one that is left there holds up the end; short ones keep to the last 400 ms, so that the budget is used when it counts. Tests: rollout_gate move_takes_first_*, last_moments_*.

--- a/include/wrenswitch/decision/rollout/rollout_gate.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_gate.hpp
@@ -21,6 +21,8 @@
     std::uint64_t session = 0;
     /// True if the request can go on at another target after a break.
     bool can_move = false;
+    /// True if its answer is a stream, which takes longer than others.
+    bool lasts = false;
     /// True if it was sent to a target before: an unproved version isn't tried with it again.
     bool again = false;
     /// True if the versions that it should go to have no target for it.
@@ -48,7 +50,8 @@
     /// nothing to be proved and nothing to move from.
     void note_in_force() { in_force_ = true; }
 
-    /// The versions that a request may go to; nothing if it has to be refused for now.
+    /// The versions that a request may go to; nothing if there is none right now: after
+    /// the deadline there is one again.
     std::optional<version_limit> limit_for(instant now, const rollout_request& request) const;
 
     /// The versions that are left for a request whose limit has no candidates. The new one gets it
--- a/src/decision/rollout/rollout_gate.cpp
+++ b/src/decision/rollout/rollout_gate.cpp
@@ -11,10 +11,14 @@
 /// The part of what the operator allows that is used: others count over slightly other spans.
 constexpr double used_part = 0.9;
 
-/// The part of the budget that requests which can't go on elsewhere may use before the last
-/// moments, and the rest of the requests in them: what is left is for those that can't stay.
+/// The part of the budget that lasting requests may use before the last moments, and requests that
+/// can go on elsewhere in them: what is left is for those that can't stay at old targets.
 constexpr double early_part = 0.75;
-constexpr double movable_part = 0.85;
+constexpr double movable_part = 0.6;
+
+/// Streams that can't go on elsewhere leave the old targets so long before the deadline: those of
+/// some 7 events take 0.3 to 0.8 s, and one that is left there holds up the end.
+constexpr microseconds lasting_moments = milliseconds(1200);
 
 /// Before the deadline everything moves for so long: a report takes 250 ms to the decider, its
 /// append some 10 ms, and plain answers 20 ms. A tenth of the traffic of 8 s, less what the canary
@@ -124,7 +128,8 @@
         return stand_.canary_part;
     }
     if (!in_last_moments(now)) {
-        return request.can_move ? 0.0 : early_part;
+        const bool leaves = request.lasts && !request.can_move && left(now) <= lasting_moments;
+        return leaves ? early_part : 0.0;
     }
     return request.can_move ? movable_part : 1.0;
 }
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -28,6 +28,9 @@
 constexpr microseconds until_targets = milliseconds(200);
 constexpr microseconds until_turns = milliseconds(400);
 constexpr microseconds until_elsewhere = milliseconds(50);
+
+/// How often a request that no version may get right now is looked at again.
+constexpr microseconds until_versions = milliseconds(40);
 constexpr microseconds until_less_busy = milliseconds(150);
 
 /// A target that refuses a connection does so at once; one that takes longer says nothing.
@@ -250,10 +253,22 @@
     if (versions) {
         choose_target(*versions);
     } else {
-        refuse_without_target(false);
+        wait_for_versions();
     }
 }
 
+/// Right before a roll-out's deadline the old version may get nothing that it couldn't end, and the
+/// new one no more than its bound allows. That is over within some 400 ms.
+void forwarded_request::wait_for_versions() {
+    context_.counters.counter("gateway_waits_for_versions_total") += 1;
+    context_.loop.call_after(until_versions, [self = weak_from_this()] {
+        const auto alive = self.lock();
+        if (alive && !alive->ended_ && !alive->called_off_) {
+            alive->dispatch();
+        }
+    });
+}
+
 /// What the configuration and a roll-out of the service leave of its targets is what may be chosen.
 void forwarded_request::choose_target(const version_limit& versions) {
     const candidate_limits limits{admitted_.regions, versions};
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -55,6 +55,7 @@
     void pay(reserve_outcome outcome);
 
     void dispatch();
+    void wait_for_versions();
     void choose_target(const version_limit& versions);
     void target_chosen(const target_choice& choice, const placed_run& run);
     void wait_for_turn(const target_choice& choice, const placed_run& run);
--- a/src/roles/gateway/rollout_run.cpp
+++ b/src/roles/gateway/rollout_run.cpp
@@ -9,6 +9,7 @@
     service_ = service;
     request_.route = route.name;
     request_.session = session;
+    request_.lasts = is_stream(route.kind);
     request_.can_move = may_repeat(route.kind) && route.most_attempts > 1;
 }
 
--- a/src/roles/gateway/rollout_run.hpp
+++ b/src/roles/gateway/rollout_run.hpp
@@ -19,8 +19,8 @@
     /// The request is for this service and route. `session` as in rollout_request.
     void belongs_to(const std::string& service, const gateway_route& route, std::uint64_t session);
 
-    /// The versions that an attempt may go to, by its number from 1; nothing if it has to be
-    /// refused for now. Begins the choice of a target anew.
+    /// The versions that an attempt may go to, by its number from 1; nothing if there is none
+    /// right now. Begins the choice of a target anew.
     std::optional<version_limit> choose_versions(instant now, unsigned attempt);
 
     /// No target of the versions chosen can be had, `all_cold` as in target_choice. The versions to
--- a/tests/decision/rollout/rollout_gate_test.cpp
+++ b/tests/decision/rollout/rollout_gate_test.cpp
@@ -35,7 +35,7 @@
     }
 
     rollout_request request(const std::string& route = "read", bool can_move = true) {
-        return {route, next_session++, can_move, false, false};
+        return {route, next_session++, can_move, false, false, false};
     }
 
     static bool is_to_new(const std::optional<version_limit>& limit) {
@@ -181,28 +181,35 @@
     BOOST_TEST(limit->group_size == 2U);
     BOOST_TEST(limit->group_seed == 11U);
     tell(rollout_phase::moving);
-    const auto moved = gate.limit_for(start, request("read", false));
+    const auto moved = gate.limit_for(start + seconds(6), request("read", false));
     BOOST_REQUIRE(is_to_new(moved));
     BOOST_TEST(moved->group_size == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(move_takes_first_what_can_not_go_on_elsewhere) {
+BOOST_AUTO_TEST_CASE(move_takes_first_what_lasts_and_can_not_go_on_elsewhere) {
     serve_many(1000);
     tell(rollout_phase::moving, seconds(2));
-    BOOST_TEST(is_to_new(gate.limit_for(start, request("read", false))));
-    BOOST_TEST(is_to_old(gate.limit_for(start, request("read", true))));
-    BOOST_TEST(!gate.report(start).moved);
+    rollout_request stream = request("stream", false);
+    stream.lasts = true;
+    BOOST_TEST(is_to_old(gate.limit_for(start, stream)));
+    const instant near_end = start + milliseconds(900);
+    BOOST_TEST(is_to_new(gate.limit_for(near_end, stream)));
+    BOOST_TEST(is_to_old(gate.limit_for(near_end, request("read", false))));
+    BOOST_TEST(is_to_old(gate.limit_for(near_end, request("read", true))));
+    BOOST_TEST(!gate.report(near_end).moved);
     const instant late = start + milliseconds(1700);
+    BOOST_TEST(is_to_new(gate.limit_for(late, request("read", false))));
     BOOST_TEST(is_to_new(gate.limit_for(late, request("read", true))));
     BOOST_TEST(gate.report(late).moved);
 }
 
-BOOST_AUTO_TEST_CASE(last_moments_refuse_what_the_bound_leaves_no_place_for) {
+BOOST_AUTO_TEST_CASE(last_moments_have_no_version_for_what_the_bound_leaves_no_place_for) {
     tell(rollout_phase::moving, milliseconds(300));
     BOOST_TEST(!gate.limit_for(start, request("read", false)).has_value());
     BOOST_TEST(!gate.begin(start, request("read", false), "v1", "o1"));
     BOOST_TEST(is_to_old(gate.limit_for(start, request("read", true))));
     BOOST_TEST(gate.begin(start, request("read", true), "v1", "o1"));
+    BOOST_TEST(is_to_new(gate.limit_for(start + milliseconds(300), request("read", false))));
 }
 
 BOOST_AUTO_TEST_CASE(after_the_deadline_everything_goes_to_a_version_that_is_held_for_good) {
