--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -10,8 +10,8 @@
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/incoming_request.hpp"
 #include "roles/gateway/request_charge.hpp"
+#include "roles/gateway/request_rollout.hpp"
 #include "roles/gateway/request_trace.hpp"
-#include "roles/gateway/rollout_run.hpp"
 #include "roles/gateway/stream_watch.hpp"
 #include "wrenswitch/decision/gateway/admission.hpp"
 #include "wrenswitch/decision/gateway/attempt_history.hpp"
@@ -114,7 +114,7 @@
     /// The target of the attempt under way, or empty.
     std::string target_;
     attempt_history history_;
-    rollout_run rollout_;
+    request_rollout rollout_;
     std::unique_ptr<upstream_call> call_;
     /// Set if the request's prompt goes to a model engine.
     std::optional<engine_request> engine_request_;
--- a/src/roles/gateway/rollout_run.cpp
+++ b/src/roles/gateway/request_rollout.cpp
@@ -1,11 +1,11 @@
-#include "roles/gateway/rollout_run.hpp"
+#include "roles/gateway/request_rollout.hpp"
 
 #include <utility>
 
 namespace wrenswitch {
 
-void rollout_run::belongs_to(const std::string& service, const gateway_route& route,
-                             std::uint64_t session) {
+void request_rollout::belongs_to(const std::string& service, const gateway_route& route,
+                                 std::uint64_t session) {
     service_ = service;
     request_.route = route.name;
     request_.session = session;
@@ -13,7 +13,7 @@
     request_.can_move = may_repeat(route.kind) && route.most_attempts > 1;
 }
 
-std::optional<version_limit> rollout_run::choose_versions(instant now, unsigned attempt) {
+std::optional<version_limit> request_rollout::choose_versions(instant now, unsigned attempt) {
     const rollout_gate* gate = rollouts_.gate_of(service_);
     limit_ = {};
     if (gate == nullptr) {
@@ -26,7 +26,7 @@
     return limit;
 }
 
-std::optional<version_limit> rollout_run::look_further(bool all_cold) {
+std::optional<version_limit> request_rollout::look_further(bool all_cold) {
     const rollout_gate* gate = rollouts_.gate_of(service_);
     const bool may_wait = all_cold && limit_.rule != version_rule::only;
     if (gate == nullptr || may_wait || std::exchange(request_.in_need, true)) {
@@ -37,7 +37,7 @@
     return limit;
 }
 
-bool rollout_run::begin(instant now, const gateway_target& target) {
+bool request_rollout::begin(instant now, const gateway_target& target) {
     order_.reset();
     began_ = now;
     first_.reset();
@@ -55,7 +55,7 @@
     return true;
 }
 
-void rollout_run::join(const gateway_target* target) {
+void request_rollout::join(const gateway_target* target) {
     rollout_gate* gate = rollouts_.gate_of(service_);
     const bool at_old = target != nullptr && gate != nullptr &&
                         target->version != gate->order().version && !request_.can_move;
@@ -67,23 +67,23 @@
     joined_ = true;
 }
 
-rollout_gate* rollout_run::gate_under_way() {
+rollout_gate* request_rollout::gate_under_way() {
     rollout_gate* gate = order_ ? rollouts_.gate_of(service_) : nullptr;
     return gate != nullptr && gate->order().number == order_ ? gate : nullptr;
 }
 
-void rollout_run::note_reached() {
+void request_rollout::note_reached() {
     rollout_gate* gate = gate_under_way();
     if (gate != nullptr && !joined_) {
         gate->note_reached();
     }
 }
 
-void rollout_run::note_first(instant now) {
+void request_rollout::note_first(instant now) {
     first_ = first_.value_or(now - began_);
 }
 
-void rollout_run::end(rollout_gate::answer how, std::optional<microseconds> pace) {
+void request_rollout::end(rollout_gate::answer how, std::optional<microseconds> pace) {
     rollout_gate* gate = gate_under_way();
     order_.reset();
     if (gate == nullptr) {
--- a/src/roles/gateway/rollout_run.hpp
+++ b/src/roles/gateway/request_rollout.hpp
@@ -12,9 +12,9 @@
 
 /// One request's part in the roll-out of its service: the version it goes to, the permission to be
 /// sent there, and what came of each attempt. Without a roll-out it does nothing.
-class rollout_run {
+class request_rollout {
 public:
-    explicit rollout_run(entry_rollouts& rollouts) : rollouts_(rollouts) {}
+    explicit request_rollout(entry_rollouts& rollouts) : rollouts_(rollouts) {}
 
     /// The request is for this service and route. `session` as in rollout_request.
     void belongs_to(const std::string& service, const gateway_route& route, std::uint64_t session);
--- a/tests/roles/entry_rollouts_test.cpp
+++ b/tests/roles/entry_rollouts_test.cpp
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "roles/gateway/gateway_rollouts.hpp"
-#include "roles/gateway/rollout_run.hpp"
+#include "roles/gateway/request_rollout.hpp"
 
 namespace {
 
@@ -106,7 +106,7 @@
     rollouts.ordered(now, order(5));
     gateway_route route;
     route.name = "once";
-    rollout_run run(rollouts);
+    request_rollout run(rollouts);
     run.belongs_to("app", route, 3);
     BOOST_TEST((run.choose_versions(now, 1)->rule == version_rule::other_than));
     gateway_target target;
@@ -122,7 +122,7 @@
 
 BOOST_AUTO_TEST_CASE(request_from_before_the_order_holds_up_the_move_and_gives_no_budget) {
     gateway_route route;
-    rollout_run run(rollouts);
+    request_rollout run(rollouts);
     run.belongs_to("app", route, 3);
     gateway_target target;
     target.version = "v1";
@@ -143,7 +143,7 @@
 BOOST_AUTO_TEST_CASE(version_without_targets_is_looked_for_elsewhere_once) {
     rollouts.ordered(now, order(5));
     tell(5, rollout_phase::completed);
-    rollout_run run(rollouts);
+    request_rollout run(rollouts);
     run.belongs_to("app", {}, 3);
     BOOST_TEST((run.choose_versions(now, 1)->rule == version_rule::only));
     BOOST_TEST((run.look_further(false)->rule == version_rule::other_than));
