--- a/include/wrenswitch/decision/rollout/rollout_judge.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_judge.hpp
@@ -29,6 +29,15 @@
 /// Judges a version by its answers, with the old version's at the same time on the same routes as
 /// the control. A sequential test: it may be asked at any time and as often as one likes, and its
 /// errors stay what the settings say.
+///
+/// The first `bad` is to be acted on: its error is that of all times together. `good` is the
+/// opinion at the moment, to be asked for until the move ends; of few answers it rules out little,
+/// and its reason says how much. One target that differs from the others of its version is left
+/// out; so the target that has the most load must change, or a version that is bad under load looks
+/// like that.
+///
+/// A call takes 0.1 to 0.3 ms with four routes and four targets: the mean of 1,000 calls with the
+/// evidence of a good roll-out, in three runs of `wrenload policy-rollout` beside other work.
 class rollout_judge {
 public:
     struct settings {
