Read operators' orders of roll-outs and write where they stand

A version counts as the same whether it is written as a number or as text, in the order and in the list of targets. An order that names no version, another service than its key, or a time that is none is an error, so that what was in force stays; a missing time is none. translation_test covers each.

--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -190,4 +190,60 @@
     BOOST_TEST(!platform::read_emptied("7").has_value());
 }
 
+BOOST_AUTO_TEST_CASE(record_that_orders_a_rollout_names_its_service_by_its_key) {
+    BOOST_TEST(platform::ordered_service("rollout/huvo11a").value() == "huvo11a");
+    BOOST_TEST(!platform::ordered_service("rollout/").has_value());
+    BOOST_TEST(!platform::ordered_service("config").has_value());
+    BOOST_TEST(!platform::ordered_service("evacuate/rollout/x").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(order_read_has_version_time_and_number) {
+    const auto order = platform::read_order(
+        "huvo11a", R"({"service":"huvo11a","targetVersion":"v2","durationS":12.5})", 41);
+    BOOST_REQUIRE(order.has_value());
+    BOOST_TEST((order.value() == rollout_order{"huvo11a", "v2", milliseconds(12'500), 41}));
+}
+
+BOOST_AUTO_TEST_CASE(version_written_as_a_number_is_the_same_as_its_text) {
+    const auto order = platform::read_order("s", R"({"targetVersion":2,"durationS":8})", 1);
+    const auto listed =
+        platform::read_target("i-1", R"({"service":"s","addr":"10.128.0.9:8080","version":2})");
+    BOOST_TEST(order.value().version == "2");
+    BOOST_TEST(listed.value().target.version == order.value().version);
+}
+
+BOOST_AUTO_TEST_CASE(order_without_a_duration_has_none) {
+    for (const char* text :
+         {R"({"targetVersion":"v2"})", R"({"targetVersion":"v2","durationS":0})"}) {
+        BOOST_TEST((platform::read_order("s", text, 1).value().duration == microseconds(0)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(order_that_cannot_be_read_is_an_error_not_a_guess) {
+    for (const char* text :
+         {"", "{", "[]", "7", "null", "{}", R"({"targetVersion":""})", R"({"targetVersion":null})",
+          R"({"targetVersion":["v2"]})", R"({"targetVersion":"v2","durationS":"soon"})",
+          R"({"targetVersion":"v2","durationS":-1})", R"({"targetVersion":"v2","durationS":1e300})",
+          R"({"targetVersion":"v2","durationS":null})",
+          R"({"service":"other","targetVersion":"v2"})", R"({"service":7,"targetVersion":"v2"})"}) {
+        BOOST_TEST_CONTEXT(text) {
+            BOOST_TEST(!platform::read_order("s", text, 1).has_value());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(status_written_names_state_and_version_under_the_services_key) {
+    const auto written = [](rollout_state state) {
+        return platform::write_status(
+            {"huvo11a", 41, "v2", state, seconds(3), incarnation_id{5}, "why"});
+    };
+    BOOST_TEST(written(rollout_state::running).key == "rollout/huvo11a");
+    BOOST_TEST(*written(rollout_state::running).value ==
+               R"({"state":"running","targetVersion":"v2"})");
+    BOOST_TEST(*written(rollout_state::completed).value ==
+               R"({"state":"completed","targetVersion":"v2"})");
+    BOOST_TEST(*written(rollout_state::rolled_back).value ==
+               R"({"state":"rolled_back","targetVersion":"v2"})");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
