--- a/include/wrenswitch/drivers/member_directory.hpp
+++ b/include/wrenswitch/drivers/member_directory.hpp
@@ -1,13 +1,12 @@
 #pragma once
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
-#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/drivers/conditional_appender.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
 
 namespace wrenswitch {
@@ -30,7 +29,6 @@
 public:
     member_directory(event_loop& loop, keyed_log& log, std::string name, ledger_member own,
                      member_directory_hooks hooks);
-    ~member_directory();
     member_directory(const member_directory&) = delete;
     member_directory& operator=(const member_directory&) = delete;
 
@@ -41,24 +39,16 @@
 
 private:
     void on_changed(const keyed_record& record);
-    void write_if_due();
-    void on_appended(const std::vector<keyed_record>& records, std::uint64_t at,
-                     const result<std::uint64_t>& end);
-    void look_later();
+    std::vector<keyed_record> due_records() const;
     bool is_due() const;
 
-    event_loop& loop_;
-    keyed_log& log_;
-    random_source random_;
-    std::string name_;
     ledger_member own_;
     member_directory_hooks hooks_;
     keyed_follower follower_;
+    conditional_appender appender_;
     /// This host's record as the log has it.
     std::optional<ledger_member> written_;
     bool leaving_ = false;
-    bool appending_ = false;
-    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace wrenswitch
--- a/src/drivers/member_directory.cpp
+++ b/src/drivers/member_directory.cpp
@@ -13,9 +13,6 @@
 /// Members change rarely, so reads are held open for long.
 constexpr microseconds read_hold = seconds(5);
 
-/// Entries start together and then all write; those that lose a race wait up to this long.
-constexpr microseconds longest_race_wait = milliseconds(60);
-
 }  // namespace
 
 keyed_record encode_member(const ledger_member& member) {
@@ -41,19 +38,13 @@
 
 member_directory::member_directory(event_loop& loop, keyed_log& log, std::string name,
                                    ledger_member own, member_directory_hooks hooks)
-    : loop_(loop),
-      log_(log),
-      name_(std::move(name)),
-      own_(std::move(own)),
+    : own_(std::move(own)),
       hooks_(std::move(hooks)),
-      follower_(
-          loop, log, {.log = name_, .hold = read_hold},
-          {[this](const keyed_record& record) { on_changed(record); }, [this] { write_if_due(); },
-           [this](bool reachable) { hooks_.reachable(reachable); }}) {}
-
-member_directory::~member_directory() {
-    *alive_ = false;
-}
+      follower_(loop, log, {.log = name, .hold = read_hold},
+                {[this](const keyed_record& record) { on_changed(record); },
+                 [this] { appender_.caught_up(); },
+                 [this](bool reachable) { hooks_.reachable(reachable); }}),
+      appender_(loop, log, std::move(name), follower_, {[this] { return due_records(); }, {}}) {}
 
 void member_directory::on_changed(const keyed_record& record) {
     const bool is_own = record.key == own_.host;
@@ -80,49 +71,20 @@
     return leaving_ ? written_.has_value() : written_ != own_;
 }
 
-void member_directory::write_if_due() {
-    if (appending_ || !follower_.live() || !is_due()) {
-        return;
+std::vector<keyed_record> member_directory::due_records() const {
+    if (!is_due()) {
+        return {};
     }
     keyed_record record = encode_member(own_);
     if (leaving_) {
         record.value.reset();
     }
-    const std::vector<keyed_record> records{std::move(record)};
-    const std::uint64_t at = follower_.position();
-    appending_ = true;
-    log_.append(name_, at, records,
-                [this, records, at, alive = alive_](const result<std::uint64_t>& end) {
-                    if (*alive) {
-                        on_appended(records, at, end);
-                    }
-                });
-}
-
-void member_directory::on_appended(const std::vector<keyed_record>& records, std::uint64_t at,
-                                   const result<std::uint64_t>& end) {
-    appending_ = false;
-    if (end) {
-        follower_.appended(at, records);
-        return;
-    }
-    // Whether it lost a race or got no answer, the log tells.
-    look_later();
-}
-
-void member_directory::look_later() {
-    const auto longest = static_cast<std::uint64_t>(longest_race_wait.count());
-    const microseconds wait(static_cast<std::int64_t>(random_.below(longest + 1)));
-    loop_.call_after(wait, [this, alive = alive_] {
-        if (*alive) {
-            follower_.look_now();
-        }
-    });
+    return {std::move(record)};
 }
 
 void member_directory::leave() {
     leaving_ = true;
-    write_if_due();
+    appender_.append_if_due();
 }
 
 }  // namespace wrenswitch
