--- a/include/wrenswitch/decision/rollout/rollout_decider.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_decider.hpp
@@ -72,6 +72,9 @@
     void take(instant now, incarnation_id process, const rollout_report& report,
               rollout_evidence evidence);
 
+    /// Wants the roll-out rolled back, whatever the answers are.
+    void stop(const std::string& reason) { roll_back(reason); }
+
     /// What the log of roll-outs holds of the service.
     void recorded(instant now, const rollout_record& record);
 
