--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -111,7 +111,8 @@
     bus_->on_message([this](const message_origin& origin, const wire::Envelope& message) {
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
-        } else if (!placements_->on_message(origin, message)) {
+        } else if (!placements_->on_message(origin, message) &&
+                   !rollouts_.on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -189,6 +190,7 @@
                                       keeper_silent(host, others_answered);
                                   },
                                   [this](const std::string& host) { keeper_answered(host); }});
+    rollouts_.open(loop_, *log_, *bus_, homes_, incarnation_);
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
 }
@@ -354,7 +356,26 @@
             request->join_rollout(service);
         }
     };
-    return {in_force, ordered};
+    return {in_force, ordered, [this](const rollout_order& order) { return numbers_of(order); },
+            reachable_hook(dialect_.rollout_log)};
+}
+
+/// Unknown while the list isn't read. Targets that leave count as old ones: what runs there has to
+/// end, and only as new ones if they stay.
+rollout_target_numbers gateway::numbers_of(const rollout_order& order) const {
+    rollout_target_numbers numbers;
+    if (!target_follower_->live()) {
+        return numbers;
+    }
+    for (const gateway_target& target : targets_.listed()) {
+        if (target.service != order.service) {
+            continue;
+        }
+        const bool is_new = target.version == order.version;
+        numbers.old_version += is_new ? 0 : 1;
+        numbers.new_version += is_new && !target.leaving ? 1 : 0;
+    }
+    return numbers;
 }
 
 /// A target of a new version waits for a read that began after it was met. The one that is held
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -50,6 +50,7 @@
     void configuration_changed(const keyed_record& record);
     void emptied_changed(const std::string& failure_domain, const keyed_record& record);
     gateway_rollouts::hooks rollout_hooks();
+    rollout_target_numbers numbers_of(const rollout_order& order) const;
     void orders_read();
     void apply_configuration();
     void keeper_silent(const std::string& host, bool others_answered);
--- a/src/roles/gateway/gateway_rollouts.cpp
+++ b/src/roles/gateway/gateway_rollouts.cpp
@@ -10,10 +10,29 @@
 gateway_rollouts::gateway_rollouts(const gateway_dialect& dialect, double exposed_share,
                                    metrics& counters, hooks needs)
     : dialect_(dialect),
+      exposed_share_(exposed_share),
       counters_(counters),
       hooks_(std::move(needs)),
       entry_(exposed_share, counters) {}
 
+void gateway_rollouts::open(event_loop& loop, keyed_log& log, message_bus& bus,
+                            const token_homes& members, incarnation_id own) {
+    ledger_ = std::make_unique<rollout_ledger>(
+        loop, log, dialect_.rollout_log, dialect_.status_log, counters_,
+        rollout_ledger_hooks{
+            [this](const rollout_record& record) { entry_.recorded(monotonic_now(), record); },
+            dialect_.write_status, hooks_.reachable});
+    rollout_exchange::hooks needs;
+    needs.targets_of = hooks_.targets_of;
+    needs.judge = [judge = rollout_judge(rollout_judge::settings{})](
+                      const rollout_evidence& evidence, double stress) {
+        return judge.judge(evidence, stress);
+    };
+    needs.exposed_share = exposed_share_;
+    exchange_ = std::make_unique<rollout_exchange>(loop, bus, members, own, entry_, *ledger_,
+                                                   counters_, std::move(needs));
+}
+
 /// An order that can't be read changes nothing: what was in force before stays so.
 bool gateway_rollouts::configuration_changed(instant now, const keyed_record& record) {
     const std::optional<std::string> service =
@@ -42,6 +61,9 @@
 
 void gateway_rollouts::tick(instant now) {
     entry_.observe(now);
+    if (exchange_) {
+        exchange_->tick(now);
+    }
 }
 
 }  // namespace wrenswitch
--- a/tests/roles/entry_rollouts_test.cpp
+++ b/tests/roles/entry_rollouts_test.cpp
@@ -165,9 +165,11 @@
         return rollout_order{std::string(service), std::string(value), {}, number};
     };
     std::vector<std::string> told;
-    gateway_rollouts orders(dialect, 0.1, counters,
-                            {[](const rollout_order&) { return false; },
-                             [&told](const std::string& service) { told.push_back(service); }});
+    gateway_rollouts orders(
+        dialect, 0.1, counters,
+        {[](const rollout_order&) { return false; },
+         [&told](const std::string& service) { told.push_back(service); },
+         [](const rollout_order&) { return rollout_target_numbers{}; }, [](bool) {}});
     BOOST_TEST(!orders.configuration_changed(now, {"config", "v2", 4}));
     BOOST_TEST(orders.configuration_changed(now, {"order/app", "v2", 5}));
     BOOST_TEST(orders.configuration_changed(now, {"order/app", "", 6}));
