--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -29,10 +29,13 @@
      {"name":"once","host":"h.test","pathPrefix":"/once/","kind":"non_idempotent","timeoutMs":1000,
       "service":"app","maxAttempts":1},
      {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent","timeoutMs":1000,
-      "service":"app","maxAttempts":2}],
+      "service":"app","maxAttempts":2},
+     {"name":"roll","host":"h.test","pathPrefix":"/roll/","kind":"idempotent","timeoutMs":1000,
+      "service":"rol","maxAttempts":2}],
      "services":[{"name":"llm","healthPath":"/health","maxConns":120,"engine":{"slots":64,"stride":3}},
       {"name":"app","healthPath":"/health","maxConns":120,"coldStartS":4,"coldPerS":)" +
-           std::to_string(cold_rate) + R"(}],
+           std::to_string(cold_rate) + R"(},
+      {"name":"rol","healthPath":"/health","maxConns":120}],
      "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,"idleTimeoutMs":10000},
      "tenants":[{"name":"tenant","apiKeys":["key-1"],"prepaid":)" +
            std::to_string(prepaid) + "}]}";
@@ -71,6 +74,9 @@
         };
         store_.put("keyed.servers", id, entry_of(worker));
     }
+    bad_version_ = seed % 2 == 1;
+    add_versioned(1, "1");
+    add_versioned(2, "1");
     configure();
     relay_bus_ = raw_socket::listen().port();
     start_relay();
@@ -121,7 +127,8 @@
                         << R"(","service":"127.0.0.1:)" << gateway.way->port()
                         << R"(","bus_endpoint":"tcp://127.0.0.1:)" << gateway.bus
                         << R"(","member_endpoint":"tcp://127.0.0.1:)" << gateway.bus_way->port()
-                        << R"(","relay_port":)" << relay_bus_
+                        << R"(","relay_port":)" << relay_bus_ << R"(,"exposed_share":)"
+                        << exposed_share
                         << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300})";
     gateway.process = std::make_unique<test::child_process>(
         std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", path},
@@ -163,13 +170,122 @@
     exchange->answer(200, worker.signed_headers(exchange), "body of " + id);
 }
 
+void soak_fleet::add_versioned(int number, const std::string& version) {
+    versioned_.push_back(std::make_unique<worker_standin>(loop, "rol-" + std::to_string(number)));
+    worker_standin& worker = *versioned_.back();
+    worker.version = version;
+    worker.answer = [this, &worker](const ingress_exchange_pointer& exchange) {
+        serve_versioned(worker, exchange);
+    };
+    store_.put("keyed.servers", worker.id(), worker.list_entry("rol"));
+}
+
+/// The new version fails four times in ten, if it is bad.
+void soak_fleet::serve_versioned(worker_standin& worker, const ingress_exchange_pointer& exchange) {
+    const bool fails = bad_version_ && worker.version == "2" && random_.unit() < 0.4;
+    bad_answers_ += fails ? 1 : 0;
+    if (fails) {
+        exchange->answer(500, worker.signed_headers(exchange), "");
+        return;
+    }
+    serve(worker, exchange);
+}
+
+void soak_fleet::begin_rollout(microseconds length) {
+    ordered_at_ = monotonic_now();
+    order_length_ = length;
+    store_.put("keyed.op", "rollout/rol",
+               R"({"service":"rol","targetVersion":"2","durationS":)" +
+                   std::to_string(as_seconds(length)) + "}");
+    for (int number = 3; number <= 5; ++number) {
+        add_versioned(number, "2");
+    }
+}
+
+std::string soak_fleet::rollout_state() {
+    const auto value = store_.newest("keyed.status", "rollout/rol");
+    for (const char* state : {"completed", "rolled_back"}) {
+        if (value && value->find(state) != std::string::npos) {
+            return state;
+        }
+    }
+    return "";
+}
+
+std::size_t soak_fleet::reached_new(instant from, instant until) const {
+    std::size_t number = 0;
+    for (const auto& worker : versioned_) {
+        if (worker->version == "2") {
+            number += static_cast<std::size_t>(
+                std::count_if(worker->arrivals.begin(), worker->arrivals.end(),
+                              [&](const worker_standin::arrival& each) {
+                                  return each.at >= from && each.at < until;
+                              }));
+        }
+    }
+    return number;
+}
+
+void soak_fleet::check_rollout() {
+    const instant deadline = ordered_at_ + order_length_;
+    std::size_t all = 0;
+    for (const auto& worker : versioned_) {
+        all += static_cast<std::size_t>(std::count_if(
+            worker->arrivals.begin(), worker->arrivals.end(),
+            [&](const auto& each) { return each.at >= ordered_at_ && each.at < deadline; }));
+    }
+    const std::size_t exposed = reached_new(ordered_at_, deadline);
+    if (static_cast<double>(exposed) > exposed_share * static_cast<double>(all)) {
+        broken_.push_back("exposed " + std::to_string(exposed) + " of " + std::to_string(all));
+    }
+    run_until(
+        [this] {
+            send("/roll/x", request_shape::repeatable);
+            run_for(milliseconds(10));
+            collect();
+            return !rollout_state().empty();
+        },
+        seconds(20));
+    const std::string state = rollout_state();
+    faults_.push_back("roll-out of a " + std::string(bad_version_ ? "bad" : "good") +
+                      " version: " + (state.empty() ? "no end" : state) + ", " +
+                      std::to_string(bad_answers_) + " bad answers, exposed " +
+                      std::to_string(exposed) + " of " + std::to_string(all));
+    if (bad_version_ && state == "completed") {
+        broken_.push_back("a bad version was completed");
+    }
+    run_for(until_known);
+    if (state == "completed") {
+        for (const int index : {0, 1}) {
+            store_.put("keyed.servers", versioned_[static_cast<std::size_t>(index)]->id(),
+                       std::nullopt);
+        }
+        versioned_.erase(versioned_.begin(), versioned_.begin() + 2);
+    }
+    const instant ended = monotonic_now();
+    if (!serves_again("/roll/x")) {
+        broken_.push_back("the service that was rolled out isn't served: " + state);
+    }
+    if (state == "rolled_back" && reached_new(ended, instant::max()) > 0) {
+        broken_.push_back("a request reached a version that was rolled back");
+    }
+    run_until([this] {
+        collect();
+        return clients_.empty();
+    });
+}
+
 void soak_fleet::send_request() {
+    const auto shape = static_cast<request_shape>(random_.below(3));
+    send(shape == request_shape::stream       ? "/stream/x"
+         : shape == request_shape::single_run ? "/once/x"
+                                              : "/again/x",
+         shape);
+}
+
+void soak_fleet::send(const std::string& path, request_shape shape) {
     const std::string id = "r" + std::to_string(++last_id_);
     sent_ += 1;
-    const auto shape = static_cast<request_shape>(random_.below(3));
-    const std::string path = shape == request_shape::stream       ? "/stream/x"
-                             : shape == request_shape::single_run ? "/once/x"
-                                                                  : "/again/x";
     const std::string usage = shape == request_shape::stream ? "Token-Usage: 100,30\r\n" : "";
     const std::size_t index = random_.below(gateway_count);
     gateway_process& gateway = gateways_[index];
@@ -337,8 +453,14 @@
 void soak_fleet::play(microseconds length) {
     const instant end = monotonic_now() + length;
     instant next_fault = monotonic_now() + milliseconds(300);
+    const instant order = monotonic_now() + length / 4;
     while (monotonic_now() < end) {
+        if (monotonic_now() > order && ordered_at_ == instant{}) {
+            begin_rollout(length / 2);
+        }
         send_request();
+        send("/roll/x", request_shape::repeatable);
+        send("/roll/x", request_shape::repeatable);
         run_for(milliseconds(8 + static_cast<std::int64_t>(random_.below(12))));
         collect();
         if (monotonic_now() > next_fault) {
@@ -365,18 +487,18 @@
     });
 }
 
-bool soak_fleet::serves_again() {
+bool soak_fleet::serves_again(const std::string& path) {
     for (std::size_t index = 0; index < gateway_count; ++index) {
         if (gateways_[index].process->ended()) {
             start_gateway(index);
         }
         const bool answered = run_until(
-            [this, index] {
+            [this, index, &path] {
                 if (gateways_[index].process->ended()) {
                     start_gateway(index);
                 }
                 raw_socket socket = raw_socket::connect(gateways_[index].listen);
-                socket.send("GET /again/x HTTP/1.1\r\nHost: h.test\r\nRequest-Id: last" +
+                socket.send("GET " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: last" +
                             std::to_string(++last_id_) +
                             "\r\nCredential: key-1\r\nConnection: close\r\n\r\n");
                 run_until([&] { return socket.ended(); }, milliseconds(500));
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -28,6 +28,9 @@
     static constexpr tokens top_up = 300;
     static constexpr tokens prompt = 100;
     static constexpr tokens most_output = 30;
+    /// The share that a version may get which isn't proved. So large that a verdict comes in the
+    /// seconds of a play.
+    static constexpr double exposed_share = 0.4;
 
     explicit soak_fleet(std::uint64_t seed);
     ~soak_fleet();
@@ -39,12 +42,17 @@
     void stop_gateway(std::size_t index) { gateways_[index].process->signal(SIGTERM); }
 
     /// True if a stream is answered whole again, at every gateway.
-    bool serves_again();
+    bool serves_again(const std::string& path = "/again/x");
 
     /// A plain worker turns cold, and then its failure domain is emptied and taken back, while
     /// requests go on. What reaches the workers against that is kept as broken.
     void play_cold_and_emptied();
 
+    /// Waits for the end of the play's roll-out, if one comes, and checks it from the targets'
+    /// side: what an unproved version got, that nothing came there after a roll-back, and that the
+    /// service is served whatever the end was.
+    void check_rollout();
+
     /// What was broken, one line each. Empty if every promise held.
     std::vector<std::string> broken() const;
 
@@ -84,6 +92,12 @@
     void start_relay();
     void serve(worker_standin& worker, const ingress_exchange_pointer& exchange);
     void send_request();
+    void send(const std::string& path, request_shape shape);
+    void serve_versioned(worker_standin& worker, const ingress_exchange_pointer& exchange);
+    void add_versioned(int number, const std::string& version);
+    void begin_rollout(microseconds length);
+    std::string rollout_state();
+    std::size_t reached_new(instant from, instant until) const;
     void ask_plain_workers(microseconds length);
     void check_cold_worker(const worker_standin& worker, instant from);
     void collect();
@@ -99,6 +113,12 @@
     std::uint64_t seed_;
     store_standin store_{loop};
     std::vector<std::unique_ptr<worker_standin>> workers_;
+    /// Of the service that is rolled out; the first two are of the old version.
+    std::vector<std::unique_ptr<worker_standin>> versioned_;
+    bool bad_version_ = false;
+    instant ordered_at_{};
+    microseconds order_length_{};
+    std::size_t bad_answers_ = 0;
     std::vector<gateway_process> gateways_;
     std::uint16_t relay_bus_ = 0;
     std::unique_ptr<wrenswitch::test::child_process> relay_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -29,6 +29,8 @@
     }
     BOOST_TEST_CONTEXT(story) {
         BOOST_TEST(fleet.serves_again());
+        fleet.check_rollout();
+        BOOST_TEST_MESSAGE(fleet.faults().back());
         fleet.play_cold_and_emptied();
         for (const std::string& broken : fleet.broken()) {
             BOOST_ERROR(broken);
