--- a/tests/platform/rollout_live_test.cpp
+++ b/tests/platform/rollout_live_test.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "platform/store_standin.hpp"
 #include "platform/worker_standin.hpp"
@@ -40,9 +41,13 @@
     };
 
     store_standin store{loop};
+    /// The one that is rolled out.
+    std::string service = "app";
     std::vector<std::unique_ptr<worker_standin>> old_targets;
     std::vector<std::unique_ptr<worker_standin>> new_targets;
     std::vector<gateway_process> gateways{3};
+    std::vector<worker_standin::arrival> ended_arrivals;
+    std::set<std::string> ended_targets;
     std::deque<caller> callers;
     std::size_t asked = 0;
     std::size_t served = 0;
@@ -83,7 +88,11 @@
         store.put("keyed.op", "config",
                   R"({"version":1,"routes":[)" + route("once", "non_idempotent") + "," +
                       route("again", "idempotent") +
-                      R"(],"services":[{"name":"app","healthPath":"/health","maxConns":60}],
+                      R"(,{"name":"talk","host":"h.test","pathPrefix":"/talk/","kind":"streaming",
+                "resumable":true,"timeoutMs":9000,"service":"llm","maxAttempts":3}],
+                "services":[{"name":"app","healthPath":"/health","maxConns":60},
+                 {"name":"llm","healthPath":"/health","maxConns":60,
+                  "engine":{"slots":64,"kvCapacity":1000000,"stride":3}}],
                 "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,
                   "idleTimeoutMs":10000},
                 "tenants":[{"name":"tenant","apiKeys":["key-1"]}]})");
@@ -99,7 +108,7 @@
     }
 
     void list(const worker_standin& target, const std::string& state = "ready") {
-        store.put("keyed.servers", target.id(), target.list_entry("app", state));
+        store.put("keyed.servers", target.id(), target.list_entry(service, state));
     }
 
     void start_new_version(const worker_standin::flaws& wrong) {
@@ -112,9 +121,9 @@
     void order(double seconds_given, const std::string& version = "v2") {
         duration = microseconds(static_cast<std::int64_t>(seconds_given * 1e6));
         ordered_at = monotonic_now();
-        store.put("keyed.op", "rollout/app",
-                  R"({"service":"app","targetVersion":")" + version + R"(","durationS":)" +
-                      std::to_string(seconds_given) + "}");
+        store.put("keyed.op", "rollout/" + service,
+                  R"({"service":")" + service + R"(","targetVersion":")" + version +
+                      R"(","durationS":)" + std::to_string(seconds_given) + "}");
     }
 
     std::string settings_file(std::size_t index) const {
@@ -146,20 +155,67 @@
     void ask() {
         const std::size_t number = asked++;
         gateway_process& gateway = gateways[number % gateways.size()];
-        const std::string path = number % 4 == 0 ? "/once/" : "/again/";
+        const std::string path = service == "llm"  ? "/talk/"
+                                 : number % 4 == 0 ? "/once/"
+                                                   : "/again/";
         caller each{raw_socket::connect(gateway.listen), monotonic_now() + seconds(2)};
         each.socket.send("POST " + path + "1 HTTP/1.1\r\nHost: h.test\r\nRequest-Id: q" +
                          std::to_string(number) +
-                         "\r\nCredential: key-1\r\nDeadline-Ms: 1000\r\nContent-Length: 2\r\n"
-                         "Connection: close\r\n\r\nhi");
+                         "\r\nCredential: key-1\r\nDeadline-Ms: 1000\r\nContent-Length: 2\r\n" +
+                         (service == "llm" ? prompt(number) : "") + "Connection: close\r\n\r\nhi");
         callers.push_back(std::move(each));
     }
 
+    static std::string prompt(std::size_t number) {
+        return "Model: m\r\nToken-Usage: 100,50\r\nPrefix-Hash: a" +
+               std::to_string(number % 50 + 1) + ":60,b" + std::to_string(number + 1) + ":40\r\n";
+    }
+
+    static std::string event(std::size_t number) {
+        return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
+    }
+
+    /// Two events, or on the long path one each 40 ms to the hundredth, behind the last that the
+    /// request has seen.
+    void stream(worker_standin& target, const ingress_exchange_pointer& exchange) {
+        const bool lasts = exchange->head().target == "/talk/long";
+        const std::string seen(exchange->head().header("Last-Event-Id"));
+        exchange->begin_answer(200, target.signed_headers(exchange));
+        const std::size_t first = seen.empty() ? 1 : std::stoul(seen) + 1;
+        send_events(target.id(), exchange, first, lasts ? 100 : 2, milliseconds(lasts ? 40 : 5));
+    }
+
+    void add_engine(std::vector<std::unique_ptr<worker_standin>>& targets,
+                    const std::string& version, int number) {
+        add_target(targets, version, number);
+        worker_standin& target = *targets.back();
+        target.answer = [this, &target](const ingress_exchange_pointer& exchange) {
+            stream(target, exchange);
+        };
+    }
+
+    void send_events(const std::string& target, const ingress_exchange_pointer& exchange,
+                     std::size_t next, std::size_t last, microseconds gap) {
+        if (ended_targets.contains(target)) {
+            exchange->cut();
+            return;
+        }
+        exchange->send_piece(event(next));
+        if (next >= last) {
+            exchange->end_answer();
+            return;
+        }
+        loop.call_after(gap, [this, target, exchange, next, last, gap] {
+            send_events(target, exchange, next + 1, last, gap);
+        });
+    }
+
     void collect() {
         std::erase_if(callers, [this](caller& each) {
             const std::string& answer = each.socket.received();
-            if (answer.find("\r\n\r\n") == std::string::npos && !each.socket.ended() &&
-                monotonic_now() < each.until) {
+            const bool whole = service == "llm" ? each.socket.ended()
+                                                : answer.find("\r\n\r\n") != std::string::npos;
+            if (!whole && !each.socket.ended() && monotonic_now() < each.until) {
                 return false;
             }
             const std::string status = answer.size() > 12 ? answer.substr(9, 3) : "";
@@ -192,7 +248,7 @@
     }
 
     std::string state() {
-        const auto value = store.newest("keyed.status", "rollout/app");
+        const auto value = store.newest("keyed.status", "rollout/" + service);
         return value ? nlohmann::json::parse(*value).value("state", "") : "";
     }
 
@@ -220,7 +276,10 @@
             return static_cast<double>(number);
         };
         const double exposed = within(new_targets);
-        const double all = exposed + within(old_targets);
+        const auto ended =
+            std::count_if(ended_arrivals.begin(), ended_arrivals.end(),
+                          [this](const auto& arrival) { return arrival.at >= ordered_at; });
+        const double all = exposed + within(old_targets) + static_cast<double>(ended);
         BOOST_TEST_MESSAGE("exposed " << exposed << " of " << all);
         BOOST_TEST(exposed <= allowed_share * all);
     }
@@ -250,6 +309,16 @@
     void end_old_targets() {
         for (const auto& each : old_targets) {
             store.put("keyed.servers", each->id(), std::nullopt);
+            ended_targets.insert(each->id());
+        }
+        old_targets.clear();
+    }
+
+    /// As in a crash: they are still listed. What reached them before counts on.
+    void end_old_targets_without_a_word() {
+        for (auto& each : old_targets) {
+            ended_arrivals.insert(ended_arrivals.end(), each->arrivals.begin(),
+                                  each->arrivals.end());
         }
         old_targets.clear();
     }
@@ -406,6 +475,105 @@
     check_exposure();
 }
 
+BOOST_AUTO_TEST_CASE(deciding_gateway_that_freezes_and_wakes_changes_no_end) {
+    order(8.0);
+    start_new_version(failing(0.3));
+    play(seconds(1));
+    const auto deciding = std::find_if(gateways.begin(), gateways.end(), [](const auto& each) {
+        return each.process->output().find("self=yes") != std::string::npos;
+    });
+    BOOST_REQUIRE((deciding != gateways.end()));
+    deciding->process->signal(SIGSTOP);
+    BOOST_TEST(play(seconds(12), [this] { return state() == "rolled_back"; }), logs());
+    deciding->process->signal(SIGCONT);
+    play(milliseconds(500));
+    const instant end = monotonic_now();
+    play(seconds(1));
+    BOOST_TEST(reached(new_targets, end) == 0U);
+    BOOST_TEST(state() == "rolled_back");
+    check_exposure();
+}
+
+BOOST_AUTO_TEST_CASE(order_of_the_version_in_force_disturbs_nothing_and_is_completed) {
+    play(milliseconds(500));
+    const std::size_t before = refused + lost;
+    order(4.0, "v1");
+    BOOST_TEST(play(seconds(8), [this] { return state() == "completed"; }), logs());
+    play(milliseconds(500));
+    BOOST_TEST(refused + lost == before);
+}
+
+BOOST_AUTO_TEST_CASE(streams_that_run_at_old_engines_at_the_end_go_on_at_new_ones) {
+    service = "llm";
+    old_targets.clear();
+    for (int number = 1; number <= 3; ++number) {
+        add_engine(old_targets, "v1", 10 + number);
+    }
+    run_for(milliseconds(400));
+    play(
+        milliseconds(500), [] { return false; }, 150.0);
+    order(6.0);
+    for (int number = 1; number <= 3; ++number) {
+        add_engine(new_targets, "v2", 20 + number);
+    }
+    play(
+        seconds(4), [] { return false; }, 150.0);
+    // They have 4 s to go, and the order 2 s.
+    std::vector<raw_socket> lasting;
+    for (std::size_t number = 0; number < 9; ++number) {
+        lasting.push_back(raw_socket::connect(gateways[number % 3].listen));
+        lasting.back().send("POST /talk/long HTTP/1.1\r\nHost: h.test\r\nRequest-Id: long" +
+                            std::to_string(number) +
+                            "\r\nCredential: key-1\r\nDeadline-Ms: 9000\r\nContent-Length: 2\r\n" +
+                            prompt(1000 + number) + "Connection: close\r\n\r\nhi");
+    }
+    BOOST_TEST(play(
+                   seconds(4), [this] { return state() == "completed"; }, 150.0),
+               logs());
+    BOOST_TEST((monotonic_now() - ordered_at <= duration));
+    check_exposure();
+    end_old_targets();
+    play(
+        seconds(5), [] { return false; }, 150.0);
+    for (raw_socket& each : lasting) {
+        const std::string& answer = each.received();
+        BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+        for (std::size_t number = 1; number <= 100; ++number) {
+            BOOST_TEST(answer.find(event(number)) != std::string::npos);
+        }
+    }
+    std::size_t resumed = 0;
+    for (const auto& each : new_targets) {
+        resumed += static_cast<std::size_t>(
+            std::count_if(each->seen.begin(), each->seen.end(), [](const message_head& head) {
+                return head.target == "/talk/long" && head.count("Last-Event-Id") > 0;
+            }));
+    }
+    BOOST_TEST_MESSAGE("resumed " << resumed << " of " << lasting.size());
+    BOOST_TEST(resumed >= lasting.size() / 2);
+    run_for(milliseconds(300));
+    collect();
+    BOOST_TEST(lost == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(order_without_targets_of_its_version_leaves_the_old_one_serving) {
+    order(4.0);
+    play(seconds(5));
+    BOOST_TEST(state() != "completed");
+    BOOST_TEST(refused + lost == 0U);
+    BOOST_TEST(served > 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(old_targets_that_all_crash_leave_the_new_version_its_bound) {
+    order(8.0);
+    start_new_version(sound);
+    play(seconds(2));
+    end_old_targets_without_a_word();
+    play(seconds(2));
+    check_exposure();
+    BOOST_TEST(refused > 300U);
+}
+
 /// Without an order versions mean nothing.
 BOOST_AUTO_TEST_CASE(targets_of_several_versions_without_an_order_all_serve) {
     play(milliseconds(500));
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -18,6 +18,10 @@
 /// How long gateways that can read the store may take to know of a change.
 constexpr microseconds until_known = milliseconds(1500);
 
+/// From the 50th bad answer of a version to the last request that it may get.
+constexpr std::size_t borne_bad_answers = 50;
+constexpr microseconds until_stopped = milliseconds(1500);
+
 std::string event(int number) {
     return "id: " + std::to_string(number) + "\ndata: e" + std::to_string(number) + "\n\n";
 }
@@ -183,8 +187,8 @@
 /// The new version fails four times in ten, if it is bad.
 void soak_fleet::serve_versioned(worker_standin& worker, const ingress_exchange_pointer& exchange) {
     const bool fails = bad_version_ && worker.version == "2" && random_.unit() < 0.4;
-    bad_answers_ += fails ? 1 : 0;
     if (fails) {
+        bad_answers_.push_back(monotonic_now());
         exchange->answer(500, worker.signed_headers(exchange), "");
         return;
     }
@@ -226,7 +230,20 @@
     return number;
 }
 
+/// Once all gateways are in touch, nothing comes later than it may after the 50th bad answer.
+void soak_fleet::check_roll_back(instant in_touch) {
+    if (bad_answers_.size() < borne_bad_answers) {
+        return;
+    }
+    const instant bound = std::max(bad_answers_[borne_bad_answers - 1], in_touch) + until_stopped;
+    const std::size_t late = reached_new(bound, instant::max());
+    if (late > 0) {
+        broken_.push_back(std::to_string(late) + " requests too late after the 50th bad answer");
+    }
+}
+
 void soak_fleet::check_rollout() {
+    const instant in_touch = monotonic_now() + until_known;
     const instant deadline = ordered_at_ + order_length_;
     std::size_t all = 0;
     for (const auto& worker : versioned_) {
@@ -249,7 +266,7 @@
     const std::string state = rollout_state();
     faults_.push_back("roll-out of a " + std::string(bad_version_ ? "bad" : "good") +
                       " version: " + (state.empty() ? "no end" : state) + ", " +
-                      std::to_string(bad_answers_) + " bad answers, exposed " +
+                      std::to_string(bad_answers_.size()) + " bad answers, exposed " +
                       std::to_string(exposed) + " of " + std::to_string(all));
     if (bad_version_ && state == "completed") {
         broken_.push_back("a bad version was completed");
@@ -269,6 +286,7 @@
     if (state == "rolled_back" && reached_new(ended, instant::max()) > 0) {
         broken_.push_back("a request reached a version that was rolled back");
     }
+    check_roll_back(in_touch);
     run_until([this] {
         collect();
         return clients_.empty();
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -97,6 +97,7 @@
     void add_versioned(int number, const std::string& version);
     void begin_rollout(microseconds length);
     std::string rollout_state();
+    void check_roll_back(instant in_touch);
     std::size_t reached_new(instant from, instant until) const;
     void ask_plain_workers(microseconds length);
     void check_cold_worker(const worker_standin& worker, instant from);
@@ -118,7 +119,7 @@
     bool bad_version_ = false;
     instant ordered_at_{};
     microseconds order_length_{};
-    std::size_t bad_answers_ = 0;
+    std::vector<instant> bad_answers_;
     std::vector<gateway_process> gateways_;
     std::uint16_t relay_bus_ = 0;
     std::unique_ptr<wrenswitch::test::child_process> relay_;
