Model how a roll-out ends, and mend the four holes that the model showed

spec/rollouts.pml: two deciders that freeze and are doubled, late and lost appends, an entry that changes whom it follows and starts anew; with -DEXPOSURE two entries' budgets under arbitrary words. Found with it and mended: a move that was reported before it was taken back counted for the next (OLD_MOVES); a move could be taken back while its completion was still under way (TURN_BACK); a decider that the log no longer names could take back a move that another was completing, so an entry takes the word on a version's use only from the one that the log names, and says moved only to it (WORD_OF_ANY). Stands are no longer passed on by processes that don't decide: an entry that reaches no decider keeps its phase and counts as out of touch.

--- a/include/wrenswitch/decision/rollout/rollout_decider.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_decider.hpp
@@ -80,8 +80,8 @@
 
     /// To be asked several times a second by the process that decides, and only by it. After a
     /// pause it takes itself for one that has just begun. Only the process that wrote the log's
-    /// newest record completes; one that takes over writes itself there first, so that what its
-    /// predecessor still has under way loses its condition.
+    /// newest record says how the version is used, and completes; one that takes over writes itself
+    /// there first, so that what its predecessor still has under way loses its condition.
     rollout_decision decide(instant now, const rollout_surroundings& around);
 
     /// How much of the order's time has certainly passed.
@@ -108,6 +108,8 @@
     bool is_served_by_new_alone(instant now, const rollout_surroundings& around);
     void settle(instant now, rollout_phase phase, const rollout_surroundings& around,
                 rollout_decision& decision);
+    bool may_say(instant now, rollout_phase phase, microseconds report_period) const;
+    bool says_moved(instant now, const process_report& heard) const;
     bool is_owner() const { return record_ && record_->decider == own_; }
     bool may_claim(instant now) const;
     bool has_moved(instant now, const rollout_surroundings& around,
@@ -146,8 +148,9 @@
     /// The final state that is wanted, and why.
     std::optional<rollout_state> ending_;
     std::string reason_;
-    /// True if an end was wanted and no longer is, so that the log must not get it any more.
-    bool taken_back_ = false;
+    /// True from the moment that completion was wanted until the log is known to hold a later
+    /// record: so long it may still get it.
+    bool may_complete_ = false;
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/rollout/rollout_evidence.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_evidence.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "wrenswitch/core/time.hpp"
 
@@ -63,7 +64,10 @@
     /// A target of the new version; empty for all targets of the old one together.
     std::string target;
 
-    friend auto operator<=>(const evidence_key&, const evidence_key&) = default;
+    friend bool operator==(const evidence_key&, const evidence_key&) = default;
+    friend bool operator<(const evidence_key& left, const evidence_key& right) {
+        return std::tie(left.route, left.target) < std::tie(right.route, right.target);
+    }
 };
 
 /// What is known of one roll-out's answers: by one process, or by all whose reports came.
--- a/spec/checks.sh
+++ b/spec/checks.sh
@@ -24,3 +24,13 @@
 check cold_turns.pml fails -DSHARE_KEPT_BY_TWO
 check cold_turns.pml fails -DTURN_USED_TWICE
 check cold_turns.pml fails -DFULL_SUCCESSOR
+check rollouts.pml holds
+check rollouts.pml holds -DEXPOSURE
+check rollouts.pml fails -DNO_CONDITION
+check rollouts.pml fails -DNO_REPORTS
+check rollouts.pml fails -DNO_OWNER
+check rollouts.pml fails -DWORD_OF_ANY
+check rollouts.pml fails -DTURN_BACK
+check rollouts.pml fails -DOLD_MOVES
+check rollouts.pml fails -DCREDIT
+check rollouts.pml fails -DKEPT_REACHED
--- a/src/decision/rollout/rollout_decider.cpp
+++ b/src/decision/rollout/rollout_decider.cpp
@@ -30,6 +30,9 @@
 constexpr microseconds gathering = seconds(1);
 constexpr int gathering_periods = 2;
 
+/// A report that comes so soon after the move began may be older than the word of it.
+constexpr microseconds word_takes = milliseconds(100);
+
 /// How often the log is told of the time that has passed.
 constexpr microseconds checkpoint_every = seconds(2);
 
@@ -83,6 +86,7 @@
     began_ = std::min(began_, now - record.elapsed);
     record_ = record;
     record_came_ = now;
+    may_complete_ = false;
 }
 
 bool rollout_decider::is_fresh(const process_report& heard, instant now,
@@ -166,7 +170,7 @@
         return decision;
     }
     settle(now, phase, around, decision);
-    if (ending_ || !gathers(now, around.report_period)) {
+    if (may_say(now, phase, around.report_period)) {
         decision.stand = stand_at(now, phase, around);
     }
     decision.wanted = wanted(now);
@@ -185,24 +189,38 @@
         moving_since_.reset();
         return rollout_phase::waiting;
     }
+    if (!is_owner()) {
+        moving_since_.reset();
+        return rollout_phase::canary;
+    }
     note_moving(now, around);
     return moving_since_ ? rollout_phase::moving : rollout_phase::canary;
 }
 
+/// A version that is held for bad may be stopped by anyone. For the rest one process speaks, once
+/// it has gathered what its predecessor knew, and it takes no move back while its end may still
+/// come.
+bool rollout_decider::may_say(instant now, rollout_phase phase, microseconds report_period) const {
+    if (!record_ || ending_ == rollout_state::rolled_back) {
+        return true;
+    }
+    const bool turns_back = may_complete_ && phase != rollout_phase::moving;
+    return is_owner() && !turns_back && !gathers(now, report_period);
+}
+
 /// Looks whether the roll-out is complete. That may be taken back while the log doesn't have it: a
 /// process that wasn't heard of may be again, and send to old targets.
 void rollout_decider::settle(instant now, rollout_phase phase, const rollout_surroundings& around,
                              rollout_decision& decision) {
-    taken_back_ = false;
     if (ending_ == rollout_state::rolled_back) {
         return;
     }
     const bool alone = is_served_by_new_alone(now, around);
     const bool moved = phase == rollout_phase::moving && has_moved(now, around, decision.unreached);
     const bool complete = is_owner() && (alone || moved);
-    taken_back_ = ending_.has_value() && !complete;
     ending_.reset();
     if (complete) {
+        may_complete_ = true;
         ending_ = rollout_state::completed;
         reason_ = alone ? "every listed target has the version" : verdict_.reason;
     }
@@ -234,6 +252,11 @@
     }
 }
 
+/// True if a process says that it has moved, and that can't be of a move before the present one.
+bool rollout_decider::says_moved(instant now, const process_report& heard) const {
+    return heard.report.moved && heard.came - moving_since_.value_or(now) >= word_takes;
+}
+
 /// True once nothing goes to the old targets any more, as far as can be known: every process that
 /// is heard of has moved, and no member has been out of touch for too short a time to be certain.
 bool rollout_decider::has_moved(instant now, const rollout_surroundings& around,
@@ -243,7 +266,7 @@
         if (!is_fresh(heard, now, around.report_period)) {
             continue;
         }
-        if (!heard.report.moved) {
+        if (!says_moved(now, heard)) {
             return false;
         }
         moved += 1;
@@ -252,8 +275,8 @@
     for (const incarnation_id member : around.members) {
         const auto heard = reports_.find(member);
         const bool known = heard != reports_.end();
-        if (known &&
-            (heard->second.report.moved || is_fresh(heard->second, now, around.report_period))) {
+        if (known && (says_moved(now, heard->second) ||
+                      is_fresh(heard->second, now, around.report_period))) {
             continue;
         }
         unreached.push_back(member);
@@ -288,7 +311,7 @@
         record.reason = "taken over";
         return record;
     }
-    if (taken_back_) {
+    if (may_complete_) {
         record.reason = "not complete after all";
         return record;
     }
--- a/src/roles/gateway/rollout_exchange.cpp
+++ b/src/roles/gateway/rollout_exchange.cpp
@@ -143,7 +143,7 @@
                   {{"host", decider.host}, {"waited_ms", millis_text(longest_silence())}});
     }
 
-    void follow(std::optional<ledger_member> chosen) {
+    void follow(const std::optional<ledger_member>& chosen) {
         const ledger_member next = chosen.value_or(ledger_member{});
         if (next == decider) {
             return;
@@ -162,9 +162,12 @@
     /// Reports when that is due, and at once what others wait for: that this process has moved, or
     /// found the version bad.
     void report(instant now) {
-        const std::vector<entry_rollouts::told_evidence> reports = rollouts.reports(now);
+        std::vector<entry_rollouts::told_evidence> reports = rollouts.reports(now);
         bool urgent = false;
-        for (const entry_rollouts::told_evidence& each : reports) {
+        for (entry_rollouts::told_evidence& each : reports) {
+            // Another decider may take the move back: then only it may complete.
+            each.report.moved =
+                each.report.moved && follows_owner(each.report.service, each.report.order);
             urgent = note_told(now, each.report) || urgent;
         }
         const bool due = !last_reported || now - *last_reported >= report_period();
@@ -296,15 +299,25 @@
         nothing.service = service;
         nothing.order = order;
         const rollout_stand* stand = is_decider ? desk.stand_of(service, order) : nullptr;
-        if (const auto found = heard.find(service);
-            !is_decider && found != heard.end() && found->second.order == order) {
-            stand = &found->second;
-        }
         wire::Envelope message;
         *message.mutable_rollout_stand() = to_wire(stand != nullptr ? *stand : nothing);
         bus.answer(origin, message);
     }
 
+    /// True if the one that this process follows decides by the log too, as far as it was read
+    /// here.
+    bool follows_owner(const std::string& service, std::uint64_t order) const {
+        const rollout_record* record = ledger.table().find(service);
+        return record != nullptr && record->order == order && record->decider == decider.process;
+    }
+
+    /// How a version is used is the word of the one that the log names; anyone may stop it.
+    bool counts(const rollout_stand& stand) const {
+        const bool uses =
+            stand.phase == rollout_phase::canary || stand.phase == rollout_phase::moving;
+        return !uses || follows_owner(stand.service, stand.order);
+    }
+
     /// Only the word of the decider that this process follows counts: one that froze and wakes may
     /// say what is long past.
     void on_stand(const message_origin& origin, const wire::RolloutStand& message) {
@@ -319,7 +332,7 @@
         }
         waiting_since.reset();
         silent.erase(decider.process);
-        if (!stand->version.empty()) {
+        if (!stand->version.empty() && counts(*stand)) {
             heard[stand->service] = *stand;
             const instant now = monotonic_now();
             rollouts.told(now, *stand);
--- a/tests/decision/rollout/rollout_decider_test.cpp
+++ b/tests/decision/rollout/rollout_decider_test.cpp
@@ -262,6 +262,38 @@
     BOOST_TEST((last.wanted->state == rollout_state::running));
 }
 
+BOOST_AUTO_TEST_CASE(moves_that_were_reported_before_the_present_one_began_do_not_count) {
+    opinion = rollout_opinion::good;
+    pass(seconds(17));
+    all_moved();
+    new_targets = 0;
+    BOOST_REQUIRE((pass(milliseconds(250)) == rollout_phase::waiting));
+    new_targets = 10;
+    BOOST_TEST((decide(decider) == rollout_phase::moving));
+    now += milliseconds(200);
+    decide(decider);
+    BOOST_TEST((state() == rollout_state::running));
+    pass(milliseconds(250));
+    BOOST_TEST((state() == rollout_state::completed));
+}
+
+BOOST_AUTO_TEST_CASE(move_is_not_taken_back_while_its_end_may_still_come) {
+    opinion = rollout_opinion::good;
+    pass(seconds(17));
+    all_moved();
+    log_answers = false;
+    pass(milliseconds(250));
+    BOOST_REQUIRE((last.wanted->state == rollout_state::completed));
+    new_targets = 0;
+    pass(milliseconds(250));
+    BOOST_TEST(!last.stand.has_value());
+    BOOST_TEST((last.wanted->state == rollout_state::running));
+    log_answers = true;
+    pass(milliseconds(250));
+    BOOST_TEST((pass(milliseconds(250)) == rollout_phase::waiting));
+    BOOST_TEST(last.stand.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(nothing_is_completed_on_no_reports) {
     opinion = rollout_opinion::good;
     all_moved();
--- a/tests/roles/rollout_exchange_test.cpp
+++ b/tests/roles/rollout_exchange_test.cpp
@@ -17,6 +17,8 @@
 /// What the judges of all processes think, and how many targets there are.
 struct rollout_world {
     rollout_opinion opinion = rollout_opinion::undecided;
+    /// Nothing is judged on fewer requests to the old version.
+    std::uint64_t least_requests = 0;
     rollout_target_numbers targets{10, 10};
 };
 
@@ -43,7 +45,9 @@
                    {[&world](const rollout_order&) { return world.targets; },
                     [this, &world](const rollout_evidence& shown, double) {
                         judged = shown;
-                        return rollout_verdict{world.opinion, "judged"};
+                        const bool enough = shown.of_old_version().sent >= world.least_requests;
+                        return rollout_verdict{enough ? world.opinion : rollout_opinion::undecided,
+                                               "judged"};
                     },
                     0.1}) {
         bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
@@ -328,10 +332,16 @@
     world.opinion = rollout_opinion::good;
     order_all_near_the_deadline();
     BOOST_REQUIRE(reach(rollout_phase::moving));
+    world.least_requests = 200;
     decider().runs = false;
-    BOOST_TEST(run_until([this] { return successor().exchange.decides(); }));
-    run_for(milliseconds(500));
-    BOOST_TEST(all_in(rollout_phase::moving));
+    // Until it has the others' reports the successor says nothing that takes the move back.
+    const instant lost = monotonic_now();
+    BOOST_TEST(!run_until(
+        [this, lost] {
+            return !all_in(rollout_phase::moving) || monotonic_now() - lost > seconds(2);
+        },
+        milliseconds(1900)));
+    BOOST_TEST(successor().exchange.decides());
     all_moved();
     // The lost one is waited for as long as it may be out of touch.
     BOOST_TEST(all_ended_as(rollout_state::completed));
@@ -389,6 +399,37 @@
     BOOST_TEST(final_records() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(word_of_one_that_does_not_decide_changes_nothing) {
+    order_all();
+    BOOST_REQUIRE(reach(rollout_phase::canary));
+    rollout_stand other = entry().stand;
+    other.phase = rollout_phase::moving;
+    wire::Envelope message;
+    *message.mutable_rollout_stand() = to_wire(other);
+    successor().bus->send(entry().bus->endpoint(), message);
+    BOOST_REQUIRE(run_until(
+        [this] { return entry().counters.counter("rollout_stands_ignored_total") == 1U; }));
+    BOOST_TEST((entry().phase() == rollout_phase::canary));
+}
+
+BOOST_AUTO_TEST_CASE(
+    decider_that_the_log_does_not_name_completes_nothing_until_it_takes_over_again) {
+    world.opinion = rollout_opinion::good;
+    order_all_near_the_deadline();
+    BOOST_REQUIRE(reach(rollout_phase::moving));
+    // By the log it is another that decides.
+    rollout_record record = *decider().ledger.table().find(service);
+    record.decider = incarnation_id{99};
+    log.put("rollouts", service, encode_rollout(record).value);
+    run_for(milliseconds(100));
+    all_moved();
+    run_for(milliseconds(600));
+    BOOST_TEST((decider().state() == rollout_state::running));
+    // Which no longer writes, so that the first takes the roll-out back.
+    BOOST_TEST(all_ended_as(rollout_state::completed));
+    BOOST_TEST(final_records() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(report_that_is_lost_delays_and_changes_nothing) {
     order_all();
     BOOST_REQUIRE(reach(rollout_phase::canary));
