--- a/include/wrenswitch/decision/rollout/canary_plan.hpp
+++ b/include/wrenswitch/decision/rollout/canary_plan.hpp
@@ -21,8 +21,8 @@
 /// What the canary does in the course of an order's time. In each fifth of it other targets are
 /// used, so that a verdict rests on several, and as many as make each bear what an old one does. In
 /// the middle fifth they bear more than that (the stress), so that a version that is bad under load
-/// shows before it is moved to: the budget that was spared until then is used at a rising pace, by
-/// one target alone where a service has few.
+/// shows before it is moved to: the budget that was spared until then is used in three steps, each
+/// with other targets, and by one alone where a service has few.
 class canary_plan {
 public:
     /// `exposed_share` is the share of the service's requests that entries may send to the new
--- a/src/decision/rollout/canary_plan.cpp
+++ b/src/decision/rollout/canary_plan.cpp
@@ -25,7 +25,12 @@
 /// A verdict on a version's targets rests on at least so many.
 constexpr std::size_t least_group = 2;
 
-/// Below this entries don't hear of each step: reports are 250 ms apart at the least.
+/// The stress falls into so many steps, each with targets of its own: what shows at one target
+/// alone is that target's.
+constexpr unsigned stress_steps = 3;
+
+/// How long the part takes to rise in a step, at the least: entries report 250 ms apart, and hear
+/// of it then.
 constexpr double shortest_rise_s = 0.25;
 
 double stress_begin(double duration) {
@@ -53,7 +58,9 @@
 };
 
 canary_plan::canary_plan(microseconds duration, double exposed_share, std::uint64_t number)
-    : duration_(duration), share_(exposed_share), number_(number) {}
+    : duration_(std::max<microseconds>(duration, milliseconds(1))),
+      share_(exposed_share),
+      number_(number) {}
 
 /// Times in seconds. While the part rises, what was spared of the time before is sent as well.
 canary_plan::pace canary_plan::pace_at(double passed, std::size_t old_targets) const {
@@ -62,16 +69,18 @@
     if (passed < begin) {
         return {first_part, share_ * first_part};
     }
-    const double gain = whole_part - first_part;
-    const double longest = duration / spans;
-    const double spared_pace = gain * begin;
+    const double gain = (whole_part - first_part) / stress_steps;
+    const double longest = duration / spans / stress_steps;
     const double wanted =
         share_ > 0.0 ? share_for(stress_load, old_targets) / share_ - first_part : 0.0;
-    const double wished = wanted > 0.0 ? spared_pace / wanted : longest;
+    const double wished = wanted > 0.0 ? gain * begin / wanted : longest;
     const double rise = std::clamp(wished, std::min(shortest_rise_s, longest), longest);
-    const double risen = std::min(1.0, (passed - begin) / std::max(rise, 1e-6));
-    const double part = first_part + gain * risen;
-    const double extra = risen < 1.0 ? gain / rise * passed : 0.0;
+    const double steps = (passed - begin) / longest;
+    const double begun = std::min(std::floor(steps), static_cast<double>(stress_steps));
+    const double risen = begun < stress_steps ? (steps - begun) * longest / rise : 0.0;
+    const double part = first_part + gain * (begun + std::min(1.0, risen));
+    const bool rises = begun < stress_steps && risen < 1.0;
+    const double extra = rises ? gain / rise * passed : 0.0;
     return {part, share_ * (part + extra)};
 }
 
@@ -80,6 +89,7 @@
     const double passed = std::max(0.0, as_seconds(elapsed));
     const double span = std::max(1e-3, as_seconds(duration_) / spans);
     const auto number = static_cast<std::uint64_t>(passed / span);
+    const auto step = static_cast<std::uint64_t>(stress_steps * passed / span);
     const pace now = pace_at(passed, old_targets);
     const double together = load_of(now.share, old_targets);
     const bool stress = number == stress_span;
@@ -88,9 +98,10 @@
     const auto fitting = static_cast<std::size_t>(std::lround(together / each));
     const std::size_t most = std::max<std::size_t>(1, new_targets);
     const std::size_t size = std::min(most, std::max(least, fitting));
-    // Seeds of two orders don't meet: no roll-out has that many spans.
-    constexpr unsigned span_bits = 20;
-    return {now.part, static_cast<std::uint32_t>(size), (number_ << span_bits) + number,
+    const std::uint64_t turn = stress ? step : number * stress_steps;
+    // Seeds of two orders don't meet: no roll-out has that many turns.
+    constexpr unsigned turn_bits = 20;
+    return {now.part, static_cast<std::uint32_t>(size), (number_ << turn_bits) + turn,
             together / static_cast<double>(size)};
 }
 
