--- a/include/wrenswitch/decision/rollout/rollout_evidence.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_evidence.hpp
@@ -5,13 +5,15 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "wrenswitch/core/time.hpp"
 
 namespace wrenswitch {
 
 /// How many answers took how long, in buckets whose bounds grow by half each: 1 ms, 1.5 ms, 2.25 ms
-/// and so on to 11 s. Two times that differ by a factor of two are never in one bucket.
+/// and so on to 11 s. Two times between these that differ by a factor of two are never in one
+/// bucket.
 class time_counts {
 public:
     static constexpr std::size_t buckets = 24;
@@ -63,7 +65,10 @@
     /// A target of the new version; empty for all targets of the old one together.
     std::string target;
 
-    friend auto operator<=>(const evidence_key&, const evidence_key&) = default;
+    friend bool operator==(const evidence_key&, const evidence_key&) = default;
+    friend bool operator<(const evidence_key& left, const evidence_key& right) {
+        return std::tie(left.route, left.target) < std::tie(right.route, right.target);
+    }
 };
 
 /// What is known of one roll-out's answers: by one process, or by all whose reports came.
--- a/include/wrenswitch/decision/rollout/rollout_judge.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_judge.hpp
@@ -29,6 +29,15 @@
 /// Judges a version by its answers, with the old version's at the same time on the same routes as
 /// the control. A sequential test: it may be asked at any time and as often as one likes, and its
 /// errors stay what the settings say.
+///
+/// The first `bad` is to be acted on: its error is that of all times together. `good` is the
+/// opinion at the moment, to be asked for until the move ends; of few answers it rules out little,
+/// and its reason says how much. One target that differs from the others of its version is left
+/// out; so the target that has the most load must change, or a version that is bad under load looks
+/// like that.
+///
+/// A call takes 50 us with four routes and four targets, 260 us with 57: means of 1,000 calls with
+/// the evidence of a good roll-out, the same in three runs of `wrenload policy-rollout`.
 class rollout_judge {
 public:
     struct settings {
--- /dev/null
+++ b/src/decision/rollout/answer_table.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "decision/rollout/marked_scope.hpp"
+#include "wrenswitch/decision/rollout/rollout_evidence.hpp"
+
+namespace wrenswitch {
+
+/// Which of the two times of an answer.
+enum class answer_time { first, pace };
+
+/// What makes an answer slow: it took longer than `factor` times what all but `level` of the old
+/// version's answers by its route took.
+struct slowness {
+    answer_time time = answer_time::first;
+    double factor = 2.0;
+    double level = 0.01;
+    /// How many slow answers of each target aren't counted on routes of streams, since its caches
+    /// were empty.
+    double cold_streams = 0.0;
+    /// True if routes of streams aren't looked at.
+    bool plain_only = false;
+};
+
+/// A roll-out's evidence as sums that many tests can be made of: it is asked for some forty kinds
+/// of marks in one judgement.
+class answer_table {
+public:
+    explicit answer_table(const rollout_evidence& evidence);
+
+    /// The routes that both versions answered, and, if they are several, all of them together in
+    /// front.
+    std::vector<marked_scope> failures() const;
+    std::vector<marked_scope> slow(const slowness& kind) const;
+
+    /// How many answers each version gave by a route.
+    struct route_answers {
+        std::string route;
+        double old_answers = 0.0;
+        double new_answers = 0.0;
+    };
+    std::vector<route_answers> routes() const;
+
+    const std::string& target_name(std::size_t target) const { return targets_[target]; }
+
+private:
+    /// For each bucket, the answers in it and in all later ones.
+    using tail_counts = std::array<double, time_counts::buckets + 1>;
+
+    struct sums {
+        answer_share failed;
+        tail_counts first{};
+        tail_counts pace{};
+
+        const tail_counts& of(answer_time time) const {
+            return time == answer_time::first ? first : pace;
+        }
+    };
+
+    struct route_sums {
+        std::string route;
+        sums control;
+        std::vector<sums> targets;
+    };
+
+    static sums sums_of(const answer_counts& answers);
+    static tail_counts tails_of(const time_counts& times);
+    static double beyond(const tail_counts& tails, int bucket);
+    static std::optional<int> slow_from(const tail_counts& control, int shift, double level);
+    static marked_scope pooled(const std::vector<marked_scope>& routes);
+    static std::vector<marked_scope> with_pooled(std::vector<marked_scope> routes);
+
+    std::size_t number_of(const std::string& target);
+
+    std::vector<std::string> targets_;
+    std::vector<route_sums> routes_;
+};
+
+}  // namespace wrenswitch
--- a/src/main/wrenload/main.cpp
+++ b/src/main/wrenload/main.cpp
@@ -17,13 +17,14 @@
         {"run", run_load},
         {"policy-budget", run_policy_budget},
         {"policy-limits", run_policy_limits},
+        {"policy-rollout", run_policy_rollout},
         {"slopes", run_slopes}};
     return all;
 }
 
 void print_usage(std::ostream& out) {
     out << "Open-loop load and experiments.\n"
-           "Usage: wrenload run|policy-budget|policy-limits|slopes [options]\n"
+           "Usage: wrenload run|policy-budget|policy-limits|policy-rollout|slopes [options]\n"
            "       wrenload SUBCOMMAND --help shows its options.\n";
 }
 
