--- a/src/decision/rollout/badness.cpp
+++ b/src/decision/rollout/badness.cpp
@@ -58,26 +58,24 @@
 };
 
 std::vector<slow_kind> kinds_of_slowness(double stress) {
-    const auto cold = [](double /*answers*/, bool streams) { return streams ? cold_answers : 0.0; };
-    return {{{&answer_counts::first, borne_slowness * stress, 0.0, cold}, false, "began late"},
-            {{&answer_counts::first, cold_slowness * stress}, false, "began several times later"},
-            {{&answer_counts::pace, borne_slowness * stress}, false, "went on slowly"},
-            {{&answer_counts::first, part_slowness * stress, 0.0, cold}, true, "began late"},
-            {{&answer_counts::pace, part_slowness * stress}, true, "went on slowly"}};
+    using enum answer_time;
+    return {{{first, borne_slowness * stress, 0.0, cold_answers}, false, "began late"},
+            {{first, cold_slowness * stress}, false, "began several times later"},
+            {{pace, borne_slowness * stress}, false, "went on slowly"},
+            {{first, part_slowness * stress, 0.0, cold_answers}, true, "began late"},
+            {{pace, part_slowness * stress}, true, "went on slowly"}};
 }
 
-/// As slow_answers_by_scope, without the answers where most are slower: there the version is slower
-/// by a little, not a part of its answers by much.
-std::vector<marked_scope> slow_part_by_scope(const rollout_evidence& evidence,
-                                             const slowness& kind) {
-    slowness usual{kind.time, 1.0, 0.5};
-    const std::vector<marked_scope> usual_scopes = slow_answers_by_scope(evidence, usual);
-    std::vector<marked_scope> scopes = slow_answers_by_scope(evidence, kind);
+/// The slow answers, without those by routes where most are slower: there the version is slower by
+/// a little, not a part of its answers by much.
+std::vector<marked_scope> slow_part(const answer_table& answers, const slowness& kind) {
+    const std::vector<marked_scope> usual = answers.slow({kind.time, 1.0, 0.5});
+    std::vector<marked_scope> scopes = answers.slow(kind);
     for (marked_scope& scope : scopes) {
-        const auto found =
-            std::find_if(usual_scopes.begin(), usual_scopes.end(),
-                         [&](const marked_scope& each) { return each.route == scope.route; });
-        if (found == usual_scopes.end() ||
+        const auto found = std::find_if(usual.begin(), usual.end(), [&](const marked_scope& each) {
+            return each.route == scope.route;
+        });
+        if (found == usual.end() ||
             found->fresh().value() > found->control.value() + most_beyond_median) {
             scope.targets.clear();
         }
@@ -95,22 +93,12 @@
 
 }  // namespace
 
-std::string text_of(const marked_scope& scope, const std::string& marks) {
-    const answer_share fresh = scope.fresh();
-    std::ostringstream text;
-    text.precision(3);
-    text << fresh.marked << " of " << fresh.all << " " << marks << " on "
-         << (scope.route.empty() ? "all routes" : "route " + scope.route) << ", old version "
-         << scope.control.value() * 100.0 << "%";
-    return text.str();
-}
-
-std::optional<std::string> badness::shown_by(const rollout_evidence& evidence) const {
-    if (auto shown = shown_by_number(evidence)) {
+std::optional<std::string> badness::shown_by(const answer_table& answers) const {
+    if (auto shown = shown_by_number(answers)) {
         return shown;
     }
     const double half = settings_.wrongly_bad / 2.0;
-    if (auto shown = shown_by_shares(failures_by_scope(evidence), half, borne_excess, "failed")) {
+    if (auto shown = shown_by_shares(answers.failures(), half, borne_excess, "failed")) {
         return shown;
     }
     const std::vector<slow_kind> kinds = kinds_of_slowness(stress_);
@@ -118,8 +106,8 @@
     for (slow_kind kind : kinds) {
         for (const double level : levels) {
             kind.marks.level = level;
-            const auto scopes = kind.of_a_part ? slow_part_by_scope(evidence, kind.marks)
-                                               : slow_answers_by_scope(evidence, kind.marks);
+            const auto scopes =
+                kind.of_a_part ? slow_part(answers, kind.marks) : answers.slow(kind.marks);
             const double tolerance = kind.of_a_part ? borne_part : borne_excess;
             if (auto shown = shown_by_shares(scopes, each, tolerance, kind.words)) {
                 return shown;
@@ -129,20 +117,20 @@
     return std::nullopt;
 }
 
-std::optional<std::string> badness::shown_by_number(const rollout_evidence& evidence) const {
-    const slowness first{&answer_counts::first, cold_slowness * stress_};
-    const slowness pace{&answer_counts::pace, borne_slowness * stress_};
+std::optional<std::string> badness::shown_by_number(const answer_table& answers) const {
+    const slowness first{answer_time::first, cold_slowness * stress_};
+    const slowness pace{answer_time::pace, borne_slowness * stress_};
     // What is plain has no caches that could be cold.
-    slowness plain{&answer_counts::first, borne_slowness * stress_};
-    plain.cold = [](double answers, bool streams) { return streams ? answers : 0.0; };
+    slowness plain{answer_time::first, borne_slowness * stress_};
+    plain.plain_only = true;
     bad_number slow;
     for (slowness kind : {first, pace, plain}) {
         for (const double level : levels) {
             kind.level = level;
-            slow.take_larger(number_in(slow_answers_by_scope(evidence, kind)));
+            slow.take_larger(number_in(answers.slow(kind)));
         }
     }
-    bad_number bad = number_in(failures_by_scope(evidence));
+    bad_number bad = number_in(answers.failures());
     bad.all += slow.all;
     bad.without_worst += slow.without_worst;
     const bool of_one = bad.targets > settings_.least_targets && bad.without_worst < nearly_none;
@@ -163,16 +151,17 @@
     const marked_scope& scope = scopes.front();
     const answer_share fresh = scope.fresh();
     const double all = unexplained(scope, fresh);
-    const std::string worst = scope.worst_target();
-    if (worst.empty()) {
-        return {all, all, scope.targets.size()};
+    const std::size_t targets = scope.targets_with_answers();
+    const std::optional<std::size_t> worst = scope.worst_target();
+    if (!worst) {
+        return {all, all, targets};
     }
-    const answer_share rest = fresh.without(scope.targets.at(worst));
+    const answer_share rest = fresh.without(scope.targets[*worst]);
     const double without_worst = unexplained(scope, rest);
     const bool cleared =
-        scope.bore_as_others(worst) &&
+        scope.bore_as_others(*worst) &&
         ruled_out_excess(rest, scope.control.value(), settings_.wrongly_good) <= cleared_excess;
-    return {cleared ? without_worst : all, without_worst, scope.targets.size()};
+    return {cleared ? without_worst : all, without_worst, targets};
 }
 
 std::optional<std::string> badness::shown_by_shares(const std::vector<marked_scope>& scopes,
@@ -183,7 +172,7 @@
         // All routes together have half of the chance of error, the routes share the other.
         const double parts = count < 2.0 ? 1.0 : scope.route.empty() ? 2.0 : 2.0 * (count - 1.0);
         if (shows(scope, wrongly / parts, tolerance)) {
-            return text_of(scope, marks);
+            return scope.text(marks);
         }
     }
     return std::nullopt;
@@ -194,13 +183,14 @@
     if (scope.log_evidence(fresh, tolerance) < std::log(1.0 / wrongly)) {
         return false;
     }
-    if (scope.targets.size() < settings_.least_targets) {
+    if (scope.targets_with_answers() < settings_.least_targets) {
         return scope.excess() >= least_of_single_target;
     }
     const double wanted = std::log(1.0 / (wrongly * seldom_odd));
-    return std::all_of(scope.targets.begin(), scope.targets.end(), [&](const auto& left_out) {
-        return scope.log_evidence(fresh.without(left_out.second), tolerance) >= wanted;
-    });
+    return std::all_of(scope.targets.begin(), scope.targets.end(),
+                       [&](const answer_share& left_out) {
+                           return scope.log_evidence(fresh.without(left_out), tolerance) >= wanted;
+                       });
 }
 
 }  // namespace wrenswitch
--- a/src/decision/rollout/badness.hpp
+++ b/src/decision/rollout/badness.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "decision/rollout/answer_marks.hpp"
+#include "decision/rollout/answer_table.hpp"
 #include "wrenswitch/decision/rollout/rollout_judge.hpp"
 
 namespace wrenswitch {
@@ -21,7 +21,7 @@
         : settings_(settings), stress_(stress) {}
 
     /// What shows it, if anything does.
-    std::optional<std::string> shown_by(const rollout_evidence& evidence) const;
+    std::optional<std::string> shown_by(const answer_table& answers) const;
 
 private:
     /// Bad answers that the old version's share doesn't explain.
@@ -38,7 +38,7 @@
     };
 
     /// The last resort: so many bad answers that it doesn't matter what explains them.
-    std::optional<std::string> shown_by_number(const rollout_evidence& evidence) const;
+    std::optional<std::string> shown_by_number(const answer_table& answers) const;
     bad_number number_in(const std::vector<marked_scope>& scopes) const;
     /// One kind of mark, of which a good version is taken for bad with no more than this chance,
     /// and that bad versions have more often by more than the tolerance.
@@ -51,7 +51,4 @@
     double stress_;
 };
 
-/// In words, for the log: the marks of both versions in one scope.
-std::string text_of(const marked_scope& scope, const std::string& marks);
-
 }  // namespace wrenswitch
--- a/src/experiment/fixed_threshold_judge.cpp
+++ b/src/experiment/fixed_threshold_judge.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
-#include "decision/rollout/answer_marks.hpp"
+#include "decision/rollout/answer_table.hpp"
 
 namespace wrenswitch::experiment {
 namespace {
@@ -26,10 +27,11 @@
 
 rollout_opinion fixed_threshold_opinion(const rollout_evidence& evidence) {
     constexpr double level = 0.05;
-    std::vector<marked_scope> scopes = failures_by_scope(evidence);
+    const answer_table table(std::span(&evidence, 1));
+    std::vector<marked_scope> scopes = table.failures();
     const double answers = scopes.empty() ? 0.0 : scopes.front().fresh().all;
-    for (const auto time : {&answer_counts::first, &answer_counts::pace}) {
-        for (marked_scope& scope : slow_answers_by_scope(evidence, {time, 2.0, level})) {
+    for (const auto time : {answer_time::first, answer_time::pace}) {
+        for (marked_scope& scope : table.slow({time, 2.0, level})) {
             scopes.push_back(std::move(scope));
         }
     }
