--- a/src/roles/gateway/entry_rollouts.cpp
+++ b/src/roles/gateway/entry_rollouts.cpp
@@ -119,7 +119,20 @@
             static_cast<double>(gate.exposure().reached());
         counters_.gauge(labelled("rollout_exposed", gate)) =
             static_cast<double>(gate.exposure().sent());
+        if (gate.report(now).found_bad) {
+            tell_found_bad(now, gate);
+        }
+    }
+}
+
+void entry_rollouts::tell_found_bad(instant now, const rollout_gate& gate) {
+    const auto told = told_bad_.find(gate.order().service);
+    if (told != told_bad_.end() && told->second == gate.order().number) {
+        return;
     }
+    told_bad_.insert_or_assign(gate.order().service, gate.order().number);
+    counters_.counter("rollout_versions_found_bad_total") += 1;
+    tell_phase(now, gate, "found bad by its answers here");
 }
 
 void entry_rollouts::tell_phase(instant now, const rollout_gate& gate,
--- a/src/roles/gateway/entry_rollouts.hpp
+++ b/src/roles/gateway/entry_rollouts.hpp
@@ -43,16 +43,19 @@
     };
     std::vector<told_evidence> reports(instant now) const;
 
-    /// Brings the gauges up to date.
+    /// Brings the gauges up to date, and says what was found.
     void observe(instant now);
 
 private:
+    void tell_found_bad(instant now, const rollout_gate& gate);
     void tell_phase(instant now, const rollout_gate& gate, std::string_view cause) const;
     void apply_record(instant now, rollout_gate& gate, const rollout_record& record) const;
 
     double exposed_share_;
     metrics& counters_;
     std::map<std::string, rollout_gate, std::less<>> gates_;
+    /// The orders of which was told that their version was found bad here.
+    std::map<std::string, std::uint64_t, std::less<>> told_bad_;
     /// The log's records, which may come before the orders that they are of.
     rollout_table records_;
 };
--- a/tests/platform/rollout_live_test.cpp
+++ b/tests/platform/rollout_live_test.cpp
@@ -332,8 +332,6 @@
     }
 };
 
-constexpr worker_standin::flaws sound{};
-
 worker_standin::flaws failing(double share) {
     worker_standin::flaws wrong;
     wrong.failing = share;
@@ -347,7 +345,7 @@
 BOOST_AUTO_TEST_CASE(good_version_is_completed_before_the_deadline_and_nothing_is_lost) {
     play(milliseconds(500));
     order(8.0);
-    start_new_version(sound);
+    start_new_version({});
     BOOST_TEST(play(seconds(8), [this] { return state() == "completed"; }));
     BOOST_TEST_MESSAGE("completed after ms " << millis_text(monotonic_now() - ordered_at));
     BOOST_TEST((monotonic_now() - ordered_at <= duration), logs());
@@ -398,7 +396,7 @@
 
 BOOST_AUTO_TEST_CASE(deciding_gateway_that_is_killed_is_replaced) {
     order(8.0);
-    start_new_version(sound);
+    start_new_version({});
     play(seconds(3));
     const auto deciding = std::find_if(gateways.begin(), gateways.end(), [](const auto& each) {
         return each.process->output().find("self=yes") != std::string::npos;
@@ -414,7 +412,7 @@
 
 BOOST_AUTO_TEST_CASE(loss_of_all_gateways_keeps_the_bound_and_the_roll_out_ends) {
     order(8.0);
-    start_new_version(sound);
+    start_new_version({});
     play(seconds(3));
     for (std::size_t index = 0; index < gateways.size(); ++index) {
         gateways[index].process->signal(SIGKILL);
@@ -442,7 +440,7 @@
 
 BOOST_AUTO_TEST_CASE(withdrawn_order_ends_the_exposure_at_once) {
     order(20.0);
-    start_new_version(sound);
+    start_new_version({});
     BOOST_TEST(play(seconds(8), [this] { return reached(new_targets, ordered_at) > 5U; }));
     store.put("keyed.op", "rollout/app", std::nullopt);
     play(milliseconds(300));
@@ -566,7 +564,7 @@
 
 BOOST_AUTO_TEST_CASE(old_targets_that_all_crash_leave_the_new_version_its_bound) {
     order(8.0);
-    start_new_version(sound);
+    start_new_version({});
     play(seconds(2));
     end_old_targets_without_a_word();
     play(seconds(2));
@@ -577,7 +575,7 @@
 /// Without an order versions mean nothing.
 BOOST_AUTO_TEST_CASE(targets_of_several_versions_without_an_order_all_serve) {
     play(milliseconds(500));
-    start_new_version(sound);
+    start_new_version({});
     const std::size_t before = store.records("keyed.rollouts").size();
     play(milliseconds(1200));
     const instant from = monotonic_now();
--- a/tests/roles/entry_rollouts_test.cpp
+++ b/tests/roles/entry_rollouts_test.cpp
@@ -140,6 +140,24 @@
     BOOST_TEST(rollouts.gate_of("app")->report(late).reached == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(version_that_is_found_bad_here_is_told_once) {
+    rollouts.ordered(now, order(5));
+    tell(5, rollout_phase::canary);
+    rollout_gate& gate = *rollouts.gate_of("app");
+    const rollout_request request{"once", 1, false, false, false, false};
+    for (int turn = 0; turn < 400; ++turn) {
+        gate.note_reached();
+    }
+    for (int turn = 0; turn < 25; ++turn) {
+        BOOST_TEST(gate.begin(now, request, "v2", "n1"));
+        gate.end(request, "v2", "n1", rollout_gate::answer::badly, std::nullopt, std::nullopt);
+        rollouts.observe(now);
+    }
+    rollouts.observe(now);
+    BOOST_TEST(counters.counter("rollout_versions_found_bad_total") == 1U);
+    BOOST_TEST(rollouts.reports(now).front().report.found_bad);
+}
+
 BOOST_AUTO_TEST_CASE(version_without_targets_is_looked_for_elsewhere_once) {
     rollouts.ordered(now, order(5));
     tell(5, rollout_phase::completed);
