--- a/src/decision/rollout/goodness.cpp
+++ b/src/decision/rollout/goodness.cpp
@@ -42,87 +42,89 @@
 /// The least by which its share of marks is larger than the others'.
 constexpr double odd_excess = 0.02;
 
-/// The share, as if one more answer had come and failed: none of some hundred doesn't mean never.
-double careful_share(const answer_share& control) {
-    return (control.marked + 1.0) / (control.all + 1.0);
-}
-
-double cold_of(double /*answers*/, bool streams) {
-    return streams ? cold_answers : 0.0;
+/// The old version's share, as if one more answer had come and failed: none of some hundred doesn't
+/// mean never.
+double careful_share(const marked_scope& scope) {
+    return std::max(scope.control.value(),
+                    (scope.counted.marked + 1.0) / (scope.counted.all + 1.0));
 }
 
 /// Leaves out, in all scopes, the one target that differs from the others, if one does.
-std::string leave_out_odd_target(std::vector<marked_scope>& scopes, std::size_t least_targets) {
-    if (scopes.empty() || scopes.front().targets.size() <= least_targets) {
-        return {};
+std::optional<std::size_t> leave_out_odd_target(std::vector<marked_scope>& scopes,
+                                                std::size_t least_targets) {
+    if (scopes.empty() || scopes.front().targets_with_answers() <= least_targets) {
+        return std::nullopt;
     }
     const marked_scope& all = scopes.front();
-    std::string worst = all.worst_target();
-    if (worst.empty()) {
-        return {};
+    const std::optional<std::size_t> worst = all.worst_target();
+    if (!worst || !all.bore_as_others(*worst)) {
+        return std::nullopt;
     }
-    const answer_share odd = all.targets.at(worst);
+    const answer_share odd = all.targets[*worst];
     const answer_share others = all.fresh().without(odd);
-    if (!all.bore_as_others(worst) ||
-        log_evidence_of_excess(odd, others, odd_excess, all.guess) < std::log(odd_target)) {
-        return {};
+    if (log_evidence_of_excess(odd, others, odd_excess, all.guess) < std::log(odd_target)) {
+        return std::nullopt;
     }
     for (marked_scope& scope : scopes) {
-        scope.targets.erase(worst);
+        scope.targets[*worst] = {};
     }
     return worst;
 }
 
 }  // namespace
 
-goodness::answer goodness::ask(const rollout_evidence& evidence) const {
-    std::vector<marked_scope> failures = failures_by_scope(evidence);
-    if (std::string unknown = missing(evidence, failures); !unknown.empty()) {
+goodness::answer goodness::ask(const answer_table& answers) const {
+    std::vector<marked_scope> failures = answers.failures();
+    if (std::string unknown = missing(failures); !unknown.empty()) {
+        return {false, std::move(unknown)};
+    }
+    const double all_answers = failures.front().fresh().all;
+    if (std::string unknown = missing_route(answers, all_answers); !unknown.empty()) {
         return {false, std::move(unknown)};
     }
-    const std::string odd = leave_out_odd_target(failures, settings_.least_targets);
+    const std::optional<std::size_t> odd = leave_out_odd_target(failures, settings_.least_targets);
     if (std::string doubt = doubted_by_failures(failures); !doubt.empty()) {
         return {false, std::move(doubt)};
     }
-    if (std::string doubt = doubted_by_slowness(evidence); !doubt.empty()) {
+    if (std::string doubt = doubted_by_slowness(answers); !doubt.empty()) {
         return {false, std::move(doubt)};
     }
     const marked_scope& all = failures.front();
     std::ostringstream text;
     text.precision(3);
-    text << text_of(all, "failed") << ": rules out "
+    text << all.text("failed") << ": rules out "
          << ruled_out_excess(all.fresh(), all.control.value(), settings_.wrongly_good) * 100.0
          << "% more failures";
-    if (!odd.empty()) {
-        text << "; left out target " << odd << ", which differs";
+    if (odd) {
+        text << "; left out target " << answers.target_name(*odd) << ", which differs";
     }
     return {true, text.str()};
 }
 
-std::string goodness::missing(const rollout_evidence& evidence,
-                              const std::vector<marked_scope>& failures) const {
+std::string goodness::missing(const std::vector<marked_scope>& failures) const {
     if (failures.empty()) {
         return "no route has answers of both versions";
     }
     const marked_scope& all = failures.front();
     const double answers = all.fresh().all;
-    const bool few_targets = all.targets.size() < settings_.least_targets;
+    const bool few_targets = all.targets_with_answers() < settings_.least_targets;
     if (answers < (few_targets ? least_of_single_target : least_answers)) {
         return "too few answers: " + std::to_string(std::lround(answers));
     }
-    const answer_counts old = evidence.of_old_version();
-    const auto old_answers = static_cast<double>(old.well + old.badly);
-    std::map<std::string, double> fresh;
-    for (const auto& [key, counts] : evidence.counts) {
-        fresh[key.route] += key.target.empty() ? 0.0 : double(counts.well + counts.badly);
+    return {};
+}
+
+std::string goodness::missing_route(const answer_table& answers, double all) {
+    double old = 0.0;
+    for (const auto& route : answers.routes()) {
+        old += route.old_answers;
     }
-    for (const auto& [key, counts] : evidence.counts) {
-        const double share = static_cast<double>(counts.well + counts.badly) / old_answers;
-        const double wanted =
-            std::clamp(std::floor(answers * share * wanted_part), 1.0, most_wanted);
-        if (key.target.empty() && share >= notable_share && fresh[key.route] < wanted) {
-            return "too few answers on route " + key.route + ": " +
-                   std::to_string(std::lround(fresh[key.route]));
+    for (const auto& route : answers.routes()) {
+        const double share = route.old_answers / old;
+        const double wanted = std::clamp(std::floor(all * share * wanted_part), 1.0, most_wanted);
+        if (share >= notable_share && route.new_answers < wanted) {
+            return "too few answers on route " + route.route + ": " +
+                   std::to_string(std::lround(route.new_answers));
         }
     }
     return {};
@@ -132,7 +134,7 @@
     const auto count = static_cast<double>(scopes.size());
     for (const marked_scope& scope : scopes) {
         const answer_share fresh = scope.fresh();
-        const double control = careful_share(scope.control);
+        const double control = careful_share(scope);
         const double parts = count < 2.0 ? 1.0 : scope.route.empty() ? 2.0 : 2.0 * (count - 1.0);
         const bool unlikely =
             fresh.marked > most_by_chance(fresh.all, control, wrongly_doubted / parts) &&
@@ -140,23 +142,23 @@
         const double odds =
             log_likelihood(fresh, control + sought_excess) - log_likelihood(fresh, control);
         if (unlikely || odds > std::log(doubted_odds * parts)) {
-            return text_of(scope, "failed") + ": more than chance explains";
+            return scope.text("failed") + ": more than chance explains";
         }
     }
     return {};
 }
 
-std::string goodness::doubted_by_slowness(const rollout_evidence& evidence) const {
-    slowness first{&answer_counts::first, doubted_slowness * stress_, 0.0, cold_of};
-    slowness pace{&answer_counts::pace, doubted_slowness * stress_};
+std::string goodness::doubted_by_slowness(const answer_table& answers) const {
+    slowness first{answer_time::first, doubted_slowness * stress_, 0.0, cold_answers};
+    slowness pace{answer_time::pace, doubted_slowness * stress_};
     for (slowness* kind : {&first, &pace}) {
         for (const double level : levels) {
             kind->level = level;
-            std::vector<marked_scope> scopes = slow_answers_by_scope(evidence, *kind);
+            std::vector<marked_scope> scopes = answers.slow(*kind);
             leave_out_odd_target(scopes, settings_.least_targets);
             for (const marked_scope& scope : scopes) {
                 if (scope.log_evidence(scope.fresh(), 0.0) >= std::log(doubted_evidence)) {
-                    return text_of(scope, kind == &first ? "began late" : "went on slowly");
+                    return scope.text(kind == &first ? "began late" : "went on slowly");
                 }
             }
         }
--- a/src/decision/rollout/goodness.hpp
+++ b/src/decision/rollout/goodness.hpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "decision/rollout/answer_marks.hpp"
+#include "decision/rollout/answer_table.hpp"
 #include "wrenswitch/decision/rollout/rollout_judge.hpp"
 
 namespace wrenswitch {
@@ -22,15 +22,16 @@
     goodness(const rollout_judge::settings& settings, double stress)
         : settings_(settings), stress_(stress) {}
 
-    answer ask(const rollout_evidence& evidence) const;
+    answer ask(const answer_table& answers) const;
 
 private:
     /// What is still unknown; empty if enough is known.
-    std::string missing(const rollout_evidence& evidence,
-                        const std::vector<marked_scope>& failures) const;
+    std::string missing(const std::vector<marked_scope>& failures) const;
+    /// The route of which too little is known, beside so many answers of all.
+    static std::string missing_route(const answer_table& answers, double all);
     /// The first scope with more failures than a good version's; empty if there is none.
     std::string doubted_by_failures(const std::vector<marked_scope>& scopes) const;
-    std::string doubted_by_slowness(const rollout_evidence& evidence) const;
+    std::string doubted_by_slowness(const answer_table& answers) const;
 
     const rollout_judge::settings& settings_;
     double stress_;
