--- a/tests/platform/rollout_live_test.cpp
+++ b/tests/platform/rollout_live_test.cpp
@@ -48,6 +48,7 @@
     std::vector<gateway_process> gateways{3};
     std::vector<worker_standin::arrival> ended_arrivals;
     std::set<std::string> ended_targets;
+    std::vector<std::unique_ptr<worker_standin>> ended_engines;
     std::deque<caller> callers;
     std::size_t asked = 0;
     std::size_t served = 0;
@@ -307,9 +308,14 @@
 
     /// As the platform does once a roll-out is completed: the old targets end at once.
     void end_old_targets() {
-        for (const auto& each : old_targets) {
+        for (auto& each : old_targets) {
             store.put("keyed.servers", each->id(), std::nullopt);
             ended_targets.insert(each->id());
+            if (service == "llm") {
+                // What streams there is cut at its next event, which needs the stand-in.
+                each->answer = [](const ingress_exchange_pointer& exchange) { exchange->cut(); };
+                ended_engines.push_back(std::move(each));
+            }
         }
         old_targets.clear();
     }
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_fleet.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -216,6 +217,13 @@
     return "";
 }
 
+/// The text in the newest record of the log of roll-outs.
+std::string soak_fleet::rollout_reason() {
+    std::string text = store_.newest("keyed.rollouts", "rol").value_or("");
+    std::erase_if(text, [](unsigned char each) { return std::isprint(each) == 0; });
+    return text;
+}
+
 std::size_t soak_fleet::reached_new(instant from, instant until) const {
     std::size_t number = 0;
     for (const auto& worker : versioned_) {
@@ -267,7 +275,8 @@
     faults_.push_back("roll-out of a " + std::string(bad_version_ ? "bad" : "good") +
                       " version: " + (state.empty() ? "no end" : state) + ", " +
                       std::to_string(bad_answers_.size()) + " bad answers, exposed " +
-                      std::to_string(exposed) + " of " + std::to_string(all));
+                      std::to_string(exposed) + " of " + std::to_string(all) + ", " +
+                      rollout_reason());
     if (bad_version_ && state == "completed") {
         broken_.push_back("a bad version was completed");
     }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -97,6 +97,7 @@
     void add_versioned(int number, const std::string& version);
     void begin_rollout(microseconds length);
     std::string rollout_state();
+    std::string rollout_reason();
     void check_roll_back(instant in_touch);
     std::size_t reached_new(instant from, instant until) const;
     void ask_plain_workers(microseconds length);
