Take the move back from a version that is no longer held for good

The move now ends when the verdict isn't good any more, and the canary goes on. Test: rollout_decider version_that_is_no_longer_held_for_good_is_not_completed.

--- a/src/decision/rollout/rollout_decider.cpp
+++ b/src/decision/rollout/rollout_decider.cpp
@@ -247,6 +247,10 @@
     const microseconds takes = std::min(moving_takes, duration_ / 2);
     const bool due = left(now) <= takes;
     const bool good = verdict_.opinion == rollout_opinion::good;
+    if (!good) {
+        // What came since, or what was lost with other processes' reports, leaves it in doubt.
+        moving_since_.reset();
+    }
     if (!moving_since_ && good && due && enough && !gathers(now, around.report_period)) {
         moving_since_ = now;
     }
--- a/tests/decision/rollout/rollout_decider_test.cpp
+++ b/tests/decision/rollout/rollout_decider_test.cpp
@@ -233,6 +233,17 @@
     BOOST_TEST((state() == rollout_state::completed));
 }
 
+BOOST_AUTO_TEST_CASE(version_that_is_no_longer_held_for_good_is_not_completed) {
+    opinion = rollout_opinion::good;
+    BOOST_TEST((pass(seconds(17)) == rollout_phase::moving));
+    opinion = rollout_opinion::undecided;
+    all_moved();
+    BOOST_TEST((pass(seconds(10)) == rollout_phase::canary));
+    BOOST_TEST((state() == rollout_state::running));
+    opinion = rollout_opinion::good;
+    BOOST_TEST((pass(seconds(2)) == rollout_phase::completed));
+}
+
 BOOST_AUTO_TEST_CASE(process_that_moved_and_fell_silent_is_not_waited_for) {
     opinion = rollout_opinion::good;
     pass(milliseconds(16'750));
