--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -99,10 +99,17 @@
     }
 }
 
-/// An order before this one's targets may be unread: whatever it is of, another version serves.
+/// An order before this one's targets may be unread: whatever it is of, another version serves. An
+/// order that is known says of its own version only that it isn't that.
 bool target_pool::is_held_back(const target_state& state, const version_limit& version) const {
-    return version.rule != version_rule::only && quarantine_.contains(state.target.id) &&
-           !has_only_version(state.target.service, state.target.version);
+    if (version.rule == version_rule::only || !quarantine_.contains(state.target.id)) {
+        return false;
+    }
+    version_set others = version.excluded;
+    if (version.rule == version_rule::other_than) {
+        others.insert(version.version);
+    }
+    return !has_only_version(state.target.service, state.target.version, others);
 }
 
 bool target_pool::waits_for_orders() const {
--- a/src/decision/rollout/rollout_decider.cpp
+++ b/src/decision/rollout/rollout_decider.cpp
@@ -41,8 +41,11 @@
 constexpr microseconds owner_lost_after = seconds(3);
 
 /// The end isn't written before this part of the order's time is left: from it on nothing bounds
-/// what the new version gets, and entries use nine tenths of what it may have, which is a tenth.
+/// what the new version gets, and entries use nine tenths of what it may have, which is a tenth. In
+/// less than 120 ms the log and what operators read of it can't be written (64 ms measured, one
+/// machine); for orders under 12 s that is up to a hundredth more, 50 requests at 800 a second.
 constexpr int earliest_end_parts = 100;
+constexpr microseconds least_for_end = milliseconds(120);
 
 /// Summing up a few hundred reports takes about a millisecond.
 constexpr microseconds judge_every = milliseconds(200);
