--- a/include/wrenswitch/decision/rollout/rollout_evidence.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_evidence.hpp
@@ -5,19 +5,23 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "wrenswitch/core/time.hpp"
 
 namespace wrenswitch {
 
 /// How many answers took how long, in buckets whose bounds grow by half each: 1 ms, 1.5 ms, 2.25 ms
-/// and so on to 11 s. Two times that differ by a factor of two are never in one bucket.
+/// and so on to 11 s. Two times between these that differ by a factor of two are never in one
+/// bucket.
 class time_counts {
 public:
     static constexpr std::size_t buckets = 24;
 
     void add(microseconds time);
     void add(const time_counts& other);
+    /// What came since these counts were this; nothing of what is now less.
+    time_counts since(const time_counts& earlier) const;
 
     /// The bucket that a time falls into.
     static std::size_t bucket_of(microseconds time);
@@ -54,6 +58,8 @@
     time_counts pace;
 
     void add(const answer_counts& other);
+    /// What came since these sums were this; nothing of what is now less.
+    answer_counts since(const answer_counts& earlier) const;
     friend bool operator==(const answer_counts&, const answer_counts&) = default;
 };
 
@@ -63,7 +69,10 @@
     /// A target of the new version; empty for all targets of the old one together.
     std::string target;
 
-    friend auto operator<=>(const evidence_key&, const evidence_key&) = default;
+    friend bool operator==(const evidence_key&, const evidence_key&) = default;
+    friend bool operator<(const evidence_key& left, const evidence_key& right) {
+        return std::tie(left.route, left.target) < std::tie(right.route, right.target);
+    }
 };
 
 /// What is known of one roll-out's answers: by one process, or by all whose reports came.
@@ -71,6 +80,8 @@
     std::map<evidence_key, answer_counts> counts;
 
     void add(const rollout_evidence& other);
+    /// What came since these sums were this; nothing of what is now less.
+    rollout_evidence since(const rollout_evidence& earlier) const;
     /// The sums over all routes and targets of the new version, and of the old one.
     answer_counts of_new_version() const;
     answer_counts of_old_version() const;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -29,6 +29,9 @@
 /// What is used of the retries that are allowed, since others count them over sliding windows.
 constexpr double used_retry_part = 0.9;
 
+/// Retries that one entry may save up while a service is moved.
+constexpr double saved_for_moves = 40.0;
+
 /// An entry that knows of no others assumes this many.
 constexpr std::size_t least_entries = 4;
 
@@ -104,7 +107,8 @@
       lag_(
           loop, [this] { return context_->requests.size(); },
           [this](instant now) { look_at_link(now); }),
-      link_(link_settings(settings)) {}
+      link_(link_settings(settings)),
+      rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -141,7 +145,8 @@
     bus_->on_message([this](const message_origin& origin, const wire::Envelope& message) {
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
-        } else if (!placements_->on_message(origin, message)) {
+        } else if (!placements_->on_message(origin, message) &&
+                   !rollouts_.on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -161,7 +166,8 @@
         loop_, *log_,
         keyed_follower_settings{.log = dialect_.configuration_log, .only_newest = true},
         keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
-                             [] {}, reachable_hook(dialect_.configuration_log)});
+                             [this] { orders_read(); },
+                             reachable_hook(dialect_.configuration_log)});
     target_follower_ = std::make_unique<keyed_follower>(
         loop_, *log_,
         keyed_follower_settings{.log = dialect_.target_log, .pause = target_read_pause},
@@ -225,6 +231,7 @@
             [this](const ledger_member& keeper, microseconds took) {
                 homes_.answered_after(keeper, took);
             }});
+    rollouts_.open(loop_, *log_, *bus_, homes_, incarnation_);
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
 }
@@ -242,6 +249,7 @@
         *grants_,
         *tokens_,
         *placements_,
+        rollouts_.entry(),
         random_,
         metrics_,
         events_,
@@ -382,7 +390,8 @@
         emptied_changed(*emptied, record);
         return;
     }
-    if (record.key != dialect_.configuration_key || !record.value) {
+    if (rollouts_.configuration_changed(monotonic_now(), record) ||
+        record.key != dialect_.configuration_key || !record.value) {
         return;
     }
     result<gateway_configuration> read = dialect_.read_configuration(*record.value);
@@ -410,6 +419,50 @@
                {"accounts", std::to_string(current.accounts.size())}});
 }
 
+gateway_rollouts::hooks gateway::rollout_hooks() {
+    const auto in_force = [this](const rollout_order& order, const version_set& excluded) {
+        // A process that starts may not know all targets yet.
+        return configuration_follower_->live() && target_follower_->live() &&
+               targets_.has_only_version(order.service, order.version, excluded);
+    };
+    const auto ordered = [this](const std::string& service) {
+        for (const std::shared_ptr<forwarded_request>& request : context_->requests) {
+            request->join_rollout(service);
+        }
+    };
+    return {in_force, ordered, [this](const rollout_order& order) { return numbers_of(order); },
+            reachable_hook(dialect_.rollout_log)};
+}
+
+/// Unknown while the list isn't read. Targets that leave count as old ones: what runs there has to
+/// end, and only as new ones if they stay.
+rollout_target_numbers gateway::numbers_of(const rollout_order& order) {
+    rollout_target_numbers numbers;
+    if (!target_follower_->live()) {
+        return numbers;
+    }
+    const rollout_gate* gate = rollouts_.entry().gate_of(order.service);
+    for (const gateway_target& target : targets_.listed()) {
+        const bool excluded = gate != nullptr && gate->excluded().contains(target.version);
+        if (target.service != order.service || excluded) {
+            continue;
+        }
+        const bool is_new = target.version == order.version;
+        numbers.old_version += is_new ? 0 : 1;
+        numbers.new_version += is_new && !target.leaving ? 1 : 0;
+    }
+    return numbers;
+}
+
+/// A target of a new version waits for a read that began after it was met. The one that is held
+/// open ends within 700 ms; another that isn't held follows it.
+void gateway::orders_read() {
+    targets_.orders_read(configuration_follower_->last_read_began());
+    if (targets_.waits_for_orders()) {
+        configuration_follower_->look_now();
+    }
+}
+
 void gateway::apply_configuration() {
     for (const gateway_service& service : configuration_.current().services) {
         targets_.set_warmup(monotonic_now(), service.name, service.warmup);
@@ -500,6 +553,9 @@
     const bool news = known == nullptr || !(*known == target);
     targets_.apply(target, record.offset);
     targets_.note_cold(monotonic_now(), target.id, read.value().cold_left);
+    if (known == nullptr) {
+        targets_.hold_back_new_version(monotonic_now(), target.id);
+    }
     if (news) {
         log_event(log_level::information, "target_listed",
                   {{"target", record.key},
@@ -549,12 +605,32 @@
     if (known != retries_.end()) {
         return known->second;
     }
-    const std::size_t entries = std::max(least_entries, ledger_->table().hosts());
-    const double most = settings_.retry_slack * used_retry_part / static_cast<double>(entries);
-    return retries_.emplace(service, retry_budget(settings_.retry_share * used_retry_part, most))
+    return retries_
+        .emplace(service, retry_budget(settings_.retry_share * used_retry_part, saved_retries()))
         .first->second;
 }
 
+double gateway::saved_retries() const {
+    const std::size_t entries = std::max(least_entries, ledger_->table().hosts());
+    return settings_.retry_slack * used_retry_part / static_cast<double>(entries);
+}
+
+/// While a service is moved, what its requests earn is saved up for the streams that go on at new
+/// targets when the old ones end: some 8 at each of 31 entries with 411 requests/s, where 3 are
+/// saved otherwise. It is still a share of the requests of these seconds.
+void gateway::save_retries_for_moves() {
+    for (auto& [service, budget] : retries_) {
+        const rollout_gate* gate = rollouts_.entry().gate_of(service);
+        const bool moves = gate != nullptr && gate->stand().phase == rollout_phase::moving;
+        const bool moved = gate != nullptr && gate->stand().phase == rollout_phase::completed;
+        if (moves) {
+            budget.set_most(saved_retries() + saved_for_moves);
+        } else if (!moved) {
+            budget.set_most(saved_retries());
+        }
+    }
+}
+
 upstream_pool& gateway::pool_of(const gateway_target& target) {
     std::unique_ptr<upstream_pool>& pool = pools_[target.id];
     if (!pool) {
@@ -614,6 +690,8 @@
     ledger_->append_if_due();
     waiters_->serve(now);
     desk_->drop_lapsed(now);
+    save_retries_for_moves();
+    rollouts_.tick(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
         pools_.erase(id);
     }
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -70,6 +70,7 @@
     constexpr double bytes_a_megabit = 1e6 / 8.0;
     settings.link_bytes_per_second =
         bytes_a_megabit * reader.number_or("link_mbps", 0.0, 0.0, most_link_mbps);
+    settings.exposed_share = reader.number_or("exposed_share", settings.exposed_share, 0.0, 1.0);
     settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
     settings.retry_slack = reader.number_or("retry_slack", settings.retry_slack, 0.0, most_slack);
     settings.token_wait = read_ms(reader, "token_wait_ms", settings.token_wait, longest_wait_ms);
