--- a/include/wrenswitch/drivers/event_loop.hpp
+++ b/include/wrenswitch/drivers/event_loop.hpp
@@ -55,7 +55,8 @@
     /// libevent's own handle, for the other drivers.
     event_base* base() const { return base_; }
 
-    /// What callers', targets' and other entries' connections carried, which the drivers count here.
+    /// What callers', targets' and other entries' connections carried, which the drivers count
+    /// here.
     traffic_counts& traffic() { return traffic_; }
 
 private:
--- a/include/wrenswitch/drivers/ingress_server.hpp
+++ b/include/wrenswitch/drivers/ingress_server.hpp
@@ -77,8 +77,8 @@
     /// Ends each connection after its present answer; new ones still get one request answered.
     virtual void begin_drain() = 0;
 
-    /// While set, each connection ends after its present answer, and those that rest end at once, so
-    /// that callers go on over new ones, which may lead to other entries.
+    /// While set, each connection ends after its present answer, and those that rest end at once,
+    /// so that callers go on over new ones, which may lead to other entries.
     virtual void shed(bool sheds) = 0;
 
     /// Takes no new connections and ends those that rest.
--- a/src/decision/rollout/rollout_decider.cpp
+++ b/src/decision/rollout/rollout_decider.cpp
@@ -42,11 +42,11 @@
 
 /// The end isn't written before this part of the order's time is left: from it on nothing bounds
 /// what the new version gets, and entries use nine tenths of what it may have, which is a tenth. In
-/// less than 180 ms the log and what operators read of it can't be written (120 ms were too few by
-/// less than one, three processes on one machine): for orders under 18 s that is more than the
-/// tenth that is left, up to 50 requests at 416 a second and 6 s.
+/// less than 120 ms the log and what operators read of it aren't written for certain (with 60 ms
+/// they were at 6.000 s of 6, three processes on one machine): for orders under 12 s that is more
+/// than the part that is left, up to 50 requests at 800 a second and 6 s.
 constexpr int earliest_end_parts = 100;
-constexpr microseconds least_for_end = milliseconds(180);
+constexpr microseconds least_for_end = milliseconds(120);
 
 /// Summing up a few hundred reports takes about a millisecond.
 constexpr microseconds judge_every = milliseconds(200);
@@ -224,8 +224,8 @@
         return;
     }
     const bool alone = is_served_by_new_alone(now, around);
-    const bool may_end =
-        left(now) <= duration_ / earliest_end_parts && verdict_.opinion == rollout_opinion::good;
+    const bool may_end = left(now) <= std::max(duration_ / earliest_end_parts, least_for_end) &&
+                         verdict_.opinion == rollout_opinion::good;
     const bool moved =
         phase == rollout_phase::moving && has_moved(now, around, decision.unreached) && may_end;
     const bool complete = is_owner() && (alone || moved);
