--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -311,8 +311,8 @@
             limits.idle_timeout};
 }
 
-/// What other entries and relays send isn't counted: sending callers away doesn't make it less. When
-/// all entries read a log anew through relays, 25 of 31 sent their callers away at once.
+/// What other entries and relays send isn't counted: sending callers away doesn't make it less.
+/// When all entries read a log anew through relays, 25 of 31 sent their callers away at once.
 /// Callers whose bytes don't fit go on elsewhere: over new connections, which the platform leads to
 /// other entries once this one isn't ready.
 void gateway::look_at_link(instant now) {
