--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -313,8 +313,8 @@
 
 /// Callers whose bytes don't fit go on elsewhere: over new connections, which the platform leads to
 /// other entries once this one isn't ready. What other entries and relays send isn't counted, since
-/// sending callers away doesn't make it less: when all entries read a log anew through relays, 25 of
-/// 31 sent their callers away at once.
+/// sending callers away doesn't make it less: when all entries read a log anew through relays, 25
+/// of 31 sent their callers away at once.
 void gateway::look_at_link(instant now) {
     const traffic_counts& traffic = loop_.traffic();
     const bool shed_before = link_.sheds();
