Count and tell each entry's retries by service

Cause: sums over entries couldn't be had; gateway_retries_total was the only figure, over all services. What comes: counters of first tries, retries taken, denied and unasked by service; gauges of what the budget holds and may hold; lines retries_counted, retry_share_changed, retry_taken, retry_denied. No decision changes: the budgets are moved to service_retries as they were.

--- a/include/wrenswitch/decision/routing/retry_budget.hpp
+++ b/include/wrenswitch/decision/routing/retry_budget.hpp
@@ -27,6 +27,10 @@
         return true;
     }
 
+    /// What is saved up, and what can be.
+    double saved() const { return saved_; }
+    double most() const { return most_; }
+
 private:
     double share_;
     double most_;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -417,7 +417,7 @@
     stream_.begin_attempt();
     sent_at_ = now;
     if (history_.number() == 1) {
-        context_.retries_of(admitted_.service).first_try();
+        context_.retries.first_try(admitted_.service);
     }
     trace_.add(now, "request_sent",
                {{"target", target_},
@@ -709,6 +709,7 @@
     }
     const bool may_offer = history_.may_offer_again() && time_left() > microseconds(0);
     if (may_offer && !context_.isolated()) {
+        context_.retries.followed_unsent(admitted_.service);
         dispatch();
         return;
     }
@@ -736,11 +737,14 @@
     const bool may_try =
         can_go_on && time_left() > microseconds(0) &&
         history_.may_send_again(admitted_.route.kind, admitted_.route.most_attempts);
-    if (!may_try || !context_.retries_of(admitted_.service).take_retry()) {
+    if (!may_try) {
         return false;
     }
-    context_.counters.counter("gateway_retries_total") += 1;
-    return true;
+    const double held = context_.retries.held(admitted_.service);
+    const bool allowed = context_.retries.take(admitted_.service);
+    trace_.add(monotonic_now(), allowed ? "retry_taken" : "retry_denied",
+               {{"service", admitted_.service}, {"held", std::to_string(held)}});
+    return allowed;
 }
 
 /// Sends the request to another target, if it may go there.
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -108,7 +108,10 @@
           loop, [this] { return context_->requests.size(); },
           [this](instant now) { look_at_link(now); }),
       link_(link_settings(settings)),
-      rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()) {}
+      rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
+      retries_(
+          settings.retry_share * used_retry_part,
+          [this](const std::string& service) { return saved_retries_of(service); }, metrics_) {}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -250,12 +253,12 @@
         *tokens_,
         *placements_,
         rollouts_.entry(),
+        retries_,
         random_,
         metrics_,
         events_,
         metrics_.histogram("gateway_pause_ms"),
         [this] { return ledger_->live(); },
-        [this](const std::string& service) -> retry_budget& { return retries_of(service); },
         [this] { return grant_log_answers_; },
         [this] { return describe_ledger(); },
         [this] { reach_.heard(monotonic_now()); },
@@ -599,37 +602,36 @@
     return endpoints;
 }
 
-/// Each service's retries are bounded by themselves, so that one that fails can't use up another's.
 /// The slack that all entries have together is shared out by how many there are, or were.
-retry_budget& gateway::retries_of(const std::string& service) {
-    const auto known = retries_.find(service);
-    if (known != retries_.end()) {
-        return known->second;
-    }
-    return retries_
-        .emplace(service, retry_budget(settings_.retry_share * used_retry_part, saved_retries()))
-        .first->second;
-}
-
 double gateway::saved_retries() const {
     const std::size_t entries = std::max(least_entries, ledger_->table().hosts());
     return settings_.retry_slack * used_retry_part / static_cast<double>(entries);
 }
 
+/// Tells what this entry takes its share of the slack for, whenever that changes.
+void gateway::note_retry_share() {
+    const double share = saved_retries();
+    if (std::exchange(told_retry_share_, share) == share) {
+        return;
+    }
+    log_event(log_level::information, "retry_share_changed",
+              {{"saved_at_most", std::to_string(share)},
+               {"grant_hosts", std::to_string(ledger_->table().hosts())},
+               {"members", std::to_string(homes_.members())},
+               {"ledger", describe_ledger()}});
+}
+
 /// While a service is moved, what its requests earn is saved up for the streams that go on at new
 /// targets when the old ones end: some 8 at each of 31 entries with 411 requests/s, where 3 are
 /// saved otherwise. It is still a share of the requests of these seconds.
-void gateway::save_retries_for_moves() {
-    for (auto& [service, budget] : retries_) {
-        const rollout_gate* gate = rollouts_.entry().gate_of(service);
-        const bool moves = gate != nullptr && gate->stand().phase == rollout_phase::moving;
-        const bool moved = gate != nullptr && gate->stand().phase == rollout_phase::completed;
-        if (moves) {
-            budget.set_most(saved_retries() + saved_for_moves);
-        } else if (!moved) {
-            budget.set_most(saved_retries());
-        }
+std::optional<double> gateway::saved_retries_of(const std::string& service) {
+    const rollout_gate* gate = rollouts_.entry().gate_of(service);
+    const bool moves = gate != nullptr && gate->stand().phase == rollout_phase::moving;
+    const bool moved = gate != nullptr && gate->stand().phase == rollout_phase::completed;
+    if (moves) {
+        return saved_retries() + saved_for_moves;
     }
+    return moved ? std::nullopt : std::optional(saved_retries());
 }
 
 upstream_pool& gateway::pool_of(const gateway_target& target) {
@@ -691,7 +693,8 @@
     ledger_->append_if_due();
     waiters_->serve(now);
     desk_->drop_lapsed(now);
-    save_retries_for_moves();
+    note_retry_share();
+    retries_.tick(now);
     rollouts_.tick(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
         pools_.erase(id);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -65,9 +65,9 @@
     const engine_shape* engine_of(const std::string& service) const;
     void target_changed(const keyed_record& record);
     std::vector<std::string> relay_endpoints() const;
-    retry_budget& retries_of(const std::string& service);
     double saved_retries() const;
-    void save_retries_for_moves();
+    void note_retry_share();
+    std::optional<double> saved_retries_of(const std::string& service);
     upstream_pool& pool_of(const gateway_target& target);
 
     std::vector<grant_record> compose_grants();
@@ -107,9 +107,10 @@
     std::unique_ptr<placement_desk> desk_;
     std::unique_ptr<placement_exchange> placements_;
     gateway_rollouts rollouts_;
+    service_retries retries_;
+    double told_retry_share_ = 0.0;
     isolation_watch reach_;
     bool was_isolated_ = false;
-    std::map<std::string, retry_budget> retries_;
     bool grant_log_answers_ = true;
     std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
     std::unique_ptr<gateway_context> context_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -10,6 +10,7 @@
 #include "roles/gateway/entry_rollouts.hpp"
 #include "roles/gateway/event_log.hpp"
 #include "roles/gateway/placement_exchange.hpp"
+#include "roles/gateway/service_retries.hpp"
 #include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
@@ -19,7 +20,6 @@
 #include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
-#include "wrenswitch/decision/routing/retry_budget.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 #include "wrenswitch/roles/gateway.hpp"
@@ -42,6 +42,7 @@
     token_exchange& tokens;
     placement_exchange& placements;
     entry_rollouts& rollouts;
+    service_retries& retries;
     random_source& random;
     metrics& counters;
     event_log& events;
@@ -49,8 +50,6 @@
     histogram_metric& pauses;
     /// False until the ledger of grants was read once.
     std::function<bool()> grants_known;
-    /// What bounds the retries at a service's targets.
-    std::function<retry_budget&(const std::string& service)> retries_of;
     /// True while the log of grants answers.
     std::function<bool()> log_answers;
     /// How far the ledger of grants was read and how old that is, for logs.
