Give no turns at cold targets before it is known how many entries share them

Cause: the same class as the retries' slack, found by looking for it: what a cold target bears is shared out by the members known, and a process that had read none yet took itself for one of 4, which is 6 times its share of 26. Now nobody but a keeper gives turns until the directory was read; first turns are drawn anew. Test: 26 entries that know each other after 200 ms send nothing before, and at most 14 in a second after. Settings: retry_slack stays, spent by nobody, shown with retry_share as gauges for an alert on the sums. Looked at for the same class: rollouts' exposure (earned only, as it should be), keepers' turns (spec/cold_turns.pml), budgets of tokens (by the ledger), connections a target (a fixed sixth of its cap for each entry: not bounded over all of them, left open), attempts after an unsent one (nothing arrived).

--- a/include/wrenswitch/decision/gateway/cold_targets.hpp
+++ b/include/wrenswitch/decision/gateway/cold_targets.hpp
@@ -31,9 +31,15 @@
 /// send to them; each bears no more than its rate from all together.
 class cold_targets {
 public:
-    /// `entries` tells how many entries share what a cold target bears.
+    /// `entries` tells how many entries share what a cold target bears; zero while that isn't
+    /// known.
     cold_targets(std::function<std::size_t()> entries, random_source& random);
 
+    /// Looks whether it is known by now how many entries share what a cold target bears. Until then
+    /// there are no turns but a keeper's: a process that took itself for one of 4 where there are
+    /// 26 would send 6 times its share.
+    void count_entries(instant now);
+
     /// What a service's targets bear while they are cold. Those that are known to be cold begin
     /// anew if that changes: their turns were counted without it.
     void set_warmup(instant now, const std::string& service, const target_warmup& warmup);
@@ -75,6 +81,7 @@
     void hold_back(instant now, target_state& state, turn_owner owner);
 
     std::function<std::size_t()> entries_;
+    bool counted_;
     random_source& random_;
     std::map<std::string, target_warmup, std::less<>> warmups_;
     /// Targets that are or were cold.
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -59,7 +59,8 @@
     microseconds longest_ejection = seconds(8);
     /// How long a report of load counts.
     microseconds report_life = milliseconds(500);
-    /// How many entries there are, which share what a cold target bears; one if it isn't set.
+    /// How many entries there are, which share what a cold target bears; zero while that isn't
+    /// known, one if it isn't set.
     std::function<std::size_t()> entries;
 };
 
@@ -123,6 +124,9 @@
     /// True if the target is cold, as far as is known.
     bool is_cold(instant now, std::string_view id) const { return cold_.is_cold(now, id); }
 
+    /// Looks whether it is known by now how many entries there are.
+    void count_entries(instant now) { cold_.count_entries(now); }
+
     /// What a service's targets bear while they are cold.
     void set_warmup(instant now, const std::string& service, const target_warmup& warmup) {
         cold_.set_warmup(now, service, warmup);
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -112,8 +112,11 @@
     /// Retries as a share of first tries, for each service and over all entries, and the time over
     /// which they are counted.
     double retry_share = 0.1;
-    double retry_slack = 20.0;
     microseconds retry_window = seconds(10);
+    /// What may come beyond the share in a window, over all entries. No entry spends of it, since
+    /// none knows for certain with how many others it shares it: it is left for retries that are
+    /// held up on their way, and shown for alerts.
+    double retry_slack = 20.0;
     /// How long a request waits for tokens before it is refused.
     microseconds token_wait = milliseconds(800);
     /// The same, if the tokens would have to come from other hosts.
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -26,7 +26,7 @@
 /// How many entries are expected to share a target's connections.
 constexpr std::size_t sharers = 6;
 
-/// An entry that knows of no others assumes this many.
+/// Members that have not joined yet are reckoned with up to this many.
 constexpr std::size_t least_entries = 4;
 
 /// Unreadable limits of one configuration that are told one by one; all are counted.
@@ -41,7 +41,11 @@
     pool.failure_domain = settings.failure_domain;
     pool.regions = settings.regions;
     pool.far_round_trip = settings.far_round_trip;
-    pool.entries = [&members] { return std::max(least_entries, members.members()); };
+    pool.entries = [&members] {
+        // Its own record is there once the directory was read: without any, nothing is known.
+        const std::size_t known = members.members();
+        return known == 0 ? 0 : std::max(least_entries, known);
+    };
     return pool;
 }
 
@@ -103,7 +107,10 @@
           [this](instant now) { look_at_link(now); }),
       link_(link_settings(settings)),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
-      retries_(settings.retry_share, settings.retry_window, metrics_) {}
+      retries_(settings.retry_share, settings.retry_window, metrics_) {
+    metrics_.gauge("gateway_retry_share") = settings.retry_share;
+    metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
+}
 
 gateway::~gateway() {
     *alive_ = false;
@@ -654,6 +661,7 @@
     waiters_->serve(now);
     desk_->drop_lapsed(now);
     retries_.tick(now);
+    targets_.count_entries(now);
     rollouts_.tick(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
         pools_.erase(id);
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -495,6 +495,36 @@
     BOOST_TEST(sent <= 5U);
 }
 
+BOOST_AUTO_TEST_CASE(entries_that_do_not_know_each_other_yet_send_nothing_to_a_cold_target) {
+    // 26 entries that start together, know of a cold target at once and of each other after 200 ms.
+    std::map<int, unsigned> by_second;
+    for (std::uint64_t entry = 0; entry < 26; ++entry) {
+        random_source own(entry + 1);
+        std::size_t known = 0;
+        target_pool_settings shared;
+        shared.entries = [&known] { return known; };
+        target_pool starting(shared, own);
+        starting.apply(target("c1", "cold", "d1"));
+        starting.set_warmup(now, "cold", {seconds(3), 9.6});
+        starting.note_cold(now, "c1", seconds(3));
+        for (int ms = 0; ms < 3000; ms += 5) {
+            known = ms < 200 ? 0 : 26;
+            const instant at = now + milliseconds(ms);
+            starting.count_entries(at);
+            const target_choice choice = starting.pick(at, "cold", {});
+            BOOST_TEST((choice.target == nullptr || known > 0));
+            BOOST_TEST((choice.target != nullptr || choice.all_cold));
+            if (choice.target != nullptr) {
+                by_second[static_cast<int>(as_seconds(milliseconds(ms) + choice.wait))] += 1;
+            }
+        }
+    }
+    by_second.erase(3);
+    for (const auto& [second, arrivals] : by_second) {
+        BOOST_TEST(arrivals <= 14U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(service_without_a_bound_has_no_cold_targets) {
     pool->note_cold(now, "p3", seconds(3));
     for (int turn = 0; turn < 20; ++turn) {
--- a/tests/platform/region_live_test.cpp
+++ b/tests/platform/region_live_test.cpp
@@ -106,6 +106,9 @@
     route_regions = R"(["south"])";
     configure();
     start();
+    answer_with_events(other);
+    earn_retries(north, "flow", 2);
+    other.seen.clear();
     for (worker_standin* engine : {&south_llm, &other}) {
         engine->answer = [engine](const ingress_exchange_pointer& exchange) {
             exchange->begin_answer(200, engine->signed_headers(exchange));
@@ -161,6 +164,8 @@
 
 BOOST_AUTO_TEST_CASE(retry_of_a_bound_request_stays_in_its_region) {
     start();
+    earn_retries(south, "bound", 2);
+    earn_retries(north, "bound", 2);
     north_app.answer = [](const ingress_exchange_pointer& exchange) { exchange->cut(); };
     BOOST_TEST(status_of(ask(south, "bound")) == 502U);
     BOOST_TEST(status_of(ask(north, "bound")) == 502U);
