--- a/include/wrenswitch/core/metrics.hpp
+++ b/include/wrenswitch/core/metrics.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +14,15 @@
 
 namespace wrenswitch {
 
+/// What one of several figures with the same name is about.
+struct metric_label {
+    std::string_view name;
+    std::string_view value;
+};
+
+/// The name of a figure that has labels, as `requests{outcome="served"}`. Values may hold anything.
+std::string labelled(std::string_view name, std::initializer_list<metric_label> labels);
+
 /// Estimates quantiles of a quantity as it is observed, in constant memory.
 class quantile_metric {
 public:
@@ -72,8 +82,7 @@
     /// The quantile metric with this name, made on first use. The reference stays valid.
     quantile_metric& quantiles(std::string_view name);
 
-    /// The histogram with this name, made on first use; labels may stand behind it, as in
-    /// `name{outcome="served"}`. The reference stays valid.
+    /// The histogram with this name, made on first use. The reference stays valid.
     histogram_metric& histogram(std::string_view name);
 
     /// All of them, as Prometheus reads them. Each name gets the prefix "wrenswitch_".
--- a/include/wrenswitch/decision/gateway/admission.hpp
+++ b/include/wrenswitch/decision/gateway/admission.hpp
@@ -15,6 +15,8 @@
     std::string service;
     /// Empty on a public route.
     std::string account;
+    /// The account that holds the request's key, also on a public route, which needs none.
+    std::string key_holder;
     /// 0 is the most urgent, 9 the least. The account's priority goes before the route's.
     unsigned urgency = 0;
     /// Set if the service's targets are model engines.
@@ -41,8 +43,8 @@
                                                         double fraction);
 
 /// Where an admitted request may be by now: what it was admitted with, narrowed by what a newer
-/// configuration says of its route and account. A request that waits thus goes nowhere that either
-/// forbids.
+/// configuration says of its route and of its key's holder. A request that waits thus goes nowhere
+/// that either forbids.
 allowed_regions regions_now(const configuration_view& configuration,
                             const admitted_request& admitted, std::string_view host,
                             std::string_view path);
--- a/include/wrenswitch/decision/gateway/candidate_limits.hpp
+++ b/include/wrenswitch/decision/gateway/candidate_limits.hpp
@@ -8,8 +8,11 @@
 
 namespace wrenswitch {
 
+/// The names of regions.
+using region_set = std::set<std::string, std::less<>>;
+
 /// The regions that a request is bound to; nothing if it may go anywhere. An empty set allows none.
-using allowed_regions = std::optional<std::set<std::string, std::less<>>>;
+using allowed_regions = std::optional<region_set>;
 
 /// The regions that both allow.
 allowed_regions allowed_by_both(const allowed_regions& left, const allowed_regions& right);
--- a/include/wrenswitch/decision/gateway/configuration_view.hpp
+++ b/include/wrenswitch/decision/gateway/configuration_view.hpp
@@ -14,7 +14,8 @@
 /// The configuration in force, indexed for requests. Versions only rise.
 class configuration_view {
 public:
-    /// Takes a version in. False, with no change, if it isn't newer than the one in force.
+    /// Takes a version in; where its limits can't be read they allow nothing. False, with no
+    /// change, if it isn't newer than the one in force.
     bool apply(gateway_configuration configuration);
 
     /// False until the first version is there; until then nothing can be decided.
--- a/include/wrenswitch/decision/gateway/gateway_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -59,6 +59,8 @@
     microseconds longest_pause{};
     /// Where its requests may be.
     allowed_regions regions;
+    /// True if something stands there that names no regions: nobody knows what it was to allow.
+    bool regions_unreadable = false;
 };
 
 /// What a service's targets bear while they are cold: after a start, or whenever they turn cold.
@@ -91,6 +93,8 @@
     std::optional<tokens> prepaid;
     /// Where its requests may be.
     allowed_regions regions;
+    /// True if something stands there that names no regions: nobody knows what it was to allow.
+    bool regions_unreadable = false;
 };
 
 /// What callers may send.
@@ -108,8 +112,9 @@
     std::vector<gateway_service> services;
     std::vector<gateway_account> accounts;
     gateway_limits limits;
-    /// Limits that couldn't be read and are taken at their strictest, each with its place.
-    std::vector<std::string> unreadable_limits;
 };
 
+/// The places of the limits that couldn't be read.
+std::vector<std::string> unreadable_limits(const gateway_configuration& configuration);
+
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -281,7 +281,6 @@
     void keep_near(std::vector<target_state*>& targets) const;
     double occupancy(const target_state& state, instant now) const;
     double plain_cost(const target_state& state, instant now) const;
-    void keep_memory_near(target_choice& choice, const engine_request& request) const;
     std::vector<engine_source> sources(instant now, std::string_view service,
                                        const allowed_regions& regions) const;
 
--- a/include/wrenswitch/decision/rollout/rollout_gate.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_gate.hpp
@@ -98,7 +98,6 @@
     };
 
     bool is_new(const std::string& version) const { return version == order_.version; }
-    bool is_over() const;
     bool in_last_moments(instant now) const;
     bool past_deadline(instant now) const;
     bool must_leave_old(instant now, const rollout_request& request) const;
--- a/include/wrenswitch/decision/rollout/rollout_stand.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_stand.hpp
@@ -24,6 +24,9 @@
 
 const char* name_of(rollout_phase phase);
 
+/// True if nothing follows this phase.
+bool is_over(rollout_phase phase);
+
 /// The decider's word to the entries on one service. A lost one does no harm: the next replaces it,
 /// and the final phases stand in the log as well.
 struct rollout_stand {
--- a/include/wrenswitch/drivers/rollout_ledger.hpp
+++ b/include/wrenswitch/drivers/rollout_ledger.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -8,7 +7,6 @@
 #include <string_view>
 
 #include "wrenswitch/core/metrics.hpp"
-#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/rollout/rollout_table.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
 
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <numeric>
+#include <utility>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -79,8 +80,36 @@
     out << prefix << base << "_count" << labels << ' ' << metric.count_up_to(bounds) << '\n';
 }
 
+/// A label's value as the text format wants it.
+void write_quoted(std::string& out, std::string_view value) {
+    out += '"';
+    for (const char letter : value) {
+        if (letter == '\n') {
+            out += "\\n";
+            continue;
+        }
+        if (letter == '"' || letter == '\\') {
+            out += '\\';
+        }
+        out += letter;
+    }
+    out += '"';
+}
+
 }  // namespace
 
+std::string labelled(std::string_view name, std::initializer_list<metric_label> labels) {
+    std::string text(name);
+    char before = '{';
+    for (const metric_label& label : labels) {
+        text += std::exchange(before, ',');
+        text += label.name;
+        text += '=';
+        write_quoted(text, label.value);
+    }
+    return before == '{' ? text : text + '}';
+}
+
 struct quantile_metric::accumulators {
     accumulator set{acc::extended_p_square_probabilities = kept_probabilities};
 };
--- a/src/decision/gateway/admission.cpp
+++ b/src/decision/gateway/admission.cpp
@@ -53,6 +53,7 @@
     const gateway_account* account = configuration.account_of_key(key);
     if (account != nullptr) {
         // Also on a public route, which needs no key: the caller says whose request it is.
+        admitted.key_holder = account->name;
         admitted.regions = allowed_by_both(route->regions, account->regions);
     }
     if (route->is_public || !configuration.wants_keys()) {
@@ -78,7 +79,7 @@
     if (const gateway_route* route = configuration.route_of(host, path)) {
         regions = allowed_by_both(regions, route->regions);
     }
-    if (const gateway_account* account = configuration.account(admitted.account)) {
+    if (const gateway_account* account = configuration.account(admitted.key_holder)) {
         regions = allowed_by_both(regions, account->regions);
     }
     return regions;
--- a/src/decision/gateway/candidate_limits.cpp
+++ b/src/decision/gateway/candidate_limits.cpp
@@ -9,7 +9,7 @@
     if (!left || !right) {
         return left ? left : right;
     }
-    std::set<std::string, std::less<>> both;
+    region_set both;
     std::set_intersection(left->begin(), left->end(), right->begin(), right->end(),
                           std::inserter(both, both.end()));
     return both;
--- a/src/decision/gateway/configuration_view.cpp
+++ b/src/decision/gateway/configuration_view.cpp
@@ -13,8 +13,36 @@
     return name;
 }
 
+/// What can't be read allows nothing. Refusing the whole configuration for it would keep keys in
+/// force that were taken away, and what the limit is to end.
+template <typename bound_parts>
+void take_strictly(bound_parts& parts) {
+    for (auto& part : parts) {
+        if (part.regions_unreadable) {
+            part.regions = region_set{};
+        }
+    }
+}
+
+template <typename bound_parts>
+void add_unreadable(std::vector<std::string>& places, std::string_view kind,
+                    const bound_parts& parts) {
+    for (const auto& part : parts) {
+        if (part.regions_unreadable) {
+            places.push_back(std::string(kind) + "/" + part.name + "/regions");
+        }
+    }
+}
+
 }  // namespace
 
+std::vector<std::string> unreadable_limits(const gateway_configuration& configuration) {
+    std::vector<std::string> places;
+    add_unreadable(places, "routes", configuration.routes);
+    add_unreadable(places, "accounts", configuration.accounts);
+    return places;
+}
+
 bool may_repeat(request_kind kind) {
     return kind == request_kind::repeatable || kind == request_kind::resumable_stream;
 }
@@ -28,6 +56,8 @@
         return false;
     }
     configuration_ = std::move(configuration);
+    take_strictly(configuration_.routes);
+    take_strictly(configuration_.accounts);
     known_ = true;
     by_host_.clear();
     by_key_.clear();
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -343,23 +343,10 @@
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
     choice.unread = chosen.unread;
     choice.price = chosen.price;
-    keep_memory_near(choice, request);
     choice.wait = cold_.take(now, choice.target->id, owner);
     return choice;
 }
 
-/// Takes back a copy that may not be: the engine reads what it doesn't keep itself.
-void target_pool::keep_memory_near(target_choice& choice, const engine_request& request) const {
-    if (choice.copy_from == nullptr ||
-        may_copy(choice.copy_from->id, choice.target->id, request.limits.regions)) {
-        return;
-    }
-    choice.copy_from = nullptr;
-    const engine_source self{choice.target->id, {}};
-    choice.unread =
-        request.shape.prompt - placer_.most_kept(std::span(&self, 1), {}, request.shape).kept;
-}
-
 /// A keeper knows what the engines that it keeps have read, and an entry what its own requests were
 /// read by, at the engines of all keepers.
 void target_pool::improve_source(instant now, const engine_request& request,
@@ -376,8 +363,7 @@
     const engine_placer::kept_prompt most =
         placer_.most_kept(sources(now, choice.target->service, request.limits.regions),
                           copies_within(targets_.find(choice.target->id)->second), shape);
-    if (most.kept - there >= least_copied && most.engine != choice.target->id &&
-        may_copy(most.engine, choice.target->id, request.limits.regions)) {
+    if (most.kept - there >= least_copied && most.engine != choice.target->id) {
         choice.copy_from = find(most.engine);
         choice.unread = shape.prompt - most.kept;
     }
@@ -422,10 +408,11 @@
            !settings_.regions.are_near(settings_.failure_domain, state.target.failure_domain);
 }
 
-/// Engines copy from those of the same place alone: a token's memory is some hundred thousand
-/// bytes, and a region's link bears 45 of them a second.
+/// Engines copy from those of the same place alone: what is bound to its region stays there, and of
+/// a token's memory, some hundred thousand bytes, a region's link bears 45 a second. Without a
+/// table of regions nothing that is bound was ever read, and all are in one place.
 std::string_view target_pool::copies_within(const target_state& state) const {
-    if (!has_several_regions_) {
+    if (settings_.regions.empty()) {
         return {};
     }
     const std::string_view region = settings_.regions.region_of(state.target.failure_domain);
@@ -469,10 +456,7 @@
         !may_hold(goal->second, regions)) {
         return false;
     }
-    // Without a table of regions nothing that is bound was ever read anywhere.
-    return settings_.regions.empty() ||
-           settings_.regions.are_near(source->second.target.failure_domain,
-                                      goal->second.target.failure_domain);
+    return copies_within(source->second) == copies_within(goal->second);
 }
 
 std::string_view target_pool::region_of(std::string_view id) const {
--- a/src/decision/rollout/answer_table.hpp
+++ b/src/decision/rollout/answer_table.hpp
@@ -28,6 +28,16 @@
     bool plain_only = false;
 };
 
+/// How many of the old version's answers may take longer than what counts as normal: 0.5 shows best
+/// a version of which all answers are slower, 0.01 one of which a part is.
+inline constexpr std::array slowness_levels{0.5, 0.2, 0.05, 0.01};
+
+/// So many answers of each target may be slow for empty caches and aren't counted where answers are
+/// streams, whose prompts are read from nothing at first. What is plain has no caches of prompts:
+/// with 4 not counted, of 200 versions that are 4 times slower 150 would be found within 24 s at
+/// 124 requests/s, with none 196 are.
+inline constexpr double cold_answers = 20.0;
+
 /// A roll-out's evidence as sums that many tests can be made of: it is asked for some forty kinds
 /// of marks in one judgement.
 class answer_table {
--- a/src/decision/rollout/badness.cpp
+++ b/src/decision/rollout/badness.cpp
@@ -1,7 +1,6 @@
 #include "decision/rollout/badness.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <sstream>
 
@@ -25,13 +24,6 @@
 /// How much slower an answer may be for an empty cache: a prompt of 6,300 shared and 2,890 own
 /// tokens is read in 3.2 times the time if nothing of it is kept. Buckets round it up to 3.4.
 constexpr double cold_slowness = 3.3;
-/// So many answers of each target may be slow for empty caches and aren't counted where answers are
-/// streams. What is plain has no caches of prompts: with 4 not counted, of 200 versions that are 4
-/// times slower 150 would be found within 24 s at 124 requests/s, with none 196 are.
-constexpr double cold_answers = 20.0;
-/// How many of the old version's answers may take longer than what counts as normal: 0.5 shows best
-/// a version of which all answers are slower, 0.01 one of which a part is.
-constexpr std::array levels{0.5, 0.2, 0.05, 0.01};
 /// One in so many roll-outs has a target that differs from the others of its version: what the
 /// others show beside it needs that much less evidence than all together.
 constexpr double seldom_odd = 20.0;
@@ -102,9 +94,9 @@
         return shown;
     }
     const std::vector<slow_kind> kinds = kinds_of_slowness(stress_);
-    const double each = half / static_cast<double>(kinds.size() * levels.size());
+    const double each = half / static_cast<double>(kinds.size() * slowness_levels.size());
     for (slow_kind kind : kinds) {
-        for (const double level : levels) {
+        for (const double level : slowness_levels) {
             kind.marks.level = level;
             const auto scopes =
                 kind.of_a_part ? slow_part(answers, kind.marks) : answers.slow(kind.marks);
@@ -125,7 +117,7 @@
     plain.plain_only = true;
     bad_number slow;
     for (slowness kind : {first, pace, plain}) {
-        for (const double level : levels) {
+        for (const double level : slowness_levels) {
             kind.level = level;
             slow.take_larger(number_in(answers.slow(kind)));
         }
--- a/src/decision/rollout/goodness.cpp
+++ b/src/decision/rollout/goodness.cpp
@@ -1,7 +1,6 @@
 #include "decision/rollout/goodness.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <sstream>
 
@@ -31,10 +30,6 @@
 constexpr double doubted_odds = 10.0;
 /// A version that is slower by this or more isn't held for good.
 constexpr double doubted_slowness = 1.5;
-constexpr std::array levels{0.5, 0.2, 0.05, 0.01};
-/// The slow answers of each target that aren't counted, since its caches were empty: a stream's
-/// prompt is read from nothing at first. What is plain has no such caches.
-constexpr double cold_answers = 20.0;
 /// So much evidence that a version is slower by that speaks against it.
 constexpr double doubted_evidence = 5.0;
 /// The evidence that a target differs from the others of its version, so that it is left out.
@@ -152,7 +147,7 @@
     slowness first{answer_time::first, doubted_slowness * stress_, 0.0, cold_answers};
     slowness pace{answer_time::pace, doubted_slowness * stress_};
     for (slowness* kind : {&first, &pace}) {
-        for (const double level : levels) {
+        for (const double level : slowness_levels) {
             kind->level = level;
             std::vector<marked_scope> scopes = answers.slow(*kind);
             leave_out_odd_target(scopes, settings_.least_targets);
--- a/src/decision/rollout/rollout_gate.cpp
+++ b/src/decision/rollout/rollout_gate.cpp
@@ -79,12 +79,8 @@
     return versions;
 }
 
-bool rollout_gate::is_over() const {
-    return stand_.phase == rollout_phase::completed || stand_.phase == rollout_phase::rolled_back;
-}
-
 bool rollout_gate::take(instant now, const rollout_stand& stand) {
-    if (stand.order != order_.number || stand.version != order_.version || is_over()) {
+    if (stand.order != order_.number || stand.version != order_.version || is_over(stand_.phase)) {
         return false;
     }
     const rollout_phase before = stand_.phase;
@@ -196,7 +192,8 @@
     if (limit.rule == version_rule::only) {
         return only_old();
     }
-    const bool may_be_new = limit.rule == version_rule::other_than && !is_over() && !found_bad_;
+    const bool may_be_new =
+        limit.rule == version_rule::other_than && !is_over(stand_.phase) && !found_bad_;
     if (!may_be_new || !exposure_.may_send()) {
         return std::nullopt;
     }
@@ -205,6 +202,10 @@
 
 bool rollout_gate::begin(instant now, const rollout_request& request, const std::string& version,
                          const std::string& target) {
+    if (excluded_.contains(version)) {
+        // It was chosen before this order came.
+        return false;
+    }
     const bool to_new = is_new(version);
     const bool leaves_old = must_leave_old(now, request) || has_just_completed(now);
     const bool too_late_for_old = leaves_old && !request.in_need && !in_force_;
--- a/src/decision/rollout/rollout_stand.cpp
+++ b/src/decision/rollout/rollout_stand.cpp
@@ -18,4 +18,8 @@
     return "unnamed";
 }
 
+bool is_over(rollout_phase phase) {
+    return phase == rollout_phase::completed || phase == rollout_phase::rolled_back;
+}
+
 }  // namespace wrenswitch
--- a/src/drivers/ledger_replica.cpp
+++ b/src/drivers/ledger_replica.cpp
@@ -90,8 +90,8 @@
         return;
     }
     for (const operation_outcome outcome : outcomes) {
-        counters_.counter("ledger_operations_total{outcome=\"" + std::string(name_of(outcome)) +
-                          "\"}") += 1;
+        counters_.counter(labelled("ledger_operations_total", {{"outcome", name_of(outcome)}})) +=
+            1;
     }
     const bool own = batch.writer == writer_ && batch.sequence == sequence_;
     if (own) {
--- a/src/roles/entry/entry.cpp
+++ b/src/roles/entry/entry.cpp
@@ -298,7 +298,7 @@
     caller_request_result request = read_caller_request(
         *exchange, {control_->state().config(), random_, settings_.default_deadline});
     if (!request) {
-        metrics_.counter("requests_refused_total{code=\"" + request.error().code + "\"}") += 1;
+        metrics_.counter(labelled("requests_refused_total", {{"code", request.error().code}})) += 1;
         request.error().send(*exchange, "");
         return;
     }
--- a/src/roles/entry/home_desk.cpp
+++ b/src/roles/entry/home_desk.cpp
@@ -143,8 +143,8 @@
     numbered.request = next_ask_++;
     const shard_index index = shard_of(budget_id_of(ask.budget));
     answer_hook told = [this, index, done = std::move(done)](const reservation_answer& answer) {
-        parts_.counters.counter("home_reservations_total{outcome=\"" +
-                                std::string(name_of(answer.outcome)) + "\"}") += 1;
+        parts_.counters.counter(
+            labelled("home_reservations_total", {{"outcome", name_of(answer.outcome)}})) += 1;
         if (answer.outcome == reservation_outcome::granted) {
             ticket_shards_[answer.granted.id] = index;
         }
--- a/src/roles/entry/request_flow.cpp
+++ b/src/roles/entry/request_flow.cpp
@@ -370,8 +370,7 @@
     if (reason == refusal_reason::target_down) {
         parts_.picker.failed(now, guard);
     }
-    parts_.counters.counter("tries_refused_total{reason=\"" + std::string(name_of(reason)) +
-                            "\"}") += 1;
+    parts_.counters.counter(labelled("tries_refused_total", {{"reason", name_of(reason)}})) += 1;
     started_ = false;
     if (caller_gone_) {
         release_ticket();
@@ -542,7 +541,7 @@
 
 void request_flow::fail(unsigned status, std::string code, std::string message, request_fate fate,
                         microseconds retry_after) {
-    parts_.counters.counter("answers_refused_total{code=\"" + code + "\"}") += 1;
+    parts_.counters.counter(labelled("answers_refused_total", {{"code", code}})) += 1;
     parts_.events.add(timeline_kind::request_answered, name_, attempt_, ticket_.id, code);
     reply_.fail({status, std::move(code), std::move(message), fate, retry_after});
     end();
--- a/src/roles/gateway/entry_rollouts.cpp
+++ b/src/roles/gateway/entry_rollouts.cpp
@@ -7,13 +7,8 @@
 namespace wrenswitch {
 namespace {
 
-std::string labelled(std::string_view name, const rollout_gate& gate) {
-    return std::string(name) + "{service=\"" + gate.order().service + "\"}";
-}
-
-bool is_over(const rollout_gate& gate) {
-    const rollout_phase phase = gate.stand().phase;
-    return phase == rollout_phase::completed || phase == rollout_phase::rolled_back;
+std::string of_service(std::string_view name, const rollout_gate& gate) {
+    return labelled(name, {{"service", gate.order().service}});
 }
 
 }  // namespace
@@ -125,8 +120,8 @@
 std::vector<entry_rollouts::told_evidence> entry_rollouts::reports(instant now) const {
     std::vector<told_evidence> all;
     for (const auto& [service, gate] : gates_) {
-        if (!is_over(gate)) {
-            all.push_back({gate.report(now), gate.evidence()});
+        if (!is_over(gate.stand().phase)) {
+            all.push_back({gate.report(now), gate.evidence(), gate.stand().phase});
         }
     }
     return all;
@@ -134,11 +129,12 @@
 
 void entry_rollouts::observe(instant now) {
     for (const auto& [service, gate] : gates_) {
-        counters_.gauge(labelled("rollout_phase", gate)) = static_cast<double>(gate.stand().phase);
-        counters_.gauge(labelled("rollout_left_s", gate)) = as_seconds(gate.left(now));
-        counters_.gauge(labelled("rollout_reached", gate)) =
+        counters_.gauge(of_service("rollout_phase", gate)) =
+            static_cast<double>(gate.stand().phase);
+        counters_.gauge(of_service("rollout_left_s", gate)) = as_seconds(gate.left(now));
+        counters_.gauge(of_service("rollout_reached", gate)) =
             static_cast<double>(gate.exposure().reached());
-        counters_.gauge(labelled("rollout_exposed", gate)) =
+        counters_.gauge(of_service("rollout_exposed", gate)) =
             static_cast<double>(gate.exposure().sent());
         if (gate.report(now).found_bad) {
             tell_found_bad(now, gate);
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -865,13 +865,9 @@
 /// that nobody named, or that of no target, is empty.
 void forwarded_request::count_by_region(std::string_view what) const {
     const gateway_settings& settings = context_.settings;
-    std::string name(what);
-    name += "{caller=\"";
-    name += settings.regions.region_of(settings.failure_domain);
-    name += "\",target=\"";
-    name += context_.targets.region_of(target_);
-    name += "\"}";
-    context_.counters.counter(name) += 1;
+    const metric_label caller{"caller", settings.regions.region_of(settings.failure_domain)};
+    const metric_label target{"target", context_.targets.region_of(target_)};
+    context_.counters.counter(labelled(what, {caller, target})) += 1;
 }
 
 /// Counts the end and tells the request's story: all of one that failed, and of a sample of the
@@ -883,7 +879,7 @@
     const std::string_view result = served ? "served" : (status == 0 ? "cut" : "failed");
     count_by_region(status == status_unavailable ? "gateway_refused_by_region_total"
                                                  : "gateway_requests_by_region_total");
-    context_.counters.histogram("gateway_request_ms{outcome=\"" + std::string(result) + "\"}")
+    context_.counters.histogram(labelled("gateway_request_ms", {{"outcome", result}}))
         .observe(took);
     trace_.add(now, "request_ended",
                {{"outcome", std::string(outcome)},
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -407,10 +407,10 @@
     }
     apply_configuration();
     const gateway_configuration& current = configuration_.current();
-    metrics_.counter("gateway_limits_unreadable_total") += current.unreadable_limits.size();
+    const std::vector<std::string> unreadable = unreadable_limits(current);
+    metrics_.counter("gateway_limits_unreadable_total") += unreadable.size();
     for (const std::string& place :
-         std::span(current.unreadable_limits)
-             .first(std::min(most_told, current.unreadable_limits.size()))) {
+         std::span(unreadable).first(std::min(most_told, unreadable.size()))) {
         log_event(log_level::error, "limit_unreadable",
                   {{"version", std::to_string(current.version)}, {"place", place}});
     }
--- a/src/roles/gateway/rollout_desk.cpp
+++ b/src/roles/gateway/rollout_desk.cpp
@@ -11,10 +11,6 @@
 /// The sums of a few hundred reports take about a millisecond.
 constexpr microseconds gauges_every = seconds(1);
 
-std::string labelled(std::string_view name, const std::string& service) {
-    return std::string(name) + "{service=\"" + service + "\"}";
-}
-
 /// The hosts of some processes.
 std::string hosts_of(std::span<const incarnation_id> processes,
                      std::span<const ledger_member> members) {
@@ -135,12 +131,12 @@
 }
 
 void rollout_desk::set_gauges(service_desk& desk, const rollout_sums& sums) {
-    const std::string& service = desk.decider.order().service;
-    counters_.gauge(labelled("rollout_all_reached", service)) = static_cast<double>(sums.reached);
-    counters_.gauge(labelled("rollout_all_exposed", service)) = static_cast<double>(sums.exposed);
-    counters_.gauge(labelled("rollout_all_bad_answers", service)) =
+    const metric_label service{"service", desk.decider.order().service};
+    counters_.gauge(labelled("rollout_all_reached", {service})) = static_cast<double>(sums.reached);
+    counters_.gauge(labelled("rollout_all_exposed", {service})) = static_cast<double>(sums.exposed);
+    counters_.gauge(labelled("rollout_all_bad_answers", {service})) =
         static_cast<double>(sums.evidence.of_new_version().badly);
-    counters_.gauge(labelled("rollout_all_reporters", service)) =
+    counters_.gauge(labelled("rollout_all_reporters", {service})) =
         static_cast<double>(sums.reporters - sums.stale);
 }
 
--- a/src/roles/gateway/rollout_exchange.cpp
+++ b/src/roles/gateway/rollout_exchange.cpp
@@ -254,11 +254,8 @@
     /// True if this process was told that a version is moved to and the end isn't there.
     bool moves(instant now) const {
         const std::vector<entry_rollouts::told_evidence> reports = rollouts.reports(now);
-        return std::any_of(reports.begin(), reports.end(), [this](const auto& each) {
-            const auto found = heard.find(each.report.service);
-            return found != heard.end() && found->second.order == each.report.order &&
-                   found->second.phase == rollout_phase::moving;
-        });
+        return std::any_of(reports.begin(), reports.end(),
+                           [](const auto& each) { return each.phase == rollout_phase::moving; });
     }
 
     /// The end needs all reports and words in a fraction of a second.
@@ -333,7 +330,6 @@
         waiting_since.reset();
         silent.erase(decider.process);
         if (!stand->version.empty() && counts(*stand)) {
-            heard[stand->service] = *stand;
             const instant now = monotonic_now();
             rollouts.told(now, *stand);
             look_again_soon(now);
@@ -358,8 +354,6 @@
     std::optional<instant> last_reported;
     std::optional<instant> last_tick;
     std::map<std::string, told_last> told;
-    /// The decider's newest words.
-    std::map<std::string, rollout_stand> heard;
     std::map<incarnation_id, reporter> reporters;
     bool looks_soon = false;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/roles/guard/guard_replies.cpp
+++ b/src/roles/guard/guard_replies.cpp
@@ -33,7 +33,7 @@
 }
 
 void guard_replies::refuse(const answer_listener& to, refusal_reason reason) {
-    counters_.counter("guard_refusals_total{reason=\"" + std::string(name_of(reason)) + "\"}") += 1;
+    counters_.counter(labelled("guard_refusals_total", {{"reason", name_of(reason)}})) += 1;
     events_.add(timeline_kind::attempt_refused, std::to_string(to.request), to.attempt, {},
                 std::string(name_of(reason)));
     wire::Envelope message = make_message();
--- a/tests/core/metrics_test.cpp
+++ b/tests/core/metrics_test.cpp
@@ -38,4 +38,15 @@
     BOOST_TEST(shows("wrenswitch_store_ms_count 1"));
 }
 
+BOOST_AUTO_TEST_CASE(figure_with_labels_has_them_all_behind_its_name) {
+    BOOST_TEST(labelled("requests", {}) == "requests");
+    BOOST_TEST(labelled("requests", {{"outcome", "served"}}) == "requests{outcome=\"served\"}");
+    BOOST_TEST(labelled("requests", {{"from", "n"}, {"to", ""}}) == "requests{from=\"n\",to=\"\"}");
+}
+
+BOOST_AUTO_TEST_CASE(label_whose_value_holds_a_quote_or_a_line_break_stays_one_line) {
+    figures.counter(labelled("orders", {{"service", "a\"b\\c\nd"}})) += 3;
+    BOOST_TEST(shows("wrenswitch_orders{service=\"a\\\"b\\\\c\\nd\"} 3"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/decision/gateway/admission_test.cpp
+++ b/tests/decision/gateway/admission_test.cpp
@@ -128,4 +128,22 @@
     BOOST_TEST((may_be() == allowed_regions{{"north", "west"}}));
 }
 
+BOOST_AUTO_TEST_CASE(key_of_a_request_that_waits_on_a_public_route_goes_on_binding_it) {
+    const admitted_request waiting = admitted("/open/x", "key-1");
+    const admitted_request anyones = admitted("/open/x", "");
+    bind(std::nullopt, {{"south"}});
+    BOOST_TEST((regions_now(view, waiting, "h", "/open/x") == allowed_regions{{"south"}}));
+    BOOST_TEST(!regions_now(view, anyones, "h", "/open/x").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(key_that_is_taken_away_frees_no_request_that_waits) {
+    const admitted_request waiting = admitted("/engine/x", "key-1");
+    gateway_configuration rotated = view.current();
+    rotated.version += 1;
+    rotated.accounts[0].keys = {"key-3"};
+    rotated.accounts[0].regions = {{"north"}};
+    view.apply(rotated);
+    BOOST_TEST((regions_now(view, waiting, "h", "/engine/x") == allowed_regions{{"north"}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/decision/gateway/configuration_view_test.cpp
+++ b/tests/decision/gateway/configuration_view_test.cpp
@@ -81,4 +81,21 @@
     BOOST_TEST(configuration_view::choose_split(split, 0.5) == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(limit_that_can_not_be_read_allows_nothing_and_the_others_stay) {
+    gateway_configuration next = version(6);
+    next.routes[0].regions_unreadable = true;
+    next.routes[1].regions = {{"north"}};
+    next.accounts[0].regions = {{"north"}};
+    next.accounts[0].regions_unreadable = true;
+    BOOST_TEST(view.apply(next));
+    BOOST_TEST((view.route_of("example.test", "/a/x")->regions == allowed_regions{region_set{}}));
+    BOOST_TEST((view.route_of("example.test", "/a/b/c")->regions == allowed_regions{{"north"}}));
+    BOOST_TEST((view.account_of_key("key-1")->regions == allowed_regions{region_set{}}));
+    const std::vector<std::string> places{"routes/outer/regions", "accounts/tenant/regions"};
+    BOOST_TEST(unreadable_limits(view.current()) == places, boost::test_tools::per_element());
+    BOOST_TEST(view.apply(version(7)));
+    BOOST_TEST(!view.route_of("example.test", "/a/x")->regions.has_value());
+    BOOST_TEST(unreadable_limits(view.current()).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/decision/gateway/target_regions_test.cpp
+++ b/tests/decision/gateway/target_regions_test.cpp
@@ -37,9 +37,7 @@
             service + "-" + domain, service, "127.0.0.1:" + service + domain, domain, 6, false, {}};
     }
 
-    static candidate_limits in(std::set<std::string, std::less<>> regions) {
-        return {std::move(regions), {}};
-    }
+    static candidate_limits in(region_set regions) { return {std::move(regions), {}}; }
 
     /// All targets that many requests with these limits get.
     std::set<std::string> picked(const candidate_limits& limits,
--- a/tests/decision/rollout/rollout_gate_test.cpp
+++ b/tests/decision/rollout/rollout_gate_test.cpp
@@ -387,6 +387,15 @@
     BOOST_TEST(gate.excluded_after().empty());
 }
 
+BOOST_AUTO_TEST_CASE(request_that_chose_a_version_before_the_next_order_does_not_begin_there) {
+    rollout_gate next(start, {"app", "v3", seconds(8), 8}, allowed_share, gate.excluded_after());
+    const rollout_request waiting = request();
+    BOOST_TEST(!next.begin(start, waiting, "v2", "n1"));
+    BOOST_TEST(next.begin(start, waiting, "v1", "o1"));
+    next.note_in_force();
+    BOOST_TEST(!next.begin(start, waiting, "v2", "n1"));
+}
+
 BOOST_AUTO_TEST_CASE(request_that_waited_does_not_begin_at_an_old_target_once_it_is_completed) {
     const rollout_request waiting = request("read", false);
     tell(rollout_phase::completed);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/dialect.hpp"
 #include "roles/gateway/incoming_request.hpp"
+#include "wrenswitch/decision/gateway/configuration_view.hpp"
 
 namespace {
 
@@ -207,10 +208,10 @@
     BOOST_TEST(!config.routes[3].regions.has_value());
     BOOST_TEST((config.accounts[0].regions == allowed_regions{{"n"}}));
     BOOST_TEST(!config.accounts[1].regions.has_value());
-    BOOST_TEST(config.unreadable_limits.empty());
+    BOOST_TEST(unreadable_limits(config).empty());
 }
 
-BOOST_AUTO_TEST_CASE(limit_that_can_not_be_read_allows_nothing_and_is_told) {
+BOOST_AUTO_TEST_CASE(limit_that_can_not_be_read_is_marked_and_allows_nothing_in_force) {
     for (const char* odd : {R"("n")", "7", R"(["n",3])", R"({"n":true})", "false", "[[]]"}) {
         BOOST_TEST_CONTEXT(odd) {
             const auto read = platform::read_configuration(
@@ -221,15 +222,21 @@
                     "tenants":[{"name":"t","allowedRegions":)" +
                 odd + "}]}");
             BOOST_REQUIRE(read.has_value());
-            const gateway_configuration& config = read.value();
+            BOOST_TEST(read.value().routes[0].regions_unreadable);
+            BOOST_TEST(!read.value().routes[1].regions_unreadable);
+            BOOST_TEST(read.value().accounts[0].regions_unreadable);
+            configuration_view view;
+            BOOST_TEST(view.apply(read.value()));
+            const gateway_configuration& config = view.current();
             BOOST_REQUIRE(config.routes[0].regions.has_value());
             BOOST_TEST(config.routes[0].regions->empty());
             BOOST_TEST(!config.routes[1].regions.has_value());
             BOOST_REQUIRE(config.accounts[0].regions.has_value());
             BOOST_TEST(config.accounts[0].regions->empty());
-            BOOST_REQUIRE(config.unreadable_limits.size() == 2U);
-            BOOST_TEST(config.unreadable_limits[0] == "routes/a/allowedRegions");
-            BOOST_TEST(config.unreadable_limits[1] == "accounts/t/allowedRegions");
+            const std::vector<std::string> places = unreadable_limits(config);
+            BOOST_REQUIRE(places.size() == 2U);
+            BOOST_TEST(places[0] == "routes/a/regions");
+            BOOST_TEST(places[1] == "accounts/t/regions");
         }
     }
 }
--- a/tests/roles/rollout_exchange_test.cpp
+++ b/tests/roles/rollout_exchange_test.cpp
@@ -114,7 +114,7 @@
         }
         rollout_report told = report;
         told.known_for = now - known_since;
-        return {{told, evidence}};
+        return {{told, evidence, stand.phase}};
     }
 
     void on_recorded(const rollout_record& record) {
