Let the soak learn refusals: plain workers turn 9 in 10 away while a gateway is killed

Cause: the soak had nothing that wants many retries, and no check of their sum. Check: in each window from a retry on, no more than a tenth of the requests of that window, the one before or half a window before, and 20. In a phase of its own with numbers of its own, so that plays of kept seeds stay as they were.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -85,6 +85,11 @@
                              cold_left_ms);
 }
 
+/// The bound on retries, as gateways have it by default.
+constexpr double retry_share = 0.1;
+constexpr double retry_slack = 20.0;
+constexpr microseconds retry_window = seconds(10);
+
 }  // namespace
 
 soak_fleet::soak_fleet(std::uint64_t seed) : random_(seed), seed_(seed) {
@@ -165,6 +170,9 @@
 }
 
 void soak_fleet::serve(worker_standin& worker, const ingress_exchange_pointer& exchange) {
+    if (turns_away(worker, exchange)) {
+        return;
+    }
     const std::string id(exchange->head().header("Request-Id"));
     runs_[id] += 1;
     arrivals_[worker.id()].push_back(monotonic_now());
@@ -194,6 +202,26 @@
     exchange->answer(200, worker.signed_headers(exchange), "body of " + id);
 }
 
+/// Counts what reaches a plain worker, and answers it at once if it is turned away.
+bool soak_fleet::turns_away(const worker_standin& worker,
+                            const ingress_exchange_pointer& exchange) {
+    if (!worker.id().starts_with("app")) {
+        return false;
+    }
+    const std::string id(exchange->head().header("Request-Id"));
+    plain_arrivals_[id] += 1;
+    if (plain_arrivals_[id] > 1) {
+        plain_retries_.push_back(monotonic_now());
+    }
+    if (turned_away_share_ == 0.0 || turned_away_.unit() >= turned_away_share_) {
+        return false;
+    }
+    std::vector<http_header> headers = worker.signed_headers(exchange);
+    headers.push_back({"Not-Executed", "1"});
+    exchange->answer(503, headers, "");
+    return true;
+}
+
 void soak_fleet::check_region(const worker_standin& worker, const message_head& head) {
     const bool bound =
         head.target.find("/south/") != std::string::npos || head.header("Tenant") == "southern";
@@ -366,6 +394,9 @@
                      "\r\nCredential: " + key + "\r\nDeadline-Ms: 2000\r\n" +
                      (keeps ? "" : "Connection: close\r\n") + usage +
                      "Content-Length: 2\r\n\r\nhi");
+    if (shape != request_shape::stream && !path.starts_with("/roll/")) {
+        plain_sent_.push_back(monotonic_now());
+    }
     shapes_[id] = shape;
     clients_.push_back(std::move(made));
 }
@@ -587,6 +618,7 @@
         socket.send("GET /again/x HTTP/1.1\r\nHost: h.test\r\nRequest-Id: plain" +
                     std::to_string(++last_id_) +
                     "\r\nCredential: key-1\r\nDeadline-Ms: 1000\r\nConnection: close\r\n\r\n");
+        plain_sent_.push_back(monotonic_now());
         sockets.push_back(std::move(socket));
         run_for(milliseconds(12));
     }
@@ -629,6 +661,40 @@
     }
 }
 
+void soak_fleet::play_turned_away() {
+    turned_away_share_ = 0.9;
+    ask_plain_workers(seconds(2));
+    const std::size_t index = seed_ % gateway_count;
+    gateways_[index].process->signal(SIGKILL);
+    run_until([&] { return gateways_[index].process->ended(); });
+    start_gateway(index);
+    ask_plain_workers(seconds(3));
+    turned_away_share_ = 0.0;
+    check_retries();
+}
+
+/// In each window, from a retry on: no more of them than a share of the requests of that window, of
+/// the one before or of the one half a window before, and the slack.
+void soak_fleet::check_retries() {
+    const auto count = [](const std::vector<instant>& times, instant from, instant until) {
+        return static_cast<double>(std::lower_bound(times.begin(), times.end(), until) -
+                                   std::lower_bound(times.begin(), times.end(), from));
+    };
+    for (const instant from : plain_retries_) {
+        const double retries = count(plain_retries_, from, from + retry_window);
+        double requests = 0.0;
+        for (const microseconds back : {microseconds(0), retry_window / 2, retry_window}) {
+            const instant begin = from - back;
+            requests = std::max(requests, count(plain_sent_, begin, begin + retry_window));
+        }
+        if (retries > retry_share * requests + retry_slack) {
+            broken_.push_back(std::to_string(retries) + " retries for " + std::to_string(requests) +
+                              " requests at plain workers");
+            return;
+        }
+    }
+}
+
 std::vector<std::string> soak_fleet::broken() const {
     std::vector<std::string> all = broken_;
     if (handed_out_ > prepaid_) {
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -48,6 +48,10 @@
     /// requests go on. What reaches the workers against that is kept as broken.
     void play_cold_and_emptied();
 
+    /// Plain workers turn most requests away while a gateway is killed and starts again. What they
+    /// get beyond the first of each request is checked against the bound on retries.
+    void play_turned_away();
+
     /// Waits for the end of the play's roll-out, if one comes, and checks it from the targets'
     /// side: what an unproved version got, that nothing came there after a roll-back, and that the
     /// service is served whatever the end was.
@@ -61,6 +65,8 @@
     std::size_t sent() const { return sent_; }
     /// Runs of requests that were bound to a region.
     std::size_t bound_runs() const { return bound_runs_; }
+    /// What plain workers got beyond the first of each request.
+    std::size_t retries_seen() const { return plain_retries_.size(); }
     const std::vector<std::string>& faults() const { return faults_; }
 
 private:
@@ -106,6 +112,8 @@
     std::size_t reached_new(instant from, instant until) const;
     void ask_plain_workers(microseconds length);
     void check_cold_worker(const worker_standin& worker, instant from);
+    bool turns_away(const worker_standin& worker, const ingress_exchange_pointer& exchange);
+    void check_retries();
     void collect();
     void keep(client& done);
     void judge(const client& ended, const std::string& answer);
@@ -138,6 +146,14 @@
     tokens prepaid_ = first_prepaid;
     std::uint64_t version_ = 0;
     double cut_share_ = 0.0;
+    /// What plain workers turn away unrun, by numbers of its own: plays of old seeds stay as they
+    /// were.
+    double turned_away_share_ = 0.0;
+    random_source turned_away_{seed_};
+    /// When requests to plain workers were sent, and when one reached such a worker once more.
+    std::vector<instant> plain_sent_;
+    std::vector<instant> plain_retries_;
+    std::map<std::string, unsigned> plain_arrivals_;
     /// Numbers all requests, also those that only ask whether a gateway serves.
     std::size_t last_id_ = 0;
     std::size_t sent_ = 0;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -37,6 +37,8 @@
         fleet.check_rollout();
         BOOST_TEST_MESSAGE(fleet.faults().back());
         fleet.play_cold_and_emptied();
+        fleet.play_turned_away();
+        BOOST_TEST(fleet.retries_seen() > 0U);
         for (const std::string& broken : fleet.broken()) {
             BOOST_ERROR(broken);
         }
