--- a/src/roles/gateway/entry_rollouts.hpp
+++ b/src/roles/gateway/entry_rollouts.hpp
@@ -43,7 +43,7 @@
     struct told_evidence {
         rollout_report report;
         const rollout_evidence& evidence;
-        rollout_phase phase;
+        rollout_phase phase = rollout_phase::waiting;
     };
     std::vector<told_evidence> reports(instant now) const;
 
