--- a/tests/platform/gateway_live_test.cpp
+++ b/tests/platform/gateway_live_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/store_standin.hpp"
 #include "platform/worker_standin.hpp"
 #include "support/child_process.hpp"
+#include "support/fixed_port.hpp"
 #include "support/loop_runner.hpp"
 #include "support/loopback_proxy.hpp"
 #include "support/raw_socket.hpp"
@@ -50,7 +51,7 @@
         std::remove(settings_file.c_str());
     }
 
-    static std::uint16_t free_port() { return raw_socket::listen().port(); }
+    static std::uint16_t free_port() { return fixed_port(); }
 
     void configure() {
         const std::string text = R"({"version":)" + std::to_string(version++) + R"(,"routes":[
--- a/tests/platform/region_live_test.cpp
+++ b/tests/platform/region_live_test.cpp
@@ -74,7 +74,7 @@
         }
     }
     BOOST_TEST(north_llm.seen.size() + south_llm.seen.size() == 0U);
-    BOOST_TEST(north.process->field("limit_unreadable", "place") == "routes/bound/allowedRegions");
+    BOOST_TEST(north.process->field("limit_unreadable", "place") == "routes/bound/regions");
 }
 
 BOOST_AUTO_TEST_CASE(changed_configuration_binds_new_requests_and_cuts_none) {
--- a/tests/platform/rollout_live_test.cpp
+++ b/tests/platform/rollout_live_test.cpp
@@ -9,6 +9,7 @@
 #include "platform/store_standin.hpp"
 #include "platform/worker_standin.hpp"
 #include "support/child_process.hpp"
+#include "support/fixed_port.hpp"
 #include "support/loop_runner.hpp"
 #include "support/raw_socket.hpp"
 
@@ -29,9 +30,9 @@
 /// says, with callers at a steady rate. The targets count what reached them.
 struct rollout_fixture : loop_runner {
     struct gateway_process {
-        std::uint16_t listen = raw_socket::listen().port();
-        std::uint16_t admin = raw_socket::listen().port();
-        std::uint16_t bus = raw_socket::listen().port();
+        std::uint16_t listen = fixed_port();
+        std::uint16_t admin = fixed_port();
+        std::uint16_t bus = fixed_port();
         std::unique_ptr<child_process> process;
     };
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -136,6 +136,7 @@
 }
 
 void soak_fleet::start_relay() {
+    relay_.reset();
     std::ofstream(settings_path("relay"))
         << R"({"host":"side","bus_endpoint":"tcp://127.0.0.1:)" << relay_bus_ << R"(","service":")"
         << store_.address() << R"("})";
@@ -147,6 +148,8 @@
 
 void soak_fleet::start_gateway(std::size_t index) {
     gateway_process& gateway = gateways_[index];
+    // The one before takes its output file with it.
+    gateway.process.reset();
     const std::string path = settings_path("gate" + std::to_string(index));
     std::ofstream(path) << R"({"host":"front-)" << index << R"(","failure_domain":")"
                         << (index + 1 < gateway_count ? "z1" : "z2")
