Read entries of targets whole or not at all, and end what is known of a target that starts again

Cause: the users' list may hold entries of another writer, and a target may start again under its identifier. Until now any state but one counted as ready, slots of -1 as some 4 billion, and a new start changed nothing: prompt memory that was gone was believed in, and connections went to the address before. What comes: one typed reader in platform/ with all findings of an entry; target_list, which decides in one place what an entry means; target_restarted, target_entry_unreadable and counters. Not there yet: runs at an engine's keeper and evidence of roll-outs that end with a life, restarts in the soak, the other readers of outside bytes.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -23,7 +23,8 @@
 
 namespace wrenswitch {
 
-/// A target as the platform's list of targets gives it. Its identifier names one life of it.
+/// A target as the platform's list of targets gives it. Its identifier and its start together name
+/// one life of it.
 struct gateway_target {
     std::string id;
     std::string service;
@@ -33,6 +34,9 @@
     bool leaving = false;
     /// Of its software; empty if it doesn't say.
     std::string version;
+    /// When its process started, in Unix milliseconds by its own clock; nothing if it doesn't say.
+    /// One that starts again under its identifier has a later one.
+    std::optional<std::int64_t> started{};
 
     friend bool operator==(const gateway_target&, const gateway_target&) = default;
 };
@@ -118,6 +122,13 @@
     /// The list no longer has this target: it left, crashed, or the list lost it.
     void remove(instant now, std::string_view id);
 
+    /// The target's entry can't be read: it gets nothing, also in need, until one can.
+    void withdraw(std::string_view id);
+
+    /// The target's process has started again under its identifier: what was known of its load, its
+    /// failures and its memory ends.
+    void restarted(std::string_view id);
+
     /// The target is cold for so long, or longer if that was known.
     void note_cold(instant now, std::string_view id, microseconds left);
 
@@ -240,6 +251,8 @@
         bool listed = true;
         /// True once another target was listed at its address: it can't be reached any more.
         bool replaced = false;
+        /// True while its entry can't be read.
+        bool withdrawn = false;
         instant unlisted_since{};
         unsigned in_flight = 0;
         load_report load;
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -47,9 +47,32 @@
     state.position = position;
     state.listed = true;
     state.replaced = false;
+    state.withdrawn = false;
     settle_address(state);
 }
 
+void target_pool::withdraw(std::string_view id) {
+    const auto found = targets_.find(id);
+    if (found != targets_.end()) {
+        found->second.withdrawn = true;
+    }
+}
+
+/// Requests that are under way there are still counted: each is told its end by its connection.
+void target_pool::restarted(std::string_view id) {
+    const auto found = targets_.find(id);
+    if (found == targets_.end()) {
+        return;
+    }
+    target_state fresh;
+    fresh.target = found->second.target;
+    fresh.position = found->second.position;
+    fresh.in_flight = found->second.in_flight;
+    found->second = std::move(fresh);
+    placer_.forget(id);
+    cold_.forget(id);
+}
+
 /// Of those at one address all but the one that was listed last are gone.
 void target_pool::settle_address(target_state& changed) {
     for (auto& [id, other] : targets_) {
@@ -197,8 +220,9 @@
 bool target_pool::may_be_chosen(const target_state& state, std::string_view service,
                                 const candidate_limits& limits) const {
     return state.target.service == service && !state.target.leaving && !state.replaced &&
-           !is_emptied(state.target.failure_domain) && may_hold(state, limits.regions) &&
-           limits.version.admits(state.target.version) && !is_held_back(state, limits.version);
+           !state.withdrawn && !is_emptied(state.target.failure_domain) &&
+           may_hold(state, limits.regions) && limits.version.admits(state.target.version) &&
+           !is_held_back(state, limits.version);
 }
 
 bool target_pool::may_hold(const target_state& state, const allowed_regions& regions) const {
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -101,6 +101,8 @@
       homes_(settings.host, home_settings(settings)),
       far_regions_(std::string(settings.regions.region_of(settings.failure_domain))),
       targets_(pool_settings(settings, homes_), random_),
+      list_(targets_, metrics_,
+            {dialect.read_target, [this](const std::string& id) { pools_.erase(id); }}),
       keepers_(homes_, engine_regions(settings, targets_)),
       lag_(
           loop, [this] { return context_->requests.size(); },
@@ -173,8 +175,9 @@
     target_follower_ = std::make_unique<keyed_follower>(
         loop_, *log_,
         keyed_follower_settings{.log = dialect_.target_log, .pause = target_read_pause},
-        keyed_follower_hooks{[this](const keyed_record& record) { target_changed(record); }, [] {},
-                             reachable_hook(dialect_.target_log)});
+        keyed_follower_hooks{
+            [this](const keyed_record& record) { list_.changed(monotonic_now(), record); }, [] {},
+            reachable_hook(dialect_.target_log)});
     ledger_ = std::make_unique<grant_ledger>(
         loop_, *log_, dialect_.grant_log, metrics_,
         grant_ledger_hooks{[this] { return compose_grants(); }, [this] { grants_changed(); },
@@ -540,35 +543,6 @@
     return known == nullptr || !known->engine ? nullptr : &*known->engine;
 }
 
-void gateway::target_changed(const keyed_record& record) {
-    if (!record.value) {
-        targets_.remove(monotonic_now(), record.key);
-        log_event(log_level::information, "target_unlisted", {{"target", record.key}});
-        return;
-    }
-    const result<listed_target> read = dialect_.read_target(record.key, *record.value);
-    if (!read) {
-        metrics_.counter("gateway_targets_unreadable_total") += 1;
-        return;
-    }
-    const gateway_target* known = targets_.find(record.key);
-    const gateway_target& target = read.value().target;
-    const bool news = known == nullptr || !(*known == target);
-    targets_.apply(target, record.offset);
-    targets_.note_cold(monotonic_now(), target.id, read.value().cold_left);
-    if (known == nullptr) {
-        targets_.hold_back_new_version(monotonic_now(), target.id);
-    }
-    if (news) {
-        log_event(log_level::information, "target_listed",
-                  {{"target", record.key},
-                   {"service", target.service},
-                   {"address", target.address},
-                   {"leaving", target.leaving ? "yes" : "no"},
-                   {"cold_ms", millis_text(read.value().cold_left)}});
-    }
-}
-
 /// Relays stand beside engines' targets. Each gateway begins with another one, those of its own
 /// failure domain first, then those of its own region.
 std::vector<std::string> gateway::relay_endpoints() const {
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
 #include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/target_list.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
 #include "wrenswitch/decision/gateway/link_watch.hpp"
@@ -63,7 +64,6 @@
     void look_whether_isolated();
     void look_at_regions();
     const engine_shape* engine_of(const std::string& service) const;
-    void target_changed(const keyed_record& record);
     std::vector<std::string> relay_endpoints() const;
     upstream_pool& pool_of(const gateway_target& target);
 
@@ -97,6 +97,7 @@
 
     configuration_view configuration_;
     target_pool targets_;
+    target_list list_;
     answer_times plain_answers_;
     engine_keepers keepers_;
     lag_watch lag_;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -167,10 +167,12 @@
 
 BOOST_AUTO_TEST_CASE(cold_worker_is_cold_for_what_its_entry_says) {
     const auto cold = platform::read_target(
-        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":1250})");
+        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","slots":6,"state":"ready",
+                   "coldLeftMs":1250})");
     BOOST_TEST((cold.value().cold_left == milliseconds(1250)));
-    const auto odd =
-        platform::read_target("i-1", R"({"service":"s","addr":"10.128.0.9:8080","coldLeftMs":-7})");
+    const auto odd = platform::read_target(
+        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","slots":6,"state":"ready",
+                   "coldLeftMs":-7})");
     BOOST_TEST((odd.value().cold_left == microseconds(0)));
 }
 
@@ -257,8 +259,9 @@
 
 BOOST_AUTO_TEST_CASE(version_written_as_a_number_is_the_same_as_its_text) {
     const auto order = platform::read_order("s", R"({"targetVersion":2,"durationS":8})", 1);
-    const auto listed =
-        platform::read_target("i-1", R"({"service":"s","addr":"10.128.0.9:8080","version":2})");
+    const auto listed = platform::read_target(
+        "i-1", R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","slots":6,"state":"ready",
+                   "version":2})");
     BOOST_TEST(order.value().version == "2");
     BOOST_TEST(listed.value().target.version == order.value().version);
 }
