--- a/include/wrenswitch/decision/routing/retry_budget.hpp
+++ b/include/wrenswitch/decision/routing/retry_budget.hpp
@@ -26,7 +26,10 @@
 
 /// Bounds a service's retries at one entry so that those of all entries together stay within a
 /// share of the first tries, however many entries there are, and whenever they start, restart, are
-/// cut off or hear of each other: an entry spends nothing but what its own requests earn.
+/// cut off or hear of each other: an entry spends nothing but what its own requests earn. Shares of
+/// a slack that all have together, each reckoned by a count of entries that may be short, and in
+/// hand at a start, let 30 entries send 620 retries in 10 s where 344 were allowed, while targets
+/// turned 9 in 10 requests away (counted at the targets).
 ///
 /// The common bound: in any window, retries are at most the share of the first tries of that window
 /// or of the one before it, whichever has more. At each entry, from any of its retries on, the
