Tell which requests were under way when a target ended

A request's fingerprint (method, host, path, account, body) now stands in the lines of requests that failed. No decision rests on it yet.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -234,6 +234,9 @@
 
     const gateway_target* find(std::string_view id) const;
 
+    /// True if the list has the target.
+    bool is_listed(std::string_view id) const;
+
     /// What is believed of a target's load, with the report's age, for logs.
     std::string describe(instant now, std::string_view id) const;
 
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -459,6 +459,11 @@
     return found->second.listed && may_be_chosen(found->second, service, limits);
 }
 
+bool target_pool::is_listed(std::string_view id) const {
+    const auto found = targets_.find(id);
+    return found != targets_.end() && found->second.listed;
+}
+
 bool target_pool::has_target_in(std::string_view service, const allowed_regions& regions) const {
     return std::any_of(targets_.begin(), targets_.end(), [&](const auto& known) {
         const target_state& state = known.second;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -5,6 +5,7 @@
 
 #include "roles/gateway/target_request.hpp"
 #include "wrenswitch/core/digest.hpp"
+#include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -409,6 +410,7 @@
         return;
     }
     target_ = target.id;
+    life_ = life_of(target);
     history_.begin(target.id);
     answer_ = message_head{};
     answer_body_.clear();
@@ -475,6 +477,7 @@
     }
     if (take_retry()) {
         history_.note_may_have_run();
+        context_.ends.left(now, life_, fingerprint());
         end_attempt(run_end::left, rollout_gate::answer::badly);
         dispatch();
     }
@@ -509,6 +512,7 @@
 void forwarded_request::on_head(const message_head& head) {
     const instant now = monotonic_now();
     note_life();
+    context_.ends.heard(now, life_);
     if (const auto load = context_.dialect.read_load(head.header(context_.dialect.load))) {
         context_.targets.reported(now, target_, *load);
     }
@@ -572,6 +576,7 @@
 /// Learns from the times at which events come, and keeps what held one up for too long.
 void forwarded_request::note_events(std::size_t count) {
     const instant now = monotonic_now();
+    context_.ends.heard(now, life_);
     const bool first = stream_.events() == 0;
     const microseconds gap = stream_.note(now, count);
     if (first) {
@@ -676,7 +681,25 @@
     }
 }
 
+digest forwarded_request::fingerprint() const {
+    return fingerprint_of({exchange_->head().method, request_.host, exchange_->head().target,
+                           admitted_.account, exchange_->body()});
+}
+
+/// An answer that can't be read shows that its target lives.
+void forwarded_request::note_broken(upstream_failure failure) {
+    const instant now = monotonic_now();
+    if (failure == upstream_failure::cut_short || failure == upstream_failure::broken) {
+        if (called_off_) {
+            context_.ends.left(now, life_, fingerprint());
+        } else {
+            context_.ends.broke(now, life_, fingerprint());
+        }
+    }
+}
+
 void forwarded_request::on_failed(upstream_failure failure) {
+    note_broken(failure);
     const bool says_nothing = called_off_ || failure == upstream_failure::not_sent;
     end_attempt(called_off_ ? run_end::left : run_end::failed,
                 says_nothing ? rollout_gate::answer::silent : rollout_gate::answer::badly);
@@ -691,6 +714,7 @@
                {{"target", target_},
                 {"attempt", std::to_string(history_.number())},
                 {"failure", std::string(name_of(failure))},
+                {"fingerprint", fingerprint().to_hex()},
                 {"after_ms", millis_text(monotonic_now() - sent_at_)}});
     context_.targets.failed(monotonic_now(), target_);
     if (failure == upstream_failure::not_sent) {
@@ -762,6 +786,9 @@
         return;
     }
     const bool sent = call_ != nullptr && call_->sent();
+    if (sent) {
+        context_.ends.left(monotonic_now(), life_, fingerprint());
+    }
     if (call_) {
         end_attempt(run_end::left, sent ? answer_at_deadline() : rollout_gate::answer::silent);
     }
@@ -818,6 +845,7 @@
         return;
     }
     if (call_) {
+        context_.ends.left(monotonic_now(), life_, fingerprint());
         end_attempt(run_end::left, rollout_gate::answer::silent);
     }
     finish("caller_gone", 0);
@@ -892,6 +920,7 @@
                 {"route", admitted_.route.name},
                 {"configuration", std::to_string(context_.configuration.current().version)},
                 {"account", admitted_.account},
+                {"fingerprint", served ? "" : fingerprint().to_hex()},
                 {"target", target_},
                 {"target_region", std::string(context_.targets.region_of(target_))},
                 {"allowed_regions", describe(admitted_.regions)},
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -65,6 +65,8 @@
     void give_back(const placed_run& run);
     void send_to(const target_choice& choice, const placed_run& run);
     void no_target_left(bool all_cold);
+    digest fingerprint() const;
+    void note_broken(upstream_failure failure);
     void count_by_region(std::string_view what) const;
     void note_first_answer() const;
     void refuse_without_target(bool all_cold);
@@ -116,6 +118,7 @@
 
     /// The target of the attempt under way, or empty.
     std::string target_;
+    target_life life_;
     attempt_history history_;
     request_rollout rollout_;
     std::unique_ptr<upstream_call> call_;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -102,14 +102,17 @@
       far_regions_(std::string(settings.regions.region_of(settings.failure_domain))),
       targets_(pool_settings(settings, homes_), random_),
       list_(targets_, metrics_,
-            {dialect.read_target, [this](const std::string& id) { pools_.erase(id); }}),
+            {dialect.read_target, [this](const std::string& id) { pools_.erase(id); },
+             [this](const std::string& id) { ends_.unlisted(id); },
+             [this](const std::string& id) { ends_.restarted(id); }}),
       keepers_(homes_, engine_regions(settings, targets_)),
       lag_(
           loop, [this] { return context_->requests.size(); },
           [this](instant now) { look_at_link(now); }),
       link_(link_settings(settings)),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
-      retries_(settings.retry_share, settings.retry_window, metrics_) {
+      retries_(settings.retry_share, settings.retry_window, metrics_),
+      ends_(loop, targets_, metrics_, {[](const target_life&, std::span<const digest>) {}}) {
     metrics_.gauge("gateway_retry_share") = settings.retry_share;
     metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
 }
@@ -256,6 +259,7 @@
         *placements_,
         rollouts_.entry(),
         retries_,
+        ends_,
         random_,
         metrics_,
         events_,
@@ -635,6 +639,7 @@
     waiters_->serve(now);
     desk_->drop_lapsed(now);
     retries_.tick(now);
+    ends_.tick(now);
     targets_.count_entries(now);
     rollouts_.tick(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
 #include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/target_ends.hpp"
 #include "roles/gateway/target_list.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
@@ -106,6 +107,7 @@
     std::unique_ptr<placement_exchange> placements_;
     gateway_rollouts rollouts_;
     service_retries retries_;
+    target_ends ends_;
     isolation_watch reach_;
     bool was_isolated_ = false;
     bool grant_log_answers_ = true;
--- a/src/roles/gateway/target_list.cpp
+++ b/src/roles/gateway/target_list.cpp
@@ -36,6 +36,7 @@
     unreadable_.erase(id);
     targets_.remove(now, id);
     log_event(log_level::information, "target_unlisted", {{"target", id}});
+    hooks_.unlisted(id);
 }
 
 /// Told when it turns unreadable or is so in another way, not with each beat.
@@ -76,6 +77,7 @@
                    {"started_before", started_text(*known)},
                    {"dropped", targets_.describe(monotonic_now(), target.id)}});
         targets_.restarted(target.id);
+        hooks_.restarted(target.id);
     }
     if (again || known->address != target.address) {
         hooks_.replaced(target.id);
--- a/src/roles/gateway/target_list.hpp
+++ b/src/roles/gateway/target_list.hpp
@@ -20,6 +20,9 @@
         /// The target has another process or address than before, so that nothing of what is
         /// connected there counts any more.
         std::function<void(const std::string& id)> replaced;
+        /// The target is in the list no more, or has started again under its identifier.
+        std::function<void(const std::string& id)> unlisted;
+        std::function<void(const std::string& id)> restarted;
     };
 
     target_list(target_pool& targets, metrics& counters, hooks called)
--- a/tests/platform/worker_standin.hpp
+++ b/tests/platform/worker_standin.hpp
@@ -15,23 +15,34 @@
 /// sent, and answers as a test says; by default with its own name and the request's identifier.
 class worker_standin {
 public:
-    worker_standin(event_loop& loop, std::string id) : loop_(loop), id_(std::move(id)) {
-        server_ =
-            std::move(ingress_server::start(
-                          loop, "127.0.0.1", 0, [] { return ingress_limits{}; },
-                          [this](const ingress_exchange_pointer& exchange) { serve(exchange); })
-                          .value());
+    worker_standin(event_loop& loop, std::string id) : loop_(loop), id_(std::move(id)) { listen(); }
+
+    /// Ends like a process that is killed: its connections close, and nothing listens.
+    void crash() {
+        exchanges.clear();
+        server_.reset();
+        under_way_ = 0;
+        alive_ = std::make_shared<bool>(true);
+    }
+
+    bool runs() const { return server_ != nullptr; }
+
+    /// Starts again under the same identifier and address.
+    void start_again() {
+        started += 1000;
+        listen();
     }
 
     const std::string& id() const { return id_; }
-    std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
     /// What the platform's list says of this worker.
     std::string list_entry(const std::string& service, const std::string& state = "ready",
                            const std::string& zone = "z1", int cold_left_ms = 0) const {
         return R"({"service":")" + service + R"(","addr":")" + address() + R"(","zone":")" + zone +
                R"(","slots":6,"coldLeftMs":)" + std::to_string(cold_left_ms) + R"(,"state":")" +
-               state + (version.empty() ? "" : R"(","version":")" + version) + R"(","seq":1})";
+               state + (version.empty() ? "" : R"(","version":")" + version) + R"(","seq":1)" +
+               (started == 0 ? "" : R"(,"born":)" + std::to_string(started)) + "}";
     }
 
     /// The headers of each answer of this worker's own.
@@ -41,6 +52,9 @@
                 {"Load-Report", "1,0,6"}};
     }
 
+    /// When its process started, in Unix milliseconds; zero if it doesn't say.
+    std::int64_t started = 0;
+
     /// Of its software; empty if it doesn't say.
     std::string version;
 
@@ -72,6 +86,15 @@
     std::vector<ingress_exchange_pointer> exchanges;
 
 private:
+    void listen() {
+        server_ =
+            std::move(ingress_server::start(
+                          loop_, "127.0.0.1", port_, [] { return ingress_limits{}; },
+                          [this](const ingress_exchange_pointer& exchange) { serve(exchange); })
+                          .value());
+        port_ = server_->port();
+    }
+
     void serve(const ingress_exchange_pointer& exchange) {
         const std::string_view expected = exchange->head().header("Expect-Instance");
         if (!expected.empty() && expected != id_) {
@@ -118,6 +141,7 @@
     std::size_t under_way_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::string id_;
+    std::uint16_t port_ = 0;
     std::unique_ptr<ingress_server> server_;
 };
 
--- a/tests/roles/target_list_test.cpp
+++ b/tests/roles/target_list_test.cpp
@@ -15,10 +15,14 @@
     metrics counters;
     target_pool pool{{}, random};
     std::vector<std::string> replaced;
+    std::vector<std::string> unlisted;
+    std::vector<std::string> restarted;
     target_list list{pool,
                      counters,
                      {[](std::string_view id, std::string_view value) { return read(id, value); },
-                      [this](const std::string& id) { replaced.push_back(id); }}};
+                      [this](const std::string& id) { replaced.push_back(id); },
+                      [this](const std::string& id) { unlisted.push_back(id); },
+                      [this](const std::string& id) { restarted.push_back(id); }}};
     std::uint64_t offset = 0;
 
     target_list_fixture() {
