Send a request under which three targets ended to no further target, at any entry

What callers saw: engines ended one after the other, each with all streams that it was serving, while one request came again and again, each time through another entry.

Cause: what a request did to its target was known to that request alone. It came under another identifier, at another entry, and was new there.

All requests under way when a target's process ends are suspects now, by their fingerprint (method, host, path, account, body). One that comes to stand at the ends of three lives is refused at once (502, no time to return, not charged), and a run of it that is under way is ended. One that ends well anywhere is cleared. A suspect isn't repeated by the entry itself, goes nowhere else from there while it is under way, and isn't tried at an unproved version, nor is the version blamed for it.

Why it holds: each piece of evidence is a record of its own in a keyed log, written without a condition, so that it outlasts every process, is read by each that starts, and no writer waits for another. While the log is dark, entries tell each other, and each that knows an end writes it when the log is back.

--- a/include/wrenswitch/core/digest.hpp
+++ b/include/wrenswitch/core/digest.hpp
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "wrenswitch/core/ids.hpp"
 
@@ -19,10 +21,13 @@
     std::uint64_t low = 0;
 
     friend bool operator==(const digest&, const digest&) = default;
-    friend auto operator<=>(const digest&, const digest&) = default;
+    friend bool operator<(const digest& left, const digest& right) {
+        return std::tie(left.high, left.low) < std::tie(right.high, right.low);
+    }
 
-    /// 32 hexadecimal digits.
+    /// 32 hexadecimal digits, and back. Nothing if the text isn't that.
     std::string to_hex() const;
+    static std::optional<digest> from_hex(std::string_view text);
 };
 
 /// The digest of several parts. Each part's length goes in too, so that moving a byte from one part
--- a/include/wrenswitch/decision/suspects/target_life.hpp
+++ b/include/wrenswitch/decision/suspects/target_life.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace wrenswitch {
 
@@ -12,7 +13,9 @@
     std::int64_t started = 0;
 
     friend bool operator==(const target_life&, const target_life&) = default;
-    friend auto operator<=>(const target_life&, const target_life&) = default;
+    friend bool operator<(const target_life& left, const target_life& right) {
+        return std::tie(left.target, left.started) < std::tie(right.target, right.started);
+    }
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/drivers/keyed_log.hpp
+++ b/include/wrenswitch/drivers/keyed_log.hpp
@@ -57,8 +57,9 @@
 
     /// Appends all the records if the log ends at this offset, or none. An error of code conflict
     /// means that it doesn't; of any other, that the records may have been appended, or may still
-    /// be as long as the log ends there.
-    virtual void append(std::string_view log, std::uint64_t at,
+    /// be as long as the log ends there. Without an offset they are appended wherever it ends, and
+    /// after an error they may be at any later time: for records that bear being written twice.
+    virtual void append(std::string_view log, std::optional<std::uint64_t> at,
                         std::span<const keyed_record> records, append_hook done) = 0;
 };
 
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -57,6 +57,8 @@
     /// The fleet's own log of roll-outs, and the one in which operators read where they stand.
     std::string rollout_log;
     std::string status_log;
+    /// The fleet's own log of targets that ended under requests.
+    std::string suspect_log;
     std::function<result<gateway_configuration>(std::string_view)> read_configuration;
     std::function<result<listed_target>(std::string_view id, std::string_view value)> read_target;
     /// The failure domain that the operator wants emptied while a record of the configuration's log
--- a/src/core/digest.cpp
+++ b/src/core/digest.cpp
@@ -52,6 +52,25 @@
     return hex_of(bytes);
 }
 
+std::optional<digest> digest::from_hex(std::string_view text) {
+    std::array<unsigned char, sizeof high + sizeof low> bytes{};
+    if (text.size() != 2 * bytes.size()) {
+        return std::nullopt;
+    }
+    for (std::size_t at = 0; at < bytes.size(); ++at) {
+        const std::size_t first = hex_digits.find(text[2 * at]);
+        const std::size_t second = hex_digits.find(text[2 * at + 1]);
+        if (first == std::string_view::npos || second == std::string_view::npos) {
+            return std::nullopt;
+        }
+        bytes[at] = static_cast<unsigned char>(first << bits_a_hex_digit | second);
+    }
+    digest read;
+    std::memcpy(&read.high, bytes.data(), sizeof read.high);
+    std::memcpy(&read.low, bytes.data() + sizeof read.high, sizeof read.low);
+    return read;
+}
+
 digest digest_of(std::span<const std::string_view> parts) {
     const sha256_value value = sha256_of(parts, true);
     digest shortened;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -5,12 +5,12 @@
 
 #include "roles/gateway/target_request.hpp"
 #include "wrenswitch/core/digest.hpp"
-#include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 
 namespace wrenswitch {
 namespace {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned first_redirection = 300;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_no_key = 401;
 constexpr unsigned status_no_tokens = 402;
@@ -32,6 +32,9 @@
 constexpr microseconds until_region_has_targets = seconds(1);
 constexpr microseconds until_elsewhere = milliseconds(50);
 
+/// A run that ends its target does so within some 100 ms, and the end is known 150 ms later.
+constexpr microseconds until_suspect_ended = milliseconds(300);
+
 /// How often a request that no version may get right now is looked at again.
 constexpr microseconds until_versions = milliseconds(40);
 constexpr microseconds until_less_busy = milliseconds(150);
@@ -81,7 +84,8 @@
     : context_(context),
       exchange_(std::move(exchange)),
       to_caller_(exchange_, context.dialect),
-      rollout_(context.rollouts) {}
+      rollout_(context.rollouts),
+      suspicion_(context.suspects, context.ends) {}
 
 void forwarded_request::start() {
     context_.requests.insert(shared_from_this());
@@ -92,8 +96,8 @@
             alive->caller_gone();
         }
     });
-    if (read_request() && admit_request() && may_be_somewhere() && can_end_before_stop() &&
-        reaches_others() && has_time()) {
+    if (read_request() && admit_request() && is_no_danger() && may_be_somewhere() &&
+        can_end_before_stop() && reaches_others() && has_time()) {
         set_deadline();
         take_tokens();
     }
@@ -107,6 +111,8 @@
     }
     request_ = std::move(read.value());
     trace_.begin(request_.id, exchange_->received());
+    suspicion_.belongs_to({exchange_->head().method, request_.host, exchange_->head().target,
+                           admitted_.account, exchange_->body()});
     return true;
 }
 
@@ -115,6 +121,8 @@
                         context_.random.unit());
     if (auto* admitted = std::get_if<admitted_request>(&answer)) {
         admitted_ = std::move(*admitted);
+        suspicion_.belongs_to({exchange_->head().method, request_.host, exchange_->head().target,
+                               admitted_.account, exchange_->body()});
         const bool has_session = !request_.prompt.parts.empty();
         rollout_.belongs_to(admitted_.service, admitted_.route,
                             has_session ? session_of(request_.prompt) : spread_hash(request_.id));
@@ -139,6 +147,18 @@
     return false;
 }
 
+/// A request under which three targets have ended takes the next one along with all that it
+/// serves: sent on by entries that knew nothing of each other's runs, one ended eleven engines of
+/// twelve within 15 s. 502 tells the caller that it has failed at targets, without a time to come
+/// back. It isn't charged again.
+bool forwarded_request::is_no_danger() {
+    if (suspicion_.held() != suspicion::quarantined) {
+        return true;
+    }
+    fail(status_bad_gateway, "request_quarantined");
+    return false;
+}
+
 /// A request that may be nowhere is told so before tokens are drawn for it and engines asked.
 bool forwarded_request::may_be_somewhere() {
     if (!admitted_.regions ||
@@ -276,7 +296,9 @@
                            admitted_.route.longest_pause,
                            {}};
     }
-    const auto versions = rollout_.choose_versions(monotonic_now(), history_.number() + 1);
+    const bool suspected = suspicion_.held() != suspicion::none;
+    const auto versions =
+        rollout_.choose_versions(monotonic_now(), history_.number() + 1, suspected);
     if (versions) {
         choose_target(*versions);
     } else {
@@ -404,13 +426,18 @@
 void forwarded_request::send_to(const target_choice& choice, const placed_run& run) {
     const gateway_target& target = *choice.target;
     const instant now = monotonic_now();
+    if (suspicion_.held() == suspicion::quarantined || !suspicion_.begin(life_of(target))) {
+        give_back(run);
+        refuse_suspect();
+        return;
+    }
     if (!rollout_.begin(now, target)) {
+        suspicion_.not_sent();
         give_back(run);
         dispatch();
         return;
     }
     target_ = target.id;
-    life_ = life_of(target);
     history_.begin(target.id);
     answer_ = message_head{};
     answer_body_.clear();
@@ -477,7 +504,7 @@
     }
     if (take_retry()) {
         history_.note_may_have_run();
-        context_.ends.left(now, life_, fingerprint());
+        suspicion_.left(now);
         end_attempt(run_end::left, rollout_gate::answer::badly);
         dispatch();
     }
@@ -512,7 +539,7 @@
 void forwarded_request::on_head(const message_head& head) {
     const instant now = monotonic_now();
     note_life();
-    context_.ends.heard(now, life_);
+    suspicion_.heard(now);
     if (const auto load = context_.dialect.read_load(head.header(context_.dialect.load))) {
         context_.targets.reported(now, target_, *load);
     }
@@ -576,7 +603,7 @@
 /// Learns from the times at which events come, and keeps what held one up for too long.
 void forwarded_request::note_events(std::size_t count) {
     const instant now = monotonic_now();
-    context_.ends.heard(now, life_);
+    suspicion_.heard(now);
     const bool first = stream_.events() == 0;
     const microseconds gap = stream_.note(now, count);
     if (first) {
@@ -602,11 +629,14 @@
 void forwarded_request::on_end() {
     const bool well = answer_.status < first_server_error || answer_refused_;
     if (called_off_) {
+        suspicion_.left(monotonic_now());
         end_attempt(run_end::left, rollout_gate::answer::silent);
         call_off_ended();
         return;
     }
     const bool whole = well && !(streaming_ && events_.has_rest());
+    const bool is_success = answer_.status >= status_ok && answer_.status < first_redirection;
+    suspicion_.answered(whole && is_success && !answer_refused_);
     const auto answer = whole ? rollout_gate::answer::well : rollout_gate::answer::badly;
     end_attempt(well ? run_end::answered_well : run_end::answered_badly,
                 answer_refused_ ? rollout_gate::answer::silent : answer);
@@ -681,26 +711,15 @@
     }
 }
 
-digest forwarded_request::fingerprint() const {
-    return fingerprint_of({exchange_->head().method, request_.host, exchange_->head().target,
-                           admitted_.account, exchange_->body()});
-}
-
-/// An answer that can't be read shows that its target lives.
-void forwarded_request::note_broken(upstream_failure failure) {
-    const instant now = monotonic_now();
-    if (failure == upstream_failure::cut_short || failure == upstream_failure::broken) {
-        if (called_off_) {
-            context_.ends.left(now, life_, fingerprint());
-        } else {
-            context_.ends.broke(now, life_, fingerprint());
-        }
-    }
-}
-
 void forwarded_request::on_failed(upstream_failure failure) {
-    note_broken(failure);
-    const bool says_nothing = called_off_ || failure == upstream_failure::not_sent;
+    // What ends targets of one version and of another says nothing of either.
+    const bool says_nothing = called_off_ || failure == upstream_failure::not_sent ||
+                              suspicion_.held() != suspicion::none;
+    if (called_off_) {
+        suspicion_.left(monotonic_now());
+    } else {
+        suspicion_.broke(monotonic_now(), failure);
+    }
     end_attempt(called_off_ ? run_end::left : run_end::failed,
                 says_nothing ? rollout_gate::answer::silent : rollout_gate::answer::badly);
     if (called_off_) {
@@ -714,7 +733,8 @@
                {{"target", target_},
                 {"attempt", std::to_string(history_.number())},
                 {"failure", std::string(name_of(failure))},
-                {"fingerprint", fingerprint().to_hex()},
+                {"fingerprint", suspicion_.fingerprint().to_hex()},
+                {"held", std::string(name_of(suspicion_.held()))},
                 {"after_ms", millis_text(monotonic_now() - sent_at_)}});
     context_.targets.failed(monotonic_now(), target_);
     if (failure == upstream_failure::not_sent) {
@@ -754,12 +774,36 @@
     fail(status_bad_gateway, "target_lost");
 }
 
+/// A suspect that is under way elsewhere waits for the end of that run, which clears it or doesn't.
+void forwarded_request::refuse_suspect() {
+    const bool quarantined = suspicion_.held() == suspicion::quarantined;
+    if (quarantined || history_.may_have_run()) {
+        fail(status_bad_gateway, quarantined ? "request_quarantined" : "suspect_under_way");
+        return;
+    }
+    refuse(status_unavailable, "suspect_under_way", until_suspect_ended);
+}
+
+void forwarded_request::quarantined(const digest& request) {
+    if (ended_ || called_off_ || call_ == nullptr || !suspicion_.is_under_way(request)) {
+        return;
+    }
+    const bool sent = call_->sent();
+    suspicion_.left(monotonic_now());
+    end_attempt(run_end::left, rollout_gate::answer::silent);
+    if (sent) {
+        history_.note_may_have_run();
+        assume_unseen();
+    }
+    fail(status_bad_gateway, "request_quarantined");
+}
+
 /// True if the request may go to another target: the answer can go on from there, and the retries
 /// allow it, of which this takes one.
 bool forwarded_request::take_retry() {
     const bool can_go_on = !to_caller_.begun() || !events_.last_id().empty();
     const bool may_try =
-        can_go_on && time_left() > microseconds(0) &&
+        can_go_on && suspicion_.held() == suspicion::none && time_left() > microseconds(0) &&
         history_.may_send_again(admitted_.route.kind, admitted_.route.most_attempts);
     if (!may_try) {
         return false;
@@ -786,9 +830,7 @@
         return;
     }
     const bool sent = call_ != nullptr && call_->sent();
-    if (sent) {
-        context_.ends.left(monotonic_now(), life_, fingerprint());
-    }
+    suspicion_.left(monotonic_now());
     if (call_) {
         end_attempt(run_end::left, sent ? answer_at_deadline() : rollout_gate::answer::silent);
     }
@@ -845,7 +887,7 @@
         return;
     }
     if (call_) {
-        context_.ends.left(monotonic_now(), life_, fingerprint());
+        suspicion_.left(monotonic_now());
         end_attempt(run_end::left, rollout_gate::answer::silent);
     }
     finish("caller_gone", 0);
@@ -920,7 +962,7 @@
                 {"route", admitted_.route.name},
                 {"configuration", std::to_string(context_.configuration.current().version)},
                 {"account", admitted_.account},
-                {"fingerprint", served ? "" : fingerprint().to_hex()},
+                {"fingerprint", served ? "" : suspicion_.fingerprint().to_hex()},
                 {"target", target_},
                 {"target_region", std::string(context_.targets.region_of(target_))},
                 {"allowed_regions", describe(admitted_.regions)},
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -11,6 +11,7 @@
 #include "roles/gateway/incoming_request.hpp"
 #include "roles/gateway/request_charge.hpp"
 #include "roles/gateway/request_rollout.hpp"
+#include "roles/gateway/request_suspicion.hpp"
 #include "roles/gateway/request_trace.hpp"
 #include "roles/gateway/stream_watch.hpp"
 #include "wrenswitch/decision/gateway/admission.hpp"
@@ -42,9 +43,14 @@
     /// A roll-out of this service was ordered while the request may be under way.
     void join_rollout(const std::string& service);
 
+    /// A request is sent to no target any more. If it is this one, its run is ended before it takes
+    /// its target along.
+    void quarantined(const digest& request);
+
 private:
     bool read_request();
     bool admit_request();
+    bool is_no_danger();
     bool may_be_somewhere();
     tokens tokens_per_event() const;
     bool can_end_before_stop();
@@ -65,8 +71,6 @@
     void give_back(const placed_run& run);
     void send_to(const target_choice& choice, const placed_run& run);
     void no_target_left(bool all_cold);
-    digest fingerprint() const;
-    void note_broken(upstream_failure failure);
     void count_by_region(std::string_view what) const;
     void note_first_answer() const;
     void refuse_without_target(bool all_cold);
@@ -88,6 +92,7 @@
     void end_stream();
     void answer_refused();
     void answer_complete();
+    void refuse_suspect();
     bool take_retry();
     bool try_again();
     void attempt_broken();
@@ -118,9 +123,9 @@
 
     /// The target of the attempt under way, or empty.
     std::string target_;
-    target_life life_;
     attempt_history history_;
     request_rollout rollout_;
+    request_suspicion suspicion_;
     std::unique_ptr<upstream_call> call_;
     /// Set if the request's prompt goes to a model engine.
     std::optional<engine_request> engine_request_;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -112,7 +112,10 @@
       link_(link_settings(settings)),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
       retries_(settings.retry_share, settings.retry_window, metrics_),
-      ends_(loop, targets_, metrics_, {[](const target_life&, std::span<const digest>) {}}) {
+      ends_(loop, targets_, metrics_,
+            {[this](const target_life& life, std::span<const digest> requests) {
+                suspects_->ended(life, requests);
+            }}) {
     metrics_.gauge("gateway_retry_share") = settings.retry_share;
     metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
 }
@@ -127,11 +130,13 @@
     }
     open_logs();
     open_exchange();
+    open_suspects();
     if (result<void> opened = open_servers(); !opened) {
         return opened;
     }
     configuration_follower_->start();
     target_follower_->start();
+    suspects_->start();
     ledger_->start();
     members_->start();
     ticker_ = loop_.call_every(tick_period, [this] { tick(); });
@@ -153,7 +158,7 @@
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
         } else if (!placements_->on_message(origin, message) &&
-                   !rollouts_.on_message(origin, message)) {
+                   !rollouts_.on_message(origin, message) && !suspects_->on_message(message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -244,6 +249,21 @@
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
 }
 
+void gateway::open_suspects() {
+    suspects_ = std::make_unique<suspect_exchange>(
+        loop_, *log_, dialect_.suspect_log, *bus_, homes_, metrics_,
+        suspect_exchange::hooks{[this](const digest& request) { quarantined(request); },
+                                reachable_hook(dialect_.suspect_log)});
+}
+
+void gateway::quarantined(const digest& request) {
+    const std::vector<std::shared_ptr<forwarded_request>> under_way(context_->requests.begin(),
+                                                                    context_->requests.end());
+    for (const std::shared_ptr<forwarded_request>& each : under_way) {
+        each->quarantined(request);
+    }
+}
+
 result<void> gateway::open_servers() {
     context_ = std::make_unique<gateway_context>(gateway_context{
         loop_,
@@ -259,6 +279,7 @@
         *placements_,
         rollouts_.entry(),
         retries_,
+        *suspects_,
         ends_,
         random_,
         metrics_,
@@ -346,7 +367,7 @@
 
 bool gateway::ready() {
     return !stopping_ && !link_.sheds() && configuration_.known() && ledger_->live() &&
-           target_follower_->live() && !isolated();
+           target_follower_->live() && suspects_->ready() && !isolated();
 }
 
 void gateway::serve_admin(const http_exchange_pointer& exchange) {
@@ -640,6 +661,7 @@
     desk_->drop_lapsed(now);
     retries_.tick(now);
     ends_.tick(now);
+    suspects_->tick(now);
     targets_.count_entries(now);
     rollouts_.tick(now);
     for (const std::string& id : targets_.take_forgotten(now)) {
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -10,6 +10,7 @@
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
 #include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_ends.hpp"
 #include "roles/gateway/target_list.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
@@ -58,6 +59,8 @@
     rollout_target_numbers numbers_of(const rollout_order& order);
     void orders_read();
     void apply_configuration();
+    void open_suspects();
+    void quarantined(const digest& request);
     void keeper_silent(const std::string& host, bool others_answered);
     void keeper_answered(const std::string& host);
     void peer_silent(const std::string& peer);
@@ -107,6 +110,7 @@
     std::unique_ptr<placement_exchange> placements_;
     gateway_rollouts rollouts_;
     service_retries retries_;
+    std::unique_ptr<suspect_exchange> suspects_;
     target_ends ends_;
     isolation_watch reach_;
     bool was_isolated_ = false;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -11,6 +11,7 @@
 #include "roles/gateway/event_log.hpp"
 #include "roles/gateway/placement_exchange.hpp"
 #include "roles/gateway/service_retries.hpp"
+#include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_ends.hpp"
 #include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
@@ -44,6 +45,7 @@
     placement_exchange& placements;
     entry_rollouts& rollouts;
     service_retries& retries;
+    suspect_exchange& suspects;
     target_ends& ends;
     random_source& random;
     metrics& counters;
--- a/src/roles/gateway/request_rollout.cpp
+++ b/src/roles/gateway/request_rollout.cpp
@@ -14,13 +14,14 @@
     most_attempts_ = route.most_attempts;
 }
 
-std::optional<version_limit> request_rollout::choose_versions(instant now, unsigned attempt) {
+std::optional<version_limit> request_rollout::choose_versions(instant now, unsigned attempt,
+                                                              bool suspected) {
     const rollout_gate* gate = rollouts_.gate_of(service_);
     limit_ = {};
     if (gate == nullptr) {
         return limit_;
     }
-    request_.again = attempt > 1;
+    request_.again = attempt > 1 || suspected;
     // Another attempt has to be left for it.
     request_.can_move = may_repeat_ && attempt < most_attempts_;
     request_.in_need = false;
--- a/src/roles/gateway/request_rollout.hpp
+++ b/src/roles/gateway/request_rollout.hpp
@@ -20,8 +20,11 @@
     void belongs_to(const std::string& service, const gateway_route& route, std::uint64_t session);
 
     /// The versions that an attempt may go to, by its number from 1; nothing if there is none
-    /// right now. Begins the choice of a target anew.
-    std::optional<version_limit> choose_versions(instant now, unsigned attempt);
+    /// right now. Begins the choice of a target anew. A request that may have ended targets isn't
+    /// tried at an unproved version: if it ends well at another, the version was to blame, and if
+    /// not, the version isn't blamed for it.
+    std::optional<version_limit> choose_versions(instant now, unsigned attempt,
+                                                 bool suspected = false);
 
     /// No target of the versions chosen can be had, `all_cold` as in target_choice. The versions to
     /// look among instead, or nothing.
--- /dev/null
+++ b/src/roles/gateway/suspect_exchange.cpp
@@ -0,0 +1,229 @@
+#include "roles/gateway/suspect_exchange.hpp"
+
+#include <bus.pb.h>
+
+#include <array>
+#include <utility>
+#include <vector>
+
+#include "wrenswitch/core/log.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// From so many ends on other entries are told at once: the next target may be theirs.
+constexpr std::size_t urgent_ends = 2;
+
+/// How long whoever saw an end has to write it before others do, and over how long these spread.
+constexpr microseconds writer_wait = milliseconds(300);
+
+/// How often evidence is looked through for what is too old; it is kept for hours.
+constexpr microseconds drop_period = seconds(5);
+
+/// Messages come from other processes of the fleet, and may be damaged all the same.
+constexpr int most_ends_in_a_message = 256;
+
+wire::SuspectEnd to_wire(const suspect_end& end) {
+    wire::SuspectEnd message;
+    message.set_request_high(end.request.high);
+    message.set_request_low(end.request.low);
+    message.set_target(end.life.target);
+    message.set_started(end.life.started);
+    return message;
+}
+
+suspect_end from_wire(const wire::SuspectEnd& message) {
+    return {{message.request_high(), message.request_low()}, {message.target(), message.started()}};
+}
+
+}  // namespace
+
+suspect_exchange::suspect_exchange(event_loop& loop, keyed_log& log, std::string log_name,
+                                   message_bus& bus, const token_homes& members, metrics& counters,
+                                   hooks called)
+    : loop_(loop),
+      bus_(bus),
+      members_(members),
+      counters_(counters),
+      hooks_(std::move(called)),
+      log_(loop, log, std::move(log_name), members.own_host(), counters,
+           {[this](const suspect_end& end) { learn(end, "log"); },
+            [this](const suspect_end& end) { forget(end, "log"); },
+            [this](std::span<const suspect_end> ends) { tell_others(ends, false); },
+            [this](bool reachable) { hooks_.log_reachable(reachable); }}) {}
+
+suspect_exchange::~suspect_exchange() {
+    *alive_ = false;
+}
+
+suspicion suspect_exchange::held_of(const digest& request) const {
+    return any() ? table_.held_of(monotonic_now(), request) : suspicion::none;
+}
+
+/// A request that has ended well of late stood beside. Without this, callers that repeat one poll
+/// at many targets had it quarantined when three of them ended in the same moment.
+void suspect_exchange::ended(const target_life& life, std::span<const digest> requests) {
+    std::vector<suspect_end> news;
+    std::vector<suspect_end> urgent;
+    for (const digest& request : requests) {
+        if (table_.is_proven(monotonic_now(), request)) {
+            counters_.counter("gateway_suspects_proven_total") += 1;
+            continue;
+        }
+        const suspect_end end{request, life};
+        learn(end, "own run");
+        news.push_back(end);
+        if (is_urgent(request)) {
+            urgent.push_back(end);
+        }
+    }
+    log_.add(news);
+    tell_others(urgent, false);
+}
+
+bool suspect_exchange::is_urgent(const digest& request) const {
+    return table_.ends_of(request) >= urgent_ends;
+}
+
+void suspect_exchange::learn(const suspect_end& end, std::string_view source) {
+    const instant now = monotonic_now();
+    if (table_.is_proven(now, end.request)) {
+        // Only this entry knows; the others hear of it.
+        const std::array<suspect_end, 1> taken_back{end};
+        log_.drop(taken_back);
+        tell_others(taken_back, true);
+        return;
+    }
+    const suspicion before = table_.held_of(now, end.request);
+    if (!table_.add(now, end)) {
+        return;
+    }
+    const suspicion held = table_.held_of(now, end.request);
+    counters_.counter("gateway_suspect_ends_total") += 1;
+    log_event(log_level::information, "request_suspected",
+              {{"fingerprint", end.request.to_hex()},
+               {"held", std::string(name_of(held))},
+               {"ends", std::to_string(table_.ends_of(end.request))},
+               {"target", end.life.target},
+               {"started", std::to_string(end.life.started)},
+               {"known_from", std::string(source)}});
+    if (held != suspicion::quarantined || before == suspicion::quarantined) {
+        return;
+    }
+    counters_.counter("gateway_requests_quarantined_total") += 1;
+    log_event(log_level::warning, "request_quarantined",
+              {{"fingerprint", end.request.to_hex()},
+               {"ends", std::to_string(table_.ends_of(end.request))}});
+    loop_.call_after(microseconds(0), [this, request = end.request, alive = alive_] {
+        if (*alive) {
+            hooks_.quarantined(request);
+        }
+    });
+}
+
+/// Whoever saw an end may be gone before the log takes it. Without this, an entry that started when
+/// a dark log was back sent a request to a fourth target that two others held in quarantine.
+void suspect_exchange::see_to_log(const suspect_end& end) {
+    const auto spread =
+        static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(writer_wait.count())));
+    loop_.call_after(writer_wait + microseconds(spread), [this, end, alive = alive_] {
+        if (*alive && !log_.holds(end) && table_.holds(end)) {
+            const std::array<suspect_end, 1> unwritten{end};
+            log_.add(unwritten);
+        }
+    });
+}
+
+void suspect_exchange::forget(const suspect_end& end, std::string_view source) {
+    const suspicion before = held_of(end.request);
+    if (!table_.remove(end)) {
+        return;
+    }
+    log_event(log_level::information, "request_end_taken_back",
+              {{"fingerprint", end.request.to_hex()},
+               {"held_before", std::string(name_of(before))},
+               {"ends", std::to_string(table_.ends_of(end.request))},
+               {"target", end.life.target},
+               {"known_from", std::string(source)}});
+}
+
+void suspect_exchange::ended_well(const digest& request) {
+    const bool urgent = is_urgent(request) || !log_.reachable();
+    const suspicion before = held_of(request);
+    const std::vector<suspect_end> cleared = table_.ended_well(monotonic_now(), request);
+    if (cleared.empty()) {
+        return;
+    }
+    counters_.counter("gateway_suspects_cleared_total") += 1;
+    log_event(log_level::information, "request_cleared",
+              {{"fingerprint", request.to_hex()},
+               {"held_before", std::string(name_of(before))},
+               {"ends", std::to_string(cleared.size())}});
+    log_.drop(cleared);
+    if (urgent) {
+        tell_others(cleared, true);
+    }
+}
+
+void suspect_exchange::tell_others(std::span<const suspect_end> ends, bool cleared) {
+    if (ends.empty()) {
+        return;
+    }
+    wire::Envelope message;
+    wire::SuspectNews& news = *message.mutable_suspect_news();
+    news.set_cleared(cleared);
+    for (const suspect_end& end :
+         ends.first(std::min<std::size_t>(ends.size(), most_ends_in_a_message))) {
+        *news.add_ends() = to_wire(end);
+    }
+    for (const ledger_member& member : members_.largest_of_all(members_.members())) {
+        if (member.host != members_.own_host()) {
+            bus_.send(member.endpoint, message);
+        }
+    }
+}
+
+bool suspect_exchange::on_message(const wire::Envelope& message) {
+    if (!message.has_suspect_news()) {
+        return false;
+    }
+    const wire::SuspectNews& news = message.suspect_news();
+    if (news.ends_size() > most_ends_in_a_message) {
+        counters_.counter("gateway_suspect_news_refused_total") += 1;
+        log_event(log_level::error, "suspect_news_refused",
+                  {{"ends", std::to_string(news.ends_size())}});
+        return true;
+    }
+    for (const wire::SuspectEnd& end : news.ends()) {
+        if (end.target().empty()) {
+            continue;
+        }
+        if (news.cleared()) {
+            forget(from_wire(end), "other entry");
+        } else {
+            learn(from_wire(end), "other entry");
+            see_to_log(from_wire(end));
+        }
+    }
+    return true;
+}
+
+/// The log is cleaned by one entry alone, the largest that answers.
+void suspect_exchange::tick(instant now) {
+    counters_.gauge("gateway_suspects") = static_cast<double>(table_.size());
+    if (now - dropped_at_ < drop_period) {
+        return;
+    }
+    dropped_at_ = now;
+    const std::vector<suspect_end> dropped = table_.drop_old(now);
+    if (dropped.empty()) {
+        return;
+    }
+    counters_.counter("gateway_suspect_ends_dropped_total") += dropped.size();
+    const std::vector<ledger_member> largest = members_.largest(now, 1);
+    if (!largest.empty() && largest.front().host == members_.own_host()) {
+        log_.drop(dropped);
+    }
+}
+
+}  // namespace wrenswitch
--- a/tests/core/digest_test.cpp
+++ b/tests/core/digest_test.cpp
@@ -54,4 +54,11 @@
     BOOST_TEST(events.to_json("p", "1") == "[]");
 }
 
+BOOST_AUTO_TEST_CASE(digest_written_in_hex_is_read_back) {
+    const digest written{0x0123456789abcdef, 0xfedcba9876543210};
+    BOOST_TEST((digest::from_hex(written.to_hex()) == written));
+    BOOST_TEST(!digest::from_hex("12").has_value());
+    BOOST_TEST(!digest::from_hex(std::string(32, 'g')).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/drivers/rollout_ledger_test.cpp
+++ b/tests/drivers/rollout_ledger_test.cpp
@@ -43,7 +43,7 @@
         });
     }
 
-    void append(std::string_view name_of_log, std::uint64_t at,
+    void append(std::string_view name_of_log, std::optional<std::uint64_t> at,
                 std::span<const keyed_record> records, append_hook done) override {
         log_.append(name_of_log, at, records, std::move(done));
     }
--- a/tests/platform/worker_standin.hpp
+++ b/tests/platform/worker_standin.hpp
@@ -19,8 +19,13 @@
 
     /// Ends like a process that is killed: its connections close, and nothing listens.
     void crash() {
+        for (const ingress_exchange_pointer& exchange : exchanges) {
+            exchange->cut();
+        }
         exchanges.clear();
-        server_.reset();
+        server_->stop_listening();
+        // What a test still holds of its exchanges refers to it.
+        ended_servers_.push_back(std::move(server_));
         under_way_ = 0;
         alive_ = std::make_shared<bool>(true);
     }
@@ -142,6 +147,7 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::string id_;
     std::uint16_t port_ = 0;
+    std::vector<std::unique_ptr<ingress_server>> ended_servers_;
     std::unique_ptr<ingress_server> server_;
 };
 
--- a/tests/support/fake_keyed_log.hpp
+++ b/tests/support/fake_keyed_log.hpp
@@ -74,8 +74,8 @@
         });
     }
 
-    void append(std::string_view log, std::uint64_t at, std::span<const keyed_record> records,
-                append_hook done) override {
+    void append(std::string_view log, std::optional<std::uint64_t> at,
+                std::span<const keyed_record> records, append_hook done) override {
         const std::string name(log);
         std::vector<keyed_record> copies(records.begin(), records.end());
         loop_.call_after(delay, [this, name, at, copies, done] {
@@ -93,7 +93,7 @@
             if (random.unit() < lost_answers) {
                 done(failed(error_code::timed_out, "no answer"));
             } else if (taken) {
-                done(at + copies.size());
+                done(records_[name].size());
             } else {
                 done(failed(error_code::conflict, "moved"));
             }
@@ -118,9 +118,9 @@
         return page;
     }
 
-    bool try_append(const std::string& log, std::uint64_t at,
+    bool try_append(const std::string& log, std::optional<std::uint64_t> at,
                     const std::vector<keyed_record>& records) {
-        if (records_[log].size() != at) {
+        if (at && records_[log].size() != *at) {
             return false;
         }
         for (const keyed_record& record : records) {
