--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -158,7 +158,8 @@
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
         } else if (!placements_->on_message(origin, message) &&
-                   !rollouts_.on_message(origin, message) && !suspects_->on_message(message)) {
+                   !rollouts_.on_message(origin, message) &&
+                   !suspects_->on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
--- a/src/roles/gateway/suspect_exchange.cpp
+++ b/src/roles/gateway/suspect_exchange.cpp
@@ -2,7 +2,7 @@
 
 #include <bus.pb.h>
 
-#include <array>
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -37,6 +37,17 @@
     return message;
 }
 
+wire::Envelope news_of(std::span<const suspect_end> ends, bool cleared) {
+    wire::Envelope message;
+    wire::SuspectNews& news = *message.mutable_suspect_news();
+    news.set_cleared(cleared);
+    const std::size_t told = std::min<std::size_t>(ends.size(), most_ends_in_a_message);
+    for (const suspect_end& end : ends.first(told)) {
+        *news.add_ends() = to_wire(end);
+    }
+    return message;
+}
+
 suspect_end from_wire(const wire::SuspectEnd& message) {
     return {{message.request_high(), message.request_low()}, {message.target(), message.started()}};
 }
@@ -52,9 +63,13 @@
       counters_(counters),
       hooks_(std::move(called)),
       log_(loop, log, std::move(log_name), members.own_host(), counters,
-           {[this](const suspect_end& end) { learn(end, "log"); },
+           {[this](const suspect_end& end) {
+                if (!learn(end, "log")) {
+                    see_to_drop(end);
+                }
+            },
             [this](const suspect_end& end) { forget(end, "log"); },
-            [this](std::span<const suspect_end> ends) { tell_others(ends, false); },
+            [this](std::span<const suspect_end> ends) { tell_unwritten(ends); },
             [this](bool reachable) { hooks_.log_reachable(reachable); }}) {}
 
 suspect_exchange::~suspect_exchange() {
@@ -65,27 +80,37 @@
     return any() ? table_.held_of(monotonic_now(), request) : suspicion::none;
 }
 
-/// A request that has ended well of late stood beside. Without this, callers that repeat one poll
-/// at many targets had it quarantined when three of them ended in the same moment.
 void suspect_exchange::ended(const target_life& life, std::span<const digest> requests) {
     std::vector<suspect_end> news;
     std::vector<suspect_end> urgent;
     for (const digest& request : requests) {
-        if (table_.is_proven(monotonic_now(), request)) {
-            counters_.counter("gateway_suspects_proven_total") += 1;
+        const suspect_end end{request, life};
+        if (!learn(end, "own run")) {
             continue;
         }
-        const suspect_end end{request, life};
-        learn(end, "own run");
         news.push_back(end);
         if (is_urgent(request)) {
             urgent.push_back(end);
+        } else {
+            untold_.insert(end);
         }
     }
     log_.add(news);
     tell_others(urgent, false);
 }
 
+/// A dark log takes nothing and tells nobody. Each end is told once, by the one that saw it: a
+/// fleet of 340 entries that all told all they knew would send 115,000 messages a time.
+void suspect_exchange::tell_unwritten(std::span<const suspect_end> ends) {
+    std::vector<suspect_end> unknown;
+    for (const suspect_end& end : ends) {
+        if (untold_.erase(end) > 0) {
+            unknown.push_back(end);
+        }
+    }
+    tell_others(unknown, false);
+}
+
 bool suspect_exchange::is_urgent(const digest& request) const {
     return table_.ends_of(request) >= urgent_ends;
 }
@@ -94,53 +119,74 @@
     return table_.ends_of(request) >= told_ends;
 }
 
-void suspect_exchange::learn(const suspect_end& end, std::string_view source) {
+/// A request that has ended well of late stood beside. Without this, callers that repeat one poll
+/// at many targets would have it quarantined when three of them end in the same moment.
+bool suspect_exchange::learn(const suspect_end& end, std::string_view source) {
     const instant now = monotonic_now();
     if (table_.is_proven(now, end.request)) {
-        // Only this entry knows; the others hear of it.
-        const std::array<suspect_end, 1> taken_back{end};
-        log_.drop(taken_back);
-        tell_others(taken_back, true);
-        return;
+        counters_.counter("gateway_suspects_proven_total") += 1;
+        return false;
     }
     const suspicion before = table_.held_of(now, end.request);
     if (!table_.add(now, end)) {
-        return;
+        return true;
     }
-    const suspicion held = table_.held_of(now, end.request);
     counters_.counter("gateway_suspect_ends_total") += 1;
     if (is_told(end.request)) {
         log_event(log_level::information, "request_suspected",
                   {{"fingerprint", end.request.to_hex()},
-                   {"held", std::string(name_of(held))},
+                   {"held", std::string(name_of(table_.held_of(now, end.request)))},
                    {"ends", std::to_string(table_.ends_of(end.request))},
                    {"target", end.life.target},
                    {"started", std::to_string(end.life.started)},
                    {"known_from", std::string(source)}});
     }
-    if (held != suspicion::quarantined || before == suspicion::quarantined) {
+    quarantine_if_due(end.request, before);
+    return true;
+}
+
+void suspect_exchange::quarantine_if_due(const digest& request, suspicion before) {
+    if (before == suspicion::quarantined || held_of(request) != suspicion::quarantined) {
         return;
     }
     counters_.counter("gateway_requests_quarantined_total") += 1;
-    log_event(log_level::warning, "request_quarantined",
-              {{"fingerprint", end.request.to_hex()},
-               {"ends", std::to_string(table_.ends_of(end.request))}});
-    loop_.call_after(microseconds(0), [this, request = end.request, alive = alive_] {
+    log_event(
+        log_level::warning, "request_quarantined",
+        {{"fingerprint", request.to_hex()}, {"ends", std::to_string(table_.ends_of(request))}});
+    loop_.call_after(microseconds(0), [this, request, alive = alive_] {
         if (*alive) {
             hooks_.quarantined(request);
         }
     });
 }
 
+/// Others may do the same at the same time, and see what was done meanwhile.
+void suspect_exchange::after_writer(std::function<void()> action) {
+    const auto spread =
+        static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(writer_wait.count())));
+    loop_.call_after(writer_wait + microseconds(spread),
+                     [action = std::move(action), alive = alive_] {
+                         if (*alive) {
+                             action();
+                         }
+                     });
+}
+
 /// Whoever saw an end may be gone before the log takes it. Without this, an entry that started when
 /// a dark log was back sent a request to a fourth target that two others held in quarantine.
 void suspect_exchange::see_to_log(const suspect_end& end) {
-    const auto spread =
-        static_cast<std::int64_t>(random_.below(static_cast<std::uint64_t>(writer_wait.count())));
-    loop_.call_after(writer_wait + microseconds(spread), [this, end, alive = alive_] {
-        if (*alive && !log_.holds(end) && table_.holds(end)) {
-            const std::array<suspect_end, 1> unwritten{end};
-            log_.add(unwritten);
+    after_writer([this, end] {
+        if (!log_.holds(end) && table_.holds(end)) {
+            log_.add({&end, 1});
+        }
+    });
+}
+
+/// Only this entry may know that the request has ended well.
+void suspect_exchange::see_to_drop(const suspect_end& end) {
+    after_writer([this, end] {
+        if (log_.holds(end)) {
+            log_.drop({&end, 1});
         }
     });
 }
@@ -184,13 +230,7 @@
     if (ends.empty()) {
         return;
     }
-    wire::Envelope message;
-    wire::SuspectNews& news = *message.mutable_suspect_news();
-    news.set_cleared(cleared);
-    for (const suspect_end& end :
-         ends.first(std::min<std::size_t>(ends.size(), most_ends_in_a_message))) {
-        *news.add_ends() = to_wire(end);
-    }
+    const wire::Envelope message = news_of(ends, cleared);
     for (const ledger_member& member : members_.largest_of_all(members_.members())) {
         if (member.host != members_.own_host()) {
             bus_.send(member.endpoint, message);
@@ -198,7 +238,7 @@
     }
 }
 
-bool suspect_exchange::on_message(const wire::Envelope& message) {
+bool suspect_exchange::on_message(const message_origin& origin, const wire::Envelope& message) {
     if (!message.has_suspect_news()) {
         return false;
     }
@@ -216,13 +256,21 @@
         if (news.cleared()) {
             forget(from_wire(end), "other entry");
         } else {
-            learn(from_wire(end), "other entry");
-            see_to_log(from_wire(end));
+            take_news(origin, from_wire(end));
         }
     }
     return true;
 }
 
+void suspect_exchange::take_news(const message_origin& origin, const suspect_end& end) {
+    if (learn(end, "other entry")) {
+        see_to_log(end);
+        return;
+    }
+    see_to_drop(end);
+    bus_.answer(origin, news_of({&end, 1}, true));
+}
+
 /// The log is cleaned by one entry alone, the largest that answers.
 void suspect_exchange::tick(instant now) {
     counters_.gauge("gateway_suspects") = static_cast<double>(table_.size());
@@ -230,6 +278,8 @@
         return;
     }
     dropped_at_ = now;
+    std::erase_if(untold_,
+                  [this](const suspect_end& end) { return log_.holds(end) || !table_.holds(end); });
     const std::vector<suspect_end> dropped = table_.drop_old(now);
     if (dropped.empty()) {
         return;
--- a/src/roles/gateway/suspect_exchange.hpp
+++ b/src/roles/gateway/suspect_exchange.hpp
@@ -59,15 +59,21 @@
     void end_alone(const digest& request) { alone_.erase(request); }
 
     /// Takes a message. False if it isn't for the exchange.
-    bool on_message(const wire::Envelope& message);
+    bool on_message(const message_origin& origin, const wire::Envelope& message);
 
     /// To be called several times a second.
     void tick(instant now);
 
 private:
-    void learn(const suspect_end& end, std::string_view source);
+    /// False if the request has ended well here of late, so that nothing is held against it.
+    bool learn(const suspect_end& end, std::string_view source);
+    void quarantine_if_due(const digest& request, suspicion before);
+    void take_news(const message_origin& origin, const suspect_end& end);
     void forget(const suspect_end& end, std::string_view source);
     void see_to_log(const suspect_end& end);
+    void see_to_drop(const suspect_end& end);
+    void after_writer(std::function<void()> action);
+    void tell_unwritten(std::span<const suspect_end> ends);
     void tell_others(std::span<const suspect_end> ends, bool cleared);
     bool is_urgent(const digest& request) const;
     bool is_told(const digest& request) const;
@@ -81,6 +87,8 @@
     suspect_table table_;
     suspect_log log_;
     std::set<digest> alone_;
+    /// Ends that this entry saw and nobody else knows of yet, as far as it can tell.
+    std::set<suspect_end> untold_;
     instant dropped_at_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/roles/entry_rollouts_test.cpp
+++ b/tests/roles/entry_rollouts_test.cpp
@@ -221,4 +221,33 @@
     BOOST_TEST(told.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(request_that_may_have_ended_targets_is_not_tried_at_an_unproved_version) {
+    rollouts.ordered(now, order(5));
+    tell(5, rollout_phase::canary);
+    gateway_route route;
+    route.name = "r";
+    route.kind = request_kind::repeatable;
+    route.most_attempts = 2;
+    std::size_t tried = 0;
+    std::size_t tried_suspected = 0;
+    for (std::uint64_t session = 0; session < 500; ++session) {
+        for (const bool suspected : {false, true}) {
+            request_rollout part(rollouts);
+            part.belongs_to("app", route, session);
+            const auto limit = part.choose_versions(now, 1, suspected);
+            BOOST_REQUIRE(limit.has_value());
+            const bool at_new = limit->rule == version_rule::only;
+            (suspected ? tried_suspected : tried) += at_new ? 1 : 0;
+            gateway_target target;
+            target.id = at_new ? "new" : "old";
+            target.version = at_new ? "v2" : "v1";
+            BOOST_REQUIRE(part.begin(now, target));
+            part.note_reached();
+            part.end(rollout_gate::answer::well);
+        }
+    }
+    BOOST_TEST(tried > 0U);
+    BOOST_TEST(tried_suspected == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
