--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -3,10 +3,9 @@
 #include <bus.pb.h>
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
-#include "wrenswitch/core/digest.hpp"
+#include "roles/gateway/relay_choice.hpp"
 #include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/drivers/settings_watch.hpp"
@@ -65,10 +64,6 @@
     return [&targets](std::string_view engine) { return targets.region_of(engine); };
 }
 
-std::string host_of(std::string_view address) {
-    return std::string(address.substr(0, address.rfind(':')));
-}
-
 link_watch_settings link_settings(const gateway_settings& settings) {
     link_watch_settings link;
     link.bytes_per_second = settings.link_bytes_per_second;
@@ -569,36 +564,8 @@
     return known == nullptr || !known->engine ? nullptr : &*known->engine;
 }
 
-/// Relays stand beside engines' targets. Each gateway begins with another one, those of its own
-/// failure domain first, then those of its own region.
 std::vector<std::string> gateway::relay_endpoints() const {
-    if (settings_.relay_port == 0) {
-        return {};
-    }
-    std::vector<gateway_target> beside;
-    for (gateway_target& target : targets_.listed()) {
-        const gateway_service* service = configuration_.service(target.service);
-        if (service != nullptr && service->engine) {
-            beside.push_back(std::move(target));
-        }
-    }
-    const auto rank = [this](const gateway_target& target) {
-        const bool elsewhere = target.failure_domain != settings_.failure_domain;
-        const bool is_far =
-            !settings_.regions.are_near(target.failure_domain, settings_.failure_domain);
-        return std::tuple(is_far, elsewhere, spread_hash(target.id, spread_hash(settings_.host)));
-    };
-    std::sort(beside.begin(), beside.end(),
-              [&rank](const gateway_target& left, const gateway_target& right) {
-                  return rank(left) < rank(right);
-              });
-    std::vector<std::string> endpoints;
-    endpoints.reserve(beside.size());
-    for (const gateway_target& target : beside) {
-        endpoints.push_back("tcp://" + host_of(target.address) + ":" +
-                            std::to_string(settings_.relay_port));
-    }
-    return endpoints;
+    return relays_to_ask(settings_, configuration_, targets_.listed());
 }
 
 upstream_pool& gateway::pool_of(const gateway_target& target) {
--- /dev/null
+++ b/src/roles/gateway/http_status.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+namespace wrenswitch {
+
+/// Statuses of HTTP that a gateway gives or tells apart.
+constexpr unsigned status_ok = 200;
+constexpr unsigned first_redirection = 300;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_no_key = 401;
+constexpr unsigned status_no_tokens = 402;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_timeout = 408;
+constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_too_many = 429;
+constexpr unsigned first_server_error = 500;
+constexpr unsigned status_bad_gateway = 502;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+}  // namespace wrenswitch
