Ask again whether a target listens when a run breaks right after it did

What callers saw: nothing yet; found by reading. A target whose answer broke off and that accepted a connection wasn't asked again for 500 ms. One that ended within that time was held to go on, and the request under way there kept no evidence against it. A target that accepted is now asked at each further break, one probe at a time. What broke more than a second before the last break isn't held to have been under way at the end.

--- a/src/decision/suspects/broken_runs.cpp
+++ b/src/decision/suspects/broken_runs.cpp
@@ -44,15 +44,17 @@
     }
     const std::vector<run> runs = std::move(found->second);
     lives_.erase(found);
-    const auto first_break =
-        std::find_if(runs.begin(), runs.end(), [](const run& each) { return each.broke; });
-    if (first_break == runs.end()) {
+    const auto last_break =
+        std::find_if(runs.rbegin(), runs.rend(), [](const run& each) { return each.broke; });
+    if (last_break == runs.rend()) {
         return {};
     }
-    const instant at_work_since = first_break->ended - settings_.still_at_work;
+    // All that is under way breaks off in the moment of the end; what broke long before did so for
+    // another reason.
+    const instant at_work_since = last_break->ended - settings_.still_at_work;
     std::set<digest> under_way;
     for (const run& each : runs) {
-        if (each.broke || each.ended >= at_work_since) {
+        if (each.ended >= at_work_since) {
             under_way.insert(each.request);
         }
     }
--- a/src/roles/gateway/target_ends.cpp
+++ b/src/roles/gateway/target_ends.cpp
@@ -17,12 +17,12 @@
 constexpr microseconds between_probes = milliseconds(150);
 constexpr unsigned refusals_of_an_end = 2;
 
-/// How long an answer is kept, so that a target whose answers break off again and again isn't asked
-/// each time.
+/// How long a target that doesn't accept isn't asked anew for each run that breaks. One that did is
+/// asked at once: it may have ended since.
 constexpr microseconds answer_life = milliseconds(500);
 
 /// What a target sent before its end may be read behind the end of another connection to it, within
-/// one turn of the loop, which takes some 10 ms of a fifth of a core.
+/// a turn or two of the loop. Meant to be ample; not measured.
 constexpr microseconds longest_unread = milliseconds(120);
 
 /// Requests that a line names; all are counted.
@@ -55,7 +55,7 @@
         return;
     }
     question& about = questions_[life];
-    const bool is_asked = about.asked && now - *about.asked <= answer_life;
+    const bool is_asked = about.asked && now - *about.asked <= answer_life && !about.accepted;
     if (about.probe == nullptr && !is_asked) {
         about = {};
         about.broke = now;
--- a/tests/decision/suspects/broken_runs_test.cpp
+++ b/tests/decision/suspects/broken_runs_test.cpp
@@ -36,6 +36,12 @@
     BOOST_TEST((runs.take_ended(life) == std::vector<digest>{first, {3, 3}}));
 }
 
+BOOST_AUTO_TEST_CASE(request_that_broke_long_before_the_end_is_not_taken) {
+    runs.broke(now - milliseconds(1100), life, first);
+    runs.broke(now, life, second);
+    BOOST_TEST((runs.take_ended(life) == std::vector<digest>{second}));
+}
+
 BOOST_AUTO_TEST_CASE(life_at_which_runs_were_only_called_off_names_none) {
     runs.left(now, life, first);
     BOOST_TEST(!runs.has_broken(life));
--- a/tests/platform/target_end_live_test.cpp
+++ b/tests/platform/target_end_live_test.cpp
@@ -72,6 +72,24 @@
     BOOST_TEST(ends_told() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(target_that_ends_right_after_a_run_broke_for_another_reason_is_told) {
+    worker_standin& target = *targets.front();
+    for (const auto& other : targets) {
+        if (other->id() != target.id()) {
+            store.put("keyed.servers", other->id(), std::nullopt);
+        }
+    }
+    run_for(milliseconds(400));
+    target.answer = [](const ingress_exchange_pointer& exchange) { exchange->cut(); };
+    ask(entries.front(), "/once/x", "cut");
+    run_for(milliseconds(50));
+    target.answer = [this, &target](const ingress_exchange_pointer&) {
+        loop.call_after(milliseconds(10), [&target] { target.crash(); });
+    };
+    ask(entries.front(), "/once/x", "ends");
+    BOOST_TEST(run_until([this] { return ends_told() == 1U; }, seconds(2)));
+}
+
 BOOST_AUTO_TEST_CASE(target_that_is_back_at_once_is_told_by_its_new_start) {
     worker_standin& target = *targets.front();
     for (const auto& other : targets) {
