Tell what a target says of its limit, and what is sent there

Nothing in logs or figures told that a limit was named, which entry knew of it, or how much each entry sent there. A target's word is now decoded once, in platform/ (load and limit together; a limit that can't be read says nothing and is told). Lines: target_limit_named, _changed, _ended with the limit before, this entry's sends of the last 4 s and how old the request was; target_limit_unreadable. A limit is also in `load` of request_sent. Figures: gateway_targets_limited, gateway_target_limit_changes_total, gateway_sends_to_limited_targets_total. Lines are bounded as routine ones. Answers overtake one another, so that a higher limit, or none, is believed only of an answer to a request that was sent after the present one was named; what an ended life said counts no more. Nothing else is decided by it yet.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -16,6 +16,7 @@
 #include "wrenswitch/decision/gateway/candidate_limits.hpp"
 #include "wrenswitch/decision/gateway/cold_targets.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
+#include "wrenswitch/decision/gateway/named_limits.hpp"
 #include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/rollout/version_quarantine.hpp"
@@ -205,6 +206,9 @@
     /// The region of a target, for logs and figures; empty if none is known.
     std::string_view region_of(std::string_view id) const;
 
+    /// The limits that targets name.
+    named_limits& limits() { return limits_; }
+
     /// A request went to a target.
     void sent(std::string_view id);
 
@@ -309,6 +313,7 @@
     random_source& random_;
     states targets_;
     cold_targets cold_;
+    named_limits limits_;
     /// Failure domains to which nothing may go.
     std::set<std::string, std::less<>> emptied_;
     version_quarantine quarantine_;
--- /dev/null
+++ b/include/wrenswitch/decision/gateway/target_word.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "wrenswitch/decision/routing/target_picker.hpp"
+
+namespace wrenswitch {
+
+/// What a target says of itself with one answer.
+struct target_word {
+    std::optional<load_report> load;
+    /// The requests a second that it takes from all entries together. It holds for as long as
+    /// answers name it; an answer that names none says that there is none.
+    std::optional<double> most_per_second;
+    /// What was said of a limit and can't be read, for logs; empty if all was read. Such an answer
+    /// says nothing of a limit, not even that there is none.
+    std::string unreadable_limit;
+};
+
+}  // namespace wrenswitch
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -71,6 +71,7 @@
     found->second = std::move(fresh);
     placer_.forget(id);
     cold_.forget(id);
+    limits_.forget(id);
 }
 
 /// Of those at one address all but the one that was listed last are gone.
@@ -185,6 +186,8 @@
     }
     text += "," + placer_.describe(now, id);
     text += is_cold(now, id) ? ",cold" : "";
+    const std::string limit = limits_.describe(now, id);
+    text += limit.empty() ? "" : "," + limit;
     return text + (state.listed ? "" : ",unlisted");
 }
 
@@ -208,6 +211,7 @@
             forgotten.push_back(it->first);
             placer_.forget(it->first);
             cold_.forget(it->first);
+            limits_.forget(it->first);
             quarantine_.remove(it->first);
             it = targets_.erase(it);
         } else {
--- a/src/roles/gateway/forwarded_answer.cpp
+++ b/src/roles/gateway/forwarded_answer.cpp
@@ -43,9 +43,7 @@
     const instant now = monotonic_now();
     note_life();
     suspicion_.heard(now);
-    if (const auto load = context_.dialect.read_load(head.header(context_.dialect.load))) {
-        context_.targets.reported(now, target_, *load);
-    }
+    context_.words.heard(now, life_, sent_at_, request_.id, context_.dialect.read_word(head));
     context_.counters.histogram("gateway_target_ms").observe(now - sent_at_);
     if (!engine_request_) {
         context_.plain_answers.observe(admitted_.service, now - sent_at_);
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -384,6 +384,7 @@
         return;
     }
     target_ = target.id;
+    life_ = life_of(target);
     history_.begin(target.id);
     answer_ = message_head{};
     answer_body_.clear();
@@ -407,6 +408,7 @@
     run_ = run;
     count_by_region("gateway_sent_by_region_total");
     context_.targets.sent(target_);
+    context_.words.sent(now, target_);
     const std::string_view copy_from =
         choice.copy_from == nullptr ? std::string_view{} : choice.copy_from->address;
     const upstream_request sent =
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -123,6 +123,7 @@
 
     /// The target of the attempt under way, or empty.
     std::string target_;
+    target_life life_;
     attempt_history history_;
     request_rollout rollout_;
     request_suspicion suspicion_;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -107,7 +107,8 @@
       ends_(loop, targets_, metrics_,
             {[this](const target_life& life, std::span<const digest> requests) {
                 suspects_->ended(life, requests);
-            }}) {
+            }}),
+      words_(targets_, events_, metrics_) {
     metrics_.gauge("gateway_retry_share") = settings.retry_share;
     metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
 }
@@ -274,6 +275,7 @@
         retries_,
         *suspects_,
         ends_,
+        words_,
         random_,
         metrics_,
         events_,
@@ -626,6 +628,7 @@
     desk_->drop_lapsed(now);
     retries_.tick(now);
     ends_.tick(now);
+    words_.tick();
     suspects_->tick(now);
     targets_.count_entries(now);
     rollouts_.tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_ends.hpp"
 #include "roles/gateway/target_list.hpp"
+#include "roles/gateway/target_words.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
 #include "wrenswitch/decision/gateway/link_watch.hpp"
@@ -112,6 +113,7 @@
     service_retries retries_;
     std::unique_ptr<suspect_exchange> suspects_;
     target_ends ends_;
+    target_words words_;
     isolation_watch reach_;
     bool was_isolated_ = false;
     bool grant_log_answers_ = true;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -13,6 +13,7 @@
 #include "roles/gateway/service_retries.hpp"
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_ends.hpp"
+#include "roles/gateway/target_words.hpp"
 #include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
@@ -47,6 +48,7 @@
     service_retries& retries;
     suspect_exchange& suspects;
     target_ends& ends;
+    target_words& words;
     random_source& random;
     metrics& counters;
     event_log& events;
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 #include "platform/dialect.hpp"
 #include "roles/gateway/incoming_request.hpp"
@@ -35,6 +36,12 @@
     }
 };
 
+target_word word_of(std::vector<http_header> headers) {
+    message_head answer;
+    answer.headers = std::move(headers);
+    return platform::read_word(answer);
+}
+
 constexpr std::string_view configuration = R"({"version":7,"routes":[
  {"name":"r-1","host":"ficu95.example","pathPrefix":"/pufi791/","kind":"streaming","timeoutMs":4000,
   "targetLatencyMs":500,"priority":0,"service":"huvo11a","maxAttempts":2,"public":false,
@@ -116,13 +123,41 @@
 }
 
 BOOST_AUTO_TEST_CASE(load_is_three_numbers) {
-    const auto load = platform::read_load("3,1,8");
+    const auto load = word_of({{"Load-Report", "3,1,8"}}).load;
     BOOST_REQUIRE(load.has_value());
     BOOST_TEST(load->running == 3U);
     BOOST_TEST(load->queued == 1U);
     BOOST_TEST(load->limit == 8U);
-    BOOST_TEST(!platform::read_load("").has_value());
-    BOOST_TEST(!platform::read_load("3,1").has_value());
+    BOOST_TEST(!word_of({}).load.has_value());
+    BOOST_TEST(!word_of({{"Load-Report", ""}}).load.has_value());
+    BOOST_TEST(!word_of({{"Load-Report", "3,1"}}).load.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(limit_is_a_decimal_number_of_at_least_zero) {
+    BOOST_TEST(!word_of({}).most_per_second.has_value());
+    const std::map<std::string, double> good{
+        {"1.7", 1.7}, {" 3 ", 3.0}, {"0", 0.0}, {"0.01", 0.01}, {"1e9", 1e9}};
+    for (const auto& [text, value] : good) {
+        const target_word word = word_of({{"Server-Limit", text}});
+        BOOST_REQUIRE(word.most_per_second.has_value());
+        BOOST_TEST(*word.most_per_second == value);
+        BOOST_TEST(word.unreadable_limit.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(limit_that_is_no_such_number_says_nothing_and_is_told) {
+    for (const char* text : {"nan", "inf", "-1", "many", "1.5/s", "1,5", "0x10", "1e999"}) {
+        const target_word word = word_of({{"Server-Limit", text}});
+        BOOST_TEST(!word.most_per_second.has_value());
+        BOOST_TEST(word.unreadable_limit == text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(limit_that_is_named_twice_is_the_lower_one) {
+    BOOST_TEST(*word_of({{"Server-Limit", "4"}, {"server-limit", "2.5"}}).most_per_second == 2.5);
+    const target_word half = word_of({{"Server-Limit", "4"}, {"Server-Limit", "?"}});
+    BOOST_TEST(*half.most_per_second == 4.0);
+    BOOST_TEST(half.unreadable_limit == "?");
 }
 
 BOOST_AUTO_TEST_CASE(configuration_read_has_routes_services_and_accounts) {
