--- a/tests/platform/worker_standin.hpp
+++ b/tests/platform/worker_standin.hpp
@@ -52,11 +52,17 @@
 
     /// The headers of each answer of this worker's own.
     std::vector<http_header> signed_headers(const ingress_exchange_pointer& exchange) const {
-        return {{"Request-Id", std::string(exchange->head().header("Request-Id"))},
-                {"Server-Stamp", "stamp-" + id_},
-                {"Load-Report", "1,0,6"}};
+        std::vector<http_header> headers{
+            {"Request-Id", std::string(exchange->head().header("Request-Id"))},
+            {"Server-Stamp", "stamp-" + id_},
+            {"Load-Report", "1,0,6"}};
+        headers.insert(headers.end(), said.begin(), said.end());
+        return headers;
     }
 
+    /// What it says of itself besides with each answer.
+    std::vector<http_header> said;
+
     /// When its process started, in Unix milliseconds; zero if it doesn't say.
     std::int64_t started = 0;
 
