Keep the limits that targets name, over all entries and at the moment of the send

What callers saw: engines that named 1.3 requests a second got 13 to 18 in 4 s, one that named 2.9 got 30, from entries that had passed on the word. Cause: what a target says of itself with its answers was heard by nobody but for its load; shown by the tests on real entries, where all senders had been told. Ruled out: that each entry took the rate for its own (arrivals don't bend at all), and that turns taken before were used later (no turn is waited for there). Mend: of all entries only a few send to a limited target, the first in an order that all know, at most 2 x limit + 4 of them, each an equal share with no turn in hand at the start. n such senders send 4 x limit + n in 4 s, below 6 x limit + 5, whatever the number of entries, and without a word between them. Who becomes a sender has no turn for a whole spacing. Every way to a target ends in one place, which asks at the moment of the send: a turn that was taken before the limit was named or fell by a quarter is void. Entries tell each other what changed, and ask senders about limits of which they hear nothing; no bound rests on that. What no turn is left for is refused at once with the time of the next one (targets_limited); the more urgent wait longer for turns, and others leave one where urgent ones come.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -67,6 +67,25 @@
     /// How many entries there are, which share what a cold target bears; zero while that isn't
     /// known, one if it isn't set.
     std::function<std::size_t()> entries;
+    /// Who shares the limits that targets name.
+    limit_sharers sharers;
+};
+
+/// What turns a request may take at targets that say something of themselves.
+struct turn_wish {
+    /// How long it can wait for one.
+    microseconds longest_wait{};
+    /// If the request is less urgent than others that come: it takes a turn only if it leaves one
+    /// at another target that comes within this time. Zero if it needn't.
+    microseconds leaves_one_within{};
+};
+
+/// A place among what this entry may send to a target.
+struct send_turn {
+    /// How long the request has to wait until it is sent.
+    microseconds wait{};
+    /// Counts what made earlier turns void when it was taken.
+    std::uint64_t turns_void = 0;
 };
 
 /// Where a request goes.
@@ -209,6 +228,23 @@
     /// The limits that targets name.
     named_limits& limits() { return limits_; }
 
+    /// The service's targets at which this entry has no turn for such a request by what they say of
+    /// themselves.
+    std::vector<std::string> without_turn(instant now, std::string_view service,
+                                          const turn_wish& wish);
+
+    /// How long it is until this entry may send to one of the service's targets that say something
+    /// against it now; nothing if there is none.
+    std::optional<microseconds> soonest_turn(instant now, std::string_view service);
+
+    /// Takes this entry's next turn at a target, by what that says of itself. Nothing if there is
+    /// none within this time.
+    std::optional<send_turn> take_turn(instant now, std::string_view id, microseconds longest_wait);
+
+    /// True if a request with this turn may go to the target now: nothing that the target has said
+    /// since forbids it. To be asked at the moment of the send, whatever way led to the target.
+    bool may_send(std::string_view id, const send_turn& turn) const;
+
     /// A request went to a target.
     void sent(std::string_view id);
 
@@ -283,6 +319,7 @@
         bool some_cold = false;
     };
 
+    microseconds wait_to_send(instant now, std::string_view id);
     void settle_address(target_state& changed);
     static double failure_rate(const target_state& state, instant now);
     static void rate(target_state& state, instant now, bool well);
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -85,6 +85,10 @@
     std::vector<ledger_member> largest_of_all(std::size_t count,
                                               std::string_view region = {}) const;
 
+    /// The first members in an order of their own that a name gives: the same at every entry that
+    /// knows the same members, whoever it reaches.
+    std::vector<ledger_member> first_for(std::string_view name, std::size_t count) const;
+
     /// How many members each region has; those whose region isn't known count nowhere.
     std::map<std::string, std::size_t, std::less<>> members_by_region() const;
 
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -39,7 +39,8 @@
     : settings_(std::move(settings)),
       has_several_regions_(settings_.regions.has_several()),
       random_(random),
-      cold_(settings_.entries, random) {}
+      cold_(settings_.entries, random),
+      limits_(settings_.sharers, random) {}
 
 void target_pool::apply(const gateway_target& target, std::uint64_t position) {
     target_state& state = targets_[target.id];
@@ -531,6 +532,57 @@
            (is_far(state) ? settings_.other_region_cost : 0.0);
 }
 
+/// How long a request has to wait before it may go to a target, by what that says of itself.
+microseconds target_pool::wait_to_send(instant now, std::string_view id) {
+    return limits_.wait(now, id);
+}
+
+std::vector<std::string> target_pool::without_turn(instant now, std::string_view service,
+                                                   const turn_wish& wish) {
+    std::vector<std::string> without;
+    std::vector<std::string> with;
+    std::size_t turns = 0;
+    for (const auto& [id, state] : targets_) {
+        if (state.target.service != service || !limits_.limit_of(id)) {
+            continue;
+        }
+        const microseconds wait = wait_to_send(now, id);
+        turns += wait <= wish.leaves_one_within ? 1 : 0;
+        (wait > wish.longest_wait ? without : with).push_back(id);
+    }
+    const bool would_take_last = wish.leaves_one_within > microseconds(0) && turns < 2;
+    if (would_take_last) {
+        without.insert(without.end(), with.begin(), with.end());
+    }
+    return without;
+}
+
+std::optional<microseconds> target_pool::soonest_turn(instant now, std::string_view service) {
+    std::optional<microseconds> soonest;
+    for (const auto& [id, state] : targets_) {
+        const bool counts = state.target.service == service && may_be_chosen(state, service, {});
+        const microseconds wait = counts ? wait_to_send(now, id) : microseconds(0);
+        if (wait > microseconds(0)) {
+            soonest = std::min(soonest.value_or(wait), wait);
+        }
+    }
+    return soonest;
+}
+
+std::optional<send_turn> target_pool::take_turn(instant now, std::string_view id,
+                                                microseconds longest_wait) {
+    const microseconds wait = wait_to_send(now, id);
+    if (wait > longest_wait) {
+        return std::nullopt;
+    }
+    limits_.take(now, id);
+    return send_turn{wait, limits_.turns_void(id)};
+}
+
+bool target_pool::may_send(std::string_view id, const send_turn& turn) const {
+    return limits_.turns_void(id) == turn.turns_void;
+}
+
 void target_pool::sent(std::string_view id) {
     const auto found = targets_.find(id);
     if (found != targets_.end()) {
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -135,6 +135,23 @@
     return largest_among(answering, count);
 }
 
+std::vector<ledger_member> token_homes::first_for(std::string_view name, std::size_t count) const {
+    const std::uint64_t seed = spread_hash(name);
+    std::vector<std::pair<std::uint64_t, const ledger_member*>> ranked;
+    ranked.reserve(members_.size());
+    for (const auto& [host, member] : members_) {
+        ranked.emplace_back(spread_hash(host, seed), &member);
+    }
+    const std::size_t taken = std::min(count, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(taken),
+                      ranked.end(), std::greater<>());
+    std::vector<ledger_member> first;
+    for (std::size_t at = 0; at < taken; ++at) {
+        first.push_back(*ranked[at].second);
+    }
+    return first;
+}
+
 std::map<std::string, std::size_t, std::less<>> token_homes::members_by_region() const {
     std::map<std::string, std::size_t, std::less<>> counts;
     for (const auto& [host, member] : members_) {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -14,6 +14,9 @@
 /// How often a request that no version may get right now is looked at again.
 constexpr microseconds until_versions = milliseconds(40);
 
+/// How long a request waits for a turn if its route has no aim.
+constexpr microseconds usual_turn_wait = milliseconds(300);
+
 /// What a request is expected to need at the most beside its tokens, when a process is to stop.
 constexpr microseconds engine_reading_time = milliseconds(800);
 constexpr microseconds plain_answer_time = milliseconds(600);
@@ -69,6 +72,7 @@
         admitted_ = std::move(*admitted);
         suspicion_.belongs_to({exchange_->head().method, request_.host, exchange_->head().target,
                                admitted_.account, exchange_->body()});
+        context_.urgencies.note(exchange_->received(), admitted_.service, admitted_.urgency);
         const bool has_session = !request_.prompt.parts.empty();
         rollout_.belongs_to(admitted_.service, admitted_.route,
                             has_session ? session_of(request_.prompt) : spread_hash(request_.id));
@@ -268,7 +272,7 @@
 void forwarded_request::choose_target(const version_limit& versions) {
     const candidate_limits limits{admitted_.regions, versions};
     if (!engine_request_) {
-        target_chosen(context_.targets.pick(monotonic_now(), admitted_.service, history_.tried(),
+        target_chosen(context_.targets.pick(monotonic_now(), admitted_.service, left_out(),
                                             admitted_.route.first_answer_aim,
                                             may_repeat(admitted_.route.kind), limits),
                       {});
@@ -277,7 +281,7 @@
     engine_request_->limits = limits;
     const unsigned choice = ++choices_;
     auto placing = context_.placements.place(
-        admitted_.service, *engine_request_, history_.tried(), time_left(),
+        admitted_.service, *engine_request_, left_out(), time_left(),
         [self = weak_from_this()](const target_choice& chosen, const placed_run& run) {
             if (const auto alive = self.lock()) {
                 alive->target_chosen(chosen, run);
@@ -289,25 +293,66 @@
     }
 }
 
+/// The targets that this request doesn't go to now: those already tried, and those to which this
+/// entry may send nothing in time by what they say of themselves.
+std::vector<std::string> forwarded_request::left_out() {
+    std::vector<std::string> all =
+        context_.targets.without_turn(monotonic_now(), admitted_.service, wish_for_turn());
+    all.insert(all.end(), history_.tried().begin(), history_.tried().end());
+    return all;
+}
+
+/// The more urgent a request is, the further away a turn it may take. That alone isn't enough: who
+/// comes more often finds most turns, so that others leave one where more urgent requests come.
+microseconds forwarded_request::longest_turn_wait() const {
+    return bearable_turn_wait() / (1 + admitted_.urgency);
+}
+
+microseconds forwarded_request::bearable_turn_wait() const {
+    const microseconds aim = admitted_.route.first_answer_aim;
+    return aim > microseconds(0) ? aim : usual_turn_wait;
+}
+
+turn_wish forwarded_request::wish_for_turn() const {
+    const bool leaves_one =
+        context_.urgencies.has_more_urgent(monotonic_now(), admitted_.service, admitted_.urgency);
+    return {patience_, leaves_one ? bearable_turn_wait() : microseconds(0)};
+}
+
 void forwarded_request::target_chosen(const target_choice& choice, const placed_run& run) {
     if (choice.target == nullptr) {
         no_target_left(choice.all_cold);
-    } else if (choice.wait > microseconds(0)) {
-        wait_for_turn(choice, run);
+        return;
+    }
+    const std::optional<send_turn> taken =
+        context_.targets.take_turn(monotonic_now(), choice.target->id, patience_);
+    if (!taken) {
+        // Another request has taken the turn since the engine's keeper was asked.
+        context_.counters.counter("gateway_turns_lost_total") += 1;
+        give_back(run);
+        dispatch();
+        return;
+    }
+    const send_turn turn{std::max(taken->wait, choice.wait), taken->turns_void};
+    if (turn.wait > microseconds(0)) {
+        wait_for_turn(choice, run, turn);
     } else {
-        send_to(choice, run);
+        send_to(choice, run, turn);
     }
 }
 
-/// A cold target gets its requests one after the other. The wait is known, and short enough for the
-/// answer to be in time; a refusal would cost the caller its first try.
-void forwarded_request::wait_for_turn(const target_choice& choice, const placed_run& run) {
+/// A target that is cold or names a limit gets its requests one after the other. The wait is known,
+/// and short enough for the answer to be in time; a refusal would cost the caller its first try.
+void forwarded_request::wait_for_turn(const target_choice& choice, const placed_run& run,
+                                      const send_turn& turn) {
     trace_.add(monotonic_now(), "turn_awaited",
-               {{"target", choice.target->id}, {"wait_ms", millis_text(choice.wait)}});
-    context_.counters.histogram("gateway_turn_wait_ms").observe(choice.wait);
+               {{"target", choice.target->id},
+                {"wait_ms", millis_text(turn.wait)},
+                {"load", context_.targets.describe(monotonic_now(), choice.target->id)}});
+    context_.counters.histogram("gateway_turn_wait_ms").observe(turn.wait);
     turn_ = turn_at_target{choice, choice.target->id,
-                           choice.copy_from == nullptr ? "" : choice.copy_from->id, run};
-    context_.loop.call_after(choice.wait, [self = weak_from_this()] {
+                           choice.copy_from == nullptr ? "" : choice.copy_from->id, run, turn};
+    context_.loop.call_after(turn.wait, [self = weak_from_this()] {
         const auto alive = self.lock();
         if (alive && alive->turn_) {
             alive->turn_came();
@@ -329,7 +374,7 @@
     turn.choice.target = context_.targets.find(turn.target);
     const bool copies = context_.targets.may_copy(turn.copy_from, turn.target, admitted_.regions);
     turn.choice.copy_from = copies ? context_.targets.find(turn.copy_from) : nullptr;
-    send_to(turn.choice, turn.run);
+    send_to(turn.choice, turn.run, turn.turn);
 }
 
 /// A run that was counted at an engine never gets there.
@@ -349,7 +394,25 @@
     }
 }
 
+/// True if the request now looks again, among targets too whose turns it has to wait for: all
+/// others are no choice.
+bool forwarded_request::may_wait_for_turn() {
+    if (patience_ > microseconds(0)) {
+        return false;
+    }
+    const auto soonest = context_.targets.soonest_turn(monotonic_now(), admitted_.service);
+    if (!soonest || *soonest > longest_turn_wait()) {
+        return false;
+    }
+    patience_ = longest_turn_wait();
+    return true;
+}
+
 void forwarded_request::no_target_left(bool all_cold) {
+    if (may_wait_for_turn()) {
+        dispatch();
+        return;
+    }
     if (const auto versions = rollout_.look_further(all_cold)) {
         choose_target(*versions);
     } else {
@@ -357,11 +420,17 @@
     }
 }
 
+/// What can't be served in time by what its targets say is refused at once, and told when there is
+/// a turn again.
 void forwarded_request::refuse_without_target(bool all_cold) {
+    const auto soonest = context_.targets.soonest_turn(monotonic_now(), admitted_.service);
     if (history_.may_have_run()) {
         fail(status_bad_gateway, "no_target_left");
     } else if (all_cold) {
         refuse(status_unavailable, "targets_cold", until_turns);
+    } else if (soonest) {
+        refuse(status_unavailable, "targets_limited",
+               std::clamp(*soonest, until_turns, longest_until_turns));
     } else if (admitted_.regions) {
         refuse(status_unavailable, "no_target_in_allowed_regions", until_targets);
     } else {
@@ -369,9 +438,20 @@
     }
 }
 
-void forwarded_request::send_to(const target_choice& choice, const placed_run& run) {
+/// The only way to a target. What it has said of itself since it was chosen holds here: a request
+/// that waited for a turn under a limit of fifty a second doesn't go under one of a half.
+void forwarded_request::send_to(const target_choice& choice, const placed_run& run,
+                                const send_turn& turn) {
     const gateway_target& target = *choice.target;
     const instant now = monotonic_now();
+    if (!context_.targets.may_send(target.id, turn)) {
+        context_.counters.counter("gateway_turns_void_total") += 1;
+        trace_.add(now, "turn_void",
+                   {{"target", target.id}, {"load", context_.targets.describe(now, target.id)}});
+        give_back(run);
+        dispatch();
+        return;
+    }
     if (suspicion_.held() == suspicion::quarantined || !suspicion_.begin(life_of(target))) {
         give_back(run);
         refuse_suspect();
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -21,13 +21,14 @@
 
 namespace wrenswitch {
 
-/// What a request waits for that is to go to a cold target.
+/// What a request waits for that is to go to a target which is cold or names a limit.
 struct turn_at_target {
     /// The choice, whose targets may be gone until then; they are looked up by these again.
     target_choice choice;
     std::string target;
     std::string copy_from;
     placed_run run;
+    send_turn turn;
 };
 
 /// One request of a caller, from its arrival to the end of its answer: admits it, pays for it,
@@ -65,11 +66,16 @@
     void wait_for_versions();
     void choose_target(const version_limit& versions);
     void target_chosen(const target_choice& choice, const placed_run& run);
-    void wait_for_turn(const target_choice& choice, const placed_run& run);
+    void wait_for_turn(const target_choice& choice, const placed_run& run, const send_turn& turn);
     void turn_came();
     void drop_turn();
     void give_back(const placed_run& run);
-    void send_to(const target_choice& choice, const placed_run& run);
+    void send_to(const target_choice& choice, const placed_run& run, const send_turn& turn);
+    turn_wish wish_for_turn() const;
+    std::vector<std::string> left_out();
+    microseconds bearable_turn_wait() const;
+    microseconds longest_turn_wait() const;
+    bool may_wait_for_turn();
     void no_target_left(bool all_cold);
     void count_by_region(std::string_view what) const;
     void note_first_answer() const;
@@ -134,7 +140,10 @@
     std::shared_ptr<placement_exchange::handle> placing_;
     /// Counts the looks for an engine.
     unsigned choices_ = 0;
-    /// Set while the request waits for its turn at a cold target.
+    /// How long it waits for a turn at a target that names a limit: not at all while others are
+    /// free.
+    microseconds patience_{};
+    /// Set while the request waits for its turn at a target that is cold or names a limit.
     std::optional<turn_at_target> turn_;
     /// The run at an engine that is under way.
     placed_run run_;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -42,6 +42,14 @@
         const std::size_t known = members.members();
         return known == 0 ? 0 : std::max(least_entries, known);
     };
+    pool.sharers.entries = [&members] { return members.members(); };
+    pool.sharers.is_among_first = [&members](std::string_view target, std::size_t count) {
+        const std::vector<ledger_member> first = members.first_for(target, count);
+        return std::any_of(first.begin(), first.end(), [&members](const ledger_member& each) {
+            return each.host == members.own_host();
+        });
+    };
+    pool.sharers.version = [&members] { return members.version(); };
     return pool;
 }
 
@@ -107,8 +115,7 @@
       ends_(loop, targets_, metrics_,
             {[this](const target_life& life, std::span<const digest> requests) {
                 suspects_->ended(life, requests);
-            }}),
-      words_(targets_, events_, metrics_) {
+            }}) {
     metrics_.gauge("gateway_retry_share") = settings.retry_share;
     metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
 }
@@ -152,7 +159,8 @@
             channel_->on_reply(message);
         } else if (!placements_->on_message(origin, message) &&
                    !rollouts_.on_message(origin, message) &&
-                   !suspects_->on_message(origin, message)) {
+                   !suspects_->on_message(origin, message) &&
+                   !words_->on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -238,6 +246,7 @@
             [this](const ledger_member& keeper, microseconds took) {
                 homes_.answered_after(keeper, took);
             }});
+    words_ = std::make_unique<target_words>(loop_, *bus_, homes_, targets_, events_, metrics_);
     rollouts_.open(loop_, *log_, *bus_, homes_, incarnation_);
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
@@ -275,7 +284,8 @@
         retries_,
         *suspects_,
         ends_,
-        words_,
+        *words_,
+        urgencies_,
         random_,
         metrics_,
         events_,
@@ -628,7 +638,7 @@
     desk_->drop_lapsed(now);
     retries_.tick(now);
     ends_.tick(now);
-    words_.tick();
+    words_->tick(now);
     suspects_->tick(now);
     targets_.count_entries(now);
     rollouts_.tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -104,6 +104,7 @@
     target_pool targets_;
     target_list list_;
     answer_times plain_answers_;
+    urgency_watch urgencies_;
     engine_keepers keepers_;
     lag_watch lag_;
     link_watch link_;
@@ -113,7 +114,7 @@
     service_retries retries_;
     std::unique_ptr<suspect_exchange> suspects_;
     target_ends ends_;
-    target_words words_;
+    std::unique_ptr<target_words> words_;
     isolation_watch reach_;
     bool was_isolated_ = false;
     bool grant_log_answers_ = true;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -22,6 +22,7 @@
 #include "wrenswitch/decision/gateway/link_watch.hpp"
 #include "wrenswitch/decision/gateway/overload_watch.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
+#include "wrenswitch/decision/gateway/urgency_watch.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
@@ -49,6 +50,7 @@
     suspect_exchange& suspects;
     target_ends& ends;
     target_words& words;
+    urgency_watch& urgencies;
     random_source& random;
     metrics& counters;
     event_log& events;
--- a/src/roles/gateway/target_words.hpp
+++ b/src/roles/gateway/target_words.hpp
@@ -1,23 +1,40 @@
 #pragma once
 
+#include <memory>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
 #include "roles/gateway/event_log.hpp"
 #include "wrenswitch/core/metrics.hpp"
+#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/gateway/target_word.hpp"
+#include "wrenswitch/decision/grants/token_homes.hpp"
 #include "wrenswitch/decision/suspects/target_life.hpp"
+#include "wrenswitch/drivers/event_loop.hpp"
+#include "wrenswitch/drivers/message_bus.hpp"
+
+namespace wrenswitch::wire {
+class TargetWords;
+}  // namespace wrenswitch::wire
 
 namespace wrenswitch {
 
-/// Takes in what targets say of themselves with their answers, and tells what changed.
+/// Takes in what targets say of themselves with their answers, and tells the other entries what
+/// changed. Delivery isn't promised, and no bound rests on it: who wasn't told hears it from the
+/// target itself. An entry that doesn't send to a limited target hears of the limit's end from
+/// those that do; it asks one of them from time to time.
 class target_words {
 public:
     /// All that is referred to must outlive this.
-    target_words(target_pool& targets, event_log& events, metrics& counters)
-        : targets_(targets), events_(events), counters_(counters) {}
+    target_words(event_loop& loop, message_bus& bus, const token_homes& members,
+                 target_pool& targets, event_log& events, metrics& counters);
+    ~target_words();
+    target_words(const target_words&) = delete;
+    target_words& operator=(const target_words&) = delete;
 
     /// An answer of this life of a target came to a request that was sent then. What a life says
     /// that has ended meanwhile counts no more.
@@ -27,16 +44,32 @@
     /// A request goes to a target.
     void sent(instant now, std::string_view target);
 
+    /// Takes a message. False if it isn't for this.
+    bool on_message(const message_origin& origin, const wire::Envelope& message);
+
     /// To be called several times a second.
-    void tick();
+    void tick(instant now);
 
 private:
     void limit_heard(instant now, const target_life& life, instant sent, std::string_view request,
                      const target_word& word);
+    void limit_told(instant now, const wire::TargetWords& news);
+    void tell_soon(const std::string& target);
+    void tell_others();
+    void ask_senders(instant now);
+    wire::TargetWords words_of(instant now, std::span<const std::string> targets) const;
 
+    event_loop& loop_;
+    message_bus& bus_;
+    const token_homes& members_;
     target_pool& targets_;
     event_log& events_;
     metrics& counters_;
+    random_source random_;
+    /// Targets of which the others are to be told.
+    std::set<std::string> untold_;
+    instant next_ask_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 }  // namespace wrenswitch
--- a/tests/platform/word_fleet.hpp
+++ b/tests/platform/word_fleet.hpp
@@ -57,7 +57,7 @@
             {"name":"once","host":"h.test","pathPrefix":"/once/","kind":"non_idempotent",
              "timeoutMs":2000,"targetLatencyMs":300,"service":"app","maxAttempts":1},
             {"name":"again","host":"h.test","pathPrefix":"/again/","kind":"idempotent",
-             "timeoutMs":2000,"targetLatencyMs":300,"service":"app","maxAttempts":3},
+             "timeoutMs":2000,"targetLatencyMs":300,"service":"app","maxAttempts":3,"priority":0},
             {"name":"later","host":"h.test","pathPrefix":"/later/","kind":"idempotent",
              "timeoutMs":2000,"targetLatencyMs":300,"service":"app","maxAttempts":3,"priority":5},
             {"name":"stream","host":"h.test","pathPrefix":"/stream/","kind":"streaming",
