Tell that a target leaves or wants rest

A target's word now has both, decoded in platform/: leaving, and a rest in seconds beside a refusal that did not run the request; a rest that is no number is none, and told. Lines: target_says_it_leaves (with what the list has), target_wants_rest, target_rest_unreadable; counter gateway_target_rests_total. Nothing is decided by them yet.

--- a/src/roles/gateway/target_words.cpp
+++ b/src/roles/gateway/target_words.cpp
@@ -81,6 +81,24 @@
         targets_.reported(now, life.target, *word.load);
     }
     limit_heard(now, life, sent, request, word);
+    if (word.leaving && leaving_.insert(life.target).second) {
+        note_word("target_says_it_leaves", life, request, target->leaving ? "listed so" : "");
+    }
+    if (!word.unreadable_rest.empty()) {
+        note_word("target_rest_unreadable", life, request, word.unreadable_rest);
+    }
+    if (word.rest) {
+        counters_.counter("gateway_target_rests_total") += 1;
+        note_word("target_wants_rest", life, request, millis_text(*word.rest) + "ms");
+    }
+}
+
+void target_words::note_word(std::string_view event, const target_life& life,
+                             std::string_view request, std::string_view said) {
+    events_.routine(event, {{"target", life.target},
+                            {"request", std::string(request)},
+                            {"said", std::string(said.substr(0, most_told_bytes))},
+                            {"load", targets_.describe(monotonic_now(), life.target)}});
 }
 
 void target_words::limit_heard(instant now, const target_life& life, instant sent,
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -160,6 +160,39 @@
     BOOST_TEST(half.unreadable_limit == "?");
 }
 
+target_word refusal_with(const char* after, unsigned status = 503, bool not_run = true) {
+    message_head answer;
+    answer.status = status;
+    answer.headers = {{"Retry-After", after}};
+    if (not_run) {
+        answer.headers.push_back({"Not-Executed", "1"});
+    }
+    return platform::read_word(answer);
+}
+
+BOOST_AUTO_TEST_CASE(rest_is_seconds_with_fractions_beside_a_refusal_that_did_not_run) {
+    BOOST_TEST((refusal_with("3").rest == seconds(3)));
+    BOOST_TEST((refusal_with("0.25").rest == milliseconds(250)));
+    BOOST_TEST((refusal_with("0").rest == seconds(0)));
+    BOOST_TEST((refusal_with("86400").rest == seconds(3600)));
+    BOOST_TEST(!refusal_with("3", 503, false).rest.has_value());
+    BOOST_TEST(!refusal_with("3", 429).rest.has_value());
+    BOOST_TEST(!refusal_with("3", 200).rest.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(rest_that_is_no_number_is_none_and_is_told) {
+    for (const char* text : {"Wed, 21 Oct 2026 07:28:00 GMT", "soon", "-1", "nan"}) {
+        BOOST_TEST(!refusal_with(text).rest.has_value());
+        BOOST_TEST(refusal_with(text).unreadable_rest == text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(target_leaves_that_says_so) {
+    BOOST_TEST(word_of({{"Server-Leaving", "1"}}).leaving);
+    BOOST_TEST(!word_of({{"Server-Leaving", "0"}}).leaving);
+    BOOST_TEST(!word_of({}).leaving);
+}
+
 BOOST_AUTO_TEST_CASE(configuration_read_has_routes_services_and_accounts) {
     const auto read = platform::read_configuration(configuration);
     BOOST_REQUIRE(read.has_value());
