--- a/tests/platform/word_fleet.hpp
+++ b/tests/platform/word_fleet.hpp
@@ -22,11 +22,19 @@
         std::size_t entry = 0;
     };
 
+    /// A target turned an entry away and asked it for rest.
+    struct rest_ask {
+        std::size_t entry = 0;
+        instant from{};
+        instant until{};
+    };
+
     /// What one target got, and which entries its answers have told what it says.
     struct target_record {
         std::vector<arrival> arrivals;
         instant said_at{};
         std::map<std::size_t, instant> told;
+        std::vector<rest_ask> rests;
     };
 
     struct caller {
@@ -39,6 +47,8 @@
     std::vector<std::unique_ptr<worker_standin>> plain;
     std::vector<std::unique_ptr<worker_standin>> engines;
     std::map<std::string, target_record> records;
+    /// The targets that turn all requests away, and the rest that they ask for.
+    std::map<std::string, microseconds> turning_away;
     std::vector<caller> callers;
     std::size_t last_request = 0;
 
@@ -91,6 +101,10 @@
         const std::string id(exchange->head().header("Request-Id"));
         const std::size_t sender = std::stoul(id.substr(1));
         records[target.id()].arrivals.push_back({monotonic_now(), sender});
+        if (turning_away.contains(target.id())) {
+            turn_away(target, exchange, sender);
+            return;
+        }
         loop.call_after(work, [this, &target, exchange, sender] {
             if (!target.said.empty()) {
                 records[target.id()].told.try_emplace(sender, monotonic_now());
@@ -99,6 +113,17 @@
         });
     }
 
+    void turn_away(const worker_standin& target, const ingress_exchange_pointer& exchange,
+                   std::size_t sender) {
+        const microseconds rest = turning_away.at(target.id());
+        std::vector<http_header> headers = target.signed_headers(exchange);
+        headers.push_back({"Not-Executed", "1"});
+        headers.push_back({"Retry-After", std::to_string(as_seconds(rest))});
+        const instant now = monotonic_now();
+        records[target.id()].rests.push_back({sender, now, now + rest});
+        exchange->answer(503, headers, "");
+    }
+
     void answer(const worker_standin& target, const ingress_exchange_pointer& exchange) {
         if (!exchange->head().target.starts_with("/stream/")) {
             exchange->answer(200, target.signed_headers(exchange), "body");
@@ -195,6 +220,33 @@
             });
     }
 
+    /// How many requests reached the target later than this after it had told their entry what it
+    /// says.
+    std::size_t got_after_told(const worker_standin& target, microseconds after) {
+        const target_record& record = records[target.id()];
+        return static_cast<std::size_t>(
+            std::count_if(record.arrivals.begin(), record.arrivals.end(), [&](const arrival& each) {
+                const auto told = record.told.find(each.entry);
+                return told != record.told.end() && each.at > told->second + after;
+            }));
+    }
+
+    /// The most that the target got from one entry between half a second after it had asked that
+    /// for rest and the end of the rest.
+    std::size_t most_in_a_rest(const worker_standin& target) {
+        const target_record& record = records[target.id()];
+        std::size_t most = 0;
+        for (const rest_ask& rest : record.rests) {
+            const auto got = std::count_if(
+                record.arrivals.begin(), record.arrivals.end(), [&rest](const arrival& each) {
+                    return each.entry == rest.entry && each.at > rest.from + until_told &&
+                           each.at < rest.until;
+                });
+            most = std::max(most, static_cast<std::size_t>(got));
+        }
+        return most;
+    }
+
     std::size_t got_since(const worker_standin& target, instant from) {
         const std::vector<arrival>& all = records[target.id()].arrivals;
         return static_cast<std::size_t>(std::count_if(
