Send nothing to a target that says it leaves, or while it rests, whatever else is known

What callers saw: requests reached a target 2.2 to 3.5 s after its answer had said that it leaves, as long as the store took no writes; targets that asked an entry for 3 s of rest got 4 and 10 requests in it. That it leaves was known from the list alone; the time in a refusal was read nowhere. Ruled out: that a stale list brings the target back, or that what was chosen before comes later (with a list that doesn't change and nothing that waits the tests were red all the same). Mend: leaving is held with the target's life. No list takes it back, only a later start does; who hears it tells the others. A rest is this entry's alone, is of no list, ends some percent later than asked for so that entries don't return together, and nothing waits for its end. Both are asked where the limit is, at the moment of the send, and leave the target out of every choice, an engine's keeper's too. Where nothing else is left the caller is refused at once with the time of the first that is back (targets_resting); a target's own refusal has that time too if no other target is left.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -18,6 +18,7 @@
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/named_limits.hpp"
 #include "wrenswitch/decision/gateway/region_table.hpp"
+#include "wrenswitch/decision/gateway/target_rests.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/rollout/version_quarantine.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
@@ -233,9 +234,19 @@
     std::vector<std::string> without_turn(instant now, std::string_view service,
                                           const turn_wish& wish);
 
-    /// How long it is until this entry may send to one of the service's targets that say something
-    /// against it now; nothing if there is none.
-    std::optional<microseconds> soonest_turn(instant now, std::string_view service);
+    /// True if one of the service's targets that name limits has a turn for this entry within this
+    /// time.
+    bool has_turn(instant now, std::string_view service, microseconds within);
+
+    /// When this entry may send to a target again which says something against it now.
+    struct next_turn {
+        microseconds wait{};
+        /// True if the target rests, false if it names a limit.
+        bool rests = false;
+    };
+
+    /// The soonest among those of the service's targets; nothing if none of them says something.
+    std::optional<next_turn> soonest_turn(instant now, std::string_view service);
 
     /// Takes this entry's next turn at a target, by what that says of itself. Nothing if there is
     /// none within this time.
@@ -243,7 +254,17 @@
 
     /// True if a request with this turn may go to the target now: nothing that the target has said
     /// since forbids it. To be asked at the moment of the send, whatever way led to the target.
-    bool may_send(std::string_view id, const send_turn& turn) const;
+    bool may_send(instant now, std::string_view id, const send_turn& turn) const;
+
+    /// The target says that it leaves: it gets nothing more in this life, whatever the list says.
+    /// True if that is news.
+    bool note_leaving(std::string_view id);
+
+    /// True if the target has said in this life that it leaves.
+    bool says_it_leaves(std::string_view id) const;
+
+    /// The rests that targets have asked this entry for.
+    target_rests& rests() { return rests_; }
 
     /// A request went to a target.
     void sent(std::string_view id);
@@ -296,6 +317,8 @@
         bool replaced = false;
         /// True while its entry can't be read.
         bool withdrawn = false;
+        /// True once an answer of this life has said that it leaves.
+        bool says_it_leaves = false;
         instant unlisted_since{};
         unsigned in_flight = 0;
         load_report load;
@@ -319,7 +342,6 @@
         bool some_cold = false;
     };
 
-    microseconds wait_to_send(instant now, std::string_view id);
     void settle_address(target_state& changed);
     static double failure_rate(const target_state& state, instant now);
     static void rate(target_state& state, instant now, bool well);
@@ -351,6 +373,7 @@
     states targets_;
     cold_targets cold_;
     named_limits limits_;
+    target_rests rests_;
     /// Failure domains to which nothing may go.
     std::set<std::string, std::less<>> emptied_;
     version_quarantine quarantine_;
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "wrenswitch/core/digest.hpp"
 
@@ -40,7 +41,8 @@
       has_several_regions_(settings_.regions.has_several()),
       random_(random),
       cold_(settings_.entries, random),
-      limits_(settings_.sharers, random) {}
+      limits_(settings_.sharers, random),
+      rests_(random) {}
 
 void target_pool::apply(const gateway_target& target, std::uint64_t position) {
     target_state& state = targets_[target.id];
@@ -73,6 +75,7 @@
     placer_.forget(id);
     cold_.forget(id);
     limits_.forget(id);
+    rests_.forget(id);
 }
 
 /// Of those at one address all but the one that was listed last are gone.
@@ -189,6 +192,9 @@
     text += is_cold(now, id) ? ",cold" : "";
     const std::string limit = limits_.describe(now, id);
     text += limit.empty() ? "" : "," + limit;
+    const microseconds rest = rests_.left(now, id);
+    text += rest > microseconds(0) ? ",rests=" + millis_text(rest) + "ms" : "";
+    text += state.says_it_leaves ? ",says_it_leaves" : "";
     return text + (state.listed ? "" : ",unlisted");
 }
 
@@ -213,6 +219,7 @@
             placer_.forget(it->first);
             cold_.forget(it->first);
             limits_.forget(it->first);
+            rests_.forget(it->first);
             quarantine_.remove(it->first);
             it = targets_.erase(it);
         } else {
@@ -224,8 +231,8 @@
 
 bool target_pool::may_be_chosen(const target_state& state, std::string_view service,
                                 const candidate_limits& limits) const {
-    return state.target.service == service && !state.target.leaving && !state.replaced &&
-           !state.withdrawn && !is_emptied(state.target.failure_domain) &&
+    return state.target.service == service && !state.target.leaving && !state.says_it_leaves &&
+           !state.replaced && !state.withdrawn && !is_emptied(state.target.failure_domain) &&
            may_hold(state, limits.regions) && limits.version.admits(state.target.version) &&
            !is_held_back(state, limits.version);
 }
@@ -532,23 +539,22 @@
            (is_far(state) ? settings_.other_region_cost : 0.0);
 }
 
-/// How long a request has to wait before it may go to a target, by what that says of itself.
-microseconds target_pool::wait_to_send(instant now, std::string_view id) {
-    return limits_.wait(now, id);
-}
-
 std::vector<std::string> target_pool::without_turn(instant now, std::string_view service,
                                                    const turn_wish& wish) {
     std::vector<std::string> without;
     std::vector<std::string> with;
     std::size_t turns = 0;
     for (const auto& [id, state] : targets_) {
-        if (state.target.service != service || !limits_.limit_of(id)) {
+        if (state.target.service != service) {
             continue;
         }
-        const microseconds wait = wait_to_send(now, id);
-        turns += wait <= wish.leaves_one_within ? 1 : 0;
-        (wait > wish.longest_wait ? without : with).push_back(id);
+        if (rests_.left(now, id) > microseconds(0)) {
+            without.push_back(id);
+        } else if (limits_.limit_of(id)) {
+            const microseconds wait = limits_.wait(now, id);
+            turns += wait <= wish.leaves_one_within ? 1 : 0;
+            (wait > wish.longest_wait ? without : with).push_back(id);
+        }
     }
     const bool would_take_last = wish.leaves_one_within > microseconds(0) && turns < 2;
     if (would_take_last) {
@@ -557,13 +563,25 @@
     return without;
 }
 
-std::optional<microseconds> target_pool::soonest_turn(instant now, std::string_view service) {
-    std::optional<microseconds> soonest;
+bool target_pool::has_turn(instant now, std::string_view service, microseconds within) {
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
+        const auto& [id, state] = each;
+        return may_be_chosen(state, service, {}) && limits_.limit_of(id) &&
+               rests_.left(now, id) == microseconds(0) && limits_.wait(now, id) <= within;
+    });
+}
+
+std::optional<target_pool::next_turn> target_pool::soonest_turn(instant now,
+                                                                std::string_view service) {
+    std::optional<next_turn> soonest;
     for (const auto& [id, state] : targets_) {
-        const bool counts = state.target.service == service && may_be_chosen(state, service, {});
-        const microseconds wait = counts ? wait_to_send(now, id) : microseconds(0);
-        if (wait > microseconds(0)) {
-            soonest = std::min(soonest.value_or(wait), wait);
+        if (!may_be_chosen(state, service, {})) {
+            continue;
+        }
+        const microseconds rest = rests_.left(now, id);
+        const microseconds wait = std::max(rest, limits_.wait(now, id));
+        if (wait > microseconds(0) && (!soonest || wait < soonest->wait)) {
+            soonest = next_turn{wait, rest == wait};
         }
     }
     return soonest;
@@ -571,16 +589,27 @@
 
 std::optional<send_turn> target_pool::take_turn(instant now, std::string_view id,
                                                 microseconds longest_wait) {
-    const microseconds wait = wait_to_send(now, id);
-    if (wait > longest_wait) {
+    const microseconds wait = limits_.wait(now, id);
+    if (wait > longest_wait || rests_.left(now, id) > microseconds(0)) {
         return std::nullopt;
     }
     limits_.take(now, id);
     return send_turn{wait, limits_.turns_void(id)};
 }
 
-bool target_pool::may_send(std::string_view id, const send_turn& turn) const {
-    return limits_.turns_void(id) == turn.turns_void;
+bool target_pool::may_send(instant now, std::string_view id, const send_turn& turn) const {
+    return limits_.turns_void(id) == turn.turns_void && rests_.left(now, id) == microseconds(0) &&
+           !says_it_leaves(id);
+}
+
+bool target_pool::note_leaving(std::string_view id) {
+    const auto found = targets_.find(id);
+    return found != targets_.end() && !std::exchange(found->second.says_it_leaves, true);
+}
+
+bool target_pool::says_it_leaves(std::string_view id) const {
+    const auto found = targets_.find(id);
+    return found != targets_.end() && found->second.says_it_leaves;
 }
 
 void target_pool::sent(std::string_view id) {
--- a/src/roles/gateway/forwarded_answer.cpp
+++ b/src/roles/gateway/forwarded_answer.cpp
@@ -188,7 +188,19 @@
         fail(status_bad_gateway, "refused_after_a_run");
         return;
     }
-    refuse(status_unavailable, "target_refused_" + std::to_string(answer_.status), until_targets);
+    refuse(status_unavailable, "target_refused_" + std::to_string(answer_.status),
+           until_another_target());
+}
+
+/// Another target may serve the caller at once, if there is one; else the first whose rest ends or
+/// which has a turn.
+microseconds forwarded_request::until_another_target() {
+    const instant now = monotonic_now();
+    if (context_.targets.has_another(now, admitted_.service, left_out(), {admitted_.regions, {}})) {
+        return until_targets;
+    }
+    const auto soonest = context_.targets.soonest_turn(now, admitted_.service);
+    return soonest ? std::clamp(soonest->wait, until_targets, longest_until_turns) : until_targets;
 }
 
 /// The target's own answer, as it came.
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -400,8 +400,7 @@
     if (patience_ > microseconds(0)) {
         return false;
     }
-    const auto soonest = context_.targets.soonest_turn(monotonic_now(), admitted_.service);
-    if (!soonest || *soonest > longest_turn_wait()) {
+    if (!context_.targets.has_turn(monotonic_now(), admitted_.service, longest_turn_wait())) {
         return false;
     }
     patience_ = longest_turn_wait();
@@ -429,8 +428,8 @@
     } else if (all_cold) {
         refuse(status_unavailable, "targets_cold", until_turns);
     } else if (soonest) {
-        refuse(status_unavailable, "targets_limited",
-               std::clamp(*soonest, until_turns, longest_until_turns));
+        refuse(status_unavailable, soonest->rests ? "targets_resting" : "targets_limited",
+               std::clamp(soonest->wait, until_turns, longest_until_turns));
     } else if (admitted_.regions) {
         refuse(status_unavailable, "no_target_in_allowed_regions", until_targets);
     } else {
@@ -444,7 +443,7 @@
                                 const send_turn& turn) {
     const gateway_target& target = *choice.target;
     const instant now = monotonic_now();
-    if (!context_.targets.may_send(target.id, turn)) {
+    if (!context_.targets.may_send(now, target.id, turn)) {
         context_.counters.counter("gateway_turns_void_total") += 1;
         trace_.add(now, "turn_void",
                    {{"target", target.id}, {"load", context_.targets.describe(now, target.id)}});
@@ -525,7 +524,7 @@
     if (called_off_ || !may_repeat(admitted_.route.kind)) {
         return;
     }
-    if (!context_.targets.has_another(now, admitted_.service, history_.tried(),
+    if (!context_.targets.has_another(now, admitted_.service, left_out(),
                                       {admitted_.regions, {}})) {
         // It may still answer, and nobody else can.
         return;
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -76,6 +76,7 @@
     microseconds bearable_turn_wait() const;
     microseconds longest_turn_wait() const;
     bool may_wait_for_turn();
+    microseconds until_another_target();
     void no_target_left(bool all_cold);
     void count_by_region(std::string_view what) const;
     void note_first_answer() const;
--- a/src/roles/gateway/retry_after.hpp
+++ b/src/roles/gateway/retry_after.hpp
@@ -9,8 +9,8 @@
 constexpr microseconds until_tokens = milliseconds(500);
 constexpr microseconds until_targets = milliseconds(200);
 constexpr microseconds until_turns = milliseconds(400);
-/// Another entry may have an earlier turn.
-constexpr microseconds longest_until_turns = seconds(3);
+/// Another entry may have an earlier turn, and targets may come.
+constexpr microseconds longest_until_turns = seconds(10);
 /// A region without targets stays so for longer than one that is merely busy.
 constexpr microseconds until_region_has_targets = seconds(1);
 constexpr microseconds until_elsewhere = milliseconds(50);
--- a/src/roles/gateway/target_words.cpp
+++ b/src/roles/gateway/target_words.cpp
@@ -81,24 +81,42 @@
         targets_.reported(now, life.target, *word.load);
     }
     limit_heard(now, life, sent, request, word);
-    if (word.leaving && leaving_.insert(life.target).second) {
-        note_word("target_says_it_leaves", life, request, target->leaving ? "listed so" : "");
+    rest_heard(now, life, request, word);
+    if (word.leaving) {
+        leaving_heard(now, life, request);
     }
-    if (!word.unreadable_rest.empty()) {
-        note_word("target_rest_unreadable", life, request, word.unreadable_rest);
-    }
-    if (word.rest) {
-        counters_.counter("gateway_target_rests_total") += 1;
-        note_word("target_wants_rest", life, request, millis_text(*word.rest) + "ms");
+}
+
+void target_words::leaving_heard(instant now, const target_life& life, std::string_view request) {
+    if (!targets_.note_leaving(life.target)) {
+        return;
     }
+    counters_.counter("gateway_targets_leaving_by_word_total") += 1;
+    events_.routine("target_says_it_leaves", {{"target", life.target},
+                                              {"known_from", "answer"},
+                                              {"request", std::string(request)},
+                                              {"load", targets_.describe(now, life.target)}});
+    tell_soon(life.target);
 }
 
-void target_words::note_word(std::string_view event, const target_life& life,
-                             std::string_view request, std::string_view said) {
-    events_.routine(event, {{"target", life.target},
-                            {"request", std::string(request)},
-                            {"said", std::string(said.substr(0, most_told_bytes))},
-                            {"load", targets_.describe(monotonic_now(), life.target)}});
+void target_words::rest_heard(instant now, const target_life& life, std::string_view request,
+                              const target_word& word) {
+    if (!word.unreadable_rest.empty()) {
+        counters_.counter("gateway_target_rests_unreadable_total") += 1;
+        events_.routine("target_rest_unreadable",
+                        {{"target", life.target},
+                         {"request", std::string(request)},
+                         {"said", word.unreadable_rest.substr(0, most_told_bytes)}});
+    }
+    if (!word.rest) {
+        return;
+    }
+    targets_.rests().ask(now, life.target, *word.rest);
+    counters_.counter("gateway_target_rests_total") += 1;
+    events_.routine("target_wants_rest", {{"target", life.target},
+                                          {"rest_ms", millis_text(*word.rest)},
+                                          {"request", std::string(request)},
+                                          {"load", targets_.describe(now, life.target)}});
 }
 
 void target_words::limit_heard(instant now, const target_life& life, instant sent,
@@ -169,12 +187,19 @@
     for (const std::string& id : targets) {
         const gateway_target* target = targets_.find(id);
         const auto belief = targets_.limits().belief_of(id);
-        if (target == nullptr || !belief || words.words_size() >= most_words_in_a_message) {
+        const bool leaving = targets_.says_it_leaves(id);
+        if (target == nullptr || (!belief && !leaving) ||
+            words.words_size() >= most_words_in_a_message) {
             continue;
         }
         wire::TargetWord& word = *words.add_words();
         word.set_target(id);
         word.set_started(target->started.value_or(0));
+        word.set_leaving(leaving);
+        if (!belief) {
+            continue;
+        }
+        word.set_says_limit(true);
         if (belief->per_second) {
             word.set_most_per_second(*belief->per_second);
         }
@@ -197,7 +222,7 @@
                                                  {"asked", std::to_string(news.asked_size())}});
         return true;
     }
-    limit_told(now, news);
+    words_told(now, news);
     if (news.asked_size() > 0) {
         const std::vector<std::string> asked(news.asked().begin(), news.asked().end());
         wire::Envelope answer;
@@ -207,30 +232,41 @@
     return true;
 }
 
-void target_words::limit_told(instant now, const wire::TargetWords& news) {
+void target_words::words_told(instant now, const wire::TargetWords& news) {
     for (const wire::TargetWord& word : news.words()) {
         const gateway_target* target = targets_.find(word.target());
         if (target == nullptr || !is_sound(word) || !is_same_life(*target, word.started())) {
             counters_.counter("gateway_target_words_unused_total") += 1;
             continue;
         }
-        const std::optional<double> limit =
-            word.has_most_per_second() ? std::optional(word.most_per_second()) : std::nullopt;
-        const microseconds age(static_cast<std::int64_t>(word.age_us()));
-        const std::optional<double> before = targets_.limits().limit_of(word.target());
-        const limit_news change = targets_.limits().told(now, word.target(), now - age, limit);
-        if (change == limit_news::none) {
-            continue;
+        if (word.leaving() && targets_.note_leaving(word.target())) {
+            counters_.counter("gateway_targets_leaving_by_word_total") += 1;
+            events_.routine("target_says_it_leaves",
+                            {{"target", word.target()}, {"known_from", "other entry"}});
+        }
+        if (word.says_limit()) {
+            limit_told(now, word);
         }
-        counters_.counter("gateway_target_limit_changes_total") += 1;
-        events_.routine(event_name(change), {{"target", word.target()},
-                                             {"limit", limit_text(limit)},
-                                             {"limit_before", limit_text(before)},
-                                             {"known_from", "other entry"},
-                                             {"age_ms", millis_text(age)}});
     }
 }
 
+void target_words::limit_told(instant now, const wire::TargetWord& word) {
+    const std::optional<double> limit =
+        word.has_most_per_second() ? std::optional(word.most_per_second()) : std::nullopt;
+    const microseconds age(static_cast<std::int64_t>(word.age_us()));
+    const std::optional<double> before = targets_.limits().limit_of(word.target());
+    const limit_news change = targets_.limits().told(now, word.target(), now - age, limit);
+    if (change == limit_news::none) {
+        return;
+    }
+    counters_.counter("gateway_target_limit_changes_total") += 1;
+    events_.routine(event_name(change), {{"target", word.target()},
+                                         {"limit", limit_text(limit)},
+                                         {"limit_before", limit_text(before)},
+                                         {"known_from", "other entry"},
+                                         {"age_ms", millis_text(age)}});
+}
+
 /// An entry that sends nothing to a limited target never hears itself that the limit has ended.
 void target_words::ask_senders(instant now) {
     std::map<std::string, wire::Envelope> asks;
@@ -254,6 +290,7 @@
 
 void target_words::tick(instant now) {
     counters_.gauge("gateway_targets_limited") = static_cast<double>(targets_.limits().size());
+    counters_.gauge("gateway_targets_resting") = static_cast<double>(targets_.rests().size(now));
     if (now >= next_ask_) {
         next_ask_ = now + ask_period;
         ask_senders(now);
--- a/src/roles/gateway/target_words.hpp
+++ b/src/roles/gateway/target_words.hpp
@@ -18,6 +18,7 @@
 #include "wrenswitch/drivers/message_bus.hpp"
 
 namespace wrenswitch::wire {
+class TargetWord;
 class TargetWords;
 }  // namespace wrenswitch::wire
 
@@ -53,9 +54,11 @@
 private:
     void limit_heard(instant now, const target_life& life, instant sent, std::string_view request,
                      const target_word& word);
-    void note_word(std::string_view event, const target_life& life, std::string_view request,
-                   std::string_view said);
-    void limit_told(instant now, const wire::TargetWords& news);
+    void leaving_heard(instant now, const target_life& life, std::string_view request);
+    void rest_heard(instant now, const target_life& life, std::string_view request,
+                    const target_word& word);
+    void words_told(instant now, const wire::TargetWords& news);
+    void limit_told(instant now, const wire::TargetWord& word);
     void tell_soon(const std::string& target);
     void tell_others();
     void ask_senders(instant now);
@@ -70,8 +73,6 @@
     random_source random_;
     /// Targets of which the others are to be told.
     std::set<std::string> untold_;
-    /// Targets that said that they leave.
-    std::set<std::string, std::less<>> leaving_;
     instant next_ask_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
