Attribute no word to a target whose address another has, and ask nothing while no target said any

Found by reading: an answer that says that another target has the address was taken for the word of the one that was expected, with its load, limit and leaving. And a request that had waited for a turn kept its patience for its next attempt, at which other targets may be free. A request looked through all targets for limits and rests though none had said any.

--- a/include/wrenswitch/decision/gateway/named_limits.hpp
+++ b/include/wrenswitch/decision/gateway/named_limits.hpp
@@ -94,6 +94,9 @@
     /// limit was known.
     std::size_t sent_lately(instant now, std::string_view target) const;
 
+    /// False if no target has named a limit.
+    bool any() const { return !targets_.empty(); }
+
     /// The targets that name a limit now.
     std::size_t size() const;
 
--- a/include/wrenswitch/decision/gateway/target_rests.hpp
+++ b/include/wrenswitch/decision/gateway/target_rests.hpp
@@ -28,6 +28,9 @@
     /// The target is gone, or its process has started anew.
     void forget(std::string_view target);
 
+    /// False if no target has asked for rest.
+    bool any() const { return !until_.empty(); }
+
     /// The targets that rest now.
     std::size_t size(instant now) const;
 
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -541,6 +541,9 @@
 
 std::vector<std::string> target_pool::without_turn(instant now, std::string_view service,
                                                    const turn_wish& wish) {
+    if (!limits_.any() && !rests_.any()) {
+        return {};
+    }
     std::vector<std::string> without;
     std::vector<std::string> with;
     std::size_t turns = 0;
--- a/src/roles/gateway/forwarded_answer.cpp
+++ b/src/roles/gateway/forwarded_answer.cpp
@@ -43,7 +43,10 @@
     const instant now = monotonic_now();
     note_life();
     suspicion_.heard(now);
-    context_.words.heard(now, life_, sent_at_, request_.id, context_.dialect.read_word(head));
+    if (head.status != status_misdirected) {
+        // Else another target has the address, and speaks of itself.
+        context_.words.heard(now, life_, sent_at_, request_.id, context_.dialect.read_word(head));
+    }
     context_.counters.histogram("gateway_target_ms").observe(now - sent_at_);
     if (!engine_request_) {
         context_.plain_answers.observe(admitted_.service, now - sent_at_);
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -462,6 +462,7 @@
         dispatch();
         return;
     }
+    patience_ = microseconds(0);
     target_ = target.id;
     life_ = life_of(target);
     history_.begin(target.id);
