Let the soak play workers that name limits, leave or ask for rest

What a target got and whom its answers told stands in one place now, for these plays and the tests on real entries. Kept seeds play as before.

--- a/tests/platform/named_limit_live_test.cpp
+++ b/tests/platform/named_limit_live_test.cpp
@@ -10,7 +10,6 @@
 // all entries had been told and a plain target got 84 to 100 requests in 4 s where 14 are allowed,
 // on four runs of four, an engine 327 and 329.
 
-#include <set>
 #include <span>
 
 #include "platform/word_fleet.hpp"
@@ -34,8 +33,9 @@
     name_limit(*plain.front(), "1.5");
     ask_for(seconds(9), between_requests, "/once/x");
     until_answered();
-    BOOST_TEST(records[plain.front()->id()].told.size() == entries.size());
-    BOOST_TEST(static_cast<double>(most_from_told(*plain.front())) <= allowed(1.5));
+    BOOST_TEST(records[plain.front()->id()].entries_told() == entries.size());
+    BOOST_TEST(static_cast<double>(records[plain.front()->id()].most_from_told()) <=
+               word_record::allowed(1.5));
     BOOST_TEST(answered("200") == callers.size());
 }
 
@@ -46,8 +46,9 @@
     name_limit(engine, "1.5");
     ask_for(seconds(9), between_requests, "/stream/x");
     until_answered();
-    BOOST_TEST(records[engine.id()].told.size() == entries.size());
-    BOOST_TEST(static_cast<double>(most_from_told(engine)) <= allowed(1.5));
+    BOOST_TEST(records[engine.id()].entries_told() == entries.size());
+    BOOST_TEST(static_cast<double>(records[engine.id()].most_from_told()) <=
+               word_record::allowed(1.5));
     BOOST_TEST(answered("200") == callers.size());
 }
 
@@ -76,7 +77,8 @@
     const double possible = limit * static_cast<double>(plain.size()) * 8.0;
     BOOST_TEST(served >= 0.7 * possible);
     for (const auto& target : plain) {
-        BOOST_TEST(static_cast<double>(most_from_told(*target)) <= allowed(limit));
+        BOOST_TEST(static_cast<double>(records[target->id()].most_from_told()) <=
+                   word_record::allowed(limit));
         BOOST_TEST(got_since(*target, from) > 0U);
     }
 }
@@ -123,20 +125,15 @@
     ask_for(seconds(1), between_requests, "/once/x");
     name_limit(target, "0.5");
     ask_for(seconds(6), between_requests, "/once/x");
-    BOOST_TEST(static_cast<double>(most_from_told(target)) <= allowed(0.5));
+    BOOST_TEST(static_cast<double>(records[target.id()].most_from_told()) <=
+               word_record::allowed(0.5));
     say(target, {});
     // One of five senders has a turn within ten seconds, and the others ask it.
     ask_for(seconds(14), between_requests, "/once/x");
     const instant from = monotonic_now();
     ask_for(seconds(2), between_requests, "/once/x");
     until_answered();
-    std::set<std::size_t> senders;
-    for (const arrival& each : records[target.id()].arrivals) {
-        if (each.at >= from) {
-            senders.insert(each.entry);
-        }
-    }
-    BOOST_TEST(senders.size() == entries.size());
+    BOOST_TEST(records[target.id()].senders_since(from).size() == entries.size());
 }
 
 BOOST_FIXTURE_TEST_CASE(entry_that_was_not_told_by_the_target_hears_it_from_others,
@@ -144,7 +141,7 @@
     worker_standin& target = *plain.front();
     name_limit(target, "0.5");
     const instant until = monotonic_now() + seconds(5);
-    while (monotonic_now() < until && records[target.id()].told.empty()) {
+    while (monotonic_now() < until && records[target.id()].entries_told() == 0) {
         send(0, "/once/x");
         run_for(between_requests);
     }
--- a/tests/platform/target_word_live_test.cpp
+++ b/tests/platform/target_word_live_test.cpp
@@ -21,12 +21,6 @@
 
 constexpr microseconds between_requests = milliseconds(12);
 
-/// So long after its word a leaving target may still be sent requests.
-constexpr microseconds until_drained = seconds(2);
-
-/// So many requests may reach a target from an entry that it has asked for rest.
-constexpr std::size_t most_in_rest = 2;
-
 struct started_word_fleet : word_fleet {
     started_word_fleet() { start_all(); }
 
@@ -43,8 +37,8 @@
     leave(target);
     ask_for(seconds(5), between_requests, "/once/x");
     until_answered();
-    BOOST_TEST(records[target.id()].told.size() > 0U);
-    BOOST_TEST(got_after_told(target, until_drained) == 0U);
+    BOOST_TEST(records[target.id()].entries_told() > 0U);
+    BOOST_TEST(records[target.id()].got_after_drained() == 0U);
     BOOST_TEST(answered("200") == callers.size());
 }
 
@@ -56,8 +50,8 @@
     leave(target);
     ask_for(seconds(5), between_requests, "/stream/x");
     until_answered();
-    BOOST_TEST(records[target.id()].told.size() > 0U);
-    BOOST_TEST(got_after_told(target, until_drained) == 0U);
+    BOOST_TEST(records[target.id()].entries_told() > 0U);
+    BOOST_TEST(records[target.id()].got_after_drained() == 0U);
     BOOST_TEST(answered("200") == callers.size());
 }
 
@@ -68,8 +62,8 @@
     turning_away[target.id()] = seconds(3);
     ask_for(seconds(7), between_requests, "/again/x");
     until_answered();
-    BOOST_TEST(records[target.id()].rests.size() >= entries.size());
-    BOOST_TEST(most_in_a_rest(target) <= most_in_rest);
+    BOOST_TEST(records[target.id()].rests() >= entries.size());
+    BOOST_TEST(records[target.id()].most_in_a_rest() <= word_record::most_in_rest);
 }
 
 BOOST_FIXTURE_TEST_CASE(engine_that_asks_for_rest_gets_no_more_than_two_requests_in_it,
@@ -79,8 +73,8 @@
     turning_away[target.id()] = seconds(3);
     ask_for(seconds(7), between_requests, "/stream/x");
     until_answered();
-    BOOST_TEST(records[target.id()].rests.size() > 0U);
-    BOOST_TEST(most_in_a_rest(target) <= most_in_rest);
+    BOOST_TEST(records[target.id()].rests() > 0U);
+    BOOST_TEST(records[target.id()].most_in_a_rest() <= word_record::most_in_rest);
 }
 
 BOOST_FIXTURE_TEST_CASE(list_that_is_stale_does_not_bring_back_a_target_that_said_it_leaves,
@@ -118,7 +112,7 @@
     worker_standin& target = *plain.front();
     leave(target);
     const instant until = monotonic_now() + seconds(5);
-    while (monotonic_now() < until && records[target.id()].told.empty()) {
+    while (monotonic_now() < until && records[target.id()].entries_told() == 0) {
         send(0, "/once/x");
         run_for(between_requests);
     }
@@ -164,7 +158,7 @@
     BOOST_TEST(answer.find("targets_resting") != std::string::npos);
     ask_for(seconds(4), between_requests, "/once/x");
     for (const auto& target : plain) {
-        BOOST_TEST(most_in_a_rest(*target) <= most_in_rest);
+        BOOST_TEST(records[target->id()].most_in_a_rest() <= word_record::most_in_rest);
     }
     turning_away.clear();
     run_for(seconds(4));
--- a/tests/platform/word_fleet.hpp
+++ b/tests/platform/word_fleet.hpp
@@ -4,39 +4,15 @@
 #include <map>
 
 #include "platform/gateway_fleet.hpp"
+#include "platform/word_record.hpp"
 
 namespace wrenswitch::testing {
 
 /// Some real wrengates before plain targets and engines that say something of themselves with their
 /// answers, and callers at all entries.
 struct word_fleet : gateway_fleet {
-    /// From the first word of a limit on until it has to be kept.
-    static constexpr microseconds contact = seconds(3);
-    static constexpr microseconds window = seconds(4);
-    /// An answer's word binds an entry this much later.
-    static constexpr microseconds until_told = milliseconds(500);
     static constexpr microseconds work = milliseconds(20);
 
-    struct arrival {
-        instant at{};
-        std::size_t entry = 0;
-    };
-
-    /// A target turned an entry away and asked it for rest.
-    struct rest_ask {
-        std::size_t entry = 0;
-        instant from{};
-        instant until{};
-    };
-
-    /// What one target got, and which entries its answers have told what it says.
-    struct target_record {
-        std::vector<arrival> arrivals;
-        instant said_at{};
-        std::map<std::size_t, instant> told;
-        std::vector<rest_ask> rests;
-    };
-
     struct caller {
         raw_socket socket;
         std::size_t entry = 0;
@@ -46,7 +22,7 @@
 
     std::vector<std::unique_ptr<worker_standin>> plain;
     std::vector<std::unique_ptr<worker_standin>> engines;
-    std::map<std::string, target_record> records;
+    std::map<std::string, word_record> records;
     /// The targets that turn all requests away, and the rest that they ask for.
     std::map<std::string, microseconds> turning_away;
     std::vector<caller> callers;
@@ -100,14 +76,14 @@
     void serve(const worker_standin& target, const ingress_exchange_pointer& exchange) {
         const std::string id(exchange->head().header("Request-Id"));
         const std::size_t sender = std::stoul(id.substr(1));
-        records[target.id()].arrivals.push_back({monotonic_now(), sender});
+        records[target.id()].arrived(monotonic_now(), sender);
         if (turning_away.contains(target.id())) {
             turn_away(target, exchange, sender);
             return;
         }
         loop.call_after(work, [this, &target, exchange, sender] {
             if (!target.said.empty()) {
-                records[target.id()].told.try_emplace(sender, monotonic_now());
+                records[target.id()].told(monotonic_now(), sender);
             }
             answer(target, exchange);
         });
@@ -119,8 +95,7 @@
         std::vector<http_header> headers = target.signed_headers(exchange);
         headers.push_back({"Not-Executed", "1"});
         headers.push_back({"Retry-After", std::to_string(as_seconds(rest))});
-        const instant now = monotonic_now();
-        records[target.id()].rests.push_back({sender, now, now + rest});
+        records[target.id()].asked_for_rest(monotonic_now(), sender, rest);
         exchange->answer(503, headers, "");
     }
 
@@ -137,8 +112,7 @@
     /// From now on the target says this with its answers.
     void say(worker_standin& target, std::vector<http_header> words) {
         target.said = std::move(words);
-        records[target.id()].said_at = monotonic_now();
-        records[target.id()].told.clear();
+        records[target.id()].says_anew(monotonic_now());
     }
 
     void name_limit(worker_standin& target, const std::string& per_second) {
@@ -191,70 +165,21 @@
             }));
     }
 
-    /// The most that the target got in any window from entries that it had told, from when its word
-    /// has to be kept on.
-    std::size_t most_from_told(const worker_standin& target) {
-        const target_record& record = records[target.id()];
-        std::vector<instant> counted;
-        for (const arrival& each : record.arrivals) {
-            const auto told = record.told.find(each.entry);
-            if (told != record.told.end() && each.at >= told->second + until_told) {
-                counted.push_back(each.at);
-            }
-        }
-        std::size_t most = 0;
-        for (auto last = counted.begin(); last != counted.end(); ++last) {
-            const auto first = std::lower_bound(counted.begin(), last, *last - window);
-            if (*last >= record.said_at + contact) {
-                most = std::max(most, static_cast<std::size_t>(last - first) + 1);
-            }
-        }
-        return most;
-    }
-
     /// The one that is used most now.
     worker_standin& busiest(const std::vector<std::unique_ptr<worker_standin>>& among) {
         return **std::max_element(
             among.begin(), among.end(), [this](const auto& left, const auto& right) {
-                return records[left->id()].arrivals.size() < records[right->id()].arrivals.size();
+                return records[left->id()].arrivals() < records[right->id()].arrivals();
             });
     }
 
-    /// How many requests reached the target later than this after it had told their entry what it
-    /// says.
-    std::size_t got_after_told(const worker_standin& target, microseconds after) {
-        const target_record& record = records[target.id()];
-        return static_cast<std::size_t>(
-            std::count_if(record.arrivals.begin(), record.arrivals.end(), [&](const arrival& each) {
-                const auto told = record.told.find(each.entry);
-                return told != record.told.end() && each.at > told->second + after;
-            }));
-    }
-
-    /// The most that the target got from one entry between half a second after it had asked that
-    /// for rest and the end of the rest.
-    std::size_t most_in_a_rest(const worker_standin& target) {
-        const target_record& record = records[target.id()];
-        std::size_t most = 0;
-        for (const rest_ask& rest : record.rests) {
-            const auto got = std::count_if(
-                record.arrivals.begin(), record.arrivals.end(), [&rest](const arrival& each) {
-                    return each.entry == rest.entry && each.at > rest.from + until_told &&
-                           each.at < rest.until;
-                });
-            most = std::max(most, static_cast<std::size_t>(got));
-        }
-        return most;
-    }
-
     std::size_t got_since(const worker_standin& target, instant from) {
-        const std::vector<arrival>& all = records[target.id()].arrivals;
-        return static_cast<std::size_t>(std::count_if(
-            all.begin(), all.end(), [from](const arrival& each) { return each.at >= from; }));
+        std::size_t got = 0;
+        for (const auto& [sender, count] : records[target.id()].senders_since(from)) {
+            got += count;
+        }
+        return got;
     }
-
-    /// Half as much again as a limit allows in a window, and five.
-    static double allowed(double per_second) { return 1.5 * as_seconds(window) * per_second + 5.0; }
 };
 
 }  // namespace wrenswitch::testing
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -79,12 +79,6 @@
     return worker.id().ends_with("2");
 }
 
-std::string entry_of(const worker_standin& worker, int cold_left_ms = 0) {
-    const std::string& id = worker.id();
-    return worker.list_entry(id.substr(0, 3), "ready", is_south(worker) ? "z2" : "z1",
-                             cold_left_ms);
-}
-
 /// The request that ends the workers which run it, and how long these are away.
 constexpr const char* crashing_body = "ends its worker";
 constexpr microseconds worker_away = milliseconds(600);
@@ -102,6 +96,12 @@
 
 }  // namespace
 
+std::string soak_fleet::entry_of(const worker_standin& worker, int cold_left_ms) {
+    const std::string& id = worker.id();
+    return worker.list_entry(id.substr(0, 3), "ready", is_south(worker) ? "z2" : "z1",
+                             cold_left_ms);
+}
+
 soak_fleet::soak_fleet(std::uint64_t seed) : random_(seed), seed_(seed) {
     for (const char* id : {"llm-1", "llm-2", "app-1", "app-2"}) {
         workers_.push_back(std::make_unique<worker_standin>(loop, id));
@@ -186,7 +186,7 @@
     if (ends_worker(worker, exchange)) {
         return;
     }
-    if (turns_away(worker, exchange)) {
+    if (says_something(worker, exchange) || turns_away(worker, exchange)) {
         return;
     }
     const std::string id(exchange->head().header("Request-Id"));
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -30,9 +30,9 @@
     return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
 }
 
-/// Whether a play ends with a request that ends its workers. The kept seeds failed in plays without
-/// it, and stay what they were.
-enum class last_part { none, crashing_request };
+/// Whether a play ends with a request that ends its workers, and with workers that say something of
+/// themselves. The kept seeds failed in plays without these, and stay what they were.
+enum class last_part { none, crashing_request_and_words };
 
 /// Plays one seed and says what broke, with the faults that came.
 void play_seed(std::uint64_t seed, microseconds length, last_part last) {
@@ -49,10 +49,13 @@
         fleet.play_cold_and_emptied();
         fleet.play_turned_away();
         BOOST_TEST(fleet.retries_seen() > 0U);
-        if (last == last_part::crashing_request) {
+        if (last == last_part::crashing_request_and_words) {
             fleet.play_crashing_request();
             BOOST_TEST(fleet.ends_seen() >= 3U);
             BOOST_TEST(fleet.serves_again());
+            fleet.play_words();
+            BOOST_TEST(fleet.words_told() > 0U);
+            BOOST_TEST(fleet.serves_again());
         }
         for (const std::string& broken : fleet.broken()) {
             BOOST_ERROR(broken);
@@ -85,7 +88,7 @@
         play_seed(seed, length, last_part::none);
     }
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        play_seed(seed, length, last_part::crashing_request);
+        play_seed(seed, length, last_part::crashing_request_and_words);
     }
 }
 
