--- a/include/wrenswitch/decision/gateway/named_limits.hpp
+++ b/include/wrenswitch/decision/gateway/named_limits.hpp
@@ -17,7 +17,7 @@
 
 namespace wrenswitch {
 
-/// What a word changed by much in what is believed of its target's limit.
+/// What news of a target changed by much in what is believed of its limit.
 enum class limit_news { none, named, changed, ended };
 
 /// The entries that share targets' limits, as this one knows them.
@@ -35,13 +35,13 @@
 /// The limits that targets name: how many requests a second each takes from all entries together,
 /// and when this entry may send there.
 ///
-/// The bound, in any four seconds half as much again as the limit allows and five, holds without a
-/// word between entries: of all of them only a few send to a limited target, the first in an order
-/// that all know, and each of these has an equal share of the rate. n senders with no turn in hand
-/// send four times the rate and n; there are never more of them than leave that below the bound.
-/// With all entries as senders, 26 of them would send 26 requests at once to a target that takes
-/// 1.3 a second. Whoever becomes a sender, or starts anew, has no turn for a whole spacing, so that
-/// turns that another one gave aren't given twice.
+/// The bound, in any four seconds half as much again as the limit allows and five, holds without
+/// a message between entries: of all of them only a few send to a limited target, the first in an
+/// order that all know, and each of these has an equal share of the rate. n senders with no turn in
+/// hand send four times the rate and n; there are never more of them than leave that below the
+/// bound. With all entries as senders, 26 of them would send 26 requests at once to a target that
+/// takes 1.3 a second. Whoever becomes a sender, or starts anew, has no turn for a whole spacing,
+/// so that turns that another one gave aren't given twice.
 class named_limits {
 public:
     named_limits(limit_sharers sharers, random_source& random)
--- a/include/wrenswitch/decision/gateway/target_word.hpp
+++ b/include/wrenswitch/decision/gateway/target_signals.hpp
@@ -9,7 +9,7 @@
 namespace wrenswitch {
 
 /// What a target says of itself with one answer.
-struct target_word {
+struct target_signals {
     std::optional<load_report> load;
     /// The requests a second that it takes from all entries together. It holds for as long as
     /// answers name it; an answer that names none says that there is none.
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -12,7 +12,7 @@
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
-#include "wrenswitch/decision/gateway/target_word.hpp"
+#include "wrenswitch/decision/gateway/target_signals.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
 #include "wrenswitch/decision/rollout/rollout_order.hpp"
 #include "wrenswitch/drivers/http_client.hpp"
@@ -47,7 +47,7 @@
     /// What a request says of its prompt. Without a prompt all is zero.
     std::function<result<prompt_shape>(const message_head&)> read_prompt;
     /// What a target says of itself with an answer.
-    std::function<target_word(const message_head&)> read_word;
+    std::function<target_signals(const message_head&)> read_signals;
 
     /// The keyed logs, and the key under which the configuration stands.
     std::string configuration_log;
--- a/src/roles/gateway/forwarded_answer.cpp
+++ b/src/roles/gateway/forwarded_answer.cpp
@@ -45,7 +45,8 @@
     suspicion_.heard(now);
     if (head.status != status_misdirected) {
         // Else another target has the address, and speaks of itself.
-        context_.words.heard(now, life_, sent_at_, request_.id, context_.dialect.read_word(head));
+        context_.signals.heard(now, life_, sent_at_, request_.id,
+                               context_.dialect.read_signals(head));
     }
     context_.counters.histogram("gateway_target_ms").observe(now - sent_at_);
     if (!engine_request_) {
@@ -195,17 +196,6 @@
            until_another_target());
 }
 
-/// Another target may serve the caller at once, if there is one; else the first whose rest ends or
-/// which has a turn.
-microseconds forwarded_request::until_another_target() {
-    const instant now = monotonic_now();
-    if (context_.targets.has_another(now, admitted_.service, left_out(), {admitted_.regions, {}})) {
-        return until_targets;
-    }
-    const auto soonest = context_.targets.soonest_turn(now, admitted_.service);
-    return soonest ? std::clamp(soonest->wait, until_targets, longest_until_turns) : until_targets;
-}
-
 /// The target's own answer, as it came.
 void forwarded_request::pass_answer() {
     if (to_caller_.begun()) {
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -160,7 +160,7 @@
         } else if (!placements_->on_message(origin, message) &&
                    !rollouts_.on_message(origin, message) &&
                    !suspects_->on_message(origin, message) &&
-                   !words_->on_message(origin, message)) {
+                   !signals_->on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -246,7 +246,7 @@
             [this](const ledger_member& keeper, microseconds took) {
                 homes_.answered_after(keeper, took);
             }});
-    words_ = std::make_unique<target_words>(loop_, *bus_, homes_, targets_, events_, metrics_);
+    signals_ = std::make_unique<signal_exchange>(loop_, *bus_, homes_, targets_, events_, metrics_);
     rollouts_.open(loop_, *log_, *bus_, homes_, incarnation_);
     grants_->draw_ahead_if(
         [this](const std::string& account) { return homes_.is_home(monotonic_now(), account); });
@@ -284,7 +284,7 @@
         retries_,
         *suspects_,
         ends_,
-        *words_,
+        *signals_,
         urgencies_,
         random_,
         metrics_,
@@ -638,7 +638,7 @@
     desk_->drop_lapsed(now);
     retries_.tick(now);
     ends_.tick(now);
-    words_->tick(now);
+    signals_->tick(now);
     suspects_->tick(now);
     targets_.count_entries(now);
     rollouts_.tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -10,10 +10,10 @@
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
 #include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/signal_exchange.hpp"
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_ends.hpp"
 #include "roles/gateway/target_list.hpp"
-#include "roles/gateway/target_words.hpp"
 #include "wrenswitch/decision/gateway/answer_times.hpp"
 #include "wrenswitch/decision/gateway/isolation_watch.hpp"
 #include "wrenswitch/decision/gateway/link_watch.hpp"
@@ -114,7 +114,7 @@
     service_retries retries_;
     std::unique_ptr<suspect_exchange> suspects_;
     target_ends ends_;
-    std::unique_ptr<target_words> words_;
+    std::unique_ptr<signal_exchange> signals_;
     isolation_watch reach_;
     bool was_isolated_ = false;
     bool grant_log_answers_ = true;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -11,9 +11,9 @@
 #include "roles/gateway/event_log.hpp"
 #include "roles/gateway/placement_exchange.hpp"
 #include "roles/gateway/service_retries.hpp"
+#include "roles/gateway/signal_exchange.hpp"
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_ends.hpp"
-#include "roles/gateway/target_words.hpp"
 #include "roles/gateway/token_exchange.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
@@ -49,7 +49,7 @@
     service_retries& retries;
     suspect_exchange& suspects;
     target_ends& ends;
-    target_words& words;
+    signal_exchange& signals;
     urgency_watch& urgencies;
     random_source& random;
     metrics& counters;
--- a/src/roles/gateway/target_words.hpp
+++ b/src/roles/gateway/signal_exchange.hpp
@@ -11,15 +11,15 @@
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
-#include "wrenswitch/decision/gateway/target_word.hpp"
+#include "wrenswitch/decision/gateway/target_signals.hpp"
 #include "wrenswitch/decision/grants/token_homes.hpp"
 #include "wrenswitch/decision/suspects/target_life.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
 namespace wrenswitch::wire {
-class TargetWord;
-class TargetWords;
+class TargetSignal;
+class TargetSignals;
 }  // namespace wrenswitch::wire
 
 namespace wrenswitch {
@@ -28,19 +28,19 @@
 /// changed. Delivery isn't promised, and no bound rests on it: who wasn't told hears it from the
 /// target itself. An entry that doesn't send to a limited target hears of the limit's end from
 /// those that do; it asks one of them from time to time.
-class target_words {
+class signal_exchange {
 public:
     /// All that is referred to must outlive this.
-    target_words(event_loop& loop, message_bus& bus, const token_homes& members,
-                 target_pool& targets, event_log& events, metrics& counters);
-    ~target_words();
-    target_words(const target_words&) = delete;
-    target_words& operator=(const target_words&) = delete;
+    signal_exchange(event_loop& loop, message_bus& bus, const token_homes& members,
+                    target_pool& targets, event_log& events, metrics& counters);
+    ~signal_exchange();
+    signal_exchange(const signal_exchange&) = delete;
+    signal_exchange& operator=(const signal_exchange&) = delete;
 
     /// An answer of this life of a target came to a request that was sent then. What a life says
     /// that has ended meanwhile counts no more.
     void heard(instant now, const target_life& life, instant sent, std::string_view request,
-               const target_word& word);
+               const target_signals& signals);
 
     /// A request goes to a target.
     void sent(instant now, std::string_view target);
@@ -53,16 +53,16 @@
 
 private:
     void limit_heard(instant now, const target_life& life, instant sent, std::string_view request,
-                     const target_word& word);
+                     const target_signals& signals);
     void leaving_heard(instant now, const target_life& life, std::string_view request);
     void rest_heard(instant now, const target_life& life, std::string_view request,
-                    const target_word& word);
-    void words_told(instant now, const wire::TargetWords& news);
-    void limit_told(instant now, const wire::TargetWord& word);
+                    const target_signals& signals);
+    void signals_told(instant now, const wire::TargetSignals& news);
+    void limit_told(instant now, const wire::TargetSignal& word);
     void tell_soon(const std::string& target);
     void tell_others();
     void ask_senders(instant now);
-    wire::TargetWords words_of(instant now, std::span<const std::string> targets) const;
+    wire::TargetSignals signals_of(instant now, std::span<const std::string> targets) const;
 
     event_loop& loop_;
     message_bus& bus_;
--- a/tests/platform/named_limit_live_test.cpp
+++ b/tests/platform/named_limit_live_test.cpp
@@ -12,7 +12,7 @@
 
 #include <span>
 
-#include "platform/word_fleet.hpp"
+#include "platform/signal_fleet.hpp"
 
 namespace {
 
@@ -21,26 +21,26 @@
 
 constexpr microseconds between_requests = milliseconds(12);
 
-struct started_word_fleet : word_fleet {
-    started_word_fleet() { start_all(); }
+struct started_signal_fleet : signal_fleet {
+    started_signal_fleet() { start_all(); }
 };
 
 BOOST_AUTO_TEST_SUITE(named_limit_live)
 
 BOOST_FIXTURE_TEST_CASE(plain_target_that_names_a_limit_gets_no_more_than_that_from_all_entries,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     ask_for(seconds(1), between_requests, "/once/x");
     name_limit(*plain.front(), "1.5");
     ask_for(seconds(9), between_requests, "/once/x");
     until_answered();
     BOOST_TEST(records[plain.front()->id()].entries_told() == entries.size());
     BOOST_TEST(static_cast<double>(records[plain.front()->id()].most_from_told()) <=
-               word_record::allowed(1.5));
+               signal_record::allowed(1.5));
     BOOST_TEST(answered("200") == callers.size());
 }
 
 BOOST_FIXTURE_TEST_CASE(engine_that_names_a_limit_gets_no_more_than_that_from_all_entries,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     ask_for(seconds(1), between_requests, "/stream/x");
     worker_standin& engine = busiest(engines);
     name_limit(engine, "1.5");
@@ -48,12 +48,12 @@
     until_answered();
     BOOST_TEST(records[engine.id()].entries_told() == entries.size());
     BOOST_TEST(static_cast<double>(records[engine.id()].most_from_told()) <=
-               word_record::allowed(1.5));
+               signal_record::allowed(1.5));
     BOOST_TEST(answered("200") == callers.size());
 }
 
 BOOST_FIXTURE_TEST_CASE(callers_beyond_the_limits_of_all_targets_are_refused_at_once_with_a_time,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     constexpr double limit = 1.5;
     ask_for(seconds(1), between_requests, "/once/x");
     for (const auto& target : plain) {
@@ -78,13 +78,13 @@
     BOOST_TEST(served >= 0.7 * possible);
     for (const auto& target : plain) {
         BOOST_TEST(static_cast<double>(records[target->id()].most_from_told()) <=
-                   word_record::allowed(limit));
+                   signal_record::allowed(limit));
         BOOST_TEST(got_since(*target, from) > 0U);
     }
 }
 
 BOOST_FIXTURE_TEST_CASE(urgent_requests_go_first_where_all_targets_name_limits,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     for (const auto& target : plain) {
         name_limit(*target, "2");
     }
@@ -115,18 +115,18 @@
     BOOST_TEST(served_urgent * 10 >= urgent.size() * 7);
 }
 
-struct started_large_word_fleet : word_fleet {
-    started_large_word_fleet() : word_fleet(8, 3) { start_all(); }
+struct started_large_signal_fleet : signal_fleet {
+    started_large_signal_fleet() : signal_fleet(8, 3) { start_all(); }
 };
 
 BOOST_FIXTURE_TEST_CASE(limit_that_ends_is_known_to_have_ended_at_all_entries,
-                        started_large_word_fleet) {
+                        started_large_signal_fleet) {
     worker_standin& target = *plain.front();
     ask_for(seconds(1), between_requests, "/once/x");
     name_limit(target, "0.5");
     ask_for(seconds(6), between_requests, "/once/x");
     BOOST_TEST(static_cast<double>(records[target.id()].most_from_told()) <=
-               word_record::allowed(0.5));
+               signal_record::allowed(0.5));
     say(target, {});
     // One of five senders has a turn within ten seconds, and the others ask it.
     ask_for(seconds(14), between_requests, "/once/x");
@@ -137,7 +137,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(entry_that_was_not_told_by_the_target_hears_it_from_others,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     worker_standin& target = *plain.front();
     name_limit(target, "0.5");
     const instant until = monotonic_now() + seconds(5);
--- a/tests/platform/word_fleet.hpp
+++ b/tests/platform/signal_fleet.hpp
@@ -4,13 +4,13 @@
 #include <map>
 
 #include "platform/gateway_fleet.hpp"
-#include "platform/word_record.hpp"
+#include "platform/signal_record.hpp"
 
 namespace wrenswitch::testing {
 
 /// Some real wrengates before plain targets and engines that say something of themselves with their
 /// answers, and callers at all entries.
-struct word_fleet : gateway_fleet {
+struct signal_fleet : gateway_fleet {
     static constexpr microseconds work = milliseconds(20);
 
     struct caller {
@@ -22,13 +22,13 @@
 
     std::vector<std::unique_ptr<worker_standin>> plain;
     std::vector<std::unique_ptr<worker_standin>> engines;
-    std::map<std::string, word_record> records;
+    std::map<std::string, signal_record> records;
     /// The targets that turn all requests away, and the rest that they ask for.
     std::map<std::string, microseconds> turning_away;
     std::vector<caller> callers;
     std::size_t last_request = 0;
 
-    explicit word_fleet(std::size_t entry_count = 3, std::size_t target_count = 4)
+    explicit signal_fleet(std::size_t entry_count = 3, std::size_t target_count = 4)
         : gateway_fleet(entry_count) {
         more_settings = R"(,"retry_share":0.5)";
         configure();
@@ -110,8 +110,8 @@
     }
 
     /// From now on the target says this with its answers.
-    void say(worker_standin& target, std::vector<http_header> words) {
-        target.said = std::move(words);
+    void say(worker_standin& target, std::vector<http_header> headers) {
+        target.said = std::move(headers);
         records[target.id()].says_anew(monotonic_now());
     }
 
--- a/tests/platform/word_record.hpp
+++ b/tests/platform/signal_record.hpp
@@ -11,7 +11,7 @@
 
 /// What one target got while it said something of itself, and which entries its answers have told.
 /// From these follows what it should not have got.
-class word_record {
+class signal_record {
 public:
     /// From the first word of a limit on until it has to be kept.
     static constexpr microseconds contact = seconds(3);
--- a/tests/platform/target_word_live_test.cpp
+++ b/tests/platform/target_signal_live_test.cpp
@@ -12,7 +12,7 @@
 // of two 64 and 61 requests came later than they may (an engine: 245 and 245), and 27 and 26 in one
 // rest (68 and 69).
 
-#include "platform/word_fleet.hpp"
+#include "platform/signal_fleet.hpp"
 
 namespace {
 
@@ -21,16 +21,16 @@
 
 constexpr microseconds between_requests = milliseconds(12);
 
-struct started_word_fleet : word_fleet {
-    started_word_fleet() { start_all(); }
+struct started_signal_fleet : signal_fleet {
+    started_signal_fleet() { start_all(); }
 
     void leave(worker_standin& target) { say(target, {{"Server-Leaving", "1"}}); }
 };
 
-BOOST_AUTO_TEST_SUITE(target_word_live)
+BOOST_AUTO_TEST_SUITE(target_signal_live)
 
 BOOST_FIXTURE_TEST_CASE(plain_target_that_says_it_leaves_gets_nothing_while_the_store_is_dark,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     worker_standin& target = *plain.front();
     ask_for(seconds(1), between_requests, "/once/x");
     store.silent = true;
@@ -43,7 +43,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(engine_that_says_it_leaves_gets_nothing_while_the_store_is_dark,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     ask_for(seconds(1), between_requests, "/stream/x");
     worker_standin& target = busiest(engines);
     store.silent = true;
@@ -56,29 +56,29 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(plain_target_that_asks_for_rest_gets_no_more_than_two_requests_in_it,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     worker_standin& target = *plain.front();
     ask_for(seconds(2), between_requests, "/again/x");
     turning_away[target.id()] = seconds(3);
     ask_for(seconds(7), between_requests, "/again/x");
     until_answered();
     BOOST_TEST(records[target.id()].rests() >= entries.size());
-    BOOST_TEST(records[target.id()].most_in_a_rest() <= word_record::most_in_rest);
+    BOOST_TEST(records[target.id()].most_in_a_rest() <= signal_record::most_in_rest);
 }
 
 BOOST_FIXTURE_TEST_CASE(engine_that_asks_for_rest_gets_no_more_than_two_requests_in_it,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     ask_for(seconds(2), between_requests, "/stream/x");
     worker_standin& target = busiest(engines);
     turning_away[target.id()] = seconds(3);
     ask_for(seconds(7), between_requests, "/stream/x");
     until_answered();
     BOOST_TEST(records[target.id()].rests() > 0U);
-    BOOST_TEST(records[target.id()].most_in_a_rest() <= word_record::most_in_rest);
+    BOOST_TEST(records[target.id()].most_in_a_rest() <= signal_record::most_in_rest);
 }
 
 BOOST_FIXTURE_TEST_CASE(list_that_is_stale_does_not_bring_back_a_target_that_said_it_leaves,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     worker_standin& target = *plain.front();
     leave(target);
     ask_for(seconds(1), between_requests, "/once/x");
@@ -91,7 +91,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(target_that_said_it_leaves_is_used_again_in_its_next_life,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     worker_standin& target = *plain.front();
     leave(target);
     ask_for(seconds(1), between_requests, "/once/x");
@@ -108,7 +108,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(entries_that_a_leaving_target_has_not_told_hear_it_from_others,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     worker_standin& target = *plain.front();
     leave(target);
     const instant until = monotonic_now() + seconds(5);
@@ -124,7 +124,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(callers_whose_last_targets_leave_are_refused_at_once_with_a_time,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     for (const auto& target : plain) {
         leave(*target);
     }
@@ -141,7 +141,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(callers_whose_targets_all_rest_are_told_when_the_first_is_back,
-                        started_word_fleet) {
+                        started_signal_fleet) {
     for (const auto& target : plain) {
         turning_away[target->id()] = seconds(3);
     }
@@ -158,7 +158,7 @@
     BOOST_TEST(answer.find("targets_resting") != std::string::npos);
     ask_for(seconds(4), between_requests, "/once/x");
     for (const auto& target : plain) {
-        BOOST_TEST(records[target->id()].most_in_a_rest() <= word_record::most_in_rest);
+        BOOST_TEST(records[target->id()].most_in_a_rest() <= signal_record::most_in_rest);
     }
     turning_away.clear();
     run_for(seconds(4));
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -36,10 +36,10 @@
     }
 };
 
-target_word word_of(std::vector<http_header> headers) {
+target_signals signals_of(std::vector<http_header> headers) {
     message_head answer;
     answer.headers = std::move(headers);
-    return platform::read_word(answer);
+    return platform::read_signals(answer);
 }
 
 constexpr std::string_view configuration = R"({"version":7,"routes":[
@@ -123,51 +123,52 @@
 }
 
 BOOST_AUTO_TEST_CASE(load_is_three_numbers) {
-    const auto load = word_of({{"Load-Report", "3,1,8"}}).load;
+    const auto load = signals_of({{"Load-Report", "3,1,8"}}).load;
     BOOST_REQUIRE(load.has_value());
     BOOST_TEST(load->running == 3U);
     BOOST_TEST(load->queued == 1U);
     BOOST_TEST(load->limit == 8U);
-    BOOST_TEST(!word_of({}).load.has_value());
-    BOOST_TEST(!word_of({{"Load-Report", ""}}).load.has_value());
-    BOOST_TEST(!word_of({{"Load-Report", "3,1"}}).load.has_value());
+    BOOST_TEST(!signals_of({}).load.has_value());
+    BOOST_TEST(!signals_of({{"Load-Report", ""}}).load.has_value());
+    BOOST_TEST(!signals_of({{"Load-Report", "3,1"}}).load.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(limit_is_a_decimal_number_of_at_least_zero) {
-    BOOST_TEST(!word_of({}).most_per_second.has_value());
+    BOOST_TEST(!signals_of({}).most_per_second.has_value());
     const std::map<std::string, double> good{
         {"1.7", 1.7}, {" 3 ", 3.0}, {"0", 0.0}, {"0.01", 0.01}, {"1e9", 1e9}};
     for (const auto& [text, value] : good) {
-        const target_word word = word_of({{"Server-Limit", text}});
-        BOOST_REQUIRE(word.most_per_second.has_value());
-        BOOST_TEST(*word.most_per_second == value);
-        BOOST_TEST(word.unreadable_limit.empty());
+        const target_signals read = signals_of({{"Server-Limit", text}});
+        BOOST_REQUIRE(read.most_per_second.has_value());
+        BOOST_TEST(*read.most_per_second == value);
+        BOOST_TEST(read.unreadable_limit.empty());
     }
 }
 
 BOOST_AUTO_TEST_CASE(limit_that_is_no_such_number_says_nothing_and_is_told) {
     for (const char* text : {"nan", "inf", "-1", "many", "1.5/s", "1,5", "0x10", "1e999"}) {
-        const target_word word = word_of({{"Server-Limit", text}});
-        BOOST_TEST(!word.most_per_second.has_value());
-        BOOST_TEST(word.unreadable_limit == text);
+        const target_signals read = signals_of({{"Server-Limit", text}});
+        BOOST_TEST(!read.most_per_second.has_value());
+        BOOST_TEST(read.unreadable_limit == text);
     }
 }
 
 BOOST_AUTO_TEST_CASE(limit_that_is_named_twice_is_the_lower_one) {
-    BOOST_TEST(*word_of({{"Server-Limit", "4"}, {"server-limit", "2.5"}}).most_per_second == 2.5);
-    const target_word half = word_of({{"Server-Limit", "4"}, {"Server-Limit", "?"}});
+    BOOST_TEST(*signals_of({{"Server-Limit", "4"}, {"server-limit", "2.5"}}).most_per_second ==
+               2.5);
+    const target_signals half = signals_of({{"Server-Limit", "4"}, {"Server-Limit", "?"}});
     BOOST_TEST(*half.most_per_second == 4.0);
     BOOST_TEST(half.unreadable_limit == "?");
 }
 
-target_word refusal_with(const char* after, unsigned status = 503, bool not_run = true) {
+target_signals refusal_with(const char* after, unsigned status = 503, bool not_run = true) {
     message_head answer;
     answer.status = status;
     answer.headers = {{"Retry-After", after}};
     if (not_run) {
         answer.headers.push_back({"Not-Executed", "1"});
     }
-    return platform::read_word(answer);
+    return platform::read_signals(answer);
 }
 
 BOOST_AUTO_TEST_CASE(rest_is_seconds_with_fractions_beside_a_refusal_that_did_not_run) {
@@ -188,9 +189,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(target_leaves_that_says_so) {
-    BOOST_TEST(word_of({{"Server-Leaving", "1"}}).leaving);
-    BOOST_TEST(!word_of({{"Server-Leaving", "0"}}).leaving);
-    BOOST_TEST(!word_of({}).leaving);
+    BOOST_TEST(signals_of({{"Server-Leaving", "1"}}).leaving);
+    BOOST_TEST(!signals_of({{"Server-Leaving", "0"}}).leaving);
+    BOOST_TEST(!signals_of({}).leaving);
 }
 
 BOOST_AUTO_TEST_CASE(configuration_read_has_routes_services_and_accounts) {
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/signal_record.hpp"
 #include "platform/store_standin.hpp"
-#include "platform/word_record.hpp"
 #include "platform/worker_standin.hpp"
 #include "support/child_process.hpp"
 #include "support/loop_runner.hpp"
@@ -60,11 +60,11 @@
 
     /// One or both plain workers name a limit, ask for rest, or say that they leave, while gateways
     /// are killed or stand still, and the store and the ways between gateways are lost. What the
-    /// workers get against their word is kept as broken.
-    void play_words();
+    /// workers get against what they say is kept as broken.
+    void play_signals();
 
-    /// How often plain workers told a gateway what they say, in the play of words.
-    std::size_t words_told() const { return words_told_; }
+    /// How often plain workers told a gateway what they say, in the play of signals.
+    std::size_t signals_told() const { return signals_told_; }
 
     /// Workers that ended under the crashing request.
     std::size_t ends_seen() const { return crash_ends_.size(); }
@@ -136,11 +136,11 @@
     bool ends_worker(worker_standin& worker, const ingress_exchange_pointer& exchange);
     void ask_crashing(std::size_t index);
     bool says_something(worker_standin& worker, const ingress_exchange_pointer& exchange);
-    void ask_while_words(std::size_t turn, std::vector<raw_socket>& callers);
-    void harm_while_words();
+    void ask_while_signalling(std::size_t turn, std::vector<raw_socket>& callers);
+    void harm_while_signalling();
     void excuse(std::size_t index);
-    void check_words();
-    void end_words();
+    void check_signals();
+    void end_signals();
     void start_anew(worker_standin& worker);
     void harm_while_crashing();
     void collect();
@@ -187,14 +187,14 @@
     random_source crashing_{seed_};
     std::vector<instant> crash_ends_;
     std::vector<instant> crash_arrivals_;
-    /// Of the play of words: what plain workers say and got, by numbers of its own.
-    enum class word_kind { limit, rest, leaving };
-    random_source words_{seed_};
-    bool words_played_ = false;
-    word_kind word_ = word_kind::limit;
-    double word_limit_ = 0.0;
-    std::map<std::string, word_record> word_records_;
-    std::size_t words_told_ = 0;
+    /// Of the play of signals: what plain workers say and got, by numbers of its own.
+    enum class signal_kind { limit, rest, leaving };
+    random_source signals_{seed_};
+    bool signals_played_ = false;
+    signal_kind signal_ = signal_kind::limit;
+    double signalled_limit_ = 0.0;
+    std::map<std::string, signal_record> signal_records_;
+    std::size_t signals_told_ = 0;
     /// Numbers all requests, also those that only ask whether a gateway serves.
     std::size_t last_id_ = 0;
     std::size_t sent_ = 0;
--- a/tests/soak/soak_words.cpp
+++ b/tests/soak/soak_signals.cpp
@@ -14,7 +14,7 @@
 
 /// The gateway that a request of this play was sent to.
 std::size_t gateway_of(std::string_view id) {
-    return static_cast<std::size_t>(id[std::string_view("word").size()] - '0');
+    return static_cast<std::size_t>(id[std::string_view("said").size()] - '0');
 }
 
 }  // namespace
@@ -22,16 +22,16 @@
 /// Notes what came and whom the answer tells. True if the worker turned the request away.
 bool soak_fleet::says_something(worker_standin& worker, const ingress_exchange_pointer& exchange) {
     const std::string id(exchange->head().header("Request-Id"));
-    const auto found = word_records_.find(worker.id());
-    if (!words_played_ || found == word_records_.end() || !id.starts_with("word")) {
+    const auto found = signal_records_.find(worker.id());
+    if (!signals_played_ || found == signal_records_.end() || !id.starts_with("said")) {
         return false;
     }
     const instant now = monotonic_now();
     const std::size_t gateway = gateway_of(id);
     found->second.arrived(now, gateway);
     found->second.told(now, gateway);
-    words_told_ += 1;
-    if (word_ != word_kind::rest) {
+    signals_told_ += 1;
+    if (signal_ != signal_kind::rest) {
         return false;
     }
     found->second.asked_for_rest(now, gateway, asked_rest);
@@ -42,26 +42,26 @@
     return true;
 }
 
-void soak_fleet::ask_while_words(std::size_t turn, std::vector<raw_socket>& callers) {
+void soak_fleet::ask_while_signalling(std::size_t turn, std::vector<raw_socket>& callers) {
     const std::size_t index = turn % gateway_count;
     raw_socket socket = raw_socket::connect(gateways_[index].listen);
     const std::string path = turn % 2 == 0 ? "/once/x" : "/again/x";
-    socket.send("GET " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: word" +
+    socket.send("GET " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: said" +
                 std::to_string(index) + "-" + std::to_string(++last_id_) +
                 "\r\nCredential: key-1\r\nDeadline-Ms: 1000\r\nConnection: close\r\n\r\n");
     callers.push_back(std::move(socket));
 }
 
 void soak_fleet::excuse(std::size_t index) {
-    for (auto& [worker, record] : word_records_) {
+    for (auto& [worker, record] : signal_records_) {
         record.excuse(index);
     }
 }
 
-void soak_fleet::harm_while_words() {
-    const std::size_t index = words_.below(gateway_count);
+void soak_fleet::harm_while_signalling() {
+    const std::size_t index = signals_.below(gateway_count);
     gateway_process& gateway = gateways_[index];
-    const double kind = words_.unit();
+    const double kind = signals_.unit();
     if (kind < 0.2) {
         gateway.process->signal(SIGKILL);
         run_until([&] { return gateway.process->ended(); });
@@ -69,7 +69,7 @@
         excuse(index);
     } else if (kind < 0.35) {
         gateway.process->signal(SIGSTOP);
-        run_for(milliseconds(300 + static_cast<std::int64_t>(words_.below(900))));
+        run_for(milliseconds(300 + static_cast<std::int64_t>(signals_.below(900))));
         gateway.process->signal(SIGCONT);
         excuse(index);
     } else if (kind < 0.55) {
@@ -81,13 +81,14 @@
     }
 }
 
-void soak_fleet::play_words() {
-    const std::size_t kind = words_.below(3);
-    word_ = kind == 0 ? word_kind::limit : (kind == 1 ? word_kind::rest : word_kind::leaving);
+void soak_fleet::play_signals() {
+    const std::size_t kind = signals_.below(3);
+    signal_ =
+        kind == 0 ? signal_kind::limit : (kind == 1 ? signal_kind::rest : signal_kind::leaving);
     constexpr double limits[]{0.5, 1.5, 4.0};
-    word_limit_ = limits[words_.below(3)];
-    const bool both = words_.below(3) == 0;
-    words_played_ = true;
+    signalled_limit_ = limits[signals_.below(3)];
+    const bool both = signals_.below(3) == 0;
+    signals_played_ = true;
     for (const auto& worker : workers_) {
         const bool speaks = worker->id() == "app-1" || (both && worker->id() == "app-2");
         if (!speaks) {
@@ -98,10 +99,10 @@
             start_anew(*worker);
             run_for(seconds(1));
         }
-        word_records_[worker->id()].says_anew(monotonic_now());
-        if (word_ == word_kind::limit) {
-            worker->said = {{"Server-Limit", std::to_string(word_limit_)}};
-        } else if (word_ == word_kind::leaving) {
+        signal_records_[worker->id()].says_anew(monotonic_now());
+        if (signal_ == signal_kind::limit) {
+            worker->said = {{"Server-Limit", std::to_string(signalled_limit_)}};
+        } else if (signal_ == signal_kind::leaving) {
             worker->said = {{"Server-Leaving", "1"}};
         }
     }
@@ -109,30 +110,30 @@
     const instant until = monotonic_now() + play_length;
     instant next_harm = monotonic_now() + between_harms;
     for (std::size_t turn = 0; monotonic_now() < until; ++turn) {
-        ask_while_words(turn, callers);
+        ask_while_signalling(turn, callers);
         run_for(between_requests);
         if (monotonic_now() > next_harm) {
             next_harm = monotonic_now() + between_harms;
-            harm_while_words();
+            harm_while_signalling();
         }
     }
-    check_words();
-    end_words();
+    check_signals();
+    end_signals();
 }
 
-void soak_fleet::check_words() {
-    for (const auto& [worker, record] : word_records_) {
-        const std::string limit = std::to_string(word_limit_);
-        if (word_ == word_kind::limit &&
-            static_cast<double>(record.most_from_told()) > word_record::allowed(word_limit_)) {
+void soak_fleet::check_signals() {
+    for (const auto& [worker, record] : signal_records_) {
+        const std::string limit = std::to_string(signalled_limit_);
+        if (signal_ == signal_kind::limit && static_cast<double>(record.most_from_told()) >
+                                                 signal_record::allowed(signalled_limit_)) {
             broken_.push_back(worker + " named a limit of " + limit + " and got " +
                               std::to_string(record.most_from_told()) + " in a window");
         }
-        if (word_ == word_kind::leaving && record.got_after_drained() > 0) {
+        if (signal_ == signal_kind::leaving && record.got_after_drained() > 0) {
             broken_.push_back(worker + " said that it leaves and got " +
                               std::to_string(record.got_after_drained()) + " later");
         }
-        if (record.most_in_a_rest() > word_record::most_in_rest) {
+        if (record.most_in_a_rest() > signal_record::most_in_rest) {
             broken_.push_back(worker + " asked for rest and got " +
                               std::to_string(record.most_in_a_rest()) + " in it");
         }
@@ -140,8 +141,8 @@
 }
 
 /// The workers say nothing more, and those that left are back in a new life.
-void soak_fleet::end_words() {
-    words_played_ = false;
+void soak_fleet::end_signals() {
+    signals_played_ = false;
     store_.silent = false;
     for (gateway_process& gateway : gateways_) {
         gateway.way->heal();
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -32,7 +32,7 @@
 
 /// Whether a play ends with a request that ends its workers, and with workers that say something of
 /// themselves. The kept seeds failed in plays without these, and stay what they were.
-enum class last_part { none, crashing_request_and_words };
+enum class last_part { none, crashing_request_and_signals };
 
 /// Plays one seed and says what broke, with the faults that came.
 void play_seed(std::uint64_t seed, microseconds length, last_part last) {
@@ -49,12 +49,12 @@
         fleet.play_cold_and_emptied();
         fleet.play_turned_away();
         BOOST_TEST(fleet.retries_seen() > 0U);
-        if (last == last_part::crashing_request_and_words) {
+        if (last == last_part::crashing_request_and_signals) {
             fleet.play_crashing_request();
             BOOST_TEST(fleet.ends_seen() >= 3U);
             BOOST_TEST(fleet.serves_again());
-            fleet.play_words();
-            BOOST_TEST(fleet.words_told() > 0U);
+            fleet.play_signals();
+            BOOST_TEST(fleet.signals_told() > 0U);
             BOOST_TEST(fleet.serves_again());
         }
         for (const std::string& broken : fleet.broken()) {
@@ -88,7 +88,7 @@
         play_seed(seed, length, last_part::none);
     }
     for (std::uint64_t seed = first; seed < first + count; ++seed) {
-        play_seed(seed, length, last_part::crashing_request_and_words);
+        play_seed(seed, length, last_part::crashing_request_and_signals);
     }
 }
 
