Append a member's record without a condition

Each entry appended its record on the condition that the shared partition ended where it had read it. Each success made the appends of all others fail: n processes that start together try some n * n / 2 times, with a read after each, 63,000 appends at 356 entries before a store that takes 4,000 a second. A record has one writer, its own host, so the condition protects nothing that reading back doesn't.

Test: 40 processes that start together append 40 times; with the condition the count is a multiple.

--- a/include/wrenswitch/drivers/member_directory.hpp
+++ b/include/wrenswitch/drivers/member_directory.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/grants/token_homes.hpp"
-#include "wrenswitch/drivers/conditional_appender.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
 
 namespace wrenswitch {
@@ -25,6 +25,10 @@
 /// The entries of the fleet, in a keyed log: each writes its own record when it starts and drops it
 /// when it stops as planned. A process that dies leaves its record for its successor; that it
 /// doesn't answer is for others to find out.
+///
+/// A record has one writer, its own host, so it is appended without a condition: with one, each
+/// append would make those of all processes that start at the same time fail. A late append of a
+/// predecessor is overwritten by the process that finds it in place of its own record.
 class member_directory {
 public:
     /// With `times_store` the process finds out how far the store is before it writes its record.
@@ -42,11 +46,16 @@
 private:
     void on_changed(const keyed_record& record);
     void time_store();
-    std::vector<keyed_record> due_records() const;
+    void on_caught_up();
+    void write_if_due();
+    void on_written(const keyed_record& record, const result<std::uint64_t>& end);
+    void read_later();
     void on_restored(std::span<const std::string> lost);
     bool is_due() const;
 
+    event_loop& loop_;
     keyed_log& log_;
+    random_source random_;
     std::string name_;
     cluster_member own_;
     member_directory_hooks hooks_;
@@ -54,7 +63,12 @@
     bool times_store_;
     bool timing_ = false;
     keyed_follower follower_;
-    conditional_appender appender_;
+    bool is_writing_ = false;
+    /// True after a failed append until the log was read.
+    bool is_reading_ = false;
+    /// The end of the log behind the last append. Until the log was read up to there, it is unknown
+    /// whether another record followed it.
+    std::uint64_t written_end_ = 0;
     /// This host's record as the log has it.
     std::optional<cluster_member> written_;
     bool leaving_ = false;
--- a/src/drivers/member_directory.cpp
+++ b/src/drivers/member_directory.cpp
@@ -14,6 +14,10 @@
 /// Members change rarely, so reads are held open for long.
 constexpr microseconds read_hold = seconds(5);
 
+/// After a failed append the log is read within this time, spread over the processes that failed
+/// together.
+constexpr microseconds max_read_delay = milliseconds(200);
+
 }  // namespace
 
 keyed_record encode_member(const cluster_member& member) {
@@ -46,23 +50,17 @@
 member_directory::member_directory(event_loop& loop, keyed_log& log, std::string name,
                                    cluster_member own, member_directory_hooks hooks,
                                    bool times_store)
-    : log_(log),
+    : loop_(loop),
+      log_(log),
       name_(std::move(name)),
       own_(std::move(own)),
       hooks_(std::move(hooks)),
       times_store_(times_store),
       follower_(loop, log, {.log = name_, .hold = read_hold},
                 {[this](const keyed_record& record) { on_changed(record); },
-                 [this] {
-                     if (times_store_ && !leaving_) {
-                         time_store();
-                     } else {
-                         appender_.caught_up();
-                     }
-                 },
+                 [this] { on_caught_up(); },
                  [this](bool reachable) { hooks_.reachable(reachable); },
-                 [this](std::span<const std::string> keys) { on_restored(keys); }}),
-      appender_(loop, log, name_, follower_, {[this] { return due_records(); }, {}}) {}
+                 [this](std::span<const std::string> keys) { on_restored(keys); }}) {}
 
 member_directory::~member_directory() {
     *alive_ = false;
@@ -89,8 +87,18 @@
     hooks_.joined(*member);
 }
 
+void member_directory::on_caught_up() {
+    if (times_store_ && !leaving_) {
+        time_store();
+        return;
+    }
+    is_reading_ = false;
+    write_if_due();
+}
+
 /// Rewrites this process's own record if it was lost; other processes rewrite theirs.
 void member_directory::on_restored(std::span<const std::string> lost) {
+    written_end_ = 0;
     if (std::find(lost.begin(), lost.end(), own_.host) != lost.end()) {
         written_.reset();
     }
@@ -100,15 +108,46 @@
     return leaving_ ? written_.has_value() : written_ != own_;
 }
 
-std::vector<keyed_record> member_directory::due_records() const {
-    if (!is_due() || timing_) {
-        return {};
+void member_directory::write_if_due() {
+    const bool is_busy = is_writing_ || is_reading_ || timing_;
+    const bool has_read_own_write = follower_.live() && follower_.position() >= written_end_;
+    if (is_busy || !has_read_own_write || !is_due()) {
+        return;
     }
     keyed_record record = encode_member(own_);
     if (leaving_) {
         record.value.reset();
     }
-    return {std::move(record)};
+    is_writing_ = true;
+    log_.append(name_, std::nullopt, std::span(&record, 1),
+                [this, record, alive = alive_](const result<std::uint64_t>& end) {
+                    if (*alive) {
+                        on_written(record, end);
+                    }
+                });
+}
+
+void member_directory::on_written(const keyed_record& record, const result<std::uint64_t>& end) {
+    is_writing_ = false;
+    if (!end) {
+        // The record may have been appended, which reading the log tells.
+        read_later();
+        return;
+    }
+    written_end_ = end.value();
+    follower_.appended(end.value() - 1, std::span(&record, 1));
+    write_if_due();
+}
+
+void member_directory::read_later() {
+    is_reading_ = true;
+    const auto longest = static_cast<std::uint64_t>(max_read_delay.count());
+    const microseconds delay(static_cast<std::int64_t>(random_.below(longest + 1)));
+    loop_.call_after(delay, [this, alive = alive_] {
+        if (*alive) {
+            follower_.look_now();
+        }
+    });
 }
 
 /// Times one call before the record is written. A call that fails tells nothing.
@@ -126,13 +165,13 @@
                   }
                   times_store_ = false;
                   timing_ = false;
-                  appender_.append_if_due();
+                  write_if_due();
               });
 }
 
 void member_directory::leave() {
     leaving_ = true;
-    appender_.append_if_due();
+    write_if_due();
 }
 
 }  // namespace wrenswitch
--- a/tests/drivers/member_directory_test.cpp
+++ b/tests/drivers/member_directory_test.cpp
@@ -62,6 +62,30 @@
     }));
 }
 
+/// With an append that names the end of the log, each success makes the appends of all others fail,
+/// so that the calls grow with the square of the processes.
+BOOST_AUTO_TEST_CASE(processes_that_start_together_append_once_each) {
+    std::vector<std::unique_ptr<listed_process>> processes;
+    for (int number = 0; number < 40; ++number) {
+        processes.push_back(std::make_unique<listed_process>(loop, log, number));
+    }
+    BOOST_REQUIRE(run_until([&] {
+        return std::all_of(processes.begin(), processes.end(),
+                           [](const auto& process) { return process->seen.size() == 40; });
+    }));
+    BOOST_TEST(log.append_calls == processes.size());
+}
+
+/// A process that stopped may leave an append on its way that is carried out after its successor's.
+BOOST_AUTO_TEST_CASE(late_record_of_a_predecessor_is_overwritten) {
+    const listed_process successor(loop, log, 1, 6);
+    BOOST_REQUIRE(run_until([&] { return successor.seen.size() == 1; }));
+    const cluster_member predecessor{"h1", incarnation_id{5}, "tcp://x:1", 0.2, {}, {}};
+    log.put("members", "h1", encode_member(predecessor).value);
+    BOOST_TEST(run_until([&] { return log.end_of("members") == 3; }));
+    BOOST_TEST(run_until([&] { return successor.seen.at("h1").process == incarnation_id{6}; }));
+}
+
 BOOST_AUTO_TEST_CASE(process_that_times_the_store_tells_how_far_it_is) {
     const listed_process plain(loop, log, 1);
     const listed_process timing(loop, log, 2, 1, true);
--- a/tests/support/fake_keyed_log.hpp
+++ b/tests/support/fake_keyed_log.hpp
@@ -30,6 +30,10 @@
     std::size_t records_read = 0;
     random_source random{7};
     std::size_t appends_done = 0;
+    /// The number of calls of each kind, whatever their outcome.
+    std::size_t newest_calls = 0;
+    std::size_t read_calls = 0;
+    std::size_t append_calls = 0;
 
     void put(const std::string& log, const std::string& key, std::optional<std::string> value) {
         records_[log].push_back({key, std::move(value), records_[log].size()});
@@ -62,6 +66,7 @@
     std::uint64_t end_of(const std::string& log) { return records_[log].size(); }
 
     void newest(std::string_view log, page_hook done) override {
+        newest_calls += 1;
         loop_.call_after(delay, [this, name = std::string(log), done] {
             if (down) {
                 done(failed(error_code::unavailable, "down"));
@@ -86,6 +91,7 @@
 
     void read(std::string_view log, std::uint64_t from, microseconds wait,
               page_hook done) override {
+        read_calls += 1;
         const std::string name(log);
         loop_.call_after(delay, [this, name, from, wait, done] {
             if (down) {
@@ -103,6 +109,7 @@
 
     void append(std::string_view log, std::optional<std::uint64_t> at,
                 std::span<const keyed_record> records, append_hook done) override {
+        append_calls += 1;
         const std::string name(log);
         std::vector<keyed_record> copies(records.begin(), records.end());
         loop_.call_after(delay, [this, name, at, copies, done] {
