Let the wait after a lost race follow the races lost, not the hosts that hold grants

An append of grants that lost a race waited up to 2 ms for each host that ever held one: 0.7 s at 356 entries, near the 0.8 s after which a request is refused for its tokens, though six allocators append. The wait now begins at 10 ms and doubles with each race lost in a row; conditional_appender, which had a fixed 60 ms, uses the same.

Test: two processes that draw at once beside 400 hosts' old grants have their tokens within 150 ms.

--- a/include/wrenswitch/decision/grants/grant_table.hpp
+++ b/include/wrenswitch/decision/grants/grant_table.hpp
@@ -73,9 +73,6 @@
     /// The total that hosts other than this one would draw of an account if the budget had enough.
     tokens wanted_by_others(std::string_view account, std::string_view host) const;
 
-    /// The largest number of hosts that have a grant of the same account.
-    std::size_t hosts() const;
-
     /// The number of hosts that have a grant of an account.
     std::size_t hosts(std::string_view account) const;
 
--- a/include/wrenswitch/drivers/conditional_appender.hpp
+++ b/include/wrenswitch/drivers/conditional_appender.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
+#include "wrenswitch/drivers/race_backoff.hpp"
 
 namespace wrenswitch {
 
@@ -42,7 +42,7 @@
 
     event_loop& loop_;
     keyed_log& log_;
-    random_source random_;
+    race_backoff backoff_;
     std::string name_;
     keyed_follower& follower_;
     conditional_appender_hooks hooks_;
--- a/include/wrenswitch/drivers/grant_ledger.hpp
+++ b/include/wrenswitch/drivers/grant_ledger.hpp
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "wrenswitch/core/metrics.hpp"
-#include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/grants/grant_table.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
+#include "wrenswitch/drivers/race_backoff.hpp"
 
 namespace wrenswitch {
 
@@ -84,7 +84,7 @@
 
     event_loop& loop_;
     keyed_log& log_;
-    random_source random_;
+    race_backoff backoff_;
     std::string name_;
     metrics& counters_;
     grant_ledger_hooks hooks_;
--- a/src/decision/grants/grant_table.cpp
+++ b/src/decision/grants/grant_table.cpp
@@ -51,14 +51,6 @@
     return totals_of(account).wanted - own.wanted;
 }
 
-std::size_t grant_table::hosts() const {
-    std::size_t most = 0;
-    for (const auto& [account, sums] : totals_) {
-        most = std::max(most, sums.hosts);
-    }
-    return most;
-}
-
 std::size_t grant_table::hosts(std::string_view account) const {
     return totals_of(account).hosts;
 }
--- a/src/drivers/conditional_appender.cpp
+++ b/src/drivers/conditional_appender.cpp
@@ -3,12 +3,6 @@
 #include <utility>
 
 namespace wrenswitch {
-namespace {
-
-/// Processes that start together all write at once; those that lose a race wait up to this long.
-constexpr microseconds longest_race_wait = milliseconds(60);
-
-}  // namespace
 
 conditional_appender::conditional_appender(event_loop& loop, keyed_log& log, std::string name,
                                            keyed_follower& follower,
@@ -50,6 +44,7 @@
                                        const result<std::uint64_t>& end) {
     appending_ = false;
     if (end) {
+        backoff_.reset();
         follower_.appended(at, records);
         append_if_due();
         return;
@@ -62,9 +57,7 @@
 
 void conditional_appender::look_later() {
     looking_ = true;
-    const auto longest = static_cast<std::uint64_t>(longest_race_wait.count());
-    const microseconds wait(static_cast<std::int64_t>(random_.below(longest + 1)));
-    loop_.call_after(wait, [this, alive = alive_] {
+    loop_.call_after(backoff_.next_wait(), [this, alive = alive_] {
         if (*alive) {
             follower_.look_now();
         }
--- a/src/drivers/grant_ledger.cpp
+++ b/src/drivers/grant_ledger.cpp
@@ -17,9 +17,6 @@
 /// this bounds only how old the view of the others is.
 constexpr microseconds read_pause = milliseconds(400);
 
-/// Added to the longest wait after a lost race by each host that has grants.
-constexpr microseconds race_spread = milliseconds(2);
-
 /// How long after a restore only the holder rewrites its lost grants.
 constexpr microseconds own_rewrite_window = milliseconds(500);
 
@@ -216,13 +213,10 @@
                 });
 }
 
-/// Processes that lost a race try again at different times, the more apart the more there are.
+/// Processes that lost a race try again at different times.
 void grant_ledger::retry_after_race() {
     looking_ = true;
-    const std::size_t hosts = std::max<std::size_t>(1, table_.hosts());
-    const auto longest = static_cast<std::uint64_t>(race_spread.count()) * hosts;
-    const microseconds wait(static_cast<std::int64_t>(random_.below(longest + 1)));
-    loop_.call_after(wait, [this, alive = alive_] {
+    loop_.call_after(backoff_.next_wait(), [this, alive = alive_] {
         if (*alive) {
             follower_.look_now();
         }
@@ -241,6 +235,7 @@
     appending_ = false;
     if (end) {
         due_ = false;
+        backoff_.reset();
         note_append_time();
         follower_.appended(at, records);
         settle(follower_.position());
--- a/tests/drivers/grant_ledger_test.cpp
+++ b/tests/drivers/grant_ledger_test.cpp
@@ -93,6 +93,34 @@
     BOOST_TEST(conflicts * 3 < appends);
 }
 
+/// In a large fleet most hosts have held grants at some time, but few of them append at the same
+/// time. Waits that grow with the former make requests wait for their tokens past their deadline.
+BOOST_AUTO_TEST_CASE(wait_after_a_lost_race_does_not_grow_with_the_hosts_that_hold_grants) {
+    for (int number = 0; number < 400; ++number) {
+        const grant_record old{{account, "old" + std::to_string(number)},
+                               {incarnation_id{9}, 0, 10, 10, 0}};
+        const keyed_record record = encode_grant(old);
+        log.put("grants", record.key, record.value);
+    }
+    constexpr tokens limit = 10'000'000;
+    holding_process first(loop, log, "h1", 1, limit);
+    holding_process second(loop, log, "h2", 2, limit);
+    BOOST_REQUIRE(run_until([&] { return first.ledger.live() && second.ledger.live(); }));
+    for (tokens round = 1; round <= 10; ++round) {
+        const tokens wanted = 20'000 * round;
+        for (holding_process* process : {&first, &second}) {
+            process->holder.set_waiting(account, wanted, wanted);
+            process->ledger.append_if_due();
+        }
+        BOOST_TEST(run_until(
+            [&] {
+                return first.holder.free_tokens(account) >= wanted &&
+                       second.holder.free_tokens(account) >= wanted;
+            },
+            milliseconds(150)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(draw_without_an_answer_is_learnt_from_the_log) {
     holding_process process(loop, log, "h1", 1, 10'000);
     BOOST_REQUIRE(run_until([&] { return process.ledger.live(); }));
