Let a few entries of each failure domain read the platform's logs for the others

Each gateway followed each of six logs by itself: some 9 calls a second an entry in calm, 3,200 at 356 entries, and after a loss of all processes each read 0.5 to 0.6 MB (targets 0.3 to 0.44, configuration 0.12, members 0.05, grants 0.03), 200 MB together. Calls grow with entries times logs, bytes with entries times targets. A storm of 13 configurations of 20 to 90 KB was read from the store 356 times, and the reads before each append of grants waited behind it.

One entry in twenty of a failure domain, two at least and those with the most capacity, now follow the logs; the others send them their held reads and, at a start, their reads of the newest records. A page comes with the age of its read; a reader that is silent, refuses, is behind or sends a damaged page is passed over, and the read goes to the store. Members are read first, since they tell who the readers are. Domains of fewer than twelve entries do as before. Calls and bytes are counted by log.

Tests: shared_log_test plays readers that stop, are cut off from the store or the others, are refused, lost all at once, a restored store, an earlier release, late and damaged replies, long pages. The model shared_reads.pml holds; three broken variants fail.

--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_homes.hpp
@@ -31,6 +31,8 @@
     /// The duration of a call to the platform's store, measured when the process started; zero if
     /// unknown.
     microseconds store_latency{};
+    /// True if it answers other entries' reads of the platform's logs. Earlier releases don't.
+    bool shares_reads = false;
 
     friend bool operator==(const cluster_member&, const cluster_member&) = default;
 };
@@ -94,6 +96,9 @@
     /// choose the same ones, regardless of which of them they reach.
     std::vector<cluster_member> ranked_members(std::string_view name, std::size_t count) const;
 
+    /// The members of a failure domain, in the order of their names.
+    std::vector<cluster_member> members_in(std::string_view failure_domain) const;
+
     /// The number of members by region, without members whose region is unknown.
     std::map<std::string, std::size_t, std::less<>> members_by_region() const;
 
@@ -148,7 +153,9 @@
         std::uint64_t failures = 0;
     };
 
-    void select_allocators();
+    /// The hosts that are allocators.
+    const std::vector<std::string>& allocators() const;
+    void select_allocators() const;
     std::string_view region_nearest_to_store() const;
     static std::vector<cluster_member> largest_among(std::span<const cluster_member* const> members,
                                                      std::size_t count);
@@ -158,8 +165,10 @@
     token_allocator_settings settings_;
     peer_round_trips round_trips_;
     std::map<std::string, cluster_member, std::less<>> members_;
-    /// The hosts that are allocators.
-    std::vector<std::string> allocators_;
+    /// Selected when they are needed, not at each change: an entry that starts learns of all
+    /// members one by one.
+    mutable std::vector<std::string> allocators_;
+    mutable bool allocators_outdated_ = false;
     std::map<std::string, backoff, std::less<>> backoffs_;
     std::map<std::string, call_count, std::less<>> call_counts_;
     std::uint64_t version_ = 0;
--- a/include/wrenswitch/drivers/keyed_follower.hpp
+++ b/include/wrenswitch/drivers/keyed_follower.hpp
@@ -76,7 +76,8 @@
     /// When the read began that was answered last. Whatever the log held then is applied.
     instant last_read_began() const { return last_read_began_; }
 
-    /// When the log last answered.
+    /// When the log last answered, or how long ago it answered another process that passed its page
+    /// on.
     instant last_answer() const { return last_answer_; }
 
     /// Takes in records that this process has just appended at its position, which saves reading
@@ -103,7 +104,7 @@
     void read_all_after_pause();
     void drop_missing(const keyed_page& page);
     void failed_once();
-    void answered(instant began);
+    void answered(instant began, microseconds age = {});
 
     event_loop& loop_;
     keyed_log& log_;
--- a/include/wrenswitch/drivers/keyed_log.hpp
+++ b/include/wrenswitch/drivers/keyed_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -29,6 +30,9 @@
     /// The offset that the next append will get.
     std::uint64_t end = 0;
     std::vector<keyed_record> records;
+    /// How much earlier than this call the read of the store began that the page comes from. Zero
+    /// unless another process read it.
+    microseconds age{};
 };
 
 /// How long calls to a keyed log may take.
@@ -39,6 +43,22 @@
     microseconds held_read_slack = milliseconds(600);
 };
 
+/// The kinds of calls to a keyed log.
+enum class keyed_log_operation { newest, read, append };
+
+/// One reply to a call to a keyed log, or its absence.
+struct keyed_log_call {
+    std::string_view log;
+    keyed_log_operation operation = keyed_log_operation::read;
+    /// True if the log did what was asked. An append whose condition didn't hold has not.
+    bool succeeded = false;
+    /// The size of the reply's body.
+    std::size_t reply_bytes = 0;
+};
+
+/// Told of each call once it has ended.
+using keyed_log_call_hook = std::function<void(const keyed_log_call&)>;
+
 /// A log whose records have keys, and which keeps the newest record of each key for good. Offsets
 /// count from 0, without gaps.
 class keyed_log {
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -81,7 +81,10 @@
     /// Makes the record of the status log that shows operators a rollout's state.
     std::function<keyed_record(const rollout_record& record)> write_status;
     /// Opens the keyed log that is reached over a channel to the platform's service.
-    std::function<std::unique_ptr<keyed_log>(service_channel&, const keyed_log_timeouts&)> make_log;
+    /// The hook is told of each call.
+    std::function<std::unique_ptr<keyed_log>(service_channel&, const keyed_log_timeouts&,
+                                             keyed_log_call_hook)>
+        make_log;
     /// Makes a cheap request that checks whether the service responds.
     std::function<http_request()> make_probe;
     /// The path of the readiness check.
--- a/spec/checks.sh
+++ b/spec/checks.sh
@@ -39,3 +39,7 @@
 check suspects.pml fails -DNO_READ
 check suspects.pml fails -DFOUR
 check suspects.pml fails -DLOST_BEFORE_WRITTEN
+check shared_reads.pml holds
+check shared_reads.pml fails -DNO_AGE
+check shared_reads.pml fails -DANY_CALL
+check shared_reads.pml fails -DNO_GENERATION
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_homes.cpp
@@ -45,7 +45,7 @@
     }
     members_.insert_or_assign(member.host, member);
     version_ += 1;
-    select_allocators();
+    allocators_outdated_ = true;
 }
 
 void token_allocator_selector::remove(std::string_view host) {
@@ -58,7 +58,7 @@
     round_trips_.remove(host);
     members_.erase(found);
     version_ += 1;
-    select_allocators();
+    allocators_outdated_ = true;
 }
 
 /// The region with the lowest store latency, taking the fastest member of each region and ignoring
@@ -85,7 +85,7 @@
 /// An append to the ledger fails if another writer appended since the log was read, which takes 40
 /// ms from another region. Allocators that were 20 ms away from the store lost against allocators
 /// next to it for 0.7 s after a start, and requests of their accounts were refused meanwhile.
-void token_allocator_selector::select_allocators() {
+void token_allocator_selector::select_allocators() const {
     const std::string_view region = region_nearest_to_store();
     std::vector<std::pair<double, std::string>> ranked;
     ranked.reserve(members_.size());
@@ -102,6 +102,13 @@
     }
 }
 
+const std::vector<std::string>& token_allocator_selector::allocators() const {
+    if (std::exchange(allocators_outdated_, false)) {
+        select_allocators();
+    }
+    return allocators_;
+}
+
 bool token_allocator_selector::is_backed_off(instant now, const std::string& host) const {
     const auto found = backoffs_.find(host);
     return host != own_host_ && found != backoffs_.end() && found->second.until > now;
@@ -112,7 +119,7 @@
     const std::uint64_t seed = spread_hash(account);
     const std::string* best = nullptr;
     std::uint64_t highest = 0;
-    for (const std::string& host : allocators_) {
+    for (const std::string& host : allocators()) {
         const bool is_excluded =
             std::find(excluded.begin(), excluded.end(), host) != excluded.end();
         if (is_excluded || is_backed_off(now, host)) {
@@ -168,6 +175,17 @@
     return counts;
 }
 
+std::vector<cluster_member> token_allocator_selector::members_in(
+    std::string_view failure_domain) const {
+    std::vector<cluster_member> found;
+    for (const auto& [host, member] : members_) {
+        if (member.failure_domain == failure_domain) {
+            found.push_back(member);
+        }
+    }
+    return found;
+}
+
 std::vector<cluster_member> token_allocator_selector::largest_known(std::size_t count,
                                                                     std::string_view region) const {
     std::vector<const cluster_member*> all;
@@ -201,7 +219,7 @@
 
 std::vector<cluster_member> token_allocator_selector::remote_allocators() const {
     std::vector<cluster_member> remote;
-    for (const std::string& host : allocators_) {
+    for (const std::string& host : allocators()) {
         const cluster_member& allocator = members_.at(host);
         if (is_remote(allocator)) {
             remote.push_back(allocator);
--- /dev/null
+++ b/src/decision/sharing/log_reader_selector.cpp
@@ -0,0 +1,96 @@
+#include "wrenswitch/decision/sharing/log_reader_selector.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "wrenswitch/core/digest.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// Makes the choice of the readers independent of other choices among the same members.
+constexpr std::uint64_t reader_selection_seed = 2;
+
+/// Sorts the members by capacity, largest first, and equal ones by a hash.
+void sort_by_capacity(std::vector<cluster_member>& members) {
+    std::sort(members.begin(), members.end(),
+              [](const cluster_member& left, const cluster_member& right) {
+                  if (left.capacity != right.capacity) {
+                      return left.capacity > right.capacity;
+                  }
+                  return spread_hash(left.host, reader_selection_seed) >
+                         spread_hash(right.host, reader_selection_seed);
+              });
+}
+
+}  // namespace
+
+log_reader_selector::log_reader_selector(std::string own_host, log_reader_settings settings)
+    : own_host_(std::move(own_host)), settings_(settings) {}
+
+void log_reader_selector::set_members(std::span<const cluster_member> members) {
+    std::vector<cluster_member> candidates;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(candidates),
+                 [](const cluster_member& member) { return member.shares_reads; });
+    readers_.clear();
+    is_reader_ = false;
+    if (candidates.size() < settings_.min_entries) {
+        return;
+    }
+    const std::size_t wanted =
+        (candidates.size() + settings_.entries_per_reader - 1) / settings_.entries_per_reader;
+    const std::size_t count = std::max(settings_.min_readers, wanted);
+    sort_by_capacity(candidates);
+    candidates.resize(std::min(count, candidates.size()));
+    is_reader_ =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [this](const cluster_member& member) { return member.host == own_host_; });
+    if (is_reader_) {
+        return;
+    }
+    // Each entry has an order of its own, which spreads them over the readers.
+    const std::uint64_t seed = spread_hash(own_host_);
+    std::sort(candidates.begin(), candidates.end(),
+              [seed](const cluster_member& left, const cluster_member& right) {
+                  return spread_hash(left.host, seed) > spread_hash(right.host, seed);
+              });
+    readers_ = std::move(candidates);
+    std::erase_if(backoffs_, [this](const auto& each) {
+        return std::none_of(
+            readers_.begin(), readers_.end(),
+            [&each](const cluster_member& reader) { return reader.host == each.first; });
+    });
+}
+
+std::optional<cluster_member> log_reader_selector::reader(instant now) const {
+    const auto found =
+        std::find_if(readers_.begin(), readers_.end(), [this, now](const cluster_member& each) {
+            const auto known = backoffs_.find(each.host);
+            return known == backoffs_.end() || known->second.until <= now;
+        });
+    return found == readers_.end() ? std::nullopt : std::optional(*found);
+}
+
+bool log_reader_selector::record_failure(instant now, std::string_view host) {
+    backoff& current = backoffs_[std::string(host)];
+    const bool was_healthy = current.duration == microseconds(0);
+    if (current.until > now) {
+        return false;
+    }
+    current.duration = was_healthy ? settings_.initial_backoff
+                                   : std::min(current.duration * 2, settings_.max_backoff);
+    current.until = now + current.duration;
+    return was_healthy;
+}
+
+bool log_reader_selector::record_answer(std::string_view host) {
+    const auto found = backoffs_.find(host);
+    if (found == backoffs_.end()) {
+        return false;
+    }
+    backoffs_.erase(found);
+    return true;
+}
+
+}  // namespace wrenswitch
--- a/src/drivers/keyed_follower.cpp
+++ b/src/drivers/keyed_follower.cpp
@@ -220,7 +220,7 @@
         failed_once();
         return;
     }
-    answered(began);
+    answered(began, page.value().age);
     if (is_outdated(page.value()) || is_restored(page.value())) {
         // Its offsets are not comparable with position_.
         read_all_after_pause();
@@ -326,9 +326,9 @@
     retry_ = std::min(retry_ * 2, settings_.longest_retry);
 }
 
-void keyed_follower::answered(instant began) {
-    last_answer_ = monotonic_now();
-    last_read_began_ = began;
+void keyed_follower::answered(instant began, microseconds age) {
+    last_answer_ = monotonic_now() - age;
+    last_read_began_ = began - age;
     if (!std::exchange(reachable_, true)) {
         hooks_.reachable(true);
     }
--- a/src/drivers/member_directory.cpp
+++ b/src/drivers/member_directory.cpp
@@ -28,6 +28,7 @@
     value.set_failure_domain(member.failure_domain);
     value.set_region(member.region);
     value.set_store_call_us(static_cast<std::uint32_t>(member.store_latency.count()));
+    value.set_shares_reads(member.shares_reads);
     return {member.host, value.SerializeAsString(), 0};
 }
 
@@ -44,7 +45,8 @@
                           value.capacity(),
                           value.failure_domain(),
                           value.region(),
-                          microseconds(value.store_call_us())};
+                          microseconds(value.store_call_us()),
+                          value.shares_reads()};
 }
 
 member_directory::member_directory(event_loop& loop, keyed_log& log, std::string name,
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "roles/gateway/relay_choice.hpp"
 #include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
+#include "wrenswitch/drivers/log_call_counts.hpp"
 #include "wrenswitch/drivers/settings_watch.hpp"
 
 namespace wrenswitch {
@@ -27,6 +28,9 @@
 /// How often a stopping gateway checks whether it can exit.
 constexpr microseconds shutdown_poll_period = milliseconds(50);
 
+/// The share of the link that pages of logs for other gateways may use.
+constexpr double shared_reads_link_share = 0.25;
+
 /// How many gateways are expected to share the connections of a target.
 constexpr std::size_t connection_sharers = 6;
 
@@ -81,6 +85,15 @@
     return link;
 }
 
+shared_log_settings sharing_settings(const gateway_settings& settings, std::string member_log) {
+    shared_log_settings sharing;
+    sharing.member_log = std::move(member_log);
+    sharing.own_host = settings.host;
+    sharing.failure_domain = settings.failure_domain;
+    sharing.server.bytes_per_second = settings.link_bytes_per_second * shared_reads_link_share;
+    return sharing;
+}
+
 /// Creates a hook that logs when a log becomes unreachable or reachable again.
 std::function<void(bool)> reachable_hook(const std::string& log) {
     return [log](bool reachable) {
@@ -164,6 +177,7 @@
         if (message.has_relay_reply()) {
             channel_->on_reply(message);
         } else if (!placements_->on_message(origin, message) &&
+                   !shared_log_->on_message(origin, message) &&
                    !rollouts_.on_message(origin, message) &&
                    !suspects_->on_message(origin, message) &&
                    !signals_->on_message(origin, message)) {
@@ -181,15 +195,19 @@
     channel_ = std::make_unique<relayed_channel>(
         loop_, *direct_channel_, *bus_, [this] { return relay_endpoints(); }, dialect_.make_probe,
         arrivals_, metrics_, relayed_channel_settings{});
-    log_ = dialect_.make_log(*channel_, keyed_log_timeouts{});
+    log_ = dialect_.make_log(*channel_, keyed_log_timeouts{}, [this](const keyed_log_call& call) {
+        count_call(metrics_, call);
+    });
+    shared_log_ = std::make_unique<shared_log>(loop_, *log_, *bus_, allocators_, metrics_,
+                                               sharing_settings(settings_, dialect_.member_log));
     configuration_follower_ = std::make_unique<keyed_follower>(
-        loop_, *log_,
+        loop_, *shared_log_,
         keyed_follower_settings{.log = dialect_.configuration_log, .only_newest = true},
         keyed_follower_hooks{[this](const keyed_record& record) { configuration_changed(record); },
                              [this] { on_orders_read(); },
                              reachable_hook(dialect_.configuration_log)});
     target_follower_ = std::make_unique<keyed_follower>(
-        loop_, *log_,
+        loop_, *shared_log_,
         keyed_follower_settings{.log = dialect_.target_log,
                                 .pause = target_read_pause,
                                 .lost_key_timeout = lost_target_timeout},
@@ -197,7 +215,7 @@
             [this](const keyed_record& record) { target_list_.apply(monotonic_now(), record); },
             [] {}, reachable_hook(dialect_.target_log)});
     ledger_ = std::make_unique<grant_ledger>(
-        loop_, *log_, dialect_.grant_log, metrics_,
+        loop_, *shared_log_, dialect_.grant_log, metrics_,
         grant_ledger_hooks{
             [this] { return compose_grants(); }, [this] { grants_changed(); },
             [this] { grants_->on_append_resolved(); },
@@ -220,9 +238,10 @@
                              settings_.capacity,
                              settings_.failure_domain,
                              std::string(settings_.regions.region_of(settings_.failure_domain)),
-                             {}};
+                             {},
+                             true};
     members_ = std::make_unique<member_directory>(
-        loop_, *log_, dialect_.member_log, own,
+        loop_, *shared_log_, dialect_.member_log, own,
         member_directory_hooks{
             [this](const cluster_member& member) {
                 allocators_.apply(member);
@@ -260,7 +279,7 @@
             }});
     signals_ = std::make_unique<signal_exchange>(loop_, *bus_, allocators_, targets_,
                                                  rate_limited_log_, metrics_);
-    rollouts_.open(loop_, *log_, *bus_, allocators_, incarnation_);
+    rollouts_.open(loop_, *shared_log_, *bus_, allocators_, incarnation_);
     grants_->set_draw_ahead_filter([this](const std::string& account) {
         return allocators_.is_allocator(monotonic_now(), account);
     });
@@ -268,7 +287,7 @@
 
 void gateway::open_suspects() {
     suspects_ = std::make_unique<suspect_exchange>(
-        loop_, *log_, dialect_.suspect_log, *bus_, allocators_, metrics_,
+        loop_, *shared_log_, dialect_.suspect_log, *bus_, allocators_, metrics_,
         suspect_exchange::hooks{[this](const digest& request) { abort_quarantined(request); },
                                 reachable_hook(dialect_.suspect_log)});
 }
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -22,6 +22,7 @@
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/drivers/member_directory.hpp"
+#include "wrenswitch/drivers/shared_log.hpp"
 
 namespace wrenswitch {
 
@@ -93,6 +94,7 @@
     std::unique_ptr<service_channel> direct_channel_;
     std::unique_ptr<relayed_channel> channel_;
     std::unique_ptr<keyed_log> log_;
+    std::unique_ptr<shared_log> shared_log_;
     std::unique_ptr<keyed_follower> configuration_follower_;
     std::unique_ptr<keyed_follower> target_follower_;
     std::unique_ptr<grant_ledger> ledger_;
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -33,7 +33,7 @@
 /// The store behind such a channel.
 struct store_fixture {
     scripted_channel channel;
-    std::unique_ptr<keyed_log> store = platform::make_store(channel, keyed_log_timeouts{});
+    std::unique_ptr<keyed_log> store = platform::make_store(channel, keyed_log_timeouts{}, {});
     std::optional<result<keyed_page>> page;
     std::optional<result<std::uint64_t>> end;
 
