Announce readers of the logs to entries that don't reach the store

Readers that start now tell their failure domain where they are; a reader whose own reads fail refuses at once in place of letting others wait.

Test: an entry that starts without the store knows the records as soon as readers have started.

--- a/include/wrenswitch/decision/sharing/log_reader_selector.hpp
+++ b/include/wrenswitch/decision/sharing/log_reader_selector.hpp
@@ -22,6 +22,8 @@
     std::size_t min_readers = 2;
     /// In a failure domain with fewer entries each reads for itself, since few calls are saved.
     std::size_t min_entries = 12;
+    /// The number of readers that are remembered by their announcements.
+    std::size_t max_announced = 8;
     /// How long a reader that failed isn't asked: after the first failure and at most. Doubles with
     /// each further failure.
     microseconds initial_backoff = seconds(2);
@@ -42,6 +44,9 @@
     /// skipped.
     void set_members(std::span<const cluster_member> members);
 
+    /// Adds a reader that announced itself, to be asked until set_members() is called.
+    void add_announced(const cluster_member& reader);
+
     /// True if this entry reads the logs from the store and answers other entries' reads.
     bool is_reader() const { return is_reader_; }
 
--- a/include/wrenswitch/drivers/log_page_server.hpp
+++ b/include/wrenswitch/drivers/log_page_server.hpp
@@ -81,6 +81,8 @@
         std::optional<std::map<std::string, keyed_record>> newest;
         /// When the last answered read began; zero before the first.
         instant read_began{};
+        /// True if the last read failed.
+        bool is_failing = false;
         std::map<std::uint64_t, waiting_request> waiting;
     };
 
--- a/include/wrenswitch/drivers/shared_log.hpp
+++ b/include/wrenswitch/drivers/shared_log.hpp
@@ -42,6 +42,9 @@
 /// comes in time. All other calls go to the store: a read that isn't held has to see what the log
 /// holds now.
 ///
+/// A reader that has started announces itself to its failure domain, so that entries that start
+/// while the store is out of their reach learn of it.
+///
 /// A page of another entry comes with its age, and is never taken for newer than it is. Replies to
 /// requests that were given up are dropped.
 class shared_log final : public keyed_log {
@@ -56,8 +59,7 @@
 
     std::uint64_t generation() const override { return store_.generation(); }
     void newest(std::string_view log, page_hook done) override;
-    void read(std::string_view log, std::uint64_t from, microseconds wait,
-              page_hook done) override;
+    void read(std::string_view log, std::uint64_t from, microseconds wait, page_hook done) override;
     void append(std::string_view log, std::optional<std::uint64_t> at,
                 std::span<const keyed_record> records, append_hook done) override;
 
@@ -84,6 +86,8 @@
     };
 
     void update_readers();
+    void announce();
+    void on_announcement(const wire::Envelope& message);
     void read_newest(std::string_view log, page_hook done);
     void read_newest_from_store(std::string_view log, page_hook done);
     void stop_waiting_for_members();
@@ -108,6 +112,8 @@
     log_reader_selector readers_;
     log_page_server server_;
     std::uint64_t members_version_ = 0;
+    /// How often this process is still to announce itself as a reader.
+    unsigned announcements_left_ = 0;
     /// True until the members are known or took too long.
     bool waits_for_members_ = true;
     struct deferred_read {
--- a/src/decision/sharing/log_reader_selector.cpp
+++ b/src/decision/sharing/log_reader_selector.cpp
@@ -63,6 +63,15 @@
     });
 }
 
+void log_reader_selector::add_announced(const cluster_member& reader) {
+    const bool is_known =
+        std::any_of(readers_.begin(), readers_.end(),
+                    [&reader](const cluster_member& each) { return each.host == reader.host; });
+    if (!is_known && readers_.size() < settings_.max_announced) {
+        readers_.push_back(reader);
+    }
+}
+
 std::optional<cluster_member> log_reader_selector::reader(instant now) const {
     const auto found =
         std::find_if(readers_.begin(), readers_.end(), [this, now](const cluster_member& each) {
--- a/src/drivers/log_call_counts.cpp
+++ b/src/drivers/log_call_counts.cpp
@@ -22,9 +22,9 @@
 void count_call(metrics& counters, const keyed_log_call& call) {
     const std::string_view operation = name_of(call.operation);
     const std::string_view outcome = call.succeeded ? "done" : "failed";
-    counters.counter(labelled("store_calls_total", {{"log", call.log},
-                                                    {"operation", operation},
-                                                    {"outcome", outcome}})) += 1;
+    counters.counter(
+        labelled("store_calls_total",
+                 {{"log", call.log}, {"operation", operation}, {"outcome", outcome}})) += 1;
     counters.counter(labelled("store_reply_bytes_total",
                               {{"log", call.log}, {"operation", operation}})) += call.reply_bytes;
 }
--- a/src/drivers/log_page_server.cpp
+++ b/src/drivers/log_page_server.cpp
@@ -69,7 +69,7 @@
 
 log_page_server::served_log& log_page_server::serve(std::string_view log) {
     const auto [found, is_new] = logs_.try_emplace(
-        std::string(log), served_log{log_window(settings_.window_bytes), {}, {}, {}});
+        std::string(log), served_log{log_window(settings_.window_bytes), {}, {}, false, {}});
     return found->second;
 }
 
@@ -79,6 +79,7 @@
     }
     served_log& served = serve(log);
     served.read_began = std::max(served.read_began, began);
+    served.is_failing = false;
     // Reads go on from this end, so that the window has no gap behind it.
     served.window.restart(page.generation, page.end);
     served.newest.emplace();
@@ -95,6 +96,7 @@
     }
     served_log& served = serve(log);
     served.read_began = std::max(served.read_began, began);
+    served.is_failing = false;
     add_records(served, page.generation, from, page.records);
     answer_waiting(served);
 }
@@ -102,8 +104,7 @@
 /// Records behind a gap leave unknown what the newest ones of other keys are.
 void log_page_server::add_records(served_log& served, std::uint64_t generation, std::uint64_t from,
                                   std::span<const keyed_record> records) {
-    const bool continues =
-        generation == served.window.generation() && from <= served.window.end();
+    const bool continues = generation == served.window.generation() && from <= served.window.end();
     served.window.add(generation, from, records);
     if (!continues) {
         served.newest.reset();
@@ -135,11 +136,12 @@
 }
 
 void log_page_server::on_failure(std::string_view log) {
-    served_log* const served = find(log);
-    if (served == nullptr) {
+    if (!active_) {
         return;
     }
-    for (const auto& [number, request] : std::exchange(served->waiting, {})) {
+    served_log& served = serve(log);
+    served.is_failing = true;
+    for (const auto& [number, request] : std::exchange(served.waiting, {})) {
         refuse(request.origin, request.call, false);
     }
 }
@@ -177,6 +179,10 @@
 /// Answers a request unless it has to wait: for the first read of the log, for the generation that
 /// it names, or for a record. Returns true if it was answered.
 bool log_page_server::answer(const served_log& served, const waiting_request& request) {
+    if (served.is_failing) {
+        refuse(request.origin, request.call, false);
+        return true;
+    }
     const bool is_read = served.read_began != instant{};
     const std::uint64_t generation = served.window.generation();
     if (!is_read || request.generation > generation) {
@@ -221,8 +227,8 @@
     }
     const waiting_request request = found->second;
     served->waiting.erase(found);
-    const bool has_current_page = !is_stale(*served, request) &&
-                                  request.generation <= served->window.generation();
+    const bool has_current_page =
+        !is_stale(*served, request) && request.generation <= served->window.generation();
     if (!has_current_page || request.after_key || request.from > served->window.end()) {
         refuse(request.origin, request.call, has_current_page);
     } else {
@@ -296,10 +302,9 @@
     }
     const instant now = monotonic_now();
     const double most = settings_.bytes_per_second * burst_seconds;
-    const double earned =
-        bytes_left_at_ == instant{}
-            ? most
-            : settings_.bytes_per_second * as_seconds(now - bytes_left_at_);
+    const double earned = bytes_left_at_ == instant{}
+                              ? most
+                              : settings_.bytes_per_second * as_seconds(now - bytes_left_at_);
     bytes_left_ = std::min(most, bytes_left_ + earned);
     bytes_left_at_ = now;
     const auto wanted = static_cast<double>(bytes);
--- a/src/drivers/member_directory.cpp
+++ b/src/drivers/member_directory.cpp
@@ -58,11 +58,11 @@
       own_(std::move(own)),
       hooks_(std::move(hooks)),
       times_store_(times_store),
-      follower_(loop, log, {.log = name_, .hold = read_hold},
-                {[this](const keyed_record& record) { on_changed(record); },
-                 [this] { on_caught_up(); },
-                 [this](bool reachable) { hooks_.reachable(reachable); },
-                 [this](std::span<const std::string> keys) { on_restored(keys); }}) {}
+      follower_(
+          loop, log, {.log = name_, .hold = read_hold},
+          {[this](const keyed_record& record) { on_changed(record); }, [this] { on_caught_up(); },
+           [this](bool reachable) { hooks_.reachable(reachable); },
+           [this](std::span<const std::string> keys) { on_restored(keys); }}) {}
 
 member_directory::~member_directory() {
     *alive_ = false;
--- a/src/drivers/shared_log.cpp
+++ b/src/drivers/shared_log.cpp
@@ -2,6 +2,7 @@
 
 #include <bus.pb.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,11 @@
 /// A timer that is this late shows that replies may lie unread because this process is behind.
 constexpr microseconds late_timer_threshold = milliseconds(50);
 
+/// A reader announces itself this often and this long, since entries that lost power together with
+/// it start within some seconds.
+constexpr unsigned max_announcements = 10;
+constexpr microseconds announcement_period = milliseconds(500);
+
 /// The page of a reply. Nothing if its records don't follow each other from the offset that was
 /// asked for.
 std::optional<keyed_page> decode_page(const wire::LogReadReply& reply, std::uint64_t from) {
@@ -27,9 +33,9 @@
             return std::nullopt;
         }
         next += 1;
-        page.records.push_back(
-            {record.key(), record.dropped() ? std::nullopt : std::optional(record.value()),
-             record.offset()});
+        page.records.push_back({record.key(),
+                                record.dropped() ? std::nullopt : std::optional(record.value()),
+                                record.offset()});
     }
     return page.end == next ? std::optional(std::move(page)) : std::nullopt;
 }
@@ -42,8 +48,7 @@
         return false;
     }
     for (const wire::SharedRecord& record : reply.records()) {
-        const bool is_in_order =
-            page.records.empty() || page.records.back().key < record.key();
+        const bool is_in_order = page.records.empty() || page.records.back().key < record.key();
         if (!is_in_order || record.key().empty() || record.dropped()) {
             return false;
         }
@@ -79,6 +84,10 @@
     const bool was_reader = readers_.is_reader();
     readers_.set_members(members_.members_in(settings_.failure_domain));
     server_.set_active(readers_.is_reader());
+    if (!was_reader && readers_.is_reader()) {
+        announcements_left_ = max_announcements;
+        announce();
+    }
     if (was_reader != readers_.is_reader()) {
         log_event(log_level::information, was_reader ? "log_reader_ended" : "log_reader_began",
                   {{"failure_domain", settings_.failure_domain},
@@ -86,6 +95,45 @@
     }
 }
 
+void shared_log::announce() {
+    if (!readers_.is_reader() || announcements_left_ == 0) {
+        return;
+    }
+    announcements_left_ -= 1;
+    const std::vector<cluster_member> neighbours = members_.members_in(settings_.failure_domain);
+    const auto own = std::find_if(
+        neighbours.begin(), neighbours.end(),
+        [this](const cluster_member& member) { return member.host == settings_.own_host; });
+    if (own == neighbours.end()) {
+        return;
+    }
+    wire::Envelope message;
+    message.mutable_log_reader_announcement()->set_host(own->host);
+    message.mutable_log_reader_announcement()->set_endpoint(own->endpoint);
+    for (const cluster_member& member : neighbours) {
+        if (member.host != settings_.own_host && member.shares_reads) {
+            bus_.send(member.endpoint, message);
+        }
+    }
+    loop_.call_after(announcement_period, [this, alive = alive_] {
+        if (*alive) {
+            announce();
+        }
+    });
+}
+
+/// Only for an entry that knows no members: the store's own records come first.
+void shared_log::on_announcement(const wire::Envelope& message) {
+    const wire::LogReaderAnnouncement& body = message.log_reader_announcement();
+    if (members_.members() > 0 || body.host().empty() || body.endpoint().empty()) {
+        return;
+    }
+    cluster_member reader;
+    reader.host = body.host();
+    reader.endpoint = body.endpoint();
+    readers_.add_announced(reader);
+}
+
 /// At the start, other logs wait until the members are known, since these tell whom to ask.
 void shared_log::newest(std::string_view log, page_hook done) {
     if (!waits_for_members_) {
@@ -155,8 +203,7 @@
 
 void shared_log::read(std::string_view log, std::uint64_t from, microseconds wait, page_hook done) {
     update_readers();
-    const auto reader =
-        wait > microseconds(0) ? readers_.reader(monotonic_now()) : std::nullopt;
+    const auto reader = wait > microseconds(0) ? readers_.reader(monotonic_now()) : std::nullopt;
     if (!reader) {
         read_store(log, from, wait, std::move(done));
         return;
@@ -205,8 +252,8 @@
     body.set_log(read.log);
     body.set_generation(store_.generation());
     body.set_from(read.from);
-    body.set_wait_ms(static_cast<std::uint32_t>(
-        std::chrono::duration_cast<milliseconds>(read.wait).count()));
+    body.set_wait_ms(
+        static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(read.wait).count()));
     body.set_newest(read.is_newest);
     if (!read.newest.records.empty()) {
         body.set_after_key(read.newest.records.back().key);
@@ -256,6 +303,10 @@
         on_reply(message);
         return true;
     }
+    if (message.has_log_reader_announcement()) {
+        on_announcement(message);
+        return true;
+    }
     return false;
 }
 
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -195,9 +195,8 @@
     channel_ = std::make_unique<relayed_channel>(
         loop_, *direct_channel_, *bus_, [this] { return relay_endpoints(); }, dialect_.make_probe,
         arrivals_, metrics_, relayed_channel_settings{});
-    log_ = dialect_.make_log(*channel_, keyed_log_timeouts{}, [this](const keyed_log_call& call) {
-        count_call(metrics_, call);
-    });
+    log_ = dialect_.make_log(*channel_, keyed_log_timeouts{},
+                             [this](const keyed_log_call& call) { count_call(metrics_, call); });
     shared_log_ = std::make_unique<shared_log>(loop_, *log_, *bus_, allocators_, metrics_,
                                                sharing_settings(settings_, dialect_.member_log));
     configuration_follower_ = std::make_unique<keyed_follower>(
--- a/tests/drivers/shared_log_test.cpp
+++ b/tests/drivers/shared_log_test.cpp
@@ -58,16 +58,15 @@
         if (state == store_link_state::open) {
             return false;
         }
-        const microseconds delay =
-            state == store_link_state::silent ? timeout : microseconds(0);
+        const microseconds delay = state == store_link_state::silent ? timeout : microseconds(0);
         loop_.call_after(delay, [done] { done(failed(error_code::unavailable, "cut off")); });
         return true;
     }
 
     /// A read that is held when the link falls silent isn't answered either.
     page_hook guarded(page_hook done, microseconds timeout) {
-        return [this, done = std::move(done), until = monotonic_now() + timeout](
-                   const result<keyed_page>& page) {
+        return [this, done = std::move(done),
+                until = monotonic_now() + timeout](const result<keyed_page>& page) {
             if (state == store_link_state::open) {
                 done(page);
                 return;
@@ -233,6 +232,23 @@
     BOOST_TEST(run_until([&late] { return late.knows("first"); }, longest_delay));
 }
 
+/// After a loss of power an entry that doesn't reach the store knows nothing, not even its peers.
+BOOST_AUTO_TEST_CASE(entry_that_starts_without_the_store_is_told_of_a_reader) {
+    following_process stranded(loop, store, 99);
+    stranded.link.state = store_link_state::refusing;
+    stranded.follower.start();
+    for (int number = 0; number < 14; ++number) {
+        processes.push_back(std::make_unique<following_process>(loop, store, number));
+    }
+    for (const auto& each : processes) {
+        each->members.apply(stranded.self());
+    }
+    start(0);
+    BOOST_TEST(run_until([&stranded] { return stranded.knows("first"); }, longest_delay));
+    check_record_reaches_all("second");
+    BOOST_TEST(run_until([&stranded] { return stranded.knows("second"); }, longest_delay));
+}
+
 BOOST_AUTO_TEST_CASE(reader_that_stops_is_passed_over) {
     start(14);
     following_process* const reader = readers().front();
@@ -342,21 +358,21 @@
 BOOST_AUTO_TEST_CASE(newest_records_out_of_order_are_counted_and_the_store_is_read) {
     start(14);
     for (following_process* reader : readers()) {
-        reader->bus->on_message([this, reader](const message_origin& origin,
-                                               const wire::Envelope& message) {
-            wire::Envelope damaged;
-            wire::LogReadReply& reply = *damaged.mutable_log_read_reply();
-            reply.set_call(message.log_read_request().call());
-            reply.set_outcome(wire::LOG_READ_PAGE);
-            reply.set_generation(store.store_generation);
-            reply.set_end(1);
-            for (const char* key : {"k", "a"}) {
-                wire::SharedRecord& record = *reply.add_records();
-                record.set_key(key);
-                record.set_value("forged");
-            }
-            reader->bus->answer(origin, damaged);
-        });
+        reader->bus->on_message(
+            [this, reader](const message_origin& origin, const wire::Envelope& message) {
+                wire::Envelope damaged;
+                wire::LogReadReply& reply = *damaged.mutable_log_read_reply();
+                reply.set_call(message.log_read_request().call());
+                reply.set_outcome(wire::LOG_READ_PAGE);
+                reply.set_generation(store.store_generation);
+                reply.set_end(1);
+                for (const char* key : {"k", "a"}) {
+                    wire::SharedRecord& record = *reply.add_records();
+                    record.set_key(key);
+                    record.set_value("forged");
+                }
+                reader->bus->answer(origin, damaged);
+            });
     }
     following_process late(loop, store, 99);
     for (const auto& each : processes) {
