--- a/include/wrenswitch/decision/gateway/admission.hpp
+++ b/include/wrenswitch/decision/gateway/admission.hpp
@@ -4,7 +4,7 @@
 #include <string_view>
 #include <variant>
 
-#include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/active_configuration.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/gateway/named_limits.hpp
+++ b/include/wrenswitch/decision/gateway/advertised_limits.hpp
@@ -13,7 +13,7 @@
 
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/gateway/send_pace.hpp"
+#include "wrenswitch/decision/gateway/send_pacer.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/gateway/gateway_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/gateway_configuration.hpp
@@ -9,8 +9,8 @@
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/core/tokens.hpp"
-#include "wrenswitch/decision/gateway/candidate_limits.hpp"
-#include "wrenswitch/decision/placement/engine_shape.hpp"
+#include "wrenswitch/decision/gateway/candidate_constraints.hpp"
+#include "wrenswitch/decision/placement/engine_profile.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/gateway/cold_targets.hpp
+++ b/include/wrenswitch/decision/gateway/warmup_limiter.hpp
@@ -9,8 +9,8 @@
 
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/gateway/cold_turns.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
+#include "wrenswitch/decision/gateway/warmup_pacer.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/grants/token_homes.hpp
+++ b/include/wrenswitch/decision/grants/token_allocator_selector.hpp
@@ -12,7 +12,7 @@
 
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/grants/peer_distances.hpp"
+#include "wrenswitch/decision/grants/peer_round_trips.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/home/budget_home.hpp
+++ b/include/wrenswitch/decision/home/budget_allocator.hpp
@@ -17,7 +17,7 @@
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/home/demand_estimator.hpp"
 #include "wrenswitch/decision/home/grant_policy.hpp"
-#include "wrenswitch/decision/home/request_keys.hpp"
+#include "wrenswitch/decision/home/request_key_table.hpp"
 #include "wrenswitch/decision/home/reservation.hpp"
 #include "wrenswitch/decision/home/ticket_table.hpp"
 #include "wrenswitch/decision/ledger/ledger_state.hpp"
--- a/include/wrenswitch/decision/ledger/ledger_state.hpp
+++ b/include/wrenswitch/decision/ledger/ledger_state.hpp
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "wrenswitch/decision/ledger/budget_state.hpp"
-#include "wrenswitch/decision/ledger/key_memory.hpp"
 #include "wrenswitch/decision/ledger/ledger_operation.hpp"
+#include "wrenswitch/decision/ledger/request_history.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/gateway/candidate_limits.hpp"
+#include "wrenswitch/decision/gateway/candidate_constraints.hpp"
 #include "wrenswitch/decision/placement/engine_load.hpp"
-#include "wrenswitch/decision/placement/engine_shape.hpp"
-#include "wrenswitch/decision/placement/event_pace.hpp"
-#include "wrenswitch/decision/placement/prompt_memory.hpp"
-#include "wrenswitch/decision/placement/prompt_shape.hpp"
-#include "wrenswitch/decision/placement/reading_model.hpp"
+#include "wrenswitch/decision/placement/engine_profile.hpp"
+#include "wrenswitch/decision/placement/event_interval_estimator.hpp"
+#include "wrenswitch/decision/placement/prefill_model.hpp"
+#include "wrenswitch/decision/placement/prefix_cache_model.hpp"
+#include "wrenswitch/decision/placement/prompt_profile.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/placement/prompt_memory.hpp
+++ b/include/wrenswitch/decision/placement/prefix_cache_model.hpp
@@ -4,7 +4,7 @@
 #include <list>
 #include <unordered_map>
 
-#include "wrenswitch/decision/placement/prompt_shape.hpp"
+#include "wrenswitch/decision/placement/prompt_profile.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/rollout/rollout_decider.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_decider.hpp
@@ -11,10 +11,10 @@
 
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/decision/rollout/canary_plan.hpp"
+#include "wrenswitch/decision/rollout/rollout_directive.hpp"
+#include "wrenswitch/decision/rollout/rollout_evaluator.hpp"
 #include "wrenswitch/decision/rollout/rollout_evidence.hpp"
-#include "wrenswitch/decision/rollout/rollout_judge.hpp"
 #include "wrenswitch/decision/rollout/rollout_order.hpp"
-#include "wrenswitch/decision/rollout/rollout_stand.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/rollout/rollout_gate.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_gate.hpp
@@ -6,11 +6,11 @@
 #include <string>
 
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/gateway/candidate_limits.hpp"
+#include "wrenswitch/decision/gateway/candidate_constraints.hpp"
 #include "wrenswitch/decision/rollout/exposure_budget.hpp"
+#include "wrenswitch/decision/rollout/rollout_directive.hpp"
 #include "wrenswitch/decision/rollout/rollout_evidence.hpp"
 #include "wrenswitch/decision/rollout/rollout_order.hpp"
-#include "wrenswitch/decision/rollout/rollout_stand.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/routing/retry_budget.hpp
+++ b/include/wrenswitch/decision/routing/retry_budget.hpp
@@ -3,7 +3,7 @@
 #include <cstdint>
 
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/routing/slot_counts.hpp"
+#include "wrenswitch/decision/routing/time_slot_counter.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/sharing/log_reader_selector.hpp
+++ b/include/wrenswitch/decision/sharing/log_reader_selector.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/decision/suspects/broken_runs.hpp
+++ b/include/wrenswitch/decision/suspects/interrupted_attempts.hpp
@@ -6,7 +6,7 @@
 
 #include "wrenswitch/core/digest.hpp"
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/suspects/target_life.hpp"
+#include "wrenswitch/decision/suspects/target_incarnation.hpp"
 
 namespace wrenswitch {
 
--- a/include/wrenswitch/drivers/member_directory.hpp
+++ b/include/wrenswitch/drivers/member_directory.hpp
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "wrenswitch/core/random_source.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/drivers/keyed_follower.hpp"
 
 namespace wrenswitch {
--- a/include/wrenswitch/drivers/shared_log.hpp
+++ b/include/wrenswitch/drivers/shared_log.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "wrenswitch/core/metrics.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/decision/sharing/log_reader_selector.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/keyed_log.hpp"
--- a/src/decision/gateway/candidate_limits.cpp
+++ b/src/decision/gateway/candidate_constraints.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/candidate_limits.hpp"
+#include "wrenswitch/decision/gateway/candidate_constraints.hpp"
 
 #include <algorithm>
 #include <iterator>
--- a/src/decision/gateway/isolation_watch.cpp
+++ b/src/decision/gateway/isolation_detector.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/isolation_watch.hpp"
+#include "wrenswitch/decision/gateway/isolation_detector.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/decision/gateway/link_watch.cpp
+++ b/src/decision/gateway/link_congestion_detector.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/link_watch.hpp"
+#include "wrenswitch/decision/gateway/link_congestion_detector.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decision/gateway/region_watch.cpp
+++ b/src/decision/gateway/region_outage_detector.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/region_watch.hpp"
+#include "wrenswitch/decision/gateway/region_outage_detector.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/decision/gateway/target_rests.cpp
+++ b/src/decision/gateway/target_backoffs.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/target_rests.hpp"
+#include "wrenswitch/decision/gateway/target_backoffs.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decision/gateway/cold_targets.cpp
+++ b/src/decision/gateway/warmup_limiter.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/cold_targets.hpp"
+#include "wrenswitch/decision/gateway/warmup_limiter.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decision/gateway/cold_turns.cpp
+++ b/src/decision/gateway/warmup_pacer.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/cold_turns.hpp"
+#include "wrenswitch/decision/gateway/warmup_pacer.hpp"
 
 #include <algorithm>
 
--- a/src/decision/grants/token_homes.cpp
+++ b/src/decision/grants/token_allocator_selector.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/src/decision/home/budget_home.cpp
+++ b/src/decision/home/budget_allocator.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/home/budget_home.hpp"
+#include "wrenswitch/decision/home/budget_allocator.hpp"
 
 #include <algorithm>
 
--- a/src/decision/home/request_keys.cpp
+++ b/src/decision/home/request_key_table.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/home/request_keys.hpp"
+#include "wrenswitch/decision/home/request_key_table.hpp"
 
 #include <array>
 
--- a/src/decision/ledger/key_memory.cpp
+++ b/src/decision/ledger/request_history.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/ledger/key_memory.hpp"
+#include "wrenswitch/decision/ledger/request_history.hpp"
 
 #include <utility>
 
--- a/src/decision/placement/event_pace.cpp
+++ b/src/decision/placement/event_interval_estimator.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/placement/event_pace.hpp"
+#include "wrenswitch/decision/placement/event_interval_estimator.hpp"
 
 #include <algorithm>
 
--- a/src/decision/placement/reading_model.cpp
+++ b/src/decision/placement/prefill_model.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/placement/reading_model.hpp"
+#include "wrenswitch/decision/placement/prefill_model.hpp"
 
 #include <algorithm>
 
--- a/src/decision/placement/prompt_memory.cpp
+++ b/src/decision/placement/prefix_cache_model.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/placement/prompt_memory.hpp"
+#include "wrenswitch/decision/placement/prefix_cache_model.hpp"
 
 namespace wrenswitch {
 
--- a/src/decision/placement/prompt_shape.cpp
+++ b/src/decision/placement/prompt_profile.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/placement/prompt_shape.hpp"
+#include "wrenswitch/decision/placement/prompt_profile.hpp"
 
 #include <algorithm>
 
--- a/src/decision/rollout/goodness.cpp
+++ b/src/decision/rollout/acceptance_check.cpp
@@ -1,10 +1,10 @@
-#include "decision/rollout/goodness.hpp"
+#include "decision/rollout/acceptance_check.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <sstream>
 
-#include "decision/rollout/badness.hpp"
+#include "decision/rollout/regression_check.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/decision/rollout/share_test.cpp
+++ b/src/decision/rollout/proportion_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/rollout/share_test.hpp"
+#include "decision/rollout/proportion_test.hpp"
 
 #include <math.h>  // lgamma_r, which std::lgamma's shared sign isn't safe in place of
 
--- a/src/decision/rollout/badness.cpp
+++ b/src/decision/rollout/regression_check.cpp
@@ -1,4 +1,4 @@
-#include "decision/rollout/badness.hpp"
+#include "decision/rollout/regression_check.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decision/rollout/badness.hpp
+++ b/src/decision/rollout/regression_check.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "decision/rollout/answer_table.hpp"
-#include "wrenswitch/decision/rollout/rollout_judge.hpp"
+#include "decision/rollout/response_statistics.hpp"
+#include "wrenswitch/decision/rollout/rollout_evaluator.hpp"
 
 namespace wrenswitch {
 
--- a/src/decision/rollout/answer_table.cpp
+++ b/src/decision/rollout/response_statistics.cpp
@@ -1,4 +1,4 @@
-#include "decision/rollout/answer_table.hpp"
+#include "decision/rollout/response_statistics.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/decision/rollout/answer_table.hpp
+++ b/src/decision/rollout/response_statistics.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "decision/rollout/marked_scope.hpp"
+#include "decision/rollout/route_comparison.hpp"
 #include "wrenswitch/decision/rollout/rollout_evidence.hpp"
 
 namespace wrenswitch {
--- a/src/decision/rollout/rollout_stand.cpp
+++ b/src/decision/rollout/rollout_directive.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/rollout/rollout_stand.hpp"
+#include "wrenswitch/decision/rollout/rollout_directive.hpp"
 
 namespace wrenswitch {
 
--- a/src/decision/rollout/rollout_judge.cpp
+++ b/src/decision/rollout/rollout_evaluator.cpp
@@ -1,10 +1,10 @@
-#include "wrenswitch/decision/rollout/rollout_judge.hpp"
+#include "wrenswitch/decision/rollout/rollout_evaluator.hpp"
 
 #include <algorithm>
 
-#include "decision/rollout/answer_table.hpp"
-#include "decision/rollout/badness.hpp"
-#include "decision/rollout/goodness.hpp"
+#include "decision/rollout/acceptance_check.hpp"
+#include "decision/rollout/regression_check.hpp"
+#include "decision/rollout/response_statistics.hpp"
 
 namespace wrenswitch {
 
--- a/src/decision/rollout/marked_scope.cpp
+++ b/src/decision/rollout/route_comparison.cpp
@@ -1,4 +1,4 @@
-#include "decision/rollout/marked_scope.hpp"
+#include "decision/rollout/route_comparison.hpp"
 
 #include <algorithm>
 #include <sstream>
--- a/src/decision/rollout/marked_scope.hpp
+++ b/src/decision/rollout/route_comparison.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "decision/rollout/share_test.hpp"
+#include "decision/rollout/proportion_test.hpp"
 
 namespace wrenswitch {
 
--- a/src/decision/routing/slot_counts.cpp
+++ b/src/decision/routing/time_slot_counter.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/routing/slot_counts.hpp"
+#include "wrenswitch/decision/routing/time_slot_counter.hpp"
 
 #include <algorithm>
 
--- a/src/decision/suspects/broken_runs.cpp
+++ b/src/decision/suspects/interrupted_attempts.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/suspects/broken_runs.hpp"
+#include "wrenswitch/decision/suspects/interrupted_attempts.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/experiment/budget_run.hpp
+++ b/src/experiment/budget_run.hpp
@@ -9,7 +9,7 @@
 
 #include "experiment/budget_scenario.hpp"
 #include "wrenswitch/core/random_source.hpp"
-#include "wrenswitch/decision/home/budget_home.hpp"
+#include "wrenswitch/decision/home/budget_allocator.hpp"
 
 namespace wrenswitch::experiment {
 
--- a/src/experiment/fixed_threshold_judge.cpp
+++ b/src/experiment/fixed_threshold_judge.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <span>
 
-#include "decision/rollout/answer_table.hpp"
+#include "decision/rollout/response_statistics.hpp"
 
 namespace wrenswitch::experiment {
 namespace {
--- a/src/experiment/fixed_threshold_judge.hpp
+++ b/src/experiment/fixed_threshold_judge.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wrenswitch/decision/rollout/rollout_judge.hpp"
+#include "wrenswitch/decision/rollout/rollout_evaluator.hpp"
 
 namespace wrenswitch::experiment {
 
--- a/src/experiment/rollout_run.hpp
+++ b/src/experiment/rollout_run.hpp
@@ -10,7 +10,7 @@
 #include "experiment/rollout_case.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/rollout/exposure_budget.hpp"
-#include "wrenswitch/decision/rollout/rollout_judge.hpp"
+#include "wrenswitch/decision/rollout/rollout_evaluator.hpp"
 
 namespace wrenswitch::experiment {
 
--- a/src/experiment/slopes.cpp
+++ b/src/experiment/slopes.cpp
@@ -9,7 +9,7 @@
 
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/control/control_state.hpp"
-#include "wrenswitch/decision/home/budget_home.hpp"
+#include "wrenswitch/decision/home/budget_allocator.hpp"
 #include "wrenswitch/decision/ledger/ledger_state.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
 #include "wrenswitch/drivers/control_codec.hpp"
--- a/src/roles/entry/home_desk.cpp
+++ b/src/roles/entry/allocator_service.cpp
@@ -1,4 +1,4 @@
-#include "roles/entry/home_desk.hpp"
+#include "roles/entry/allocator_service.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/roles/entry/home_desk.hpp
+++ b/src/roles/entry/allocator_service.hpp
@@ -8,12 +8,12 @@
 #include <vector>
 
 #include "drivers/bus_codec.hpp"
+#include "roles/entry/cluster_view.hpp"
 #include "roles/entry/entry_settings.hpp"
-#include "roles/entry/fleet_view.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/timeline.hpp"
-#include "wrenswitch/decision/home/budget_home.hpp"
+#include "wrenswitch/decision/home/budget_allocator.hpp"
 #include "wrenswitch/drivers/control_replica.hpp"
 #include "wrenswitch/drivers/ledger_replica.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
--- a/src/roles/entry/fleet_view.cpp
+++ b/src/roles/entry/cluster_view.cpp
@@ -1,4 +1,4 @@
-#include "roles/entry/fleet_view.hpp"
+#include "roles/entry/cluster_view.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/roles/entry/entry.hpp
+++ b/src/roles/entry/entry.hpp
@@ -8,11 +8,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "roles/entry/allocator_service.hpp"
+#include "roles/entry/cluster_view.hpp"
 #include "roles/entry/entry_settings.hpp"
-#include "roles/entry/fleet_view.hpp"
-#include "roles/entry/home_desk.hpp"
-#include "roles/entry/operator_desk.hpp"
-#include "roles/entry/request_flow.hpp"
+#include "roles/entry/operator_api.hpp"
+#include "roles/entry/request_handler.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/timeline.hpp"
--- a/src/roles/entry/entry_settings.hpp
+++ b/src/roles/entry/entry_settings.hpp
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "roles/shared/platform_settings.hpp"
+#include "roles/shared/process_settings.hpp"
 #include "wrenswitch/decision/home/grant_policy.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
--- a/src/roles/entry/operator_desk.cpp
+++ b/src/roles/entry/operator_api.cpp
@@ -1,10 +1,10 @@
-#include "roles/entry/operator_desk.hpp"
+#include "roles/entry/operator_api.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
-#include "roles/entry/show_tables.hpp"
+#include "roles/entry/show_table.hpp"
 #include "wrenswitch/core/digest.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/decision/language/command_checker.hpp"
--- a/src/roles/entry/operator_desk.hpp
+++ b/src/roles/entry/operator_api.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
+#include "roles/entry/allocator_service.hpp"
+#include "roles/entry/cluster_view.hpp"
 #include "roles/entry/entry_settings.hpp"
-#include "roles/entry/fleet_view.hpp"
-#include "roles/entry/home_desk.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/language/command.hpp"
 #include "wrenswitch/drivers/control_replica.hpp"
--- a/src/roles/entry/request_flow.cpp
+++ b/src/roles/entry/request_handler.cpp
@@ -1,4 +1,4 @@
-#include "roles/entry/request_flow.hpp"
+#include "roles/entry/request_handler.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/roles/entry/request_flow.hpp
+++ b/src/roles/entry/request_handler.hpp
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "drivers/bus_codec.hpp"
-#include "roles/entry/caller_reply.hpp"
+#include "roles/entry/allocator_service.hpp"
 #include "roles/entry/caller_request.hpp"
-#include "roles/entry/fleet_view.hpp"
-#include "roles/entry/home_desk.hpp"
+#include "roles/entry/cluster_view.hpp"
+#include "roles/entry/response_writer.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/timeline.hpp"
--- a/src/roles/entry/caller_reply.cpp
+++ b/src/roles/entry/response_writer.cpp
@@ -1,4 +1,4 @@
-#include "roles/entry/caller_reply.hpp"
+#include "roles/entry/response_writer.hpp"
 
 #include <utility>
 
--- a/src/roles/entry/show_tables.cpp
+++ b/src/roles/entry/show_table.cpp
@@ -1,4 +1,4 @@
-#include "roles/entry/show_tables.hpp"
+#include "roles/entry/show_table.hpp"
 
 #include <algorithm>
 #include <charconv>
--- a/src/roles/entry/show_tables.hpp
+++ b/src/roles/entry/show_table.hpp
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
-#include "roles/entry/fleet_view.hpp"
-#include "roles/entry/home_desk.hpp"
+#include "roles/entry/allocator_service.hpp"
+#include "roles/entry/cluster_view.hpp"
 #include "wrenswitch/decision/language/command.hpp"
 #include "wrenswitch/drivers/control_replica.hpp"
 
--- a/src/roles/gateway/run_news_sender.cpp
+++ b/src/roles/gateway/attempt_update_sender.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/run_news_sender.hpp"
+#include "roles/gateway/attempt_update_sender.hpp"
 
 #include <bus.pb.h>
 
--- a/src/roles/gateway/caller_answer.cpp
+++ b/src/roles/gateway/caller_response.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/caller_answer.hpp"
+#include "roles/gateway/caller_response.hpp"
 
 #include <utility>
 
--- a/src/roles/gateway/keeper_reach.cpp
+++ b/src/roles/gateway/coordinator_monitor.cpp
@@ -1,9 +1,9 @@
-#include "roles/gateway/keeper_reach.hpp"
+#include "roles/gateway/coordinator_monitor.hpp"
 
 #include <algorithm>
 #include <utility>
 
-#include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/loop_lag_monitor.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/roles/gateway/keeper_reach.hpp
+++ b/src/roles/gateway/coordinator_monitor.hpp
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "wrenswitch/core/metrics.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -5,7 +5,7 @@
 
 #include "roles/gateway/http_status.hpp"
 #include "roles/gateway/retry_after.hpp"
-#include "roles/gateway/target_request.hpp"
+#include "roles/gateway/upstream_request_builder.hpp"
 #include "wrenswitch/core/digest.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "roles/gateway/caller_answer.hpp"
+#include "roles/gateway/caller_response.hpp"
 #include "roles/gateway/event_splitter.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/incoming_request.hpp"
@@ -13,7 +13,7 @@
 #include "roles/gateway/request_rollout.hpp"
 #include "roles/gateway/request_suspicion.hpp"
 #include "roles/gateway/request_trace.hpp"
-#include "roles/gateway/stream_watch.hpp"
+#include "roles/gateway/stream_timing.hpp"
 #include "wrenswitch/decision/gateway/admission.hpp"
 #include "wrenswitch/decision/gateway/attempt_history.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "roles/gateway/http_status.hpp"
-#include "roles/gateway/relay_choice.hpp"
+#include "roles/gateway/relay_selection.hpp"
 #include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/drivers/log_call_counts.hpp"
--- a/src/roles/gateway/gateway_rollouts.hpp
+++ b/src/roles/gateway/gateway_rollouts.hpp
@@ -4,8 +4,8 @@
 #include <memory>
 #include <string>
 
-#include "roles/gateway/entry_rollouts.hpp"
 #include "roles/gateway/rollout_exchange.hpp"
+#include "roles/gateway/rollout_gates.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/drivers/keyed_log.hpp"
 #include "wrenswitch/drivers/rollout_ledger.hpp"
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -1,4 +1,4 @@
-#include "roles/shared/platform_settings.hpp"
+#include "roles/shared/process_settings.hpp"
 #include "wrenswitch/core/settings_reader.hpp"
 #include "wrenswitch/roles/gateway.hpp"
 
--- a/src/roles/gateway/near_offer.cpp
+++ b/src/roles/gateway/local_offer.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/near_offer.hpp"
+#include "roles/gateway/local_offer.hpp"
 
 namespace wrenswitch {
 
--- a/src/roles/gateway/near_offer.hpp
+++ b/src/roles/gateway/local_offer.hpp
@@ -3,9 +3,9 @@
 #include <cstdint>
 #include <string>
 
-#include "roles/gateway/placed_run.hpp"
+#include "roles/gateway/placed_attempt.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 
 namespace wrenswitch {
 
--- a/src/roles/gateway/lag_watch.cpp
+++ b/src/roles/gateway/loop_lag_monitor.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/loop_lag_monitor.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/roles/gateway/lag_watch.hpp
+++ b/src/roles/gateway/loop_lag_monitor.hpp
@@ -4,7 +4,7 @@
 #include <functional>
 #include <memory>
 
-#include "wrenswitch/decision/gateway/overload_watch.hpp"
+#include "wrenswitch/decision/gateway/overload_detector.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/placement_codec.hpp
+++ b/src/roles/gateway/placement_codec.hpp
@@ -6,7 +6,7 @@
 #include <span>
 #include <string>
 
-#include "roles/gateway/placement_desk.hpp"
+#include "roles/gateway/placement_coordinator.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 
--- a/src/roles/gateway/placement_desk.cpp
+++ b/src/roles/gateway/placement_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/placement_desk.hpp"
+#include "roles/gateway/placement_coordinator.hpp"
 
 #include <placement.pb.h>
 
--- a/src/roles/gateway/placement_desk.hpp
+++ b/src/roles/gateway/placement_coordinator.hpp
@@ -9,7 +9,7 @@
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
-#include "wrenswitch/decision/placement/engine_keepers.hpp"
+#include "wrenswitch/decision/placement/engine_coordinators.hpp"
 
 namespace wrenswitch::wire {
 class RunNewsBatch;
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -7,14 +7,14 @@
 #include <string>
 #include <vector>
 
-#include "roles/gateway/keeper_reach.hpp"
-#include "roles/gateway/near_offer.hpp"
-#include "roles/gateway/placement_desk.hpp"
-#include "roles/gateway/run_news_sender.hpp"
+#include "roles/gateway/attempt_update_sender.hpp"
+#include "roles/gateway/coordinator_monitor.hpp"
+#include "roles/gateway/local_offer.hpp"
+#include "roles/gateway/placement_coordinator.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
-#include "wrenswitch/decision/placement/engine_keepers.hpp"
+#include "wrenswitch/decision/placement/engine_coordinators.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
--- a/src/roles/gateway/event_log.cpp
+++ b/src/roles/gateway/rate_limited_log.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/event_log.hpp"
+#include "roles/gateway/rate_limited_log.hpp"
 
 #include <string>
 
--- a/src/roles/gateway/relay_choice.cpp
+++ b/src/roles/gateway/relay_selection.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/relay_choice.hpp"
+#include "roles/gateway/relay_selection.hpp"
 
 #include <algorithm>
 #include <tuple>
--- a/src/roles/gateway/relay_choice.hpp
+++ b/src/roles/gateway/relay_selection.hpp
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/active_configuration.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/roles/gateway.hpp"
 
--- a/src/roles/gateway/request_rollout.hpp
+++ b/src/roles/gateway/request_rollout.hpp
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "roles/gateway/entry_rollouts.hpp"
+#include "roles/gateway/rollout_gates.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 
--- a/src/roles/gateway/request_suspicion.hpp
+++ b/src/roles/gateway/request_suspicion.hpp
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "roles/gateway/suspect_exchange.hpp"
-#include "roles/gateway/target_ends.hpp"
+#include "roles/gateway/target_crash_detector.hpp"
 #include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 
--- a/src/roles/gateway/rollout_codec.hpp
+++ b/src/roles/gateway/rollout_codec.hpp
@@ -5,8 +5,8 @@
 #include <optional>
 
 #include "wrenswitch/core/ids.hpp"
+#include "wrenswitch/decision/rollout/rollout_directive.hpp"
 #include "wrenswitch/decision/rollout/rollout_evidence.hpp"
-#include "wrenswitch/decision/rollout/rollout_stand.hpp"
 
 namespace wrenswitch {
 
--- a/src/roles/gateway/rollout_desk.cpp
+++ b/src/roles/gateway/rollout_deciders.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/rollout_desk.hpp"
+#include "roles/gateway/rollout_deciders.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/roles/gateway/rollout_desk.hpp
+++ b/src/roles/gateway/rollout_deciders.hpp
@@ -9,7 +9,7 @@
 
 #include "roles/gateway/rollout_codec.hpp"
 #include "wrenswitch/core/metrics.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/decision/rollout/rollout_decider.hpp"
 #include "wrenswitch/drivers/rollout_ledger.hpp"
 
--- a/src/roles/gateway/rollout_exchange.hpp
+++ b/src/roles/gateway/rollout_exchange.hpp
@@ -5,10 +5,10 @@
 #include <string>
 #include <vector>
 
-#include "roles/gateway/entry_rollouts.hpp"
-#include "roles/gateway/rollout_desk.hpp"
+#include "roles/gateway/rollout_deciders.hpp"
+#include "roles/gateway/rollout_gates.hpp"
 #include "wrenswitch/core/metrics.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 #include "wrenswitch/drivers/rollout_ledger.hpp"
--- a/src/roles/gateway/service_retries.cpp
+++ b/src/roles/gateway/service_retry_budgets.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/service_retries.hpp"
+#include "roles/gateway/service_retry_budgets.hpp"
 
 #include <utility>
 
--- a/src/roles/gateway/signal_exchange.cpp
+++ b/src/roles/gateway/signal_exchange.cpp
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "roles/gateway/target_ends.hpp"
+#include "roles/gateway/target_crash_detector.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/roles/gateway/signal_exchange.hpp
+++ b/src/roles/gateway/signal_exchange.hpp
@@ -7,13 +7,13 @@
 #include <string>
 #include <string_view>
 
-#include "roles/gateway/event_log.hpp"
+#include "roles/gateway/rate_limited_log.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/gateway/target_signals.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
-#include "wrenswitch/decision/suspects/target_life.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
+#include "wrenswitch/decision/suspects/target_incarnation.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
--- a/src/roles/gateway/stream_watch.hpp
+++ b/src/roles/gateway/stream_timing.hpp
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/placement/event_pace.hpp"
+#include "wrenswitch/decision/placement/event_interval_estimator.hpp"
 
 namespace wrenswitch {
 
--- a/src/roles/gateway/suspect_exchange.hpp
+++ b/src/roles/gateway/suspect_exchange.hpp
@@ -9,7 +9,7 @@
 
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/decision/suspects/suspect_table.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
--- a/src/roles/gateway/target_ends.cpp
+++ b/src/roles/gateway/target_crash_detector.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/target_ends.hpp"
+#include "roles/gateway/target_crash_detector.hpp"
 
 #include <algorithm>
 #include <string_view>
--- a/src/roles/gateway/target_ends.hpp
+++ b/src/roles/gateway/target_crash_detector.hpp
@@ -9,7 +9,7 @@
 
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
-#include "wrenswitch/decision/suspects/broken_runs.hpp"
+#include "wrenswitch/decision/suspects/interrupted_attempts.hpp"
 #include "wrenswitch/drivers/connection_probe.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "roles/gateway/lag_watch.hpp"
+#include "roles/gateway/loop_lag_monitor.hpp"
 #include "wrenswitch/core/log.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/token_exchange.hpp
+++ b/src/roles/gateway/token_exchange.hpp
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "roles/gateway/token_waiters.hpp"
+#include "roles/gateway/token_wait_queue.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
-#include "wrenswitch/decision/grants/token_homes.hpp"
+#include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
--- a/src/roles/gateway/token_waiters.cpp
+++ b/src/roles/gateway/token_wait_queue.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/token_waiters.hpp"
+#include "roles/gateway/token_wait_queue.hpp"
 
 #include <vector>
 
--- a/src/roles/gateway/target_request.cpp
+++ b/src/roles/gateway/upstream_request_builder.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/target_request.hpp"
+#include "roles/gateway/upstream_request_builder.hpp"
 
 #include <string>
 
--- a/src/roles/guard/charge_reporter.hpp
+++ b/src/roles/guard/charge_reporter.hpp
@@ -6,7 +6,7 @@
 
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/control/control_state.hpp"
-#include "wrenswitch/decision/guard/charge_book.hpp"
+#include "wrenswitch/decision/guard/charge_tracker.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
 namespace wrenswitch {
--- a/src/roles/guard/guard_replies.cpp
+++ b/src/roles/guard/guard_reply_sender.cpp
@@ -1,4 +1,4 @@
-#include "roles/guard/guard_replies.hpp"
+#include "roles/guard/guard_reply_sender.hpp"
 
 #include <string>
 #include <utility>
--- a/src/roles/guard/guard_settings.hpp
+++ b/src/roles/guard/guard_settings.hpp
@@ -3,9 +3,9 @@
 #include <cstdint>
 #include <string>
 
-#include "roles/shared/platform_settings.hpp"
+#include "roles/shared/process_settings.hpp"
 #include "wrenswitch/decision/guard/admission_queue.hpp"
-#include "wrenswitch/decision/guard/answer_buffer.hpp"
+#include "wrenswitch/decision/guard/response_buffer.hpp"
 #include "wrenswitch/decision/limits/concurrency_limiter.hpp"
 
 namespace wrenswitch {
--- a/src/roles/guard/target_load_watch.cpp
+++ b/src/roles/guard/target_load_poller.cpp
@@ -1,4 +1,4 @@
-#include "roles/guard/target_load_watch.hpp"
+#include "roles/guard/target_load_poller.hpp"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/roles/relay/relay.cpp
+++ b/src/roles/relay/relay.cpp
@@ -2,7 +2,7 @@
 
 #include <bus.pb.h>
 
-#include "roles/shared/platform_settings.hpp"
+#include "roles/shared/process_settings.hpp"
 #include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/core/settings_reader.hpp"
--- a/src/roles/shared/platform_settings.cpp
+++ b/src/roles/shared/process_settings.cpp
@@ -1,4 +1,4 @@
-#include "roles/shared/platform_settings.hpp"
+#include "roles/shared/process_settings.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/tests/decision/gateway/configuration_view_test.cpp
+++ b/tests/decision/gateway/active_configuration_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/active_configuration.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/gateway/named_limits_test.cpp
+++ b/tests/decision/gateway/advertised_limits_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/named_limits.hpp"
+#include "wrenswitch/decision/gateway/advertised_limits.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/gateway/limit_bound_test.cpp
+++ b/tests/decision/gateway/limit_bound_test.cpp
@@ -9,7 +9,7 @@
 #include <memory>
 
 #include "wrenswitch/core/digest.hpp"
-#include "wrenswitch/decision/gateway/named_limits.hpp"
+#include "wrenswitch/decision/gateway/advertised_limits.hpp"
 
 namespace {
 
--- a/tests/decision/gateway/overload_watch_test.cpp
+++ b/tests/decision/gateway/overload_detector_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/overload_watch.hpp"
+#include "wrenswitch/decision/gateway/overload_detector.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/gateway/region_table_test.cpp
+++ b/tests/decision/gateway/region_table_test.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "wrenswitch/decision/gateway/candidate_limits.hpp"
+#include "wrenswitch/decision/gateway/candidate_constraints.hpp"
 
 namespace {
 
--- a/tests/decision/gateway/answer_times_test.cpp
+++ b/tests/decision/gateway/response_time_tracker_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/gateway/answer_times.hpp"
+#include "wrenswitch/decision/gateway/response_time_tracker.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/grants/peer_distances_test.cpp
+++ b/tests/decision/grants/peer_round_trips_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/grants/peer_distances.hpp"
+#include "wrenswitch/decision/grants/peer_round_trips.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/guard/charge_book_test.cpp
+++ b/tests/decision/guard/charge_tracker_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/guard/charge_book.hpp"
+#include "wrenswitch/decision/guard/charge_tracker.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/guard/answer_buffer_test.cpp
+++ b/tests/decision/guard/response_buffer_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/guard/answer_buffer.hpp"
+#include "wrenswitch/decision/guard/response_buffer.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/decision/placement/engine_keepers_test.cpp
+++ b/tests/decision/placement/engine_coordinators_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/placement/engine_keepers.hpp"
+#include "wrenswitch/decision/placement/engine_coordinators.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/tests/decision/rollout/share_test_test.cpp
+++ b/tests/decision/rollout/proportion_test_test.cpp
@@ -1,4 +1,4 @@
-#include "decision/rollout/share_test.hpp"
+#include "decision/rollout/proportion_test.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <cmath>
--- a/tests/decision/rollout/rollout_judge_test.cpp
+++ b/tests/decision/rollout/rollout_evaluator_test.cpp
@@ -1,4 +1,4 @@
-#include "wrenswitch/decision/rollout/rollout_judge.hpp"
+#include "wrenswitch/decision/rollout/rollout_evaluator.hpp"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -3,7 +3,7 @@
 
 #include "platform/dialect.hpp"
 #include "roles/gateway/incoming_request.hpp"
-#include "wrenswitch/decision/gateway/configuration_view.hpp"
+#include "wrenswitch/decision/gateway/active_configuration.hpp"
 
 namespace {
 
--- a/tests/roles/request_charge_test.cpp
+++ b/tests/roles/request_charge_test.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "roles/gateway/token_waiters.hpp"
+#include "roles/gateway/token_wait_queue.hpp"
 
 namespace {
 
--- a/tests/roles/entry_rollouts_test.cpp
+++ b/tests/roles/rollout_gates_test.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/entry_rollouts.hpp"
+#include "roles/gateway/rollout_gates.hpp"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/roles/stream_watch_test.cpp
+++ b/tests/roles/stream_timing_test.cpp
@@ -1,4 +1,4 @@
-#include "roles/gateway/stream_watch.hpp"
+#include "roles/gateway/stream_timing.hpp"
 
 #include <boost/test/unit_test.hpp>
 
