--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -123,7 +123,10 @@
       target_list_(targets_, metrics_,
                    {dialect.read_target, [this](const std::string& id) { pools_.erase(id); },
                     [this](const std::string& id) { crashes_.on_unlisted(id); },
-                    [this](const std::string& id) { crashes_.on_restarted(id); }}),
+                    [this](const std::string& id) { crashes_.on_restarted(id); },
+                    [this](std::string_view event, std::initializer_list<log_field> fields) {
+                        rate_limited_log_.log_list_change(event, fields);
+                    }}),
       coordinators_(allocators_, engine_regions(settings, targets_)),
       lag_monitor_(
           loop, [this] { return context_->active_requests.size(); },
@@ -244,14 +247,14 @@
         member_directory_hooks{
             [this](const cluster_member& member) {
                 allocators_.apply(member);
-                log_event(log_level::information, "member_joined",
-                          {{"host", member.host},
-                           {"incarnation", std::to_string(raw(member.process))},
-                           {"endpoint", member.endpoint}});
+                rate_limited_log_.log_list_change(
+                    "member_joined", {{"host", member.host},
+                                      {"incarnation", std::to_string(raw(member.process))},
+                                      {"endpoint", member.endpoint}});
             },
             [this](const std::string& host) {
                 allocators_.remove(host);
-                log_event(log_level::information, "member_left", {{"host", host}});
+                rate_limited_log_.log_list_change("member_left", {{"host", host}});
             },
             reachable_hook(dialect_.member_log)},
         settings_.regions.has_multiple_regions());
--- a/src/roles/gateway/rate_limited_log.hpp
+++ b/src/roles/gateway/rate_limited_log.hpp
@@ -11,8 +11,8 @@
 namespace wrenswitch {
 
 /// Writes log events that may occur with every request, up to a limit per second. The suppressed
-/// events are counted, and their number is logged. Served requests, failed requests and routine
-/// events have separate limits, so that none can suppress the others.
+/// events are counted, and their number is logged. Served requests, failed requests, routine events
+/// and changes of lists have separate limits, so that none can suppress the others.
 class rate_limited_log {
 public:
     /// The counters must outlive the log.
@@ -25,6 +25,10 @@
     /// Writes an event of the process itself that is as frequent as requests are.
     void log_routine(std::string_view event, std::initializer_list<log_field> fields);
 
+    /// Writes a change of the list of targets or members. A process that starts reads whole lists,
+    /// and writing a line for each entry would delay its first requests.
+    void log_list_change(std::string_view event, std::initializer_list<log_field> fields);
+
 private:
     /// The number of events that were written and suppressed in the current second.
     struct line_quota {
@@ -32,7 +36,7 @@
         unsigned suppressed = 0;
     };
 
-    bool try_acquire(line_quota& quota);
+    bool try_acquire(line_quota& quota, unsigned max_lines);
 
     unsigned max_lines_per_second_;
     metrics& counters_;
@@ -40,6 +44,7 @@
     line_quota served_;
     line_quota failed_;
     line_quota routine_;
+    line_quota list_changes_;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/target_list.cpp
+++ b/src/roles/gateway/target_list.cpp
@@ -36,7 +36,7 @@
 void target_list::remove_target(instant now, const std::string& id) {
     unreadable_entries_.erase(id);
     targets_.remove(now, id);
-    log_event(log_level::information, "target_unlisted", {{"target", id}});
+    hooks_.log_change("target_unlisted", {{"target", id}});
     hooks_.on_unlisted(id);
 }
 
@@ -106,13 +106,12 @@
         targets_.quarantine_new_version(now, target.id);
     }
     if (is_changed) {
-        log_event(log_level::information, "target_listed",
-                  {{"target", target.id},
-                   {"service", target.service},
-                   {"address", target.address},
-                   {"started", format_start(target)},
-                   {"leaving", target.draining ? "yes" : "no"},
-                   {"cold_ms", millis_text(entry.cold_remaining)}});
+        hooks_.log_change("target_listed", {{"target", target.id},
+                                            {"service", target.service},
+                                            {"address", target.address},
+                                            {"started", format_start(target)},
+                                            {"leaving", target.draining ? "yes" : "no"},
+                                            {"cold_ms", millis_text(entry.cold_remaining)}});
     }
 }
 
--- a/src/roles/gateway/target_list.hpp
+++ b/src/roles/gateway/target_list.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <string>
 #include <string_view>
 
+#include "wrenswitch/core/log.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/drivers/keyed_log.hpp"
@@ -22,6 +24,11 @@
         /// The target was removed from the list, or was restarted under the same identifier.
         std::function<void(const std::string& id)> on_unlisted;
         std::function<void(const std::string& id)> on_restarted;
+        /// Writes a log line about a target that was listed or removed.
+        std::function<void(std::string_view event, std::initializer_list<log_field> fields)>
+            log_change = [](std::string_view event, std::initializer_list<log_field> fields) {
+                log_event(log_level::information, event, fields);
+            };
     };
 
     target_list(target_pool& targets, metrics& counters, hooks callbacks)
