Believe a restore of the store only from the store itself

An entry that heard of a newer generation through a reader alone went on naming the old one in its requests, and the reader answered each at once with an empty page: a loop without a pause. A page that names a newer generation is now dropped and the store is read; requests name the generation known.

--- a/include/wrenswitch/drivers/shared_log.hpp
+++ b/include/wrenswitch/drivers/shared_log.hpp
@@ -16,6 +16,10 @@
 #include "wrenswitch/drivers/log_page_server.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
+namespace wrenswitch::wire {
+class LogReadReply;
+}
+
 namespace wrenswitch {
 
 /// Settings of a shared log.
@@ -94,6 +98,9 @@
     void ask_for_newest(pending_read read);
     void on_newest_page(pending_read read, const wire::Envelope& message);
     void read_elsewhere(pending_read read);
+    std::uint64_t known_generation() const;
+    bool names_newer_generation(const wire::LogReadReply& reply);
+    void read_again_from_store(pending_read read);
     void ask(const std::string& endpoint, pending_read read);
     void read_store(std::string_view log, std::uint64_t from, microseconds wait, page_hook done);
     void schedule_timeout(std::uint64_t call, microseconds timeout);
@@ -112,6 +119,8 @@
     log_reader_selector readers_;
     log_page_server server_;
     std::uint64_t members_version_ = 0;
+    /// The generation named by the first page of a reader; zero if the store was heard before.
+    std::uint64_t first_generation_ = 0;
     /// How often this process is still to announce itself as a reader.
     unsigned announcements_left_ = 0;
     /// True until the members are known or took too long.
--- a/src/drivers/shared_log.cpp
+++ b/src/drivers/shared_log.cpp
@@ -250,7 +250,7 @@
     wire::LogReadRequest& body = *message.mutable_log_read_request();
     body.set_call(call);
     body.set_log(read.log);
-    body.set_generation(store_.generation());
+    body.set_generation(known_generation());
     body.set_from(read.from);
     body.set_wait_ms(
         static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(read.wait).count()));
@@ -318,7 +318,11 @@
     }
     switch (reply.outcome()) {
         case wire::LOG_READ_PAGE:
-            on_page(std::move(*read), message);
+            if (names_newer_generation(reply)) {
+                read_again_from_store(std::move(*read));
+            } else {
+                on_page(std::move(*read), message);
+            }
             return;
         case wire::LOG_READ_MISSING:
             counters_.counter("shared_reads_missing_total") += 1;
@@ -356,11 +360,32 @@
     read.done(std::move(read.newest));
 }
 
+std::uint64_t shared_log::known_generation() const {
+    return std::max(store_.generation(), first_generation_);
+}
+
+/// A reader tells an entry that starts which generation the store has. That the store was restored
+/// from a copy after that is only believed from the store itself.
+bool shared_log::names_newer_generation(const wire::LogReadReply& reply) {
+    if (known_generation() == 0) {
+        first_generation_ = reply.generation();
+    }
+    return reply.generation() > known_generation();
+}
+
+void shared_log::read_again_from_store(pending_read read) {
+    if (read.is_newest) {
+        read_newest_from_store(read.log, std::move(read.done));
+    } else {
+        read_store(read.log, read.from, read.wait, std::move(read.done));
+    }
+}
+
 void shared_log::read_elsewhere(pending_read read) {
     if (read.is_newest) {
         ask_for_newest(std::move(read));
     } else {
-        read_store(read.log, read.from, read.wait, std::move(read.done));
+        read_again_from_store(std::move(read));
     }
 }
 
--- a/tests/drivers/shared_log_test.cpp
+++ b/tests/drivers/shared_log_test.cpp
@@ -33,11 +33,11 @@
 
     store_link_state state = store_link_state::open;
 
-    std::uint64_t generation() const override { return store_.generation(); }
+    std::uint64_t generation() const override { return heard_generation_; }
 
     void newest(std::string_view log, page_hook done) override {
         if (!fails(call_timeout, done)) {
-            store_.newest(log, std::move(done));
+            store_.newest(log, guarded(std::move(done), call_timeout));
         }
     }
 
@@ -68,6 +68,7 @@
         return [this, done = std::move(done),
                 until = monotonic_now() + timeout](const result<keyed_page>& page) {
             if (state == store_link_state::open) {
+                heard_generation_ = store_.generation();
                 done(page);
                 return;
             }
@@ -78,6 +79,8 @@
 
     event_loop& loop_;
     fake_keyed_log& store_;
+    /// The generation named by the last reply over this link.
+    std::uint64_t heard_generation_ = 0;
 };
 
 /// A process that follows one log.
@@ -327,6 +330,38 @@
     for (const auto& each : processes) {
         BOOST_TEST(each->values.back() == "and then");
     }
+    const auto asked = [this] {
+        std::uint64_t sum = 0;
+        for (const auto& each : processes) {
+            sum += each->counters.counter("shared_reads_asked_total");
+        }
+        return sum;
+    };
+    const std::uint64_t before = asked();
+    run_for(4 * hold);
+    BOOST_TEST(asked() - before <= 6 * processes.size());
+}
+
+/// A peer that names a generation that the store doesn't have must not make an entry drop its view.
+BOOST_AUTO_TEST_CASE(generation_named_by_a_reader_alone_is_not_believed) {
+    start(14);
+    for (following_process* reader : readers()) {
+        reader->bus->on_message(
+            [reader](const message_origin& origin, const wire::Envelope& message) {
+                wire::Envelope forged;
+                wire::LogReadReply& reply = *forged.mutable_log_read_reply();
+                reply.set_call(message.log_read_request().call());
+                reply.set_outcome(wire::LOG_READ_PAGE);
+                reply.set_generation(1'000);
+                reply.set_end(message.log_read_request().from());
+                reader->bus->answer(origin, forged);
+            });
+    }
+    check_record_reaches_all("second");
+    check_record_reaches_all("third");
+    for (const auto& each : processes) {
+        BOOST_TEST(each->follower.generation() == store.store_generation);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(entries_of_an_earlier_release_are_not_asked) {
