Ignore a piece of a reply whose call has timed out

A call that times out is erased at once and destroyed in the next iteration of the loop.

No test: it needs the timer before the readable socket within one iteration.

--- a/src/drivers/direct_channel.cpp
+++ b/src/drivers/direct_channel.cpp
@@ -62,7 +62,12 @@
     };
 
     void on_piece(std::uint64_t number, std::string_view piece) {
-        pending_call& call = calls_.at(number);
+        // A call that timed out in this iteration of the loop is destroyed in the next one.
+        const auto found = calls_.find(number);
+        if (found == calls_.end()) {
+            return;
+        }
+        pending_call& call = found->second;
         const instant now = monotonic_now();
         if (call.incoming) {
             call.incoming->record_piece(now);
