--- a/include/wrenswitch/drivers/log_page_server.hpp
+++ b/include/wrenswitch/drivers/log_page_server.hpp
@@ -97,6 +97,8 @@
     void send_page(const served_log& served, const waiting_request& request);
     void send_newest(const served_log& served, const waiting_request& request);
     void send_empty_page(const served_log& served, const waiting_request& request);
+    /// Tells the other process to read elsewhere. With is_missing this process isn't at fault and
+    /// may be asked again at once.
     void refuse(const message_origin& origin, std::uint64_t call, bool is_missing);
     bool take_bytes(std::size_t bytes);
 
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -90,8 +90,7 @@
 }
 
 /// Each target renews its entry every few seconds at every gateway. If a renewal looks at all
-/// targets, the work grows with their square: an entry with a tenth of a core took 2.6 s to read
-/// 1,270 of them.
+/// targets, the work grows with their square.
 BOOST_AUTO_TEST_CASE(renewal_of_a_target_costs_little_more_among_many) {
     const auto shortest_renewal = [this](int count) {
         target_pool many({}, random);
