--- a/include/wrenswitch/decision/gateway/target_signals.hpp
+++ b/include/wrenswitch/decision/gateway/target_signals.hpp
@@ -11,6 +11,9 @@
 /// What a target reports about itself in the headers of one response.
 struct target_signals {
     std::optional<load_report> load;
+    /// The text of a load report that couldn't be parsed, for logs; empty otherwise. If only its
+    /// slowdown couldn't be parsed, `load` has the rest.
+    std::string unreadable_load;
     /// The requests per second that the target accepts from all gateways together. The limit
     /// applies as long as responses advertise it; a response without one says that there is no
     /// limit.
--- a/include/wrenswitch/decision/routing/target_picker.hpp
+++ b/include/wrenswitch/decision/routing/target_picker.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -16,12 +17,14 @@
 
 namespace wrenswitch {
 
-/// The load that a guard last reported.
+/// The load that a guard or a target last reported.
 struct load_report {
     unsigned running = 0;
     unsigned queued = 0;
     unsigned limit = 1;
     bool draining = false;
+    /// How many times as long as usual work takes there now; no value if it wasn't reported.
+    std::optional<double> slowdown{};
 };
 
 /// A guard that an entry can send requests to.
--- a/src/roles/gateway/signal_exchange.cpp
+++ b/src/roles/gateway/signal_exchange.cpp
@@ -78,9 +78,7 @@
     if (target == nullptr || incarnation_of(*target) != incarnation) {
         return;
     }
-    if (signals.load) {
-        targets_.on_load_report(now, incarnation.target, *signals.load);
-    }
+    apply_load(now, incarnation, request, signals);
     apply_limit(now, incarnation, sent, request, signals);
     apply_backoff(now, incarnation, request, signals);
     if (signals.draining) {
@@ -88,6 +86,30 @@
     }
 }
 
+void signal_exchange::apply_load(instant now, const target_incarnation& incarnation,
+                                 std::string_view request, const target_signals& signals) {
+    if (signals.load) {
+        targets_.on_load_report(now, incarnation.target, *signals.load);
+    }
+    if (signals.unreadable_load.empty()) {
+        if (signals.load) {
+            damaged_loads_.erase(incarnation.target);
+        }
+        return;
+    }
+    counters_.counter("gateway_target_loads_unreadable_total") += 1;
+    const load_damage damage = signals.load ? load_damage::slowdown : load_damage::whole;
+    const auto [known, inserted] = damaged_loads_.try_emplace(incarnation.target, damage);
+    if (!inserted && std::exchange(known->second, damage) == damage) {
+        return;
+    }
+    events_.log_routine("target_load_unreadable",
+                        {{"target", incarnation.target},
+                         {"request", std::string(request)},
+                         {"part", damage == load_damage::whole ? "whole" : "slowdown"},
+                         {"said", signals.unreadable_load.substr(0, max_logged_bytes)}});
+}
+
 void signal_exchange::apply_draining(instant now, const target_incarnation& incarnation,
                                      std::string_view request) {
     if (!targets_.mark_draining(incarnation.target)) {
@@ -304,6 +326,8 @@
         static_cast<double>(targets_.backoffs().active_count(now));
     if (now >= next_query_) {
         next_query_ = now + query_period;
+        std::erase_if(damaged_loads_,
+                      [this](const auto& known) { return targets_.find(known.first) == nullptr; });
         query_senders(now);
     }
 }
--- a/src/roles/gateway/signal_exchange.hpp
+++ b/src/roles/gateway/signal_exchange.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -53,6 +55,8 @@
     void tick(instant now);
 
 private:
+    void apply_load(instant now, const target_incarnation& incarnation, std::string_view request,
+                    const target_signals& signals);
     void apply_limit(instant now, const target_incarnation& incarnation, instant sent,
                      std::string_view request, const target_signals& signals);
     void apply_draining(instant now, const target_incarnation& incarnation,
@@ -75,6 +79,10 @@
     random_source random_;
     /// Targets whose signals are to be sent to the other gateways.
     std::set<std::string> unshared_;
+    /// The targets whose last load report couldn't be parsed, and whether all of it couldn't or
+    /// only the slowdown.
+    enum class load_damage { whole, slowdown };
+    std::map<std::string, load_damage, std::less<>> damaged_loads_;
     instant next_query_{};
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -133,6 +133,47 @@
     BOOST_TEST(!signals_of({{"Load-Report", "3,1"}}).load.has_value());
 }
 
+// Guards against a report with a slowdown that is dropped whole, or one whose damage goes
+// unnoticed.
+BOOST_AUTO_TEST_CASE(fourth_field_of_a_load_is_the_slowdown_and_further_ones_are_ignored) {
+    for (const char* value : {"3,1,8,250", " 3 , 1 , 8 , 250 ", "3,1,8,250,7,x", "3,1,8,250,"}) {
+        const target_signals signals = signals_of({{"Load-Report", value}});
+        BOOST_REQUIRE(signals.load.has_value());
+        BOOST_TEST(signals.load->limit == 8U);
+        BOOST_TEST(signals.load->slowdown.value_or(0.0) == 2.5);
+        BOOST_TEST(signals.unreadable_load == "");
+    }
+    const target_signals without = signals_of({{"Load-Report", "3,1,8"}});
+    BOOST_TEST(!without.load.value().slowdown.has_value());
+    BOOST_TEST(without.unreadable_load == "");
+    BOOST_TEST(signals_of({}).unreadable_load == "");
+}
+
+BOOST_AUTO_TEST_CASE(malformed_slowdown_leaves_the_rest_of_the_load_valid) {
+    for (const char* value :
+         {"3,1,8,", "3,1,8,x", "3,1,8,-100", "3,1,8,0", "3,1,8,nan", "3,1,8,inf", "3,1,8,99999999",
+          "3,1,8,1e400", "3,1,8,100%", "3,1,8,,100"}) {
+        const target_signals signals = signals_of({{"Load-Report", value}});
+        BOOST_REQUIRE_MESSAGE(signals.load.has_value(), value);
+        BOOST_TEST(signals.load->running == 3U);
+        BOOST_TEST(signals.load->queued == 1U);
+        BOOST_TEST(signals.load->limit == 8U);
+        BOOST_TEST(!signals.load->slowdown.has_value());
+        BOOST_TEST(signals.unreadable_load == value);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(malformed_load_is_reported_as_unreadable) {
+    for (const char* value : {"3", "3,1", "3,1,", "x,1,8", "3,-1,8", "3,1,8.5", "3,,8", ",,,",
+                              "nan,1,8", "3,1,99999999999", "3,1000001,8", "3 1 8", "-3,1,8,100"}) {
+        const target_signals signals = signals_of({{"Load-Report", value}});
+        BOOST_TEST(!signals.load.has_value(), value);
+        BOOST_TEST(signals.unreadable_load == value);
+    }
+    BOOST_TEST(!signals_of({{"Load-Report", ""}}).load.has_value());
+    BOOST_TEST(signals_of({{"Load-Report", ""}}).unreadable_load != "");
+}
+
 BOOST_AUTO_TEST_CASE(limit_is_a_decimal_number_of_at_least_zero) {
     BOOST_TEST(!signals_of({}).max_per_second.has_value());
     const std::map<std::string, double> good{
