--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -1,24 +1,12 @@
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
-#include "wrenswitch/core/digest.hpp"
-
 namespace wrenswitch {
 namespace {
 
-/// The weight of one response in a target's failure rate.
-constexpr double failure_weight = 0.15;
-
-/// Half-life of the failure rate: about as long as a disturbance of a target lasts.
-constexpr microseconds failure_half_life = seconds(4);
-
-/// Cost of a target that fails all its requests, in units of a fully loaded target.
-constexpr double failure_cost = 3.0;
-
 /// Size of the random term that breaks ties between equally good targets.
 constexpr double tie_break_jitter = 0.02;
 
@@ -126,58 +114,6 @@
     return true;
 }
 
-void target_pool::quarantine_new_version(instant now, std::string_view id) {
-    const auto found = targets_.find(id);
-    if (found == targets_.end()) {
-        return;
-    }
-    const gateway_target& target = found->second.target;
-    const bool known = std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
-        const target_state& other = entry.second;
-        return other.listed && other.target.id != target.id &&
-               other.target.service == target.service && other.target.version == target.version &&
-               !quarantine_.contains(entry.first);
-    });
-    if (!known) {
-        quarantine_.add(now, id);
-    }
-}
-
-/// The rollout order for this target's version may not have been read yet; until it is, targets of
-/// other versions serve the requests. A known order excludes only the version that it names, so
-/// that the target is still held back if further versions remain.
-bool target_pool::is_held_back(const target_state& state,
-                               const version_constraint& constraint) const {
-    if (constraint.rule == version_rule::only || !quarantine_.contains(state.target.id)) {
-        return false;
-    }
-    version_set others = constraint.excluded;
-    if (constraint.rule == version_rule::other_than) {
-        others.insert(constraint.version);
-    }
-    return !has_only_version(state.target.service, state.target.version, others);
-}
-
-bool target_pool::waits_for_orders() const {
-    return std::any_of(targets_.begin(), targets_.end(),
-                       [this](const auto& entry) { return is_held_back(entry.second, {}); });
-}
-
-bool target_pool::has_only_version(std::string_view service, std::string_view version,
-                                   const version_set& excluded) const {
-    bool any = false;
-    for (const auto& [id, state] : targets_) {
-        if (state.target.service != service || excluded.contains(state.target.version)) {
-            continue;
-        }
-        if (state.target.version != version) {
-            return false;
-        }
-        any = true;
-    }
-    return any;
-}
-
 void target_pool::remove(instant now, std::string_view id) {
     const auto found = targets_.find(id);
     if (found != targets_.end() && found->second.listed) {
@@ -245,102 +181,6 @@
     return expired_ids;
 }
 
-bool target_pool::is_eligible(const target_state& state, std::string_view service,
-                              const candidate_constraints& constraints) const {
-    return state.target.service == service && !state.target.draining && !state.announced_draining &&
-           !state.replaced && !state.unreadable && !is_evacuated(state.target.failure_domain) &&
-           is_in_allowed_region(state, constraints.regions) &&
-           constraints.version.admits(state.target.version) &&
-           !is_held_back(state, constraints.version);
-}
-
-bool target_pool::is_in_allowed_region(const target_state& state,
-                                       const allowed_regions& regions) const {
-    return allows_region(regions, settings_.regions.region_of(state.target.failure_domain));
-}
-
-/// Keeps the first targets of the version in an order that the seed determines and that is the same
-/// in every process. A target that fails stays in the group, because the failures of the version
-/// must show in its results.
-void target_pool::select_group(std::vector<target_state*>& targets,
-                               const version_constraint& constraint) {
-    if (constraint.rule != version_rule::only || constraint.group_size == 0 ||
-        targets.size() <= constraint.group_size) {
-        return;
-    }
-    const auto rank = [&constraint](const target_state* state) {
-        return spread_hash(state->target.id, constraint.group_seed);
-    };
-    std::sort(targets.begin(), targets.end(),
-              [&rank](const auto* left, const auto* right) { return rank(left) < rank(right); });
-    targets.resize(constraint.group_size);
-}
-
-/// Returns the best class of targets that isn't empty: listed and healthy; listed and ejected; and,
-/// as a fallback, those that left the list, because the list loses healthy targets while the
-/// platform is down.
-std::vector<target_pool::target_state*> target_pool::candidates(
-    instant now, std::string_view service, std::span<const std::string> tried,
-    const candidate_constraints& constraints, const state_filter& admits) {
-    std::vector<target_state*> allowed;
-    std::vector<target_state*> unlisted;
-    for (auto& [id, state] : targets_) {
-        if (is_eligible(state, service, constraints)) {
-            (state.listed ? allowed : unlisted).push_back(&state);
-        }
-    }
-    select_group(allowed, constraints.version);
-    const bool any_listed = !allowed.empty();
-    const auto is_excluded = [&](const target_state* state) {
-        return std::find(tried.begin(), tried.end(), state->target.id) != tried.end() ||
-               !admits(*state);
-    };
-    std::erase_if(allowed, is_excluded);
-    std::erase_if(unlisted, is_excluded);
-    std::vector<target_state*> healthy;
-    std::vector<target_state*> ejected;
-    for (target_state* state : allowed) {
-        (state->ejected_until > now ? ejected : healthy).push_back(state);
-    }
-    if (!healthy.empty()) {
-        return healthy;
-    }
-    if (!ejected.empty()) {
-        return ejected;
-    }
-    return any_listed ? std::vector<target_state*>{} : unlisted;
-}
-
-/// Returns the candidates without the cold targets that have no permit in time.
-target_pool::permitted_candidates target_pool::candidates_with_permits(
-    instant now, std::string_view service, std::span<const std::string> tried, permit_share share,
-    microseconds max_wait, const candidate_constraints& constraints) {
-    permitted_candidates group;
-    group.targets = candidates(now, service, tried, constraints, [&](const target_state& state) {
-        const bool admitted = warmup_.delay(now, state.target.id, share) <= max_wait;
-        group.excluded_cold = group.excluded_cold || !admitted;
-        return admitted;
-    });
-    return group;
-}
-
-/// Sends a request that is safe to repeat to an unresponsive target, to find out whether it
-/// responds again; if it doesn't, the request is retried elsewhere and nothing is lost. A request
-/// that isn't safe to repeat would be lost, so it uses such a target only if there is no other.
-void target_pool::filter_unresponsive(std::vector<target_state*>& targets, bool repeatable) {
-    const auto probe = std::find_if(targets.begin(), targets.end(), [](const auto* state) {
-        return state->unresponsive && state->in_flight == 0;
-    });
-    if (repeatable && probe != targets.end()) {
-        targets = {*probe};
-        return;
-    }
-    const auto responds = [](const target_state* state) { return !state->unresponsive; };
-    if (std::any_of(targets.begin(), targets.end(), responds)) {
-        std::erase_if(targets, [](const target_state* state) { return state->unresponsive; });
-    }
-}
-
 target_choice target_pool::pick(instant now, std::string_view service,
                                 std::span<const std::string> tried, microseconds objective,
                                 bool repeatable, const candidate_constraints& constraints) {
@@ -489,35 +329,11 @@
     }
 }
 
-bool target_pool::is_usable(std::string_view id, std::string_view service,
-                            const candidate_constraints& constraints) const {
-    const auto found = targets_.find(id);
-    if (found == targets_.end()) {
-        return false;
-    }
-    return found->second.listed && is_eligible(found->second, service, constraints);
-}
-
 bool target_pool::is_listed(std::string_view id) const {
     const auto found = targets_.find(id);
     return found != targets_.end() && found->second.listed;
 }
 
-bool target_pool::has_target_in(std::string_view service, const allowed_regions& regions) const {
-    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& known) {
-        const target_state& state = known.second;
-        return state.target.service == service && !state.replaced &&
-               is_in_allowed_region(state, regions);
-    });
-}
-
-bool target_pool::has_untried(instant now, std::string_view service,
-                              std::span<const std::string> tried,
-                              const candidate_constraints& constraints) {
-    const auto any = [](const target_state&) { return true; };
-    return !candidates(now, service, tried, constraints, any).empty();
-}
-
 bool target_pool::may_copy(std::string_view from, std::string_view to,
                            const allowed_regions& regions) const {
     const auto source = targets_.find(from);
@@ -552,31 +368,6 @@
     return found;
 }
 
-double target_pool::occupancy(const target_state& state, instant now) const {
-    const double own = state.in_flight;
-    const bool fresh =
-        state.reported_at != instant{} && now - state.reported_at < settings_.report_lifetime;
-    if (!fresh) {
-        return own;
-    }
-    return std::max(own, static_cast<double>(state.load.running + state.load.queued));
-}
-
-double target_pool::direct_cost(const target_state& state, instant now) const {
-    const bool other_domain = state.target.failure_domain != settings_.failure_domain;
-    const double slots = std::max(1U, state.target.slots);
-    return occupancy(state, now) / slots + failure_cost * failure_rate(state, now) +
-           (other_domain ? settings_.other_domain_cost : 0.0) +
-           (is_in_other_region(state) ? settings_.other_region_cost : 0.0);
-}
-
-void target_pool::on_sent(std::string_view id) {
-    const auto found = targets_.find(id);
-    if (found != targets_.end()) {
-        found->second.in_flight += 1;
-    }
-}
-
 std::uint64_t target_pool::begin_attempt(instant now, std::string_view id,
                                          const engine_request& request, tokens uncached_tokens,
                                          bool all_known) {
@@ -600,65 +391,4 @@
     placer_.end_attempt(now, id, attempt);
 }
 
-void target_pool::on_finished(std::string_view id) {
-    const auto found = targets_.find(id);
-    if (found != targets_.end()) {
-        found->second.in_flight -= found->second.in_flight > 0 ? 1 : 0;
-    }
-}
-
-void target_pool::on_load_report(instant now, std::string_view id, const load_report& load) {
-    const auto found = targets_.find(id);
-    if (found != targets_.end()) {
-        found->second.load = load;
-        found->second.reported_at = now;
-    }
-}
-
-void target_pool::on_failure(instant now, std::string_view id) {
-    const auto found = targets_.find(id);
-    if (found == targets_.end()) {
-        return;
-    }
-    target_state& state = found->second;
-    const unsigned doublings = std::min(state.consecutive_failures, 5U);
-    const microseconds length = settings_.first_ejection * (1U << doublings);
-    state.ejected_until = now + std::min(length, settings_.max_ejection);
-    state.consecutive_failures += 1;
-    record_outcome(state, now, false);
-}
-
-void target_pool::on_unresponsive(instant now, std::string_view id) {
-    on_failure(now, id);
-    const auto found = targets_.find(id);
-    if (found != targets_.end()) {
-        found->second.unresponsive = true;
-    }
-}
-
-void target_pool::on_response(instant now, std::string_view id, bool succeeded) {
-    const auto found = targets_.find(id);
-    if (found == targets_.end()) {
-        return;
-    }
-    found->second.unresponsive = false;
-    record_outcome(found->second, now, succeeded);
-    if (succeeded) {
-        found->second.consecutive_failures = 0;
-    }
-}
-
-/// Failures decay with age, so that a target that is avoided because of them is tried again.
-double target_pool::failure_rate(const target_state& state, instant now) {
-    const double age = std::chrono::duration<double>(now - state.failure_rate_at).count();
-    return state.failure_rate *
-           std::exp2(-age / std::chrono::duration<double>(failure_half_life).count());
-}
-
-void target_pool::record_outcome(target_state& state, instant now, bool succeeded) {
-    const double before = failure_rate(state, now);
-    state.failure_rate = before + failure_weight * ((succeeded ? 0.0 : 1.0) - before);
-    state.failure_rate_at = now;
-}
-
 }  // namespace wrenswitch
