Select plain targets by expected time where a slowdown is reported

The expected time is the target's learnt service time, times its fading slowdown, for the request itself and each request in excess of the slots. Services whose targets report three fields keep the selection by occupancy.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -19,6 +19,7 @@
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/gateway/target_backoffs.hpp"
+#include "wrenswitch/decision/gateway/target_speed.hpp"
 #include "wrenswitch/decision/gateway/warmup_limiter.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/rollout/version_quarantine.hpp"
@@ -301,6 +302,13 @@
     /// Records the load that the target reported.
     void on_load_report(instant now, std::string_view id, const load_report& load);
 
+    /// Records how long a target took for a successful response, which reported this load.
+    void record_response_time(instant now, std::string_view id, microseconds time,
+                              const load_report& load);
+
+    /// The present slowdown of a target by its reports; 1 if it reports none.
+    double slowdown_of(instant now, std::string_view id) const;
+
     /// Handles a target that hasn't responded for longer than responses take.
     void on_unresponsive(instant now, std::string_view id);
 
@@ -341,6 +349,7 @@
         unsigned in_flight = 0;
         load_report load;
         instant reported_at{};
+        target_speed speed;
         /// The share of its responses that failed, weighted by age, as of the last response or
         /// failure.
         double failure_rate = 0.0;
@@ -361,6 +370,21 @@
         bool excluded_cold = false;
     };
 
+    /// The service times of a service's targets.
+    struct service_speed {
+        /// Assumed for a target of which nothing is known.
+        double assumed_ms = 0.0;
+        double mean_ms = 0.0;
+    };
+
+    /// What is known of a service by its targets.
+    struct service_traits {
+        /// A target of the service has reported its slowdown.
+        bool reports_slowdown = false;
+        /// The targets are engines.
+        bool has_engines = false;
+    };
+
     void resolve_address_conflicts(target_state& changed);
     void remove_address(const gateway_target& target);
     static double failure_rate(const target_state& state, instant now);
@@ -385,7 +409,11 @@
     bool justifies_remote_region(std::string_view service, const prompt_profile& shape) const;
     void prefer_own_region(std::vector<target_state*>& targets) const;
     double occupancy(const target_state& state, instant now) const;
-    double direct_cost(const target_state& state, instant now) const;
+    std::optional<service_speed> speed_of_service(instant now, std::string_view service) const;
+    double load_cost(const target_state& state, instant now,
+                     const std::optional<service_speed>& service) const;
+    double direct_cost(const target_state& state, instant now,
+                       const std::optional<service_speed>& service) const;
     std::vector<copy_source> copy_sources(instant now, std::string_view service,
                                           const allowed_regions& regions) const;
 
@@ -393,6 +421,7 @@
     bool has_multiple_regions_;
     random_source& random_;
     states targets_;
+    std::map<std::string, service_traits, std::less<>> services_;
     /// The targets at each address. Each renewal of a target's entry looks for others at its
     /// address.
     std::unordered_map<std::string, std::set<std::string>> ids_by_address_;
--- a/include/wrenswitch/decision/gateway/target_signals.hpp
+++ b/include/wrenswitch/decision/gateway/target_signals.hpp
@@ -10,6 +10,9 @@
 
 /// What a target reports about itself in the headers of one response.
 struct target_signals {
+    /// The response is the successful result of the request, so that its time says how fast the
+    /// target is.
+    bool succeeded = false;
     std::optional<load_report> load;
     /// The text of a load report that couldn't be parsed, for logs; empty otherwise. If only its
     /// slowdown couldn't be parsed, `load` has the rest.
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -190,11 +190,12 @@
     permitted_candidates group =
         candidates_with_permits(now, service, tried, permit_share::equal, max_wait, constraints);
     filter_unresponsive(group.targets, repeatable);
+    const std::optional<service_speed> speed = speed_of_service(now, service);
     for (const target_state* state : group.targets) {
         const microseconds wait = warmup_.delay(now, state->target.id, permit_share::equal);
         const microseconds round_trip =
             is_in_other_region(*state) ? settings_.far_round_trip : microseconds(0);
-        const double value = direct_cost(*state, now) +
+        const double value = direct_cost(*state, now, speed) +
                              as_seconds(wait + round_trip) / as_seconds(max_wait) +
                              tie_break_jitter * random_.unit();
         if (value < lowest_cost) {
@@ -375,6 +376,7 @@
     if (found == targets_.end()) {
         return 0;
     }
+    services_[found->second.target.service].has_engines = true;
     return placer_.begin_attempt(now, found->second.target.service, found->first, request,
                                  uncached_tokens, all_known);
 }
--- a/src/decision/gateway/target_pool_load.cpp
+++ b/src/decision/gateway/target_pool_load.cpp
@@ -15,6 +15,12 @@
 /// Cost of a target that fails all its requests, in units of a fully loaded target.
 constexpr double failure_cost = 3.0;
 
+/// The service time assumed before any is known. Only ratios matter, so any value will do.
+constexpr double default_service_ms = 30.0;
+
+/// The weight from which a learnt service time counts as known, in responses.
+constexpr double min_known_weight = 5.0;
+
 }  // namespace
 
 double target_pool::occupancy(const target_state& state, instant now) const {
@@ -27,10 +33,52 @@
     return std::max(own, static_cast<double>(state.load.running + state.load.queued));
 }
 
-double target_pool::direct_cost(const target_state& state, instant now) const {
+/// Returns no value unless plain targets of the service have reported a slowdown. An unknown target
+/// is assumed to be as fast as the fastest one, so that it is tried.
+std::optional<target_pool::service_speed> target_pool::speed_of_service(
+    instant now, std::string_view service) const {
+    const auto traits = services_.find(service);
+    if (traits == services_.end() || !traits->second.reports_slowdown ||
+        traits->second.has_engines) {
+        return std::nullopt;
+    }
+    service_speed speed{default_service_ms, 0.0};
+    bool any_known = false;
+    for (const auto& [id, state] : targets_) {
+        if (state.target.service != service || state.speed.sample_weight(now) < min_known_weight) {
+            continue;
+        }
+        const double known_ms = state.speed.average_ms();
+        speed.assumed_ms = any_known ? std::min(speed.assumed_ms, known_ms) : known_ms;
+        any_known = true;
+    }
+    double count = 0.0;
+    for (const auto& [id, state] : targets_) {
+        if (state.target.service == service) {
+            speed.mean_ms += state.speed.service_ms(now, speed.assumed_ms);
+            count += 1.0;
+        }
+    }
+    speed.mean_ms /= std::max(1.0, count);
+    return speed;
+}
+
+/// The cost of a target's load, in units of a fully loaded target. That is also the service's mean
+/// service time, in which a target serves as many requests as it has slots.
+double target_pool::load_cost(const target_state& state, instant now,
+                              const std::optional<service_speed>& service) const {
+    const unsigned slots = std::max(1U, state.target.slots);
+    if (!service) {
+        return occupancy(state, now) / slots;
+    }
+    return state.speed.expected_ms(now, service->assumed_ms, state.in_flight, slots) /
+           service->mean_ms;
+}
+
+double target_pool::direct_cost(const target_state& state, instant now,
+                                const std::optional<service_speed>& service) const {
     const bool other_domain = state.target.failure_domain != settings_.failure_domain;
-    const double slots = std::max(1U, state.target.slots);
-    return occupancy(state, now) / slots + failure_cost * failure_rate(state, now) +
+    return load_cost(state, now, service) + failure_cost * failure_rate(state, now) +
            (other_domain ? settings_.other_domain_cost : 0.0) +
            (is_in_other_region(state) ? settings_.other_region_cost : 0.0);
 }
@@ -39,6 +87,7 @@
     const auto found = targets_.find(id);
     if (found != targets_.end()) {
         found->second.in_flight += 1;
+        found->second.speed.record_sent();
     }
 }
 
@@ -54,9 +103,29 @@
     if (found != targets_.end()) {
         found->second.load = load;
         found->second.reported_at = now;
+        found->second.speed.record_load(now, load);
+        if (load.slowdown) {
+            services_[found->second.target.service].reports_slowdown = true;
+        }
     }
 }
 
+/// The round trip to another region is no part of the service time; pick() adds it.
+void target_pool::record_response_time(instant now, std::string_view id, microseconds time,
+                                       const load_report& load) {
+    const auto found = targets_.find(id);
+    if (found != targets_.end()) {
+        const bool is_far = is_in_other_region(found->second);
+        found->second.speed.record_response(
+            now, time - (is_far ? settings_.far_round_trip : microseconds(0)), load);
+    }
+}
+
+double target_pool::slowdown_of(instant now, std::string_view id) const {
+    const auto found = targets_.find(id);
+    return found == targets_.end() ? 1.0 : found->second.speed.slowdown(now);
+}
+
 void target_pool::on_failure(instant now, std::string_view id) {
     const auto found = targets_.find(id);
     if (found == targets_.end()) {
--- a/src/roles/gateway/signal_exchange.cpp
+++ b/src/roles/gateway/signal_exchange.cpp
@@ -78,7 +78,7 @@
     if (target == nullptr || incarnation_of(*target) != incarnation) {
         return;
     }
-    apply_load(now, incarnation, request, signals);
+    apply_load(now, incarnation, sent, request, signals);
     apply_limit(now, incarnation, sent, request, signals);
     apply_backoff(now, incarnation, request, signals);
     if (signals.draining) {
@@ -86,10 +86,13 @@
     }
 }
 
-void signal_exchange::apply_load(instant now, const target_incarnation& incarnation,
+void signal_exchange::apply_load(instant now, const target_incarnation& incarnation, instant sent,
                                  std::string_view request, const target_signals& signals) {
     if (signals.load) {
         targets_.on_load_report(now, incarnation.target, *signals.load);
+        if (signals.succeeded) {
+            targets_.record_response_time(now, incarnation.target, now - sent, *signals.load);
+        }
     }
     if (signals.unreadable_load.empty()) {
         if (signals.load) {
--- a/src/roles/gateway/signal_exchange.hpp
+++ b/src/roles/gateway/signal_exchange.hpp
@@ -55,8 +55,8 @@
     void tick(instant now);
 
 private:
-    void apply_load(instant now, const target_incarnation& incarnation, std::string_view request,
-                    const target_signals& signals);
+    void apply_load(instant now, const target_incarnation& incarnation, instant sent,
+                    std::string_view request, const target_signals& signals);
     void apply_limit(instant now, const target_incarnation& incarnation, instant sent,
                      std::string_view request, const target_signals& signals);
     void apply_draining(instant now, const target_incarnation& incarnation,
