--- a/include/wrenswitch/decision/gateway/active_configuration.hpp
+++ b/include/wrenswitch/decision/gateway/active_configuration.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -36,11 +37,19 @@
     /// True if callers must send an API key on routes that are not public.
     bool requires_keys() const { return !configuration_.accounts.empty(); }
 
+    /// True if requests for the service compete: they may have different priorities, or accounts
+    /// have budgets.
+    bool has_competing_requests(std::string_view service) const {
+        return competing_services_.contains(service);
+    }
+
     /// Selects a split in proportion to the weights. `position` is a number from 0 to 1 along their
     /// sum. Null if no split has a positive weight.
     static const route_split* choose_split(const gateway_route& route, double position);
 
 private:
+    void find_competing_services();
+
     using index_by_name = std::unordered_map<std::string, std::size_t>;
 
     gateway_configuration configuration_;
@@ -49,6 +58,8 @@
     index_by_name by_key_;
     index_by_name accounts_;
     index_by_name services_;
+    /// The services whose requests compete.
+    std::set<std::string, std::less<>> competing_services_;
     bool is_loaded_ = false;
 };
 
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -20,6 +20,7 @@
 #include "wrenswitch/decision/gateway/region_table.hpp"
 #include "wrenswitch/decision/gateway/target_backoffs.hpp"
 #include "wrenswitch/decision/gateway/warmup_limiter.hpp"
+#include "wrenswitch/decision/placement/engine_admission.hpp"
 #include "wrenswitch/decision/placement/engine_placer.hpp"
 #include "wrenswitch/decision/rollout/version_quarantine.hpp"
 #include "wrenswitch/decision/routing/target_picker.hpp"
@@ -105,6 +106,14 @@
     tokens uncached_tokens = 0;
     /// The estimated cost that an engine was chosen by.
     placement_cost price;
+    /// The least time that any other candidate engine needs for pending prefills, in ms, and the
+    /// number of candidates. Known only to the coordinator.
+    double other_backlog_ms = 0.0;
+    std::size_t candidates = 1;
+    /// A choice that is held or refused by admission control has no target. The time is the longest
+    /// hold or the time after which the request may be sent again.
+    admission_outcome admission = admission_outcome::admit;
+    microseconds admission_wait{};
     /// How long the request has to wait before it is sent, because the target is cold.
     microseconds wait{};
     /// True if no target was found only because the remaining ones are cold and have no permit in
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -32,6 +33,14 @@
     /// Added to the time to the first event: the round trip time from the request's entry to the
     /// region of the coordinator's engines.
     microseconds round_trip{};
+    /// The account and the priority, from 0, the most urgent. Without a priority the request does
+    /// not take part in admission control.
+    std::string account{};
+    std::optional<unsigned> priority{};
+    /// True if no other coordinator is asked if this one does not admit the request.
+    bool is_last_query = false;
+    /// The factor by which its loss counts when other requests are placed beside it.
+    double loss_weight = 1.0;
 };
 
 /// An engine that may serve a request.
@@ -63,6 +72,11 @@
     double backlog_ms = 0.0;
     /// The pause that the request's prefill causes in the engine's streams, in ms.
     double pause_ms = 0.0;
+    /// The request's own part of it, and the pause that is pending without the request, in ms.
+    double prefill_ms = 0.0;
+    double pending_pause_ms = 0.0;
+    /// The probability that the response is late or fails.
+    double late_probability = 0.0;
     /// The expected loss of the request itself and of the engine's streams.
     double own_cost = 0.0;
     double stream_cost = 0.0;
@@ -79,6 +93,9 @@
     /// The prompt tokens that the engine is expected to process.
     tokens uncached_tokens = 0;
     placement_cost cost;
+    /// The least time that any other candidate needs for pending prefills, in ms; infinite if there
+    /// is no other candidate.
+    double other_backlog_ms = std::numeric_limits<double>::infinity();
 };
 
 /// The minimum number of tokens worth copying: a shorter part is processed as fast as a copy is set
--- a/src/decision/gateway/active_configuration.cpp
+++ b/src/decision/gateway/active_configuration.cpp
@@ -83,9 +83,28 @@
     for (std::size_t index = 0; index < configuration_.services.size(); ++index) {
         services_.emplace(configuration_.services[index].name, index);
     }
+    find_competing_services();
     return true;
 }
 
+void active_configuration::find_competing_services() {
+    competing_services_.clear();
+    const std::vector<gateway_account>& accounts = configuration_.accounts;
+    const bool accounts_compete =
+        std::any_of(accounts.begin(), accounts.end(), [&accounts](const gateway_account& each) {
+            return each.prepaid_tokens || each.priority != accounts.front().priority;
+        });
+    std::map<std::string_view, unsigned> priorities;
+    for (const gateway_route& route : configuration_.routes) {
+        for (const route_split& split : route.splits) {
+            const auto known = priorities.try_emplace(split.service, route.priority).first;
+            if (accounts_compete || known->second != route.priority) {
+                competing_services_.insert(split.service);
+            }
+        }
+    }
+}
+
 const gateway_route* active_configuration::find_route(std::string_view host,
                                                       std::string_view path) const {
     const auto found = by_host_.find(normalized_host(host));
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -401,6 +401,8 @@
     choice.copy_from = chosen.copy_from.empty() ? nullptr : find(chosen.copy_from);
     choice.uncached_tokens = chosen.uncached_tokens;
     choice.price = chosen.cost;
+    choice.other_backlog_ms = chosen.other_backlog_ms;
+    choice.candidates = offered.size();
     choice.wait = warmup_.reserve(now, choice.target->id, share);
     return choice;
 }
--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -94,8 +94,14 @@
             [&](const region_context& each) { return each.region == candidates[index].region; });
         engine_choice choice = evaluate(now, candidates[index], *states[index], *context);
         choice.index = index;
+        const double backlog_ms = choice.cost.backlog_ms;
         if (index == 0 || choice.cost.total < best.cost.total) {
+            choice.other_backlog_ms = index == 0
+                                          ? choice.other_backlog_ms
+                                          : std::min(best.other_backlog_ms, best.cost.backlog_ms);
             best = std::move(choice);
+        } else {
+            best.other_backlog_ms = std::min(best.other_backlog_ms, backlog_ms);
         }
     }
     return best;
@@ -198,9 +204,14 @@
     cost.first_event_ms =
         estimate_first_event_ms(now, candidate, state, context, uncached_tokens, copied);
     cost.pause_ms = estimate_pause_ms(now, state, context.service, request, uncached_tokens);
+    cost.prefill_ms =
+        slowness(state, context.service) *
+        context.service.model.prefill_ms(request.prompt.prompt_tokens, uncached_tokens);
+    cost.pending_pause_ms = state.load.pending_pause_ms(now);
     const double in_time = in_time_probability(now, state, context, cost.first_event_ms);
     const double preempted = preemption_probability(state, context);
-    cost.own_cost = total_tokens * (1.0 - in_time + candidate.failure_rate + preempted);
+    cost.late_probability = 1.0 - in_time + candidate.failure_rate + preempted;
+    cost.own_cost = total_tokens * cost.late_probability;
     cost.stream_cost = state.load.pause_cost(now, cost.pause_ms);
     const double engine_time = prefill_cost_per_token * static_cast<double>(uncached_tokens) +
                                copy_cost_per_token * static_cast<double>(copied);
@@ -304,9 +315,10 @@
         service_data.model.prefill_ms(request.prompt.prompt_tokens, uncached_tokens);
     const double pause = estimate_pause_ms(now, state, service_data, request, uncached_tokens);
     const std::uint64_t attempt_id = ++last_attempt_id_;
-    const active_attempt attempt{
-        attempt_id, request.prompt.prompt_tokens + expected_output(request.prompt),
-        expected_total_tokens(request.prompt), as_milliseconds(request.max_event_gap)};
+    const active_attempt attempt{attempt_id,
+                                 request.prompt.prompt_tokens + expected_output(request.prompt),
+                                 request.loss_weight * expected_total_tokens(request.prompt),
+                                 as_milliseconds(request.max_event_gap)};
     state.load.add_attempt(now, attempt, {attempt_id, prefill, pause});
     state.cache.insert(request.prompt);
     if (all_requests_known && was_idle) {
--- a/tests/decision/gateway/active_configuration_test.cpp
+++ b/tests/decision/gateway/active_configuration_test.cpp
@@ -102,4 +102,20 @@
     BOOST_TEST(unreadable_region_limits(configuration.current()).empty());
 }
 
+BOOST_AUTO_TEST_CASE(requests_compete_only_if_priorities_differ_or_accounts_have_budgets) {
+    // Elsewhere admission control of engines must not take effect.
+    BOOST_TEST(!configuration.has_competing_requests("llm"));
+    gateway_configuration other_priority = version(6);
+    other_priority.routes[1].priority = 2;
+    configuration.apply(other_priority);
+    BOOST_TEST(configuration.has_competing_requests("llm"));
+    BOOST_TEST(!configuration.has_competing_requests("other"));
+    configuration.apply(version(7));
+    BOOST_TEST(!configuration.has_competing_requests("llm"));
+    gateway_configuration with_budget = version(8);
+    with_budget.accounts[0].prepaid_tokens = 1000;
+    configuration.apply(with_budget);
+    BOOST_TEST(configuration.has_competing_requests("llm"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
