Hold or refuse requests that compete for engines at their coordinator

An entry states account and priority where requests of a service compete. The coordinator holds a request for at most a quarter of its objective; before a refusal the entry asks two other coordinators.

--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -65,6 +65,8 @@
 
     void dispatch();
     void wait_for_versions();
+    void set_admission_class();
+    void refuse_for_others(const target_choice& choice, const placed_attempt& attempt);
     void choose_target(const version_constraint& versions);
     void on_target_chosen(const target_choice& choice, const placed_attempt& attempt);
     void wait_for_permit(const target_choice& choice, const placed_attempt& attempt,
--- a/src/roles/gateway/forwarded_request_routing.cpp
+++ b/src/roles/gateway/forwarded_request_routing.cpp
@@ -62,6 +62,7 @@
         return;
     }
     engine_request_->constraints = constraints;
+    set_admission_class();
     const unsigned placement_number = ++placement_count_;
     auto handle = context_.placements.place(
         admitted_.service, *engine_request_, excluded_targets(), time_left(),
@@ -76,6 +77,33 @@
     }
 }
 
+/// Lets the request take part in admission control where requests of the service compete. One that
+/// was sent to a target before does not, since it may have run and must not be refused.
+void forwarded_request::set_admission_class() {
+    engine_request_->priority.reset();
+    if (history_.attempt_number() == 0 &&
+        context_.configuration.has_competing_requests(admitted_.service)) {
+        engine_request_->account = admitted_.account;
+        engine_request_->priority = admitted_.priority;
+    }
+}
+
+/// Refuses a request that would cost others more than its own value.
+void forwarded_request::refuse_for_others(const target_choice& choice,
+                                          const placed_attempt& attempt) {
+    const auto whole = [](double value) { return std::to_string(static_cast<long>(value)); };
+    trace_.add(monotonic_now(), "engine_share",
+               {{"account", admitted_.account},
+                {"priority", std::to_string(admitted_.priority)},
+                {"retry_ms", millis_text(choice.admission_wait)},
+                {"first_event_ms", whole(choice.price.first_event_ms)},
+                {"backlog_ms", whole(choice.price.backlog_ms)},
+                {"pause_ms", whole(choice.price.pause_ms)},
+                {"keeper", attempt.coordinator},
+                {"asked_for_us", std::to_string(attempt.selection_time.count())}});
+    refuse(status_unavailable, "engine_share", choice.admission_wait);
+}
+
 /// The targets that this request is not sent to now: those already tried, and those whose
 /// advertised limits or backoffs give this gateway no permit in time.
 std::vector<std::string> forwarded_request::excluded_targets() {
@@ -106,6 +134,10 @@
 
 void forwarded_request::on_target_chosen(const target_choice& choice,
                                          const placed_attempt& attempt) {
+    if (choice.admission == admission_outcome::refuse) {
+        refuse_for_others(choice, attempt);
+        return;
+    }
     if (choice.target == nullptr) {
         on_no_target(choice.all_cold);
         return;
--- a/src/roles/gateway/placement_codec.cpp
+++ b/src/roles/gateway/placement_codec.cpp
@@ -1,5 +1,9 @@
 #include "roles/gateway/placement_codec.hpp"
 
+#include <tuple>
+
+#include "roles/gateway/placement_admission_fields.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -84,6 +88,9 @@
     }
     set_constraints(request.constraints, query);
     query.set_way_us(static_cast<std::uint32_t>(request.round_trip.count()));
+    if (request.priority) {
+        set_admission_fields({request.account, *request.priority, request.is_last_query}, query);
+    }
     return query;
 }
 
@@ -101,6 +108,11 @@
     request.max_event_gap = milliseconds(query.longest_pause_ms());
     request.constraints = constraints_from_wire(query);
     request.round_trip = microseconds(query.way_us());
+    if (const auto fields = admission_fields_of(query)) {
+        request.account = fields->account;
+        request.priority = fields->priority;
+        request.is_last_query = fields->is_last_query;
+    }
     return request;
 }
 
@@ -108,10 +120,11 @@
     wire::PlacementAnswer reply;
     reply.set_run(attempt);
     reply.set_all_cold(choice.all_cold);
-    if (choice.target == nullptr) {
+    set_admission(choice.admission, choice.admission_wait, reply);
+    if (choice.target == nullptr && choice.admission == admission_outcome::admit) {
         return reply;
     }
-    reply.set_target(choice.target->id);
+    reply.set_target(choice.target == nullptr ? "" : choice.target->id);
     reply.set_copy_from(choice.copy_from == nullptr ? "" : choice.copy_from->id);
     reply.set_unread(choice.uncached_tokens);
     reply.set_first_event_ms(static_cast<float>(choice.price.first_event_ms));
@@ -136,6 +149,7 @@
     choice.price.stream_cost = reply.lost_beside();
     choice.price.total = reply.sum();
     choice.wait = microseconds(reply.wait_us());
+    std::tie(choice.admission, choice.admission_wait) = admission_of(reply);
     return choice;
 }
 
--- a/src/roles/gateway/placement_coordinator.hpp
+++ b/src/roles/gateway/placement_coordinator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <span>
 #include <string>
@@ -9,6 +10,7 @@
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
+#include "wrenswitch/decision/placement/engine_admission.hpp"
 #include "wrenswitch/decision/placement/engine_coordinators.hpp"
 
 namespace wrenswitch::wire {
@@ -27,6 +29,18 @@
     failed,
 };
 
+/// A query for an engine.
+struct placement_query {
+    /// Unique in the fleet.
+    std::uint64_t attempt = 0;
+    std::string service;
+    engine_request request;
+    /// Engines that were offered the request before.
+    std::vector<std::string> tried;
+    /// The time until the caller's deadline.
+    microseconds remaining{};
+};
+
 /// Places requests on the engines that this process coordinates, for every gateway that sends a
 /// query. It counts the attempt at the chosen engine in the same step and receives updates on its
 /// progress, so that no two choices use the same view of an engine's load, however many gateways
@@ -44,6 +58,20 @@
                         const engine_request& request, std::span<const std::string> tried,
                         microseconds remaining);
 
+    /// Called with a choice. One that is held is followed by the final choice.
+    using decision_hook = std::function<void(const target_choice&)>;
+
+    /// Chooses one of the engines as place() does, subject to admission control if the request has
+    /// a priority. Held requests that are at least as urgent are tried first.
+    void place_or_hold(instant now, placement_query query, decision_hook on_decided);
+
+    /// Tries held requests again, in the order in which they rank: by priority, by the admitted
+    /// work of their accounts and by arrival.
+    void retry_held(instant now);
+
+    /// The number of requests that are held.
+    std::size_t held_count() const { return held_.size(); }
+
     /// The attempt's first event arrived.
     void record_first_event(instant now, std::uint64_t attempt);
 
@@ -75,6 +103,17 @@
         instant lease_until{};
     };
 
+    struct held_query {
+        placement_query query;
+        decision_hook on_decided;
+        instant arrived{};
+    };
+
+    target_choice place_competing(instant now, const placement_query& query, microseconds held);
+    target_choice pick(instant now, const std::string& service, const engine_request& request,
+                       std::span<const std::string> tried);
+    void begin_attempt(instant now, std::uint64_t attempt, const engine_request& request,
+                       const target_choice& choice, microseconds remaining);
     const counted_attempt* find(std::uint64_t attempt) const;
     bool may_offer(instant now, std::string_view engine);
     void track_assignments(instant now);
@@ -83,6 +122,8 @@
     engine_coordinators& coordinators_;
     metrics& counters_;
     std::map<std::uint64_t, counted_attempt> attempts_;
+    engine_admission admission_;
+    std::vector<held_query> held_;
     /// The version of the engine assignment for which send permits at cold engines are issued.
     std::uint64_t seen_assignments_ = 0;
 };
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "roles/gateway/placement_admission_fields.hpp"
 #include "roles/gateway/placement_codec.hpp"
 
 namespace wrenswitch {
@@ -40,6 +41,14 @@
 /// full, each request would otherwise wait in vain and be counted at two engines.
 constexpr microseconds remote_query_backoff = milliseconds(300);
 
+/// How many coordinators are queried before a request is held or refused. Each query takes about
+/// 2 ms; of three coordinators at random, one below the mean load is found in seven of eight cases.
+constexpr std::size_t max_admission_queries = 3;
+
+/// How often held requests are tried again if no event of an engine causes it: a small part of the
+/// holds, which are at most a quarter of an objective of some hundreds of milliseconds.
+constexpr microseconds hold_poll_period = milliseconds(10);
+
 }  // namespace
 
 placement_exchange::placement_exchange(event_loop& loop, message_bus& bus, target_pool& targets,
@@ -117,7 +126,8 @@
 
 void placement_exchange::on_timeout(std::uint64_t attempt, instant sent_at) {
     const auto found = queries_.find(attempt);
-    if (found == queries_.end() || found->second.sent_at != sent_at) {
+    if (found == queries_.end() || found->second.sent_at != sent_at ||
+        found->second.held_until > monotonic_now()) {
         return;
     }
     pending_query pending = std::move(found->second);
@@ -158,9 +168,30 @@
 }
 
 void placement_exchange::choose_as_coordinator(std::uint64_t attempt, pending_query pending) {
-    const target_choice choice =
-        local_coordinator_.place(monotonic_now(), attempt, pending.service, pending.request,
-                                 pending.tried, pending.remaining);
+    const auto shared = std::make_shared<pending_query>(std::move(pending));
+    local_coordinator_.place_or_hold(
+        monotonic_now(),
+        {attempt, shared->service, shared->request, shared->tried, shared->remaining},
+        [this, attempt, shared](const target_choice& choice) {
+            if (choice.admission == admission_outcome::hold) {
+                start_hold_timer();
+            } else {
+                on_own_choice(attempt, std::move(*shared), choice);
+            }
+        });
+}
+
+/// Handles the final choice of this process as a coordinator.
+void placement_exchange::on_own_choice(std::uint64_t attempt, pending_query pending,
+                                       const target_choice& choice) {
+    if (pending.caller_handle.expired()) {
+        local_coordinator_.end_local_attempt(monotonic_now(), attempt);
+        return;
+    }
+    if (choice.admission == admission_outcome::refuse) {
+        on_refused(attempt, std::move(pending), choice);
+        return;
+    }
     if (choice.all_cold) {
         try_another_coordinator(attempt, std::move(pending));
         return;
@@ -175,6 +206,73 @@
     }
 }
 
+/// The coordinator does not admit the request to its engines. Two others are asked; the last one
+/// may hold the request, and its refusal is final.
+void placement_exchange::on_refused(std::uint64_t attempt, pending_query pending,
+                                    const target_choice& choice) {
+    if (pending.request.is_last_query) {
+        placed_attempt placed;
+        placed.coordinator = pending.coordinator.host;
+        placed.selection_time = monotonic_now() - pending.sent_at;
+        pending.on_chosen(choice, placed);
+        return;
+    }
+    pending.refused_by.push_back(pending.coordinator.host);
+    std::vector<std::string> excluded = pending.refused_by;
+    excluded.insert(excluded.end(), monitor_.unresponsive().begin(), monitor_.unresponsive().end());
+    const auto next =
+        coordinators_.alternative_coordinator(monotonic_now(), excluded, random_.unit());
+    const bool is_near = next && monitor_.round_trip(*next) == microseconds(0);
+    pending.request.is_last_query =
+        !is_near || pending.refused_by.size() + 1 >= max_admission_queries;
+    if (is_near) {
+        counters_.counter("placements_at_another_keeper_total") += 1;
+        pending.coordinator = *next;
+        pending.request.round_trip = microseconds(0);
+    }
+    if (pending.coordinator.host == coordinators_.own_host()) {
+        choose_as_coordinator(attempt, std::move(pending));
+    } else {
+        query(attempt, std::move(pending));
+    }
+}
+
+/// Tries the requests that this process holds as a coordinator from time to time: their holds end,
+/// and backlogs decrease without any message.
+void placement_exchange::start_hold_timer() {
+    if (std::exchange(hold_timer_active_, true)) {
+        return;
+    }
+    loop_.call_after(hold_poll_period, [this, alive = alive_] {
+        if (*alive) {
+            on_hold_timer();
+        }
+    });
+}
+
+void placement_exchange::on_hold_timer() {
+    hold_timer_active_ = false;
+    local_coordinator_.retry_held(monotonic_now());
+    if (local_coordinator_.held_count() > 0) {
+        start_hold_timer();
+    }
+}
+
+/// The coordinator holds a request, so its final reply is awaited for longer.
+void placement_exchange::on_held(std::uint64_t attempt, microseconds longest_hold) {
+    const auto found = queries_.find(attempt);
+    pending_query& pending = found->second;
+    const microseconds hold = std::min(longest_hold, pending.remaining);
+    monitor_.on_reply(pending.coordinator, pending.sent_at);
+    pending.held_until = monotonic_now() + hold;
+    const instant sent_at = pending.sent_at;
+    loop_.call_after(hold + query_timeout, [this, attempt, sent_at, alive = alive_] {
+        if (*alive) {
+            on_timeout(attempt, sent_at);
+        }
+    });
+}
+
 /// Queries a coordinator in another region as well if the best engine of this region would be
 /// expensive for the request. True if a query was sent and the offer is kept until it is answered.
 bool placement_exchange::query_remote_region(const local_offer& offer, pending_query& pending) {
@@ -270,16 +368,25 @@
 void placement_exchange::on_query(const message_origin& origin, const wire::Envelope& message) {
     const wire::PlacementAsk& query = message.placement_ask();
     const engine_profile* engine = engine_of_(query.service());
-    target_choice choice;
-    if (engine != nullptr) {
-        const std::vector<std::string> tried(query.tried().begin(), query.tried().end());
-        choice = local_coordinator_.place(monotonic_now(), query.run(), query.service(),
-                                          from_wire(query, *engine), tried,
-                                          milliseconds(query.left_ms()));
-    }
-    wire::Envelope reply;
-    *reply.mutable_placement_answer() = to_wire(query.run(), choice);
-    bus_.answer(origin, reply);
+    const auto answer = [this, origin, attempt = query.run()](const target_choice& choice) {
+        wire::Envelope reply;
+        *reply.mutable_placement_answer() = to_wire(attempt, choice);
+        bus_.answer(origin, reply);
+        if (choice.admission == admission_outcome::hold) {
+            start_hold_timer();
+        }
+    };
+    if (engine == nullptr) {
+        answer({});
+        return;
+    }
+    local_coordinator_.place_or_hold(monotonic_now(),
+                                     {query.run(),
+                                      query.service(),
+                                      from_wire(query, *engine),
+                                      {query.tried().begin(), query.tried().end()},
+                                      milliseconds(query.left_ms())},
+                                     answer);
 }
 
 bool placement_exchange::is_usable_reply(const wire::PlacementAnswer& reply,
@@ -305,9 +412,18 @@
         return;
     }
     const instant now = monotonic_now();
+    const auto [admission, admission_wait] = admission_of(reply);
+    const bool takes_part = found->second.request.priority.has_value();
+    if (takes_part && admission == admission_outcome::hold && !found->second.held_until) {
+        on_held(reply.run(), admission_wait);
+        return;
+    }
     pending_query pending = std::move(found->second);
     queries_.erase(found);
-    monitor_.on_reply(pending.coordinator, pending.sent_at);
+    if (!pending.held_until) {
+        monitor_.on_reply(pending.coordinator, pending.sent_at);
+    }
+    pending.held_until.reset();
     placed_attempt placed{reply.run(),
                           reply.target(),
                           pending.coordinator.host,
@@ -326,6 +442,10 @@
         choose_between_regions(reply, placed, std::move(pending));
         return;
     }
+    if (takes_part && !has_target && admission == admission_outcome::refuse) {
+        on_refused(reply.run(), std::move(pending), from_wire(reply, targets_));
+        return;
+    }
     if (!has_target && reply.all_cold()) {
         try_another_coordinator(reply.run(), std::move(pending));
         return;
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -95,12 +95,21 @@
         std::vector<std::string> cold_coordinators;
         /// True if no further coordinator is queried after this one.
         bool last_query = false;
+        /// Coordinators that did not admit the request.
+        std::vector<std::string> refused_by{};
+        /// The coordinator holds the request until then at the latest.
+        std::optional<instant> held_until{};
     };
 
     void query(std::uint64_t attempt, pending_query pending);
     void on_timeout(std::uint64_t attempt, instant sent_at);
     void choose_locally(std::uint64_t attempt, pending_query pending);
     void choose_as_coordinator(std::uint64_t attempt, pending_query pending);
+    void on_own_choice(std::uint64_t attempt, pending_query pending, const target_choice& choice);
+    void on_refused(std::uint64_t attempt, pending_query pending, const target_choice& choice);
+    void start_hold_timer();
+    void on_hold_timer();
+    void on_held(std::uint64_t attempt, microseconds longest_hold);
     void try_another_coordinator(std::uint64_t attempt, pending_query pending);
     bool query_remote_region(const local_offer& offer, pending_query& pending);
     void release_offer(const local_offer& offer);
@@ -125,6 +134,8 @@
     std::map<std::uint64_t, pending_query> queries_;
     /// No other region is queried before this time, because the last query offered nothing better.
     instant remote_query_allowed_at_{};
+    /// True while a timer will try the held requests again.
+    bool hold_timer_active_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
