--- a/src/decision/placement/engine_admission.cpp
+++ b/src/decision/placement/engine_admission.cpp
@@ -190,12 +190,18 @@
 
 /// The expected loss of requests that arrive while the request's prefill is pending. They go to the
 /// engine with the least backlog, so only the part of the prefill counts by which this least
-/// backlog grows. The prefill also delays those that arrive later in the same busy period, whose
-/// length is 1 / (1 - utilization) times the prefill.
+/// backlog grows. If other engines have about the same backlog, the prefill is counted as spread
+/// over all of them, since the least backlog grows once each has got one. The prefill also delays
+/// those that arrive later in the same busy period, whose length is 1 / (1 - utilization) times the
+/// prefill.
 double engine_admission::arrival_harm(instant now, const competing_request& request,
                                       const share_level& level, const engine_estimate& best) const {
-    const double from_ms = best.backlog_ms;
-    const double to_ms = std::min(best.backlog_ms + best.prefill_ms, best.other_backlog_ms);
+    const double from_ms = std::min(best.backlog_ms, best.other_backlog_ms);
+    const double alone_ms = std::min(best.backlog_ms + best.prefill_ms, best.other_backlog_ms);
+    const double difference_ms = std::abs(best.backlog_ms - best.other_backlog_ms);
+    const double spread_ms = std::max(0.0, best.prefill_ms - difference_ms) /
+                             static_cast<double>(std::max<std::size_t>(1, best.engines));
+    const double to_ms = std::max(alone_ms, from_ms + spread_ms);
     if (to_ms <= from_ms) {
         return 0.0;
     }
