Step back from an account that does not fit the gateway's link

caller_admission takes the link's state out of gateway, decides by neighbours' reports whether the gateway accepts callers, and closes the connections of the account that moves. Callers are shed by a timer only if no neighbour reports, or no account stands out and the link stays full for a second.

ingress_server closes the connections of one account.

--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "wrenswitch/core/time.hpp"
 
@@ -34,7 +35,15 @@
 /// because callers retry them; closing new connections without reading them gave 0.81 and 0.83.
 class link_congestion_detector {
 public:
-    explicit link_congestion_detector(link_congestion_settings settings) : settings_(settings) {}
+    explicit link_congestion_detector(link_congestion_settings settings)
+        : settings_(settings), shed_delay_(settings.shed_delay) {}
+
+    /// Sets how long the link has to be full before callers are sent away. Without a value they
+    /// aren't. Shedding that has begun goes on.
+    void set_shed_delay(std::optional<microseconds> delay) { shed_delay_ = delay; }
+
+    /// Restores the delay of the settings.
+    void reset_shed_delay() { shed_delay_ = settings_.shed_delay; }
 
     /// Updates the state from the total number of bytes that the process has received and sent.
     void observe(instant now, std::uint64_t received, std::uint64_t sent);
@@ -55,6 +64,7 @@
     void update_state(instant now);
 
     link_congestion_settings settings_;
+    std::optional<microseconds> shed_delay_;
     instant last_sample_{};
     std::uint64_t received_ = 0;
     std::uint64_t sent_ = 0;
--- a/include/wrenswitch/decision/membership/step_back_policy.hpp
+++ b/include/wrenswitch/decision/membership/step_back_policy.hpp
@@ -111,7 +111,7 @@
 
     std::vector<neighbour> fresh_reports(instant now, const neighbour_table& neighbours,
                                          std::span<const std::string> members) const;
-    void detect_pause(instant now);
+    void detect_pause(instant now, std::size_t members);
     void record_demand(instant now, const local_load& load, std::span<const neighbour> fresh);
     void select_reported(const local_load& load, std::span<const neighbour> fresh);
     std::vector<account_demand> misfits(instant now, const local_load& load,
@@ -134,6 +134,7 @@
     entry_state state_ = entry_state::accepting;
     std::vector<account_demand> accounts_;
     instant announced_at_{};
+    instant withdrawn_at_{};
     instant stepped_back_at_{};
     instant last_evaluation_{};
     /// Reports that were received earlier aren't used.
--- a/include/wrenswitch/drivers/ingress_server.hpp
+++ b/include/wrenswitch/drivers/ingress_server.hpp
@@ -51,6 +51,9 @@
     /// Bytes that the peer has not taken yet.
     virtual std::size_t unsent_bytes() const = 0;
 
+    /// Names the account that uses the connection, for `ingress_server::close_account`.
+    virtual void set_account(std::string_view account) = 0;
+
     /// Called once if the peer goes away before the answer has ended.
     virtual void on_closed(std::function<void()> action) = 0;
 };
@@ -81,6 +84,10 @@
     /// so that callers go on over new ones, which may lead to other entries.
     virtual void shed(bool sheds) = 0;
 
+    /// While set for an account, each of its connections ends after its present answer. Those that
+    /// rest end at once.
+    virtual void close_account(std::string_view account, bool closes) = 0;
+
     /// Takes no new connections and ends those that rest.
     virtual void stop_listening() = 0;
 
--- a/src/decision/gateway/link_congestion_detector.cpp
+++ b/src/decision/gateway/link_congestion_detector.cpp
@@ -70,7 +70,7 @@
         shedding_ = now < shed_until_;
         return;
     }
-    if (!full_ || full_duration < settings_.shed_delay) {
+    if (!full_ || !shed_delay_ || full_duration < *shed_delay_) {
         return;
     }
     const bool is_repeat =
--- a/src/decision/membership/step_back_policy.cpp
+++ b/src/decision/membership/step_back_policy.cpp
@@ -121,12 +121,12 @@
     return fresh;
 }
 
-void step_back_policy::detect_pause(instant now) {
+void step_back_policy::detect_pause(instant now, std::size_t members) {
     const bool was_frozen = last_evaluation_ != instant{} && now - last_evaluation_ > frozen_time;
     last_evaluation_ = now;
     if (was_frozen) {
         reports_trusted_from_ = now + min_report_period;
-        decides_from_ = reports_trusted_from_ + 2 * min_report_period;
+        decides_from_ = reports_trusted_from_ + 2 * report_period(members);
     }
 }
 
@@ -294,9 +294,11 @@
     }
     const std::vector<account_demand> found = misfits(now, load, fresh);
     if (state_ == entry_state::accepting) {
-        // An entry that returned early must not step back again at once.
+        // An entry that returned early must not step back again at once, and an announcement
+        // must not overtake the withdrawal of the last one.
         const bool is_too_soon =
-            stepped_back_at_ != instant{} && now - stepped_back_at_ < min_step_back_time;
+            (stepped_back_at_ != instant{} && now - stepped_back_at_ < min_step_back_time) ||
+            (withdrawn_at_ != instant{} && now - withdrawn_at_ < announcement_time);
         if (found.empty() || is_too_soon || !load.is_open ||
             !may_step_back(fresh, members, found.front().bytes_per_second)) {
             return std::nullopt;
@@ -310,6 +312,7 @@
                              may_step_back(fresh, members, accounts_.front().bytes_per_second);
     if (!still_holds) {
         state_ = entry_state::accepting;
+        withdrawn_at_ = now;
         return kind::withdrawn;
     }
     if (now - announced_at_ < announcement_time) {
@@ -326,7 +329,8 @@
 std::optional<step_back_change> step_back_policy::evaluate(instant now, const local_load& load,
                                                            const neighbour_table& neighbours,
                                                            std::span<const std::string> members) {
-    detect_pause(now);
+    const std::size_t count = count_members(members, own_host_);
+    detect_pause(now, count);
     const std::vector<neighbour> fresh = fresh_reports(now, neighbours, members);
     fresh_neighbours_ = fresh.size();
     record_demand(now, load, fresh);
@@ -339,12 +343,12 @@
     if (load.bandwidth <= 0.0) {
         return std::nullopt;
     }
-    const std::size_t count = count_members(members, own_host_);
     std::optional<step_back_change::kind> kind;
     if (now >= decides_from_) {
         kind = next_step(now, load, fresh, count);
     } else if (state_ == entry_state::announced) {
         state_ = entry_state::accepting;
+        withdrawn_at_ = now;
         kind = step_back_change::kind::withdrawn;
     }
     if (!kind) {
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -131,6 +131,12 @@
 
     std::size_t unsent_bytes() const override { return connection_->unsent_bytes(); }
 
+    void set_account(std::string_view account) override {
+        if (usable()) {
+            connection_->account_ = account;
+        }
+    }
+
     void on_closed(std::function<void()> action) override {
         if (usable()) {
             connection_->gone_hook_ = std::move(action);
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -4,7 +4,9 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/drivers/message_parser.hpp"
@@ -22,6 +24,8 @@
     bool draining = false;
     /// True while callers should go on over other connections.
     bool sheds = false;
+    /// Accounts whose callers should go on over other connections.
+    std::set<std::string, std::less<>> closing_accounts{};
 };
 
 /// One caller's connection: reads one request at a time and writes its answer.
@@ -44,7 +48,12 @@
     void finish_answer(bool keep);
     void abort();
     bool open() const { return stream_ != nullptr; }
-    bool keeps_alive() const { return keep_alive_ && !context_.draining && !context_.sheds; }
+    bool keeps_alive() const {
+        return keep_alive_ && !context_.draining && !context_.sheds &&
+               !context_.closing_accounts.contains(account_);
+    }
+    /// The account that last used the connection, or empty.
+    const std::string& account() const { return account_; }
     std::size_t unsent_bytes() const;
 
 private:
@@ -77,6 +86,7 @@
     message_head head_;
     std::string body_;
     bool keep_alive_ = true;
+    std::string account_;
     /// When the first byte of the present request came.
     instant reading_since_{};
     /// Tells the exchange that the peer went away.
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -62,6 +62,23 @@
         }
     }
 
+    void close_account(std::string_view account, bool closes) override {
+        if (!closes) {
+            const auto closing = context_.closing_accounts.find(account);
+            if (closing != context_.closing_accounts.end()) {
+                context_.closing_accounts.erase(closing);
+            }
+            return;
+        }
+        context_.closing_accounts.emplace(account);
+        const auto open = connections_;
+        for (const auto& [key, connection] : open) {
+            if (connection->account() == account) {
+                connection->close_if_idle();
+            }
+        }
+    }
+
     void stop_listening() override {
         context_.draining = true;
         if (listener_ != nullptr) {
--- a/src/roles/gateway/caller_response.cpp
+++ b/src/roles/gateway/caller_response.cpp
@@ -21,6 +21,17 @@
 
 }  // namespace
 
+void caller_response::record_usage(account_usage& usage, std::string account) {
+    usage_ = &usage;
+    account_ = std::move(account);
+}
+
+void caller_response::record_sent(std::size_t bytes) {
+    if (usage_ != nullptr) {
+        usage_->record(monotonic_now(), account_, 0, bytes);
+    }
+}
+
 void caller_response::send_head(const message_head& head) {
     if (!std::exchange(started_, true)) {
         exchange_->begin_answer(head.status, caller_response_headers(head, dialect_));
@@ -28,11 +39,13 @@
 }
 
 void caller_response::send_complete(const message_head& head, std::string_view body) {
+    record_sent(body.size());
     exchange_->answer(head.status, caller_response_headers(head, dialect_), body);
 }
 
 bool caller_response::send_events(const message_head& head, std::string_view events) {
     send_head(head);
+    record_sent(events.size());
     exchange_->send_piece(events);
     if (exchange_->unsent_bytes() <= max_unsent_bytes) {
         return true;
--- a/src/roles/gateway/caller_response.hpp
+++ b/src/roles/gateway/caller_response.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "wrenswitch/decision/ingress/account_usage.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/roles/gateway.hpp"
 
@@ -16,6 +17,10 @@
     caller_response(ingress_exchange_pointer exchange, const gateway_dialect& dialect)
         : exchange_(std::move(exchange)), dialect_(dialect) {}
 
+    /// Records the bytes that are sent from now on as used by an account. The usage must outlive
+    /// the response.
+    void record_usage(account_usage& usage, std::string account);
+
     /// True once a part of a target's response has been sent to the caller.
     bool started() const { return started_; }
 
@@ -43,10 +48,13 @@
 
 private:
     void send_head(const message_head& head);
+    void record_sent(std::size_t bytes);
 
     ingress_exchange_pointer exchange_;
     const gateway_dialect& dialect_;
     bool started_ = false;
+    account_usage* usage_ = nullptr;
+    std::string account_;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -24,6 +24,16 @@
            ",lost_here=" + rounded(cost.own_cost) + ",lost_beside=" + rounded(cost.stream_cost);
 }
 
+/// The bytes of a head as it was sent, to within a few.
+std::size_t size_of(const message_head& head) {
+    constexpr std::size_t separator_bytes = 4;
+    std::size_t bytes = head.method.size() + head.target.size();
+    for (const http_header& header : head.headers) {
+        bytes += header.name.size() + header.value.size() + separator_bytes;
+    }
+    return bytes;
+}
+
 }  // namespace
 
 forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
@@ -65,6 +75,7 @@
                            context_.random.unit());
     if (auto* admitted = std::get_if<admitted_request>(&admission)) {
         admitted_ = std::move(*admitted);
+        record_account();
         suspicion_.set_content({exchange_->head().method, request_.host, exchange_->head().target,
                                 admitted_.account, exchange_->body()});
         context_.priorities.record(exchange_->received(), admitted_.service, admitted_.priority);
@@ -92,6 +103,19 @@
     return false;
 }
 
+/// Counts the request and its bytes for its account, whether it is served or refused.
+void forwarded_request::record_account() {
+    if (admitted_.account.empty()) {
+        return;
+    }
+    const instant received = exchange_->received();
+    const std::size_t bytes = size_of(exchange_->head()) + exchange_->body().size();
+    exchange_->set_account(admitted_.account);
+    context_.admission.record_request(received, admitted_.account);
+    context_.usage.record(received, admitted_.account, bytes, 0);
+    caller_response_.record_usage(context_.usage, admitted_.account);
+}
+
 /// Fails a request that is held responsible for crashes of three targets, since it would also crash
 /// the next one, with all other requests there. Retried by gateways that did not know of each
 /// other's attempts, one such request crashed eleven of twelve engines within 15 s. Status 502
@@ -291,6 +315,9 @@
     count_by_region("gateway_sent_by_region_total");
     context_.targets.on_sent(target_);
     context_.signals.record_sent(now, target_);
+    if (!admitted_.account.empty()) {
+        context_.usage.record(now, admitted_.account, 0, exchange_->body().size());
+    }
     const std::string_view copy_from =
         choice.copy_from == nullptr ? std::string_view{} : choice.copy_from->address;
     const upstream_request sent =
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -52,6 +52,7 @@
 private:
     bool parse_request();
     bool admit_request();
+    void record_account();
     bool check_quarantine();
     bool check_allowed_regions();
     tokens tokens_per_event() const;
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -79,12 +79,6 @@
     return [&targets](std::string_view engine) { return targets.region_of(engine); };
 }
 
-link_congestion_settings link_settings(const gateway_settings& settings) {
-    link_congestion_settings link;
-    link.bytes_per_second = settings.link_bytes_per_second;
-    return link;
-}
-
 shared_log_settings sharing_settings(const gateway_settings& settings, std::string member_log) {
     shared_log_settings sharing;
     sharing.member_log = std::move(member_log);
@@ -130,8 +124,10 @@
       coordinators_(allocators_, engine_regions(settings, targets_)),
       lag_monitor_(
           loop, [this] { return context_->active_requests.size(); },
-          [this](instant now) { update_link_state(now); }),
-      link_(link_settings(settings)),
+          [this](instant now) { admission_.update(now); }),
+      admission_(loop, settings.link_bytes_per_second, settings.host, rate_limited_log_, metrics_,
+                 {[this](instant now, std::size_t count) { return account_usage_.top(now, count); },
+                  [this] { return is_open(); }}),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
       retries_(settings.retry_share, settings.retry_window, metrics_),
       crashes_(loop, targets_, metrics_,
@@ -183,7 +179,8 @@
                    !shared_log_->on_message(origin, message) &&
                    !rollouts_.on_message(origin, message) &&
                    !suspects_->on_message(origin, message) &&
-                   !signals_->on_message(origin, message)) {
+                   !signals_->on_message(origin, message) &&
+                   !admission_.on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
     });
@@ -262,7 +259,7 @@
         loop_, *bus_, allocators_, *grants_, *waiters_, metrics_, exchange_settings(settings_),
         token_exchange::hooks{
             [this] { ledger_->append_if_due(); }, [this] { return ledger_->live() && !stopping_; },
-            [this] { return grant_log_reachable_; }, [this] { return link_.is_full(); },
+            [this] { return grant_log_reachable_; }, [this] { return admission_.link().is_full(); },
             [this](const std::string& host) { on_peer_unresponsive(host); }});
     desk_ = std::make_unique<placement_coordinator>(targets_, coordinators_, metrics_);
     placements_ = std::make_unique<placement_exchange>(
@@ -282,6 +279,7 @@
     signals_ = std::make_unique<signal_exchange>(loop_, *bus_, allocators_, targets_,
                                                  rate_limited_log_, metrics_);
     rollouts_.open(loop_, *shared_log_, *bus_, allocators_, incarnation_);
+    admission_.open_exchange(*bus_, allocators_, settings_.failure_domain, incarnation_);
     grants_->set_draw_ahead_filter([this](const std::string& account) {
         return allocators_.is_allocator(monotonic_now(), account);
     });
@@ -311,7 +309,9 @@
         targets_,
         plain_response_times_,
         lag_monitor_.overload(),
-        link_,
+        admission_.link(),
+        account_usage_,
+        admission_,
         *grants_,
         *tokens_,
         *placements_,
@@ -344,6 +344,7 @@
         return ingress.error();
     }
     ingress_ = std::move(ingress.value());
+    admission_.set_server(*ingress_);
     http_server_settings admin;
     admin.address = settings_.admin.host;
     admin.port = settings_.admin.port;
@@ -381,39 +382,16 @@
             limits.idle_timeout};
 }
 
-/// Sheds callers while the link is saturated: they open new connections, which the platform's load
-/// balancer directs to other gateways once this one isn't ready. Traffic of other gateways and
-/// relays isn't counted, since shedding callers doesn't reduce it: when all gateways read a log
-/// again through relays, 25 of 31 shed their callers at once.
-void gateway::update_link_state(instant now) {
-    const traffic_counts& traffic = loop_.traffic();
-    const bool shed_before = link_.is_shedding();
-    const bool full_before = link_.is_full();
-    link_.observe(now, traffic.received, traffic.sent);
-    if (link_.is_full() != full_before) {
-        log_event(log_level::warning, link_.is_full() ? "link_full" : "link_has_room",
-                  {{"received_share", std::to_string(link_.received_share())},
-                   {"send_queue_ms", millis_text(link_.send_queue_delay())},
-                   {"connections", std::to_string(ingress_->connections())}});
-    }
-    if (link_.is_shedding() == shed_before) {
-        return;
-    }
-    ingress_->shed(link_.is_shedding());
-    log_event(log_level::warning, link_.is_shedding() ? "callers_sent_away" : "callers_taken_again",
-              {{"received_share", std::to_string(link_.received_share())},
-               {"send_queue_ms", millis_text(link_.send_queue_delay())}});
-}
-
-bool gateway::is_ready() {
-    return !stopping_ && !link_.is_shedding() && configuration_.is_loaded() && ledger_->live() &&
+/// True if the gateway is ready, as far as that doesn't depend on its link.
+bool gateway::is_open() {
+    return !stopping_ && configuration_.is_loaded() && ledger_->live() &&
            target_follower_->live() && suspects_->ready() && !is_isolated();
 }
 
 void gateway::serve_admin(const http_exchange_pointer& exchange) {
     if (exchange->path() == dialect_.ready_path) {
-        exchange->reply(is_ready() ? status_ok : status_unavailable, {},
-                        is_ready() ? "ready\n" : "\n");
+        const bool is_ready = is_open() && admission_.accepts_callers();
+        exchange->reply(is_ready ? status_ok : status_unavailable, {}, is_ready ? "ready\n" : "\n");
         return;
     }
     if (exchange->path() == "/metrics") {
@@ -421,8 +399,7 @@
             static_cast<double>(context_->active_requests.size());
         metrics_.gauge("gateway_refused_share") = lag_monitor_.overload().refused_share();
         metrics_.gauge("gateway_connections") = static_cast<double>(ingress_->connections());
-        metrics_.gauge("gateway_link_received_share") = link_.received_share();
-        metrics_.gauge("gateway_link_send_queue_seconds") = as_seconds(link_.send_queue_delay());
+        admission_.export_gauges();
         exchange->reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                         metrics_.to_prometheus_text());
         return;
@@ -555,7 +532,8 @@
 /// other. A gateway that lags took 37 to 86 coordinators for lost within ten seconds because it had
 /// not read their replies.
 void gateway::on_coordinator_unresponsive(const std::string& host, bool others_answered) {
-    if (others_answered && !link_.is_full() && allocators_.record_failure(monotonic_now(), host)) {
+    if (others_answered && !admission_.link().is_full() &&
+        allocators_.record_failure(monotonic_now(), host)) {
         log_event(log_level::warning, "engine_keeper_lost", {{"keeper", host}});
     }
     on_peer_unresponsive(host);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "roles/gateway/caller_admission.hpp"
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
@@ -15,9 +16,9 @@
 #include "roles/gateway/target_crash_detector.hpp"
 #include "roles/gateway/target_list.hpp"
 #include "wrenswitch/decision/gateway/isolation_detector.hpp"
-#include "wrenswitch/decision/gateway/link_congestion_detector.hpp"
 #include "wrenswitch/decision/gateway/region_outage_detector.hpp"
 #include "wrenswitch/decision/gateway/response_time_tracker.hpp"
+#include "wrenswitch/decision/ingress/account_usage.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -53,8 +54,7 @@
     result<void> open_servers();
     void open_metrics();
     ingress_limits current_limits() const;
-    void update_link_state(instant now);
-    bool is_ready();
+    bool is_open();
     void serve_admin(const http_exchange_pointer& exchange);
 
     void configuration_changed(const keyed_record& record);
@@ -112,7 +112,8 @@
     priority_tracker priorities_;
     engine_coordinators coordinators_;
     loop_lag_monitor lag_monitor_;
-    link_congestion_detector link_;
+    account_usage account_usage_;
+    caller_admission admission_;
     std::unique_ptr<placement_coordinator> desk_;
     std::unique_ptr<placement_exchange> placements_;
     gateway_rollouts rollouts_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "roles/gateway/caller_admission.hpp"
 #include "roles/gateway/placement_exchange.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "roles/gateway/rollout_gates.hpp"
@@ -24,6 +25,7 @@
 #include "wrenswitch/decision/gateway/response_time_tracker.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
+#include "wrenswitch/decision/ingress/account_usage.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 #include "wrenswitch/roles/gateway.hpp"
@@ -42,6 +44,8 @@
     response_time_tracker& plain_response_times;
     const overload_detector& overload;
     const link_congestion_detector& link;
+    account_usage& usage;
+    caller_admission& admission;
     grant_holder& grants;
     token_exchange& tokens;
     placement_exchange& placements;
--- a/tests/drivers/ingress_server_test.cpp
+++ b/tests/drivers/ingress_server_test.cpp
@@ -236,4 +236,59 @@
     BOOST_TEST(busy.received().find("done") != std::string::npos);
 }
 
+// Connections of other accounts must stay when the callers of one are sent elsewhere.
+BOOST_AUTO_TEST_CASE(closed_account_loses_its_idle_connections_and_no_others) {
+    raw_socket large = connect();
+    raw_socket other = connect();
+    raw_socket unnamed = connect();
+    answer_at_once = false;
+    large.send(get);
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 1; }));
+    exchanges[0]->set_account("large");
+    exchanges[0]->answer(200, {}, "ok");
+    other.send(get);
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 2; }));
+    exchanges[1]->set_account("other");
+    exchanges[1]->answer(200, {}, "ok");
+    run_for(milliseconds(20));
+    server->close_account("large", true);
+    BOOST_TEST(run_until([&] { return large.ended(); }));
+    run_for(milliseconds(20));
+    BOOST_TEST(!other.ended());
+    BOOST_TEST(!unnamed.ended());
+}
+
+BOOST_AUTO_TEST_CASE(closed_account_gets_its_present_answer_whole_and_then_the_end) {
+    answer_at_once = false;
+    raw_socket socket = connect();
+    socket.send(get);
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 1; }));
+    exchanges[0]->set_account("large");
+    exchanges[0]->begin_answer(200, {});
+    exchanges[0]->send_piece("first");
+    server->close_account("large", true);
+    run_for(milliseconds(20));
+    BOOST_TEST(!socket.ended());
+    exchanges[0]->send_piece("second");
+    exchanges[0]->end_answer();
+    BOOST_TEST(run_until([&] { return socket.ended(); }));
+    BOOST_TEST(socket.received().find("second") != std::string::npos);
+    BOOST_TEST(socket.received().ends_with("0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(account_that_is_open_again_keeps_its_connections) {
+    answer_at_once = false;
+    server->close_account("large", true);
+    server->close_account("large", false);
+    raw_socket socket = connect();
+    for (std::size_t turn = 1; turn <= 2; ++turn) {
+        socket.send(get);
+        BOOST_REQUIRE(run_until([&] { return exchanges.size() == turn; }));
+        exchanges.back()->set_account("large");
+        exchanges.back()->answer(200, {}, "ok");
+        run_for(milliseconds(20));
+    }
+    BOOST_TEST(!socket.ended());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
