--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -264,7 +264,8 @@
             [this] { ledger_->append_if_due(); }, [this] { return ledger_->live() && !stopping_; },
             [this] { return grant_log_reachable_; }, [this] { return link_.is_full(); },
             [this](const std::string& host) { on_peer_unresponsive(host); }});
-    desk_ = std::make_unique<placement_coordinator>(targets_, coordinators_, metrics_);
+    desk_ = std::make_unique<placement_coordinator>(targets_, coordinators_, metrics_,
+                                                    &rate_limited_log_);
     placements_ = std::make_unique<placement_exchange>(
         loop_, *bus_, targets_, coordinators_, *desk_, metrics_,
         placement_exchange::hooks{
--- a/src/roles/gateway/placement_coordinator.cpp
+++ b/src/roles/gateway/placement_coordinator.cpp
@@ -3,11 +3,13 @@
 #include <placement.pb.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 #include <utility>
 
 #include "roles/gateway/placement_codec.hpp"
+#include "roles/gateway/rate_limited_log.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -24,11 +26,16 @@
 /// objective anyway.
 constexpr std::size_t max_held = 32;
 
+/// Pressure has ended when no request was held or refused for this long, as long as recent rates
+/// count.
+constexpr microseconds pressure_end_time = seconds(2);
+
 }  // namespace
 
 placement_coordinator::placement_coordinator(target_pool& targets,
-                                             engine_coordinators& coordinators, metrics& counters)
-    : targets_(targets), coordinators_(coordinators), counters_(counters) {}
+                                             engine_coordinators& coordinators, metrics& counters,
+                                             rate_limited_log* log)
+    : targets_(targets), coordinators_(coordinators), counters_(counters), log_(log) {}
 
 target_choice placement_coordinator::place(instant now, std::uint64_t attempt,
                                            const std::string& service,
@@ -70,7 +77,7 @@
 }
 
 void placement_coordinator::place_or_hold(instant now, placement_query query,
-                                          decision_hook on_decided) {
+                                          const decision_hook& on_decided) {
     if (!query.request.priority) {
         on_decided(
             place(now, query.attempt, query.service, query.request, query.tried, query.remaining));
@@ -122,6 +129,7 @@
         choice.other_backlog_ms, cost.prefill_ms,       cost.pause_ms,
         cost.pending_pause_ms,   cost.late_probability, choice.candidates};
     const admission_decision decision = admission_.decide(now, competing, estimate);
+    track_pressure(now, competing, estimate, decision);
     choice.admission = decision.outcome;
     if (decision.outcome == admission_outcome::admit) {
         begin_attempt(now, query.attempt, request, choice, remaining);
@@ -139,6 +147,40 @@
     return choice;
 }
 
+/// Logs when a service's requests begin to be held or refused, and when this has ended.
+void placement_coordinator::track_pressure(instant now, const competing_request& request,
+                                           const engine_estimate& best,
+                                           const admission_decision& decision) {
+    const auto found = pressed_at_.find(request.service);
+    const bool was_pressed = found != pressed_at_.end();
+    if (decision.outcome == admission_outcome::admit) {
+        if (!was_pressed || now - found->second < pressure_end_time) {
+            return;
+        }
+        pressed_at_.erase(found);
+    } else {
+        pressed_at_.insert_or_assign(request.service, now);
+        if (was_pressed) {
+            return;
+        }
+    }
+    if (log_ == nullptr) {
+        return;
+    }
+    // All inputs are the coordinator's own and current; rates are those of the last 2 s.
+    log_->log_routine(was_pressed ? "engine_pressure_ended" : "engine_pressure_began",
+                      {{"service", request.service},
+                       {"account", request.account},
+                       {"priority", std::to_string(request.priority)},
+                       {"harm", std::to_string(decision.harm)},
+                       {"value", std::to_string(decision.value)},
+                       {"target", best.engine},
+                       {"first_event_ms", std::to_string(std::lround(best.first_event_ms))},
+                       {"backlog_ms", std::to_string(std::lround(best.backlog_ms))},
+                       {"pause_ms", std::to_string(std::lround(best.pause_ms))},
+                       {"held", std::to_string(held_.size())}});
+}
+
 void placement_coordinator::retry_held(instant now) {
     if (held_.empty()) {
         return;
--- a/src/roles/gateway/placement_coordinator.hpp
+++ b/src/roles/gateway/placement_coordinator.hpp
@@ -19,6 +19,8 @@
 
 namespace wrenswitch {
 
+class rate_limited_log;
+
 /// How an attempt at an engine ended, as far as it bears on the engine's health.
 enum class attempt_outcome {
     /// Says nothing about the engine: the caller left or the request was never sent.
@@ -47,9 +49,9 @@
 /// there are.
 class placement_coordinator {
 public:
-    /// All references must outlive the coordinator.
+    /// All references, and the log if there is one, must outlive the coordinator.
     placement_coordinator(target_pool& targets, engine_coordinators& coordinators,
-                          metrics& counters);
+                          metrics& counters, rate_limited_log* log = nullptr);
 
     /// Chooses one of the engines that this process coordinates and counts the attempt there for at
     /// most `remaining`, the time until the caller's deadline. The id `attempt` is unique in the
@@ -63,7 +65,7 @@
 
     /// Chooses one of the engines as place() does, subject to admission control if the request has
     /// a priority. Held requests that are at least as urgent are tried first.
-    void place_or_hold(instant now, placement_query query, decision_hook on_decided);
+    void place_or_hold(instant now, placement_query query, const decision_hook& on_decided);
 
     /// Tries held requests again, in the order in which they rank: by priority, by the admitted
     /// work of their accounts and by arrival.
@@ -110,6 +112,8 @@
     };
 
     target_choice place_competing(instant now, const placement_query& query, microseconds held);
+    void track_pressure(instant now, const competing_request& request, const engine_estimate& best,
+                        const admission_decision& decision);
     target_choice pick(instant now, const std::string& service, const engine_request& request,
                        std::span<const std::string> tried);
     void begin_attempt(instant now, std::uint64_t attempt, const engine_request& request,
@@ -121,9 +125,12 @@
     target_pool& targets_;
     engine_coordinators& coordinators_;
     metrics& counters_;
+    rate_limited_log* log_;
     std::map<std::uint64_t, counted_attempt> attempts_;
     engine_admission admission_;
     std::vector<held_query> held_;
+    /// When a request of each service was last held or refused, as long as that counts as pressure.
+    std::map<std::string, instant> pressed_at_;
     /// The version of the engine assignment for which send permits at cold engines are issued.
     std::uint64_t seen_assignments_ = 0;
 };
--- a/tests/roles/placement_admission_test.cpp
+++ b/tests/roles/placement_admission_test.cpp
@@ -1,5 +1,6 @@
 #include <bus.pb.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "roles/gateway/placement_codec.hpp"
@@ -12,19 +13,32 @@
 
 /// Four gateways of which the first coordinates two engines, and requests that compete.
 struct placement_admission_fixture : placement_exchange_fixture {
-    static constexpr int engines = 2;
+    int engines = 2;
     std::uint64_t last_attempt = 1'000'000;
 
-    placement_admission_fixture() {
+    explicit placement_admission_fixture(int engine_count = 2) : engines(engine_count) {
         for (const auto& gateway : gateways) {
             for (int number = engines + 1; number <= 12; ++number) {
                 gateway->targets.remove(monotonic_now(), "e" + std::to_string(number));
             }
         }
-        // The first query opens the connection.
-        const auto first = begin(*requester, prompt(3));
-        BOOST_REQUIRE(run_until([&] { return !requester->responded.empty(); }));
-        requester->exchange.end_attempt(attempt, attempt_outcome::abandoned);
+        connect_to("h1");
+    }
+
+    /// Sends queries until the coordinator has replied, since the first one opens the connection.
+    void connect_to(const std::string& host) {
+        const auto has_responded = [this, &host] {
+            const std::vector<std::string>& hosts = requester->responded;
+            return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+        };
+        for (std::uint64_t session = 3; !has_responded(); session += 2) {
+            BOOST_REQUIRE(session < 100);
+            choice_count = 0;
+            const auto first = begin(*requester, prompt(session));
+            BOOST_REQUIRE(run_until([&] { return choice_count == 1U; }));
+            requester->exchange.end_attempt(attempt, attempt_outcome::abandoned);
+            run_until(has_responded, milliseconds(50));
+        }
         BOOST_REQUIRE(run_until([&] { return coordinator->placements.attempt_count() == 0U; }));
         requester->unresponsive.clear();
         choice_count = 0;
@@ -45,9 +59,9 @@
     }
 
     /// Places urgent and less urgent requests at the coordinator, so that it knows the rates.
-    void receive_urgent() {
+    void receive_urgent(std::uint64_t urgent_count = 12) {
         const instant now = monotonic_now();
-        for (std::uint64_t number = 0; number < 12; ++number) {
+        for (std::uint64_t number = 0; number < urgent_count; ++number) {
             place_at_coordinator(now, urgent(5000 + 2 * number));
         }
         place_at_coordinator(now, competing(6000, "bulk", 2));
@@ -83,6 +97,60 @@
     }
 };
 
+/// Seven gateways of which two coordinate twelve engines.
+struct two_coordinators_fixture : placement_admission_fixture {
+    std::string other;
+
+    two_coordinators_fixture() : placement_admission_fixture(12) {
+        for (int number = 5; number <= 7; ++number) {
+            gateways.push_back(std::make_unique<placing_gateway>(loop, number));
+        }
+        for (const auto& gateway : gateways) {
+            for (const auto& member : gateways) {
+                gateway->members.apply(member->self());
+            }
+        }
+        for (const auto& gateway : gateways) {
+            if (gateway->host != "h1" && coordinates_any(*gateway)) {
+                other = gateway->host;
+            } else if (gateway->host != "h1") {
+                requester = gateway.get();
+            }
+        }
+        BOOST_REQUIRE(!other.empty());
+        connect_to("h1");
+        connect_to(other);
+    }
+
+    static bool coordinates_any(placing_gateway& gateway) {
+        for (int number = 1; number <= 12; ++number) {
+            if (gateway.coordinators.coordinates(monotonic_now(), "e" + std::to_string(number))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// A session whose engine the first gateway coordinates.
+    std::uint64_t session_of_first() const {
+        std::uint64_t session = 201;
+        const auto host_of = [&] {
+            const std::string_view engine =
+                requester->targets.rendezvous_engine(monotonic_now(), service, prompt(session), {});
+            return requester->coordinators.coordinator_of(monotonic_now(), engine)->host;
+        };
+        while (host_of() != "h1") {
+            session += 2;
+        }
+        return session;
+    }
+
+    placing_gateway& gateway_of(const std::string& host) const {
+        return **std::find_if(gateways.begin(), gateways.end(),
+                              [&host](const auto& each) { return each->host == host; });
+    }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(placement_admission_test, placement_admission_fixture)
@@ -234,4 +302,25 @@
     BOOST_TEST(attempt.coordinator.empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(request_goes_to_another_coordinator_before_it_is_refused,
+                        two_coordinators_fixture) {
+    // Guards against refusals while other coordinators' engines are free.
+    receive_urgent(40);
+    fill_engines(60'000);
+    BOOST_TEST(!place(*requester, competing(session_of_first(), "bulk", 2)).empty());
+    BOOST_TEST(attempt.coordinator == other);
+    BOOST_TEST(counted(*coordinator, "placements_refused_total") == 0.0);
+    BOOST_TEST(counted(*requester, "placements_at_another_keeper_total") == 1.0);
+}
+
+BOOST_FIXTURE_TEST_CASE(partitioned_alternative_coordinator_causes_no_refusal,
+                        two_coordinators_fixture) {
+    receive_urgent(40);
+    fill_engines(60'000);
+    gateway_of(other).accepts_messages = false;
+    BOOST_TEST(!place(*requester, competing(session_of_first(), "bulk", 2)).empty());
+    BOOST_TEST(attempt.coordinator.empty());
+    BOOST_TEST((choice.admission == admission_outcome::admit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
