--- a/spec/checks.sh
+++ b/spec/checks.sh
@@ -43,3 +43,8 @@
 check shared_reads.pml fails -DNO_AGE
 check shared_reads.pml fails -DANY_CALL
 check shared_reads.pml fails -DNO_GENERATION
+check step_back.pml holds
+check step_back.pml fails -DSTALE_TRUSTED
+check step_back.pml fails -DNOBODY_LEFT
+check step_back.pml fails -DNO_ANNOUNCEMENT
+check step_back.pml fails -DNO_ORDER
