--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -27,11 +27,8 @@
 /// what it carries, small messages queue behind large ones, responses do not reach the callers, and
 /// messages between hosts are so late that healthy peers are taken for failed.
 ///
-/// Sending the callers away for some seconds gave 0.90 instead of 0.77 of the value of a day's
-/// requests where one account sent 2.3 times its usual load for 6 s to one of 31 gateways, and 0.86
-/// instead of 0.67 at the highest load of the day (processor time not modelled; 0.90 to 0.93 and
-/// 0.86 to 0.91 with other seeds). Refusing large requests at once instead gave 0.84 and 0.82,
-/// because callers retry them; closing new connections without reading them gave 0.81 and 0.83.
+/// Shedding all callers is the last resort where link sharing can't keep the link usable. See
+/// docs/design/link-sharing.md for what was weighed.
 class link_congestion_detector {
 public:
     explicit link_congestion_detector(link_congestion_settings settings) : settings_(settings) {}
