Decide on requests when their heads are complete

An ingress server may be given a hook that lets a request proceed, holds it without reading its body, or refuses it before the body. A receive buffer of a given size limits what arrives unread.

--- a/include/wrenswitch/drivers/ingress_server.hpp
+++ b/include/wrenswitch/drivers/ingress_server.hpp
@@ -35,6 +35,8 @@
     virtual std::string_view body() const = 0;
     /// When the last byte of the request was read.
     virtual instant received() const = 0;
+    /// How long the request was held after its head, before its body was read.
+    virtual microseconds waited() const { return {}; }
 
     /// Sends a whole answer.
     virtual void answer(unsigned status, const std::vector<http_header>& headers,
@@ -59,6 +61,42 @@
 using ingress_handler = std::function<void(const ingress_exchange_pointer&)>;
 using ingress_limits_source = std::function<ingress_limits()>;
 
+enum class head_action { proceed, wait, refuse };
+
+/// What happens to a request whose head is complete and whose body has not been read.
+struct head_decision {
+    head_action action = head_action::proceed;
+    /// The answer to a refused request. Its connection closes after it.
+    unsigned status = 0;
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/// A request that waits behind its head; nothing more is read from its connection meanwhile.
+class waiting_head {
+public:
+    virtual ~waiting_head() = default;
+
+    /// Ends the wait: the request proceeds or is refused. Without effect if the connection has
+    /// closed.
+    virtual void end_wait(const head_decision& decision) = 0;
+
+    /// Called once if the connection closes before the wait has ended.
+    virtual void on_closed(std::function<void()> action) = 0;
+};
+
+/// Decides on a complete head. If it returns `wait`, it has to call `end_wait` later.
+using ingress_head_hook =
+    std::function<head_decision(const message_head&, const std::shared_ptr<waiting_head>&)>;
+
+/// What a server does beyond reading and answering. By default, nothing.
+struct ingress_options {
+    /// The receive buffer of callers' connections, which limits what arrives unread. Zero leaves it
+    /// to the system.
+    std::size_t receive_buffer_bytes = 0;
+    ingress_head_hook on_head;
+};
+
 /// A strict HTTP/1.1 server for requests that are passed on: heads are kept as they came, one
 /// request is read at a time, malformed ones get their status and a closed connection.
 class ingress_server {
@@ -67,7 +105,8 @@
     static result<std::unique_ptr<ingress_server>> start(event_loop& loop, const std::string& host,
                                                          std::uint16_t port,
                                                          ingress_limits_source limits,
-                                                         ingress_handler handler);
+                                                         ingress_handler handler,
+                                                         ingress_options options = {});
 
     virtual ~ingress_server() = default;
 
--- a/include/wrenswitch/drivers/message_parser.hpp
+++ b/include/wrenswitch/drivers/message_parser.hpp
@@ -48,6 +48,10 @@
     /// The next answer belongs to a request that allows no body, such as HEAD.
     void expect_no_body(bool bodyless);
 
+    /// Makes feed() return behind the head. To be called within on_head; the next feed() goes on
+    /// with the body.
+    void pause_after_head();
+
     /// True from the first byte of a message to its end.
     bool in_message() const;
 
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -24,6 +25,10 @@
 /// What a request with all its limits may hold unread before the socket is left alone.
 constexpr std::size_t most_unread_bytes = 256U * 1024U;
 
+/// What is read of a body while its request waits. A caller that disconnects is noticed at once if
+/// it has sent no more than this.
+constexpr std::size_t most_waiting_bytes = 4096;
+
 bool is_proper(const message_head& head) {
     if (head.target.empty() || head.target.front() != '/' || head.method == "CONNECT") {
         return false;
@@ -63,11 +68,13 @@
         : connection_(std::move(connection)),
           head_(std::move(head)),
           body_(std::move(body)),
-          received_(monotonic_now()) {}
+          received_(monotonic_now()),
+          waited_(connection_->waited_) {}
 
     const message_head& head() const override { return head_; }
     std::string_view body() const override { return body_; }
     instant received() const override { return received_; }
+    microseconds waited() const override { return waited_; }
 
     void answer(unsigned status, const std::vector<http_header>& headers,
                 std::string_view body) override {
@@ -161,9 +168,40 @@
     message_head head_;
     std::string body_;
     instant received_;
+    microseconds waited_;
     bool ended_ = false;
 };
 
+/// The wait of one request behind its head.
+class connection_wait final : public waiting_head {
+public:
+    connection_wait(const std::shared_ptr<ingress_connection>& connection, std::uint64_t number)
+        : connection_(connection), number_(number) {}
+
+    void end_wait(const head_decision& decision) override {
+        const auto connection = connection_.lock();
+        if (connection && is_present(*connection)) {
+            connection->end_wait(decision);
+        }
+    }
+
+    void on_closed(std::function<void()> action) override {
+        const auto connection = connection_.lock();
+        if (connection && connection->open() && connection->wait_number_ == number_) {
+            connection->gone_hook_ = std::move(action);
+        }
+    }
+
+private:
+    bool is_present(const ingress_connection& connection) const {
+        return connection.open() && connection.phase_ == ingress_connection::phase::waiting &&
+               connection.wait_number_ == number_;
+    }
+
+    std::weak_ptr<ingress_connection> connection_;
+    std::uint64_t number_;
+};
+
 ingress_connection::ingress_connection(ingress_context& context, bufferevent* stream)
     : context_(context), stream_(stream), limits_(context.limits()), parser_(make_parser()) {}
 
@@ -221,6 +259,7 @@
             phase_ = phase::reading;
             limits_ = context_.limits();
             parser_ = make_parser();
+            waited_ = microseconds(0);
             reading_since_ = monotonic_now();
             set_read_timeout(limits_.head_timeout);
         }
@@ -239,6 +278,9 @@
             refuse(status_timeout);
             return;
         }
+        if (phase_ == phase::waiting) {
+            decide_on_head();
+        }
         if (phase_ == phase::answering) {
             request_complete();
         }
@@ -260,14 +302,72 @@
     }
     keep_alive_ = head.keep_alive;
     body_.clear();
-    const bool asks = same_header_name(head.header("Expect"), "100-continue");
     head_ = std::move(head);
-    if (asks) {
-        write("HTTP/1.1 100 Continue\r\n\r\n");
+    if (context_.on_head) {
+        phase_ = phase::waiting;
+        parser_.pause_after_head();
+    } else {
+        invite_body();
     }
     return outcome::success();
 }
 
+void ingress_connection::invite_body() {
+    if (same_header_name(head_.header("Expect"), "100-continue")) {
+        write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+/// Asks the hook, outside of the parser, what happens to the request.
+void ingress_connection::decide_on_head() {
+    waiting_since_ = monotonic_now();
+    wait_number_ += 1;
+    set_read_timeout(microseconds(0));
+    head_decision decision = context_.on_head(
+        head_, std::make_shared<connection_wait>(shared_from_this(), wait_number_));
+    switch (decision.action) {
+        case head_action::proceed:
+            gone_hook_ = {};
+            continue_with_body();
+            break;
+        case head_action::wait:
+            bufferevent_setwatermark(stream_, EV_READ, 0, most_waiting_bytes);
+            break;
+        case head_action::refuse:
+            refuse(decision);
+            break;
+    }
+}
+
+void ingress_connection::continue_with_body() {
+    phase_ = phase::reading;
+    set_read_timeout(limits_.head_timeout);
+    invite_body();
+}
+
+void ingress_connection::end_wait(const head_decision& decision) {
+    if (decision.action == head_action::refuse) {
+        refuse(decision);
+        return;
+    }
+    // The end of a caller behind an unread body is not seen by reading.
+    if (peer_has_closed()) {
+        peer_gone();
+        return;
+    }
+    gone_hook_ = {};
+    waited_ = monotonic_now() - waiting_since_;
+    bufferevent_setwatermark(stream_, EV_READ, 0, 0);
+    continue_with_body();
+    read_available();
+}
+
+bool ingress_connection::peer_has_closed() const {
+    pollfd state{bufferevent_getfd(stream_), POLLRDHUP, 0};
+    return ::poll(&state, 1, 0) > 0 &&
+           (static_cast<unsigned>(state.revents) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void ingress_connection::body_arrived(std::string_view piece) {
     // One byte more than allowed is kept, so that the end of a chunked body can be refused.
     const std::size_t room = limits_.most_body_bytes + 1 - body_.size();
@@ -286,10 +386,15 @@
     context_.handler(exchange);
 }
 
-void ingress_connection::refuse(unsigned status) {
+void ingress_connection::refuse(const head_decision& decision) {
     keep_alive_ = false;
-    std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
-    text.append(reason_of(status)).append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    std::string text = "HTTP/1.1 " + std::to_string(decision.status) + " ";
+    text.append(reason_of(decision.status)).append("\r\n");
+    for (const http_header& header : decision.headers) {
+        append_header(text, header.name, header.value);
+    }
+    append_header(text, "Content-Length", std::to_string(decision.body.size()));
+    text.append("Connection: close\r\n\r\n").append(decision.body);
     write(text);
     linger();
 }
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -19,6 +19,8 @@
     ingress_limits_source limits;
     ingress_handler handler;
     std::function<void(ingress_connection*)> on_gone;
+    /// Empty if requests proceed without a decision on their heads.
+    ingress_head_hook on_head;
     bool draining = false;
     /// True while callers should go on over other connections.
     bool sheds = false;
@@ -42,13 +44,15 @@
     /// Holds bytes back until the next write, so that both go out together.
     void write_soon(std::string_view bytes);
     void finish_answer(bool keep);
+    /// Ends the wait of a request behind its head.
+    void end_wait(const head_decision& decision);
     void abort();
     bool open() const { return stream_ != nullptr; }
     bool keeps_alive() const { return keep_alive_ && !context_.draining && !context_.sheds; }
     std::size_t unsent_bytes() const;
 
 private:
-    enum class phase { idle, reading, answering, lingering };
+    enum class phase { idle, reading, waiting, answering, lingering };
 
     static void on_readable(bufferevent*, void* self);
     static void on_written(bufferevent*, void* self);
@@ -57,10 +61,15 @@
     message_parser make_parser();
     void read_available();
     result<void> head_arrived(message_head head);
+    void invite_body();
+    void decide_on_head();
+    void continue_with_body();
+    bool peer_has_closed() const;
     bool head_is_overdue() const;
     void body_arrived(std::string_view piece);
     void request_complete();
-    void refuse(unsigned status);
+    void refuse(const head_decision& decision);
+    void refuse(unsigned status) { refuse(head_decision{head_action::refuse, status, {}, {}}); }
     void peer_gone();
     void linger();
     void close();
@@ -81,7 +90,12 @@
     instant reading_since_{};
     /// Tells the exchange that the peer went away.
     std::function<void()> gone_hook_;
+    /// Identifies the present wait, so that the end of an earlier one has no effect.
+    std::uint64_t wait_number_ = 0;
+    instant waiting_since_{};
+    microseconds waited_{};
     friend class connection_exchange;
+    friend class connection_wait;
 };
 
 }  // namespace wrenswitch
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -5,6 +5,8 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <limits>
 #include <unordered_map>
 
 #include "drivers/ingress_connection.hpp"
@@ -16,9 +18,11 @@
 
 class libevent_ingress final : public ingress_server {
 public:
-    libevent_ingress(event_loop& loop, ingress_limits_source limits, ingress_handler handler)
+    libevent_ingress(event_loop& loop, ingress_limits_source limits, ingress_handler handler,
+                     ingress_options options)
         : context_{loop, std::move(limits), std::move(handler),
-                   [this](ingress_connection* gone) { forget(gone); }} {}
+                   [this](ingress_connection* gone) { forget(gone); }, std::move(options.on_head)},
+          receive_buffer_bytes_(options.receive_buffer_bytes) {}
 
     ~libevent_ingress() override {
         if (listener_ != nullptr) {
@@ -43,6 +47,7 @@
             return failed(error_code::unavailable,
                           "Address " + host + ":" + std::to_string(port) + " cannot be bound.");
         }
+        set_receive_buffer();
         sockaddr_in bound{};
         socklen_t length = sizeof bound;
         ::getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&bound),
@@ -71,6 +76,17 @@
     }
 
 private:
+    /// Connections inherit the size from the listening socket. Set later, it would not reduce the
+    /// window that a caller has been given with the connection.
+    void set_receive_buffer() const {
+        if (receive_buffer_bytes_ > 0) {
+            const int size = static_cast<int>(
+                std::min<std::size_t>(receive_buffer_bytes_, std::numeric_limits<int>::max() / 2));
+            ::setsockopt(evconnlistener_get_fd(listener_), SOL_SOCKET, SO_RCVBUF, &size,
+                         sizeof size);
+        }
+    }
+
     void close_idle() {
         const auto open = connections_;
         for (const auto& [key, connection] : open) {
@@ -104,6 +120,7 @@
     }
 
     ingress_context context_;
+    std::size_t receive_buffer_bytes_;
     std::unordered_map<ingress_connection*, std::shared_ptr<ingress_connection>> connections_;
     evconnlistener* listener_ = nullptr;
     std::uint16_t port_ = 0;
@@ -111,12 +128,11 @@
 
 }  // namespace
 
-result<std::unique_ptr<ingress_server>> ingress_server::start(event_loop& loop,
-                                                              const std::string& host,
-                                                              std::uint16_t port,
-                                                              ingress_limits_source limits,
-                                                              ingress_handler handler) {
-    auto server = std::make_unique<libevent_ingress>(loop, std::move(limits), std::move(handler));
+result<std::unique_ptr<ingress_server>> ingress_server::start(
+    event_loop& loop, const std::string& host, std::uint16_t port, ingress_limits_source limits,
+    ingress_handler handler, ingress_options options) {
+    auto server = std::make_unique<libevent_ingress>(loop, std::move(limits), std::move(handler),
+                                                     std::move(options));
     const result<void> bound = server->bind(host, port);
     if (!bound) {
         return bound.error();
--- a/src/drivers/message_parser.cpp
+++ b/src/drivers/message_parser.cpp
@@ -39,6 +39,7 @@
     bool trailers = false;
     bool ended = false;
     bool bodyless = false;
+    bool pauses = false;
     std::optional<error> problem;
 
     static state& of(http_parser* parser) { return *static_cast<state*>(parser->data); }
@@ -122,6 +123,9 @@
             problem = taken.error();
             return -1;
         }
+        if (std::exchange(pauses, false)) {
+            http_parser_pause(&parser, 1);
+        }
         return bodyless ? skip_body : 0;
     }
 
@@ -210,6 +214,10 @@
     state_->bodyless = bodyless;
 }
 
+void message_parser::pause_after_head() {
+    state_->pauses = true;
+}
+
 bool message_parser::in_message() const {
     return state_->active;
 }
