Share the gateway's link among client accounts

link_sharing finds the account and route of each head, estimates the bytes that the request takes and asks the scheduler. Refused requests are counted, traced and logged with the reason link_share; held ones trace their wait. A request that could not be sent while the link is saturated is refused and not resent. Callers are sent away only above what link sharing allows, since a link at its target of 0.85 would otherwise count as full and shed all accounts.

The ends of requests and the hooks of rollouts move to files of their own.

--- a/include/wrenswitch/decision/gateway/admission.hpp
+++ b/include/wrenswitch/decision/gateway/admission.hpp
@@ -36,6 +36,10 @@
 /// The name of a refusal in logs and responses.
 std::string_view name_of(admission_refusal refusal);
 
+/// The priority of an account's requests on a route, from 0, the most urgent, to 9. Without an
+/// account it is the route's.
+unsigned request_priority(const gateway_route& route, const gateway_account* account);
+
 /// Applies the active configuration to a request: finds its route, service and account, or returns
 /// why it is refused. `fraction`, from 0 to 1, selects among the services of a route with weighted
 /// splits.
--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -20,6 +20,10 @@
     microseconds initial_shed_duration = milliseconds(3500);
     microseconds max_shed_duration = milliseconds(8000);
     microseconds repeat_window = milliseconds(5000);
+    /// True if link sharing keeps the use of the link at 0.85 of its capacity. Callers are then
+    /// sent away only if the link carries more than that nevertheless, since a link that is full
+    /// because of one account still serves the others in time.
+    bool is_shared = false;
 };
 
 /// Detects that the link of a gateway with little bandwidth is full, and decides when to shed load.
@@ -50,6 +54,7 @@
 
 private:
     void update_state(instant now);
+    bool is_overrun() const;
 
     link_congestion_settings settings_;
     instant last_sample_{};
@@ -59,8 +64,9 @@
     double send_queue_bytes_ = 0.0;
     bool full_ = false;
     bool shedding_ = false;
-    /// When the link last became full or stopped being full.
-    instant full_changed_at_{};
+    /// True while there is cause to send callers away, and since when.
+    bool has_shed_cause_ = false;
+    instant shed_cause_changed_at_{};
     /// The end and the duration of the current shedding, or of the last one.
     instant shed_until_{};
     microseconds shed_duration_{};
--- a/include/wrenswitch/decision/ingress/link_scheduler.hpp
+++ b/include/wrenswitch/decision/ingress/link_scheduler.hpp
@@ -124,6 +124,9 @@
     /// True while the link carries as much as it can.
     bool is_saturated() const;
 
+    /// The time after which an account may start another request of a priority.
+    microseconds free_after(instant now, std::string_view account, unsigned priority);
+
     link_account_state state_of(std::string_view account) const;
 
     std::size_t waiting() const;
--- a/include/wrenswitch/drivers/event_loop.hpp
+++ b/include/wrenswitch/drivers/event_loop.hpp
@@ -59,9 +59,13 @@
     /// here.
     traffic_counts& traffic() { return traffic_; }
 
+    /// What the calls to the platform's store carried: bodies without their heads.
+    traffic_counts& store_traffic() { return store_traffic_; }
+
 private:
     event_base* base_;
     traffic_counts traffic_;
+    traffic_counts store_traffic_;
     std::unique_ptr<timer> terminate_;
     std::unique_ptr<timer> interrupt_;
     std::unique_ptr<timer> hangup_;
--- a/src/decision/gateway/admission.cpp
+++ b/src/decision/gateway/admission.cpp
@@ -25,6 +25,11 @@
     return "unnamed";
 }
 
+unsigned request_priority(const gateway_route& route, const gateway_account* account) {
+    const unsigned base = account == nullptr ? 0 : account->priority * priorities_per_account;
+    return std::min(lowest_priority, base + route.priority);
+}
+
 std::variant<admitted_request, admission_refusal> admit(const active_configuration& configuration,
                                                         std::string_view host,
                                                         std::string_view path, std::string_view key,
@@ -43,7 +48,7 @@
     admitted_request admitted;
     admitted.route = *route;
     admitted.service = split->service;
-    admitted.priority = std::min(lowest_priority, route->priority);
+    admitted.priority = request_priority(*route, nullptr);
     admitted.regions = route->regions;
     admitted.configuration_version = configuration.current().version;
     const gateway_service* service = configuration.find_service(split->service);
@@ -63,8 +68,7 @@
         return admission_refusal::unknown_key;
     }
     admitted.account = account->name;
-    admitted.priority =
-        std::min(lowest_priority, account->priority * priorities_per_account + route->priority);
+    admitted.priority = request_priority(*route, account);
     admitted.is_metered = admitted.engine.has_value() && account->prepaid_tokens.has_value();
     return admitted;
 }
--- a/src/decision/gateway/link_congestion_detector.cpp
+++ b/src/decision/gateway/link_congestion_detector.cpp
@@ -22,6 +22,11 @@
 constexpr microseconds full_send_queue = milliseconds(60);
 constexpr microseconds clear_send_queue = milliseconds(15);
 
+/// What a shared link carries at most if link sharing works: 0.85 of its capacity on average, and
+/// bursts of 100 ms from accounts below their shares.
+constexpr double overrun_received_share = 0.97;
+constexpr microseconds overrun_send_queue = milliseconds(250);
+
 /// After a longer pause between samples the elapsed time says nothing about the load of the link.
 constexpr microseconds max_sample_interval = seconds(1);
 
@@ -55,22 +60,26 @@
                                                   microseconds_per_second));
 }
 
+bool link_congestion_detector::is_overrun() const {
+    return received_share_ > overrun_received_share || send_queue_delay() > overrun_send_queue;
+}
+
 void link_congestion_detector::update_state(instant now) {
     const bool above_full =
         received_share_ > full_received_share || send_queue_delay() > full_send_queue;
     const bool below_clear =
         received_share_ < clear_received_share && send_queue_delay() < clear_send_queue;
-    const bool full_now = full_ ? !below_clear : above_full;
-    if (full_now != full_) {
-        full_ = full_now;
-        full_changed_at_ = now;
+    full_ = full_ ? !below_clear : above_full;
+    const bool has_cause = settings_.is_shared ? is_overrun() : full_;
+    if (has_cause != has_shed_cause_) {
+        has_shed_cause_ = has_cause;
+        shed_cause_changed_at_ = now;
     }
-    const microseconds full_duration = now - full_changed_at_;
     if (shedding_) {
         shedding_ = now < shed_until_;
         return;
     }
-    if (!full_ || full_duration < settings_.shed_delay) {
+    if (!has_shed_cause_ || now - shed_cause_changed_at_ < settings_.shed_delay) {
         return;
     }
     const bool is_repeat =
--- a/src/decision/ingress/link_scheduler.cpp
+++ b/src/decision/ingress/link_scheduler.cpp
@@ -322,6 +322,20 @@
     return next;
 }
 
+microseconds link_scheduler::free_after(instant now, std::string_view account, unsigned priority) {
+    advance(now);
+    const auto found = accounts_.find(account);
+    if (found == accounts_.end()) {
+        return min_retry_after;
+    }
+    tags planned = found->second.finish;
+    for (const waiting_request& each : found->second.waiting) {
+        charge(planned, each.priority, each.bytes, virtual_time_);
+    }
+    const std::size_t level = std::min<std::size_t>(priority, priority_count - 1);
+    return std::max(min_retry_after, time_until(planned[level] - queued_burst_bytes()));
+}
+
 link_account_state link_scheduler::state_of(std::string_view account) const {
     link_account_state state;
     state.share = account_rate();
--- a/src/drivers/http_client.cpp
+++ b/src/drivers/http_client.cpp
@@ -143,6 +143,7 @@
         }
         evbuffer* body = evhttp_request_get_output_buffer(request_);
         evbuffer_add(body, request.body.data(), request.body.size());
+        pool_->loop.store_traffic().sent += request.body.size();
         const int sent = evhttp_make_request(connection_, request_, command_of(request.method),
                                              request.target.c_str());
         if (sent != 0) {
@@ -173,6 +174,7 @@
         auto* self = static_cast<running_call*>(argument);
         const std::shared_ptr<bool> alive = self->alive_;
         const std::string piece = drained(evhttp_request_get_input_buffer(request));
+        self->pool_->loop.store_traffic().received += piece.size();
         // Avoids copying the headers out of evhttp again for each of the hundreds of pieces of a
         // long reply.
         if (!self->head_) {
@@ -206,6 +208,7 @@
         }
         http_reply reply = head_of(request);
         reply.body = drained(evhttp_request_get_input_buffer(request));
+        self->pool_->loop.store_traffic().received += reply.body.size();
         const bool cut = self->peer_closes(request);
         if (self->fresh_ || cut) {
             self->free_connection_later();
--- a/src/roles/gateway/caller_response.cpp
+++ b/src/roles/gateway/caller_response.cpp
@@ -11,16 +11,15 @@
 /// slowly.
 constexpr std::size_t max_unsent_bytes = 1024U * 1024U;
 
-/// Formats a duration in seconds with three decimals, as in "0.250".
-std::string format_seconds(microseconds length) {
+}  // namespace
+
+std::string retry_after_text(microseconds length) {
     constexpr std::int64_t millis_per_second = 1000;
     const auto millis = std::chrono::duration_cast<milliseconds>(length).count();
     const std::string fraction = std::to_string(millis_per_second + millis % millis_per_second);
     return std::to_string(millis / millis_per_second) + "." + fraction.substr(1);
 }
 
-}  // namespace
-
 void caller_response::send_head(const message_head& head) {
     if (!std::exchange(started_, true)) {
         exchange_->begin_answer(head.status, caller_response_headers(head, dialect_));
@@ -28,11 +27,13 @@
 }
 
 void caller_response::send_complete(const message_head& head, std::string_view body) {
+    sent_bytes_ += body.size();
     exchange_->answer(head.status, caller_response_headers(head, dialect_), body);
 }
 
 bool caller_response::send_events(const message_head& head, std::string_view events) {
     send_head(head);
+    sent_bytes_ += events.size();
     exchange_->send_piece(events);
     if (exchange_->unsent_bytes() <= max_unsent_bytes) {
         return true;
@@ -50,7 +51,7 @@
                              microseconds retry_after) {
     exchange_->answer(status,
                       {{dialect_.request_id, std::string(request_id)},
-                       {"Retry-After", format_seconds(retry_after)}},
+                       {"Retry-After", retry_after_text(retry_after)}},
                       std::string(reason) + "\n");
 }
 
--- a/src/roles/gateway/caller_response.hpp
+++ b/src/roles/gateway/caller_response.hpp
@@ -8,6 +8,9 @@
 
 namespace wrenswitch {
 
+/// Formats the value of a Retry-After header: seconds with three decimals, as in "0.250".
+std::string retry_after_text(microseconds length);
+
 /// Sends the response to a caller: a target's response, complete or as a stream, or an error of the
 /// gateway itself.
 class caller_response {
@@ -19,6 +22,9 @@
     /// True once a part of a target's response has been sent to the caller.
     bool started() const { return started_; }
 
+    /// The bytes of the response's body so far.
+    std::size_t sent_bytes() const { return sent_bytes_; }
+
     /// Sends a target's complete response.
     void send_complete(const message_head& head, std::string_view body);
 
@@ -47,6 +53,7 @@
     ingress_exchange_pointer exchange_;
     const gateway_dialect& dialect_;
     bool started_ = false;
+    std::size_t sent_bytes_ = 0;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -67,6 +67,10 @@
         admitted_ = std::move(*admitted);
         suspicion_.set_content({exchange_->head().method, request_.host, exchange_->head().target,
                                 admitted_.account, exchange_->body()});
+        if (exchange_->waited() > microseconds(0)) {
+            context_.sharing.trace_state(monotonic_now(), trace_, "link_waited",
+                                         admitted_.key_owner, exchange_->waited());
+        }
         context_.priorities.record(exchange_->received(), admitted_.service, admitted_.priority);
         const bool has_session = !request_.prompt.parts.empty();
         rollout_.set_request(admitted_.service, admitted_.route,
@@ -166,7 +170,8 @@
     if (request_.deadline) {
         timeout = std::min(timeout, *request_.deadline);
     }
-    deadline_ = exchange_->received() + timeout;
+    // The time for which the entry held the request back counts against the caller's.
+    deadline_ = exchange_->received() - exchange_->waited() + timeout;
     context_.loop.call_after(time_left(), [self = weak_from_this()] {
         if (const auto alive = self.lock()) {
             alive->on_deadline();
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -103,6 +103,7 @@
     void handle_refusal();
     void handle_response();
     void refuse_suspect();
+    bool refuse_futile_resend();
     bool try_acquire_retry();
     bool retry();
     void on_attempt_interrupted();
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -14,10 +14,6 @@
 /// target that refuses a connection does so at once.
 constexpr microseconds min_unresponsive_time = milliseconds(300);
 
-/// Events that may be in transit when a response ends unobserved, in addition to those that the
-/// time since the last event allows.
-constexpr tokens unobserved_events = 8;
-
 /// How long a target has to end a cancelled attempt, before the largest possible output is charged.
 constexpr microseconds cancellation_timeout = milliseconds(250);
 
@@ -28,18 +24,6 @@
            status == status_request_timeout || status == status_misdirected;
 }
 
-/// Formats the allowed regions for logs.
-std::string describe(const allowed_regions& regions) {
-    if (!regions) {
-        return "any";
-    }
-    std::string names;
-    for (const std::string& region : *regions) {
-        names += (names.empty() ? "" : ",") + region;
-    }
-    return names.empty() ? "none" : names;
-}
-
 }  // namespace
 
 void forwarded_request::on_head(const message_head& head) {
@@ -265,6 +249,9 @@
     if (admitted_.engine && monotonic_now() - sent_at_ >= min_unresponsive_time) {
         context_.record_unresponsive_target(target_);
     }
+    if (refuse_futile_resend()) {
+        return;
+    }
     const bool can_resend_unsent = history_.can_retry_unsent() && time_left() > microseconds(0);
     if (can_resend_unsent && !context_.is_isolated()) {
         context_.retries.record_unbudgeted_retry(admitted_.service);
@@ -412,106 +399,4 @@
     finish("caller_gone", 0);
 }
 
-void forwarded_request::refuse(unsigned status, std::string_view reason, microseconds retry_after) {
-    if (caller_response_.started()) {
-        abort_response(reason);
-        return;
-    }
-    caller_response_.refuse(request_.id, status, reason, retry_after);
-    finish(reason, status);
-}
-
-/// Charges the tokens that the target of an attempt may have produced since its last event. To be
-/// called once per attempt, when its connection is closed: this process can receive nothing more
-/// then.
-void forwarded_request::charge_unobserved_output() {
-    const instant now = monotonic_now();
-    const microseconds silence = now - std::max(sent_at_, stream_timing_.last_event_at());
-    const tokens possible_tokens = silence / context_.settings.min_time_per_token;
-    charge_.charge_unobserved(now, possible_tokens + tokens_per_event() * unobserved_events);
-}
-
-/// Closes a started response that can't be completed, so that the caller sees that it is
-/// incomplete.
-void forwarded_request::abort_response(std::string_view reason) {
-    caller_response_.abort();
-    finish(reason, 0);
-}
-
-void forwarded_request::fail(unsigned status, std::string_view reason) {
-    if (caller_response_.started()) {
-        abort_response(reason);
-        return;
-    }
-    caller_response_.fail(request_.id, status, reason);
-    finish(reason, status);
-}
-
-/// Counts a response, or the first event of a stream, that is later than the objective of its
-/// route.
-void forwarded_request::record_first_response() const {
-    const microseconds objective = admitted_.route.first_response_objective;
-    if (objective > microseconds(0) && monotonic_now() - exchange_->received() > objective) {
-        count_by_region("gateway_late_by_region_total");
-    }
-}
-
-/// Increments a counter that is labelled with the region of this gateway, to which the caller
-/// connected, and that of the last target. The label is empty for a failure domain without a region
-/// or if there is no target.
-void forwarded_request::count_by_region(std::string_view counter) const {
-    const gateway_settings& settings = context_.settings;
-    const metric_label caller{"caller", settings.regions.region_of(settings.failure_domain)};
-    const metric_label target{"target", context_.targets.region_of(target_)};
-    context_.counters.counter(labelled(counter, {caller, target})) += 1;
-}
-
-/// Counts the outcome and logs the trace: of every request that failed, and of a sample of the
-/// others.
-void forwarded_request::record_end(std::string_view outcome, unsigned status) {
-    const bool served = outcome == "served" && status < first_server_error;
-    const bool has_content = !served && !admitted_.service.empty();
-    const instant now = monotonic_now();
-    const microseconds duration = now - exchange_->received();
-    const std::string_view outcome_label = served ? "served" : (status == 0 ? "cut" : "failed");
-    count_by_region(status == status_unavailable ? "gateway_refused_by_region_total"
-                                                 : "gateway_requests_by_region_total");
-    context_.counters.histogram(labelled("gateway_request_ms", {{"outcome", outcome_label}}))
-        .observe(duration);
-    trace_.add(now, "request_ended",
-               {{"outcome", std::string(outcome)},
-                {"status", std::to_string(status)},
-                {"route", admitted_.route.name},
-                {"configuration", std::to_string(context_.configuration.current().version)},
-                {"account", admitted_.account},
-                {"fingerprint", has_content ? suspicion_.fingerprint().to_hex() : ""},
-                {"target", target_},
-                {"target_region", std::string(context_.targets.region_of(target_))},
-                {"allowed_regions", describe(admitted_.regions)},
-                {"attempts", std::to_string(history_.attempt_number())},
-                {"tokens", std::to_string(charge_.spent())},
-                {"prompt", std::to_string(charge_.prompt_spent())},
-                {"longest_pause_ms", millis_text(stream_timing_.longest_gap())},
-                {"took_ms", millis_text(duration)}});
-    const bool should_log =
-        !served || request_trace::is_sampled(trace_.id(), context_.settings.log_served_percent);
-    if (should_log) {
-        context_.log.log_request(trace_, !served);
-    }
-}
-
-void forwarded_request::finish(std::string_view outcome, unsigned status) {
-    ended_ = true;
-    token_wait_.reset();
-    placement_.reset();
-    cancel_pending_send();
-    charge_.settle();
-    context_.counters.counter("gateway_outcome_" + std::string(outcome) + "_total") += 1;
-    record_end(outcome, status);
-    context_.loop.call_after(microseconds(0),
-                             [&requests = context_.active_requests, self = shared_from_this()] {
-                                 requests.erase(self);
-                             });
-}
-
 }  // namespace wrenswitch
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -82,6 +82,9 @@
 link_congestion_settings link_settings(const gateway_settings& settings) {
     link_congestion_settings link;
     link.bytes_per_second = settings.link_bytes_per_second;
+    link.is_shared = true;
+    // Link sharing needs up to half a second to answer a flood.
+    link.shed_delay = seconds(1);
     return link;
 }
 
@@ -303,6 +306,10 @@
 }
 
 result<void> gateway::open_servers() {
+    sharing_ = std::make_unique<link_sharing>(link_sharing::parts{
+        loop_, settings_, dialect_, configuration_, metrics_, rate_limited_log_, [this] {
+            return link_bytes{bus_->bytes_received(), bus_->bytes_sent()};
+        }});
     context_ = std::make_unique<gateway_context>(gateway_context{
         loop_,
         settings_,
@@ -312,6 +319,7 @@
         plain_response_times_,
         lag_monitor_.overload(),
         link_,
+        *sharing_,
         *grants_,
         *tokens_,
         *placements_,
@@ -339,7 +347,8 @@
         loop_, settings_.listen.host, settings_.listen.port, [this] { return current_limits(); },
         [this](const ingress_exchange_pointer& exchange) {
             std::make_shared<forwarded_request>(*context_, exchange)->start();
-        });
+        },
+        sharing_->make_ingress_options());
     if (!ingress) {
         return ingress.error();
     }
@@ -390,6 +399,7 @@
     const bool shed_before = link_.is_shedding();
     const bool full_before = link_.is_full();
     link_.observe(now, traffic.received, traffic.sent);
+    sharing_->observe(now);
     if (link_.is_full() != full_before) {
         log_event(log_level::warning, link_.is_full() ? "link_full" : "link_has_room",
                   {{"received_share", std::to_string(link_.received_share())},
@@ -493,51 +503,6 @@
                {"accounts", std::to_string(current.accounts.size())}});
 }
 
-gateway_rollouts::hooks gateway::rollout_hooks() {
-    const auto in_force = [this](const rollout_order& order, const version_set& excluded) {
-        // A starting process may not know all targets yet.
-        return configuration_follower_->live() && target_follower_->live() &&
-               targets_.has_only_version(order.service, order.version, excluded);
-    };
-    const auto ordered = [this](const std::string& service) {
-        for (const std::shared_ptr<forwarded_request>& request : context_->active_requests) {
-            request->on_rollout_order(service);
-        }
-    };
-    return {in_force, ordered, [this](const rollout_order& order) { return count_targets(order); },
-            reachable_hook(dialect_.rollout_log)};
-}
-
-/// Counts the targets of the old and of the new version. Unknown until the list of targets has been
-/// read. Draining targets count as old ones, since their requests have to end, but not as new ones.
-rollout_target_counts gateway::count_targets(const rollout_order& order) {
-    rollout_target_counts numbers;
-    if (!target_follower_->live()) {
-        return numbers;
-    }
-    const rollout_gate* gate = rollouts_.gates().gate_of(order.service);
-    for (const gateway_target& target : targets_.listed()) {
-        const bool excluded = gate != nullptr && gate->excluded().contains(target.version);
-        if (target.service != order.service || excluded) {
-            continue;
-        }
-        const bool is_new = target.version == order.version;
-        numbers.old_version += is_new ? 0 : 1;
-        numbers.new_version += is_new && !target.draining ? 1 : 0;
-    }
-    return numbers;
-}
-
-/// A target of a new version is held back until a read of the rollout orders that began after the
-/// target was listed. A long poll that is open ends within 700 ms; another read without a poll
-/// follows it.
-void gateway::on_orders_read() {
-    targets_.orders_read(configuration_follower_->last_read_began());
-    if (targets_.waits_for_orders()) {
-        configuration_follower_->look_now();
-    }
-}
-
 void gateway::apply_configuration() {
     for (const gateway_service& service : configuration_.current().services) {
         targets_.set_warmup(monotonic_now(), service.name, service.warmup);
@@ -686,6 +651,7 @@
     waiters_->serve(now);
     desk_->drop_expired(now);
     retries_.tick(now);
+    sharing_->tick(now);
     crashes_.tick(now);
     signals_->tick(now);
     suspects_->tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -8,6 +8,7 @@
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
+#include "roles/gateway/link_sharing.hpp"
 #include "roles/gateway/loop_lag_monitor.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "roles/gateway/signal_exchange.hpp"
@@ -113,6 +114,7 @@
     engine_coordinators coordinators_;
     loop_lag_monitor lag_monitor_;
     link_congestion_detector link_;
+    std::unique_ptr<link_sharing> sharing_;
     std::unique_ptr<placement_coordinator> desk_;
     std::unique_ptr<placement_exchange> placements_;
     gateway_rollouts rollouts_;
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 
+#include "roles/gateway/link_sharing.hpp"
 #include "roles/gateway/placement_exchange.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "roles/gateway/rollout_gates.hpp"
@@ -42,6 +43,7 @@
     response_time_tracker& plain_response_times;
     const overload_detector& overload;
     const link_congestion_detector& link;
+    link_sharing& sharing;
     grant_holder& grants;
     token_exchange& tokens;
     placement_exchange& placements;
--- a/tests/decision/gateway/link_congestion_detector_test.cpp
+++ b/tests/decision/gateway/link_congestion_detector_test.cpp
@@ -86,6 +86,25 @@
     BOOST_TEST(!link.is_shedding());
 }
 
+/// With link sharing, a link that one account fills still serves the others, who must not be sent
+/// away for it.
+BOOST_AUTO_TEST_CASE(shared_link_sheds_callers_only_above_what_sharing_allows) {
+    link_congestion_settings shared = settings();
+    shared.is_shared = true;
+    shared.shed_delay = seconds(1);
+    link = link_congestion_detector(shared);
+    for (int round = 0; round < 20; ++round) {
+        transfer(milliseconds(140), 0.95, 0.95);
+        transfer(milliseconds(60), 0.80, 0.80);
+        BOOST_TEST(!link.is_shedding());
+    }
+    BOOST_TEST(link.is_full());
+    transfer(milliseconds(900), 1.2);
+    BOOST_TEST(!link.is_shedding());
+    transfer(milliseconds(1000), 1.2);
+    BOOST_TEST(link.is_shedding());
+}
+
 BOOST_AUTO_TEST_CASE(link_of_unknown_capacity_is_never_full) {
     link = link_congestion_detector(link_congestion_settings{});
     transfer(seconds(3), 50.0, 50.0);
--- a/tests/support/loopback_proxy.hpp
+++ b/tests/support/loopback_proxy.hpp
@@ -50,6 +50,8 @@
     microseconds delay{};
     /// If set, limits the bandwidth of data sent by the target.
     throttled_link* link = nullptr;
+    /// If set, limits the bandwidth of data sent to the target.
+    throttled_link* request_link = nullptr;
 
     /// Resets all connections that are open.
     void reset_connections() {
@@ -87,7 +89,7 @@
             return;
         }
         for (connection& each : connections_) {
-            pass(each.near, each.far, each.to_far, nullptr);
+            pass(each.near, each.far, each.to_far, request_link);
             if (!answers_lost) {
                 pass(each.far, each.near, each.to_near, link);
             }
