--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -21,6 +21,10 @@
     microseconds initial_shed_duration = milliseconds(3500);
     microseconds max_shed_duration = milliseconds(8000);
     microseconds repeat_window = milliseconds(5000);
+    /// True if link sharing keeps the use of the link at 0.85 of its capacity. Callers are then
+    /// sent away only if the link carries more than that nevertheless, since a link that is full
+    /// because of one account still serves the others in time.
+    bool is_shared = false;
 };
 
 /// Detects that the link of a gateway with little bandwidth is full, and decides when to shed load.
@@ -28,11 +32,8 @@
 /// what it carries, small messages queue behind large ones, responses do not reach the callers, and
 /// messages between hosts are so late that healthy peers are taken for failed.
 ///
-/// Sending the callers away for some seconds gave 0.90 instead of 0.77 of the value of a day's
-/// requests where one account sent 2.3 times its usual load for 6 s to one of 31 gateways, and 0.86
-/// instead of 0.67 at the highest load of the day (processor time not modelled; 0.90 to 0.93 and
-/// 0.86 to 0.91 with other seeds). Refusing large requests at once instead gave 0.84 and 0.82,
-/// because callers retry them; closing new connections without reading them gave 0.81 and 0.83.
+/// Shedding all callers is the last resort where link sharing can't keep the link usable. See
+/// docs/design/link-sharing.md for what was weighed.
 class link_congestion_detector {
 public:
     explicit link_congestion_detector(link_congestion_settings settings)
@@ -62,6 +63,7 @@
 
 private:
     void update_state(instant now);
+    bool is_overrun() const;
 
     link_congestion_settings settings_;
     std::optional<microseconds> shed_delay_;
@@ -72,8 +74,9 @@
     double send_queue_bytes_ = 0.0;
     bool full_ = false;
     bool shedding_ = false;
-    /// When the link last became full or stopped being full.
-    instant full_changed_at_{};
+    /// True while there is cause to send callers away, and since when.
+    bool has_shed_cause_ = false;
+    instant shed_cause_changed_at_{};
     /// The end and the duration of the current shedding, or of the last one.
     instant shed_until_{};
     microseconds shed_duration_{};
--- a/include/wrenswitch/decision/ingress/account_usage.hpp
+++ b/include/wrenswitch/decision/ingress/account_usage.hpp
@@ -2,45 +2,78 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "wrenswitch/core/time.hpp"
 
 namespace wrenswitch {
 
-/// What an account offers, in the busier direction of the link.
+/// The load that one account offers, whether it is served or refused.
 struct account_demand {
     std::string account;
+    /// In the busier direction.
     double bytes_per_second = 0.0;
 
     friend bool operator==(const account_demand&, const account_demand&) = default;
 };
 
-/// Measures how many bytes per second each account sends and receives, decaying over a second.
-/// Bytes of refused requests count as well. At most 256 accounts are kept.
+/// Rates of one account, as averages that decay over a second.
+struct account_rates {
+    double received_bytes = 0.0;
+    double sent_bytes = 0.0;
+    double requests = 0.0;
+    double late = 0.0;
+    double refused = 0.0;
+
+    double busier_direction() const {
+        return received_bytes > sent_bytes ? received_bytes : sent_bytes;
+    }
+};
+
+/// Measures the load of each client account at this entry. Requests without an account are counted
+/// under the empty name. Memory is bounded: beyond `max_accounts` the quietest account is evicted.
 class account_usage {
 public:
-    /// Records bytes that were received for an account and bytes that were sent for it.
+    static constexpr std::size_t max_accounts = 256;
+
+    /// Adds bytes of an account, including those of refused requests.
     void record(instant now, std::string_view account, std::uint64_t received, std::uint64_t sent);
 
-    /// The accounts with the most bytes per second, in descending order.
+    void record_request(instant now, std::string_view account);
+    void record_late(instant now, std::string_view account);
+    void record_refused(instant now, std::string_view account);
+
+    /// The accounts with the most bytes per second, the largest first. Accounts without bytes
+    /// within the last few seconds and requests without an account are omitted.
     std::vector<account_demand> top(instant now, std::size_t count) const;
 
+    /// The rates of an account, all zero if it is unknown.
+    account_rates rates(instant now, std::string_view account) const;
+
+    /// The number of accounts that are kept.
+    std::size_t size() const { return entries_.size(); }
+
 private:
-    struct usage {
+    struct entry {
+        account_rates rates;
         instant updated{};
-        double received = 0.0;
-        double sent = 0.0;
-
-        double rate(instant now) const;
+    };
+    struct name_hash {
+        using is_transparent = void;
+        std::size_t operator()(std::string_view name) const {
+            return std::hash<std::string_view>{}(name);
+        }
     };
 
+    static account_rates decayed(const entry& kept, instant now);
+    entry& updated_entry(instant now, std::string_view account);
     void evict_quietest(instant now);
 
-    std::map<std::string, usage, std::less<>> accounts_;
+    std::unordered_map<std::string, entry, name_hash, std::equal_to<>> entries_;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/caller_admission.cpp
+++ b/src/roles/gateway/caller_admission.cpp
@@ -18,15 +18,17 @@
 /// second and needs two failed checks to send new connections elsewhere.
 constexpr microseconds close_delay = seconds(2);
 
-/// With neighbours' reports callers are shed only if the link stays full for this long: a step back
-/// takes 500 ms from the first evaluation that sees the demand.
-constexpr microseconds shed_delay_with_neighbours = seconds(1);
+/// Callers are shed only if the link is overrun for this long: link sharing needs up to half a second
+/// to answer a flood, and a step back 500 ms from the first evaluation that sees the demand.
+constexpr microseconds shared_link_shed_delay = seconds(1);
 
 constexpr microseconds traffic_time_constant = seconds(1);
 
 link_congestion_settings link_settings(double bytes_per_second) {
     link_congestion_settings settings;
     settings.bytes_per_second = bytes_per_second;
+    settings.is_shared = true;
+    settings.shed_delay = shared_link_shed_delay;
     return settings;
 }
 
@@ -149,7 +151,7 @@
     }
     const bool may_shed =
         !policy_.has_large_account() && policy_.state() != entry_state::stepped_back;
-    link_.set_shed_delay(may_shed ? std::optional(shed_delay_with_neighbours) : std::nullopt);
+    link_.set_shed_delay(may_shed ? std::optional(shared_link_shed_delay) : std::nullopt);
 }
 
 void caller_admission::evaluate(instant now) {
--- a/src/roles/gateway/caller_response.hpp
+++ b/src/roles/gateway/caller_response.hpp
@@ -3,12 +3,14 @@
 #include <string>
 #include <string_view>
 
-#include "wrenswitch/decision/ingress/account_usage.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
 #include "wrenswitch/roles/gateway.hpp"
 
 namespace wrenswitch {
 
+/// Formats the value of a Retry-After header: seconds with three decimals, as in "0.250".
+std::string retry_after_text(microseconds length);
+
 /// Sends the response to a caller: a target's response, complete or as a stream, or an error of the
 /// gateway itself.
 class caller_response {
@@ -17,13 +19,12 @@
     caller_response(ingress_exchange_pointer exchange, const gateway_dialect& dialect)
         : exchange_(std::move(exchange)), dialect_(dialect) {}
 
-    /// Records the bytes that are sent from now on as used by an account. The usage must outlive
-    /// the response.
-    void record_usage(account_usage& usage, std::string account);
-
     /// True once a part of a target's response has been sent to the caller.
     bool started() const { return started_; }
 
+    /// The bytes of the response's body so far.
+    std::size_t sent_bytes() const { return sent_bytes_; }
+
     /// Sends a target's complete response.
     void send_complete(const message_head& head, std::string_view body);
 
@@ -48,13 +49,11 @@
 
 private:
     void send_head(const message_head& head);
-    void record_sent(std::size_t bytes);
 
     ingress_exchange_pointer exchange_;
     const gateway_dialect& dialect_;
     bool started_ = false;
-    account_usage* usage_ = nullptr;
-    std::string account_;
+    std::size_t sent_bytes_ = 0;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -24,16 +24,6 @@
            ",lost_here=" + rounded(cost.own_cost) + ",lost_beside=" + rounded(cost.stream_cost);
 }
 
-/// The bytes of a head as it was sent, to within a few.
-std::size_t size_of(const message_head& head) {
-    constexpr std::size_t separator_bytes = 4;
-    std::size_t bytes = head.method.size() + head.target.size();
-    for (const http_header& header : head.headers) {
-        bytes += header.name.size() + header.value.size() + separator_bytes;
-    }
-    return bytes;
-}
-
 }  // namespace
 
 forwarded_request::forwarded_request(gateway_context& context, ingress_exchange_pointer exchange)
@@ -78,6 +68,10 @@
         record_account();
         suspicion_.set_content({exchange_->head().method, request_.host, exchange_->head().target,
                                 admitted_.account, exchange_->body()});
+        if (exchange_->waited() > microseconds(0)) {
+            context_.sharing.trace_state(monotonic_now(), trace_, "link_waited",
+                                         admitted_.key_owner, exchange_->waited());
+        }
         context_.priorities.record(exchange_->received(), admitted_.service, admitted_.priority);
         const bool has_session = !request_.prompt.parts.empty();
         rollout_.set_request(admitted_.service, admitted_.route,
@@ -103,17 +97,13 @@
     return false;
 }
 
-/// Counts the request and its bytes for its account, whether it is served or refused.
+/// Records which account uses the connection.
 void forwarded_request::record_account() {
     if (admitted_.account.empty()) {
         return;
     }
-    const instant received = exchange_->received();
-    const std::size_t bytes = size_of(exchange_->head()) + exchange_->body().size();
     exchange_->set_account(admitted_.account);
-    context_.admission.record_request(received, admitted_.account);
-    context_.usage.record(received, admitted_.account, bytes, 0);
-    caller_response_.record_usage(context_.usage, admitted_.account);
+    context_.admission.record_request(exchange_->received(), admitted_.account);
 }
 
 /// Fails a request that is held responsible for crashes of three targets, since it would also crash
@@ -190,7 +180,8 @@
     if (request_.deadline) {
         timeout = std::min(timeout, *request_.deadline);
     }
-    deadline_ = exchange_->received() + timeout;
+    // The time for which the entry held the request back counts against the caller's.
+    deadline_ = exchange_->received() - exchange_->waited() + timeout;
     context_.loop.call_after(time_left(), [self = weak_from_this()] {
         if (const auto alive = self.lock()) {
             alive->on_deadline();
@@ -315,9 +306,6 @@
     count_by_region("gateway_sent_by_region_total");
     context_.targets.on_sent(target_);
     context_.signals.record_sent(now, target_);
-    if (!admitted_.account.empty()) {
-        context_.usage.record(now, admitted_.account, 0, exchange_->body().size());
-    }
     const std::string_view copy_from =
         choice.copy_from == nullptr ? std::string_view{} : choice.copy_from->address;
     const upstream_request sent =
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -124,9 +124,12 @@
       coordinators_(allocators_, engine_regions(settings, targets_)),
       lag_monitor_(
           loop, [this] { return context_->active_requests.size(); },
-          [this](instant now) { admission_.update(now); }),
+          [this](instant now) {
+              admission_.update(now);
+              sharing_->observe(now);
+          }),
       admission_(loop, settings.link_bytes_per_second, settings.host, rate_limited_log_, metrics_,
-                 {[this](instant now, std::size_t count) { return account_usage_.top(now, count); },
+                 {[this](instant now, std::size_t count) { return sharing_->usage().top(now, count); },
                   [this] { return is_open(); }}),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
       retries_(settings.retry_share, settings.retry_window, metrics_),
@@ -302,6 +305,10 @@
 }
 
 result<void> gateway::open_servers() {
+    sharing_ = std::make_unique<link_sharing>(link_sharing::parts{
+        loop_, settings_, dialect_, configuration_, metrics_, rate_limited_log_, [this] {
+            return link_bytes{bus_->bytes_received(), bus_->bytes_sent()};
+        }});
     context_ = std::make_unique<gateway_context>(gateway_context{
         loop_,
         settings_,
@@ -311,8 +318,8 @@
         plain_response_times_,
         lag_monitor_.overload(),
         admission_.link(),
-        account_usage_,
         admission_,
+        *sharing_,
         *grants_,
         *tokens_,
         *placements_,
@@ -340,7 +347,8 @@
         loop_, settings_.listen.host, settings_.listen.port, [this] { return current_limits(); },
         [this](const ingress_exchange_pointer& exchange) {
             std::make_shared<forwarded_request>(*context_, exchange)->start();
-        });
+        },
+        sharing_->make_ingress_options());
     if (!ingress) {
         return ingress.error();
     }
@@ -471,51 +479,6 @@
                {"accounts", std::to_string(current.accounts.size())}});
 }
 
-gateway_rollouts::hooks gateway::rollout_hooks() {
-    const auto in_force = [this](const rollout_order& order, const version_set& excluded) {
-        // A starting process may not know all targets yet.
-        return configuration_follower_->live() && target_follower_->live() &&
-               targets_.has_only_version(order.service, order.version, excluded);
-    };
-    const auto ordered = [this](const std::string& service) {
-        for (const std::shared_ptr<forwarded_request>& request : context_->active_requests) {
-            request->on_rollout_order(service);
-        }
-    };
-    return {in_force, ordered, [this](const rollout_order& order) { return count_targets(order); },
-            reachable_hook(dialect_.rollout_log)};
-}
-
-/// Counts the targets of the old and of the new version. Unknown until the list of targets has been
-/// read. Draining targets count as old ones, since their requests have to end, but not as new ones.
-rollout_target_counts gateway::count_targets(const rollout_order& order) {
-    rollout_target_counts numbers;
-    if (!target_follower_->live()) {
-        return numbers;
-    }
-    const rollout_gate* gate = rollouts_.gates().gate_of(order.service);
-    for (const gateway_target& target : targets_.listed()) {
-        const bool excluded = gate != nullptr && gate->excluded().contains(target.version);
-        if (target.service != order.service || excluded) {
-            continue;
-        }
-        const bool is_new = target.version == order.version;
-        numbers.old_version += is_new ? 0 : 1;
-        numbers.new_version += is_new && !target.draining ? 1 : 0;
-    }
-    return numbers;
-}
-
-/// A target of a new version is held back until a read of the rollout orders that began after the
-/// target was listed. A long poll that is open ends within 700 ms; another read without a poll
-/// follows it.
-void gateway::on_orders_read() {
-    targets_.orders_read(configuration_follower_->last_read_began());
-    if (targets_.waits_for_orders()) {
-        configuration_follower_->look_now();
-    }
-}
-
 void gateway::apply_configuration() {
     for (const gateway_service& service : configuration_.current().services) {
         targets_.set_warmup(monotonic_now(), service.name, service.warmup);
@@ -665,6 +628,7 @@
     waiters_->serve(now);
     desk_->drop_expired(now);
     retries_.tick(now);
+    sharing_->tick(now);
     crashes_.tick(now);
     signals_->tick(now);
     suspects_->tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -9,6 +9,7 @@
 #include "roles/gateway/forwarded_request.hpp"
 #include "roles/gateway/gateway_context.hpp"
 #include "roles/gateway/gateway_rollouts.hpp"
+#include "roles/gateway/link_sharing.hpp"
 #include "roles/gateway/loop_lag_monitor.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "roles/gateway/signal_exchange.hpp"
@@ -18,7 +19,6 @@
 #include "wrenswitch/decision/gateway/isolation_detector.hpp"
 #include "wrenswitch/decision/gateway/region_outage_detector.hpp"
 #include "wrenswitch/decision/gateway/response_time_tracker.hpp"
-#include "wrenswitch/decision/ingress/account_usage.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -112,8 +112,8 @@
     priority_tracker priorities_;
     engine_coordinators coordinators_;
     loop_lag_monitor lag_monitor_;
-    account_usage account_usage_;
     caller_admission admission_;
+    std::unique_ptr<link_sharing> sharing_;
     std::unique_ptr<placement_coordinator> desk_;
     std::unique_ptr<placement_exchange> placements_;
     gateway_rollouts rollouts_;
