--- a/src/roles/gateway/link_sharing.cpp
+++ b/src/roles/gateway/link_sharing.cpp
@@ -191,7 +191,7 @@
                {"bytes", std::to_string(static_cast<std::uint64_t>(head.request.bytes))},
                {"retry_after_ms", millis_text(retry_after)},
                {"took_ms", millis_text(now - since)}});
-    parts_.log.log_request(trace, true);
+    parts_.log.log_head_refusal(trace);
     return {head_action::refuse,
             status_unavailable,
             {{parts_.dialect.request_id, head.id}, {"Retry-After", retry_after_text(retry_after)}},
--- a/src/roles/gateway/rate_limited_log.cpp
+++ b/src/roles/gateway/rate_limited_log.cpp
@@ -15,11 +15,12 @@
     if (now - second_start_ >= seconds(1)) {
         second_start_ = now;
         const unsigned suppressed = served_.suppressed + failed_.suppressed + routine_.suppressed +
-                                    list_changes_.suppressed;
+                                    list_changes_.suppressed + head_refusals_.suppressed;
         served_ = {};
         failed_ = {};
         routine_ = {};
         list_changes_ = {};
+        head_refusals_ = {};
         if (suppressed > 0) {
             log_event(log_level::warning, "events_left_out",
                       {{"count", std::to_string(suppressed)}});
@@ -40,6 +41,12 @@
     }
 }
 
+void rate_limited_log::log_head_refusal(const request_trace& trace) {
+    if (try_acquire(head_refusals_, max_lines_per_second_)) {
+        trace.write();
+    }
+}
+
 void rate_limited_log::log_routine(std::string_view event,
                                    std::initializer_list<log_field> fields) {
     if (try_acquire(routine_, max_lines_per_second_)) {
--- a/src/roles/gateway/rate_limited_log.hpp
+++ b/src/roles/gateway/rate_limited_log.hpp
@@ -22,6 +22,10 @@
     /// Writes the trace of a request.
     void log_request(const request_trace& trace, bool failed);
 
+    /// Writes the trace of a request that was refused on its head. One account can cause hundreds
+    /// of them a second, which must not suppress the failed requests of others.
+    void log_head_refusal(const request_trace& trace);
+
     /// Writes an event of the process itself that is as frequent as requests are.
     void log_routine(std::string_view event, std::initializer_list<log_field> fields);
 
@@ -45,6 +49,7 @@
     line_quota failed_;
     line_quota routine_;
     line_quota list_changes_;
+    line_quota head_refusals_;
 };
 
 }  // namespace wrenswitch
--- a/tests/platform/link_sharing_live_test.cpp
+++ b/tests/platform/link_sharing_live_test.cpp
@@ -192,6 +192,8 @@
     const std::vector<call> held = std::exchange(calls, {});
     offer(seconds(2), {{"flood", 312.0}});
     BOOST_TEST(sum_of("gateway_link_resends_refused_total") > 0.0);
+    // The flood's refusals must not suppress the lines of another account's request.
+    BOOST_TEST((entries[0].process->output().find("event=resend_refused") != std::string::npos));
 }
 
 /// Without a known bandwidth nothing is held or refused, whatever the load.
