--- a/src/roles/gateway/caller_admission.cpp
+++ b/src/roles/gateway/caller_admission.cpp
@@ -141,9 +141,11 @@
 }
 
 /// A step back moves one account, shedding all of them. An account that does not fit the link but
-/// cannot be moved is no reason to shed the others.
+/// cannot be moved is no reason to shed the others. While half of the members or more don't report,
+/// as during a rolling update, no entry can step back, and the protection of a single entry
+/// applies.
 void caller_admission::update_shedding_rule() {
-    if (policy_.fresh_neighbours() == 0) {
+    if (2 * policy_.fresh_neighbours() <= exchange_->hosts().size()) {
         link_.reset_shed_delay();
         return;
     }
