Apply reported slowdowns to engines and tell coordinators of them

The slowdown multiplies the expected prefill time and the learnt event interval and fades. Out-of-range values are refused and counted; the coordinator's own recent report has precedence. The first slowdown of a service is logged.

--- a/include/wrenswitch/decision/gateway/reported_slowdown.hpp
+++ b/include/wrenswitch/decision/gateway/reported_slowdown.hpp
@@ -22,6 +22,9 @@
     /// True once the target has reported a slowdown.
     bool is_known() const { return reported_at_ != instant{}; }
 
+    /// True if the last report is no older than the half-life.
+    bool is_recent(instant now) const { return is_known() && now - reported_at_ <= half_life; }
+
     /// The expected slowdown at present; 1 if none was reported.
     double at(instant now) const {
         return 1.0 + (factor_ - 1.0) * std::exp2(-(now - reported_at_) / fractional(half_life));
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -299,16 +299,24 @@
     /// Records the end of a request that on_sent() counted, whatever its outcome.
     void on_finished(std::string_view id);
 
-    /// Records the load that the target reported.
-    void on_load_report(instant now, std::string_view id, const load_report& load);
+    /// Records the load that the target reported. Returns true if its service is from now on known
+    /// to report slowdowns, which changes how its targets are selected.
+    bool on_load_report(instant now, std::string_view id, const load_report& load);
 
     /// Records how long a target took for a successful response, which reported this load.
     void record_response_time(instant now, std::string_view id, microseconds time,
                               const load_report& load);
 
+    /// Records the slowdown of an engine that another gateway was told. It is ignored if the
+    /// engine itself has reported one to this gateway recently.
+    void record_peer_slowdown(instant now, std::string_view id, double factor);
+
     /// The present slowdown of a target by its reports; 1 if it reports none.
     double slowdown_of(instant now, std::string_view id) const;
 
+    /// The same, if the target has reported its slowdown to this gateway recently.
+    std::optional<double> recent_slowdown(instant now, std::string_view id) const;
+
     /// Handles a target that hasn't responded for longer than responses take.
     void on_unresponsive(instant now, std::string_view id);
 
--- a/include/wrenswitch/decision/gateway/target_speed.hpp
+++ b/include/wrenswitch/decision/gateway/target_speed.hpp
@@ -25,6 +25,9 @@
     /// The present slowdown.
     double slowdown(instant now) const { return slowdown_.at(now); }
 
+    /// True if the target has reported a slowdown within the half-life of a report.
+    bool has_recent_slowdown(instant now) const { return slowdown_.is_recent(now); }
+
     /// The number of responses that the learnt service time is based on. It decays with the time
     /// since the last one.
     double sample_weight(instant now) const;
--- a/include/wrenswitch/decision/placement/engine_placer.hpp
+++ b/include/wrenswitch/decision/placement/engine_placer.hpp
@@ -10,6 +10,7 @@
 
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/gateway/candidate_constraints.hpp"
+#include "wrenswitch/decision/gateway/reported_slowdown.hpp"
 #include "wrenswitch/decision/placement/engine_load.hpp"
 #include "wrenswitch/decision/placement/engine_profile.hpp"
 #include "wrenswitch/decision/placement/event_interval_estimator.hpp"
@@ -122,6 +123,9 @@
     /// Records a complete span of later events of a response and its duration.
     void record_event_span(instant now, std::string_view target, microseconds span);
 
+    /// Records the slowdown that an engine reported.
+    void record_slowdown(instant now, std::string_view target, double factor);
+
     /// Records that a request ended, with or without a response.
     void end_attempt(instant now, std::string_view target, std::uint64_t attempt_id);
 
@@ -148,6 +152,7 @@
         prefix_cache_model cache{0};
         engine_load load;
         event_interval_estimator event_interval;
+        reported_slowdown slowdown;
         std::map<std::uint64_t, timed_prefill> timed_prefills;
     };
 
@@ -189,11 +194,11 @@
     static double in_time_probability(instant now, const engine_state& state,
                                       const region_context& context, double first_event_ms);
     static double preemption_probability(const engine_state& state, const region_context& context);
-    static double slowness(const engine_state& state, const service_state& service);
+    static double slowness(instant now, const engine_state& state, const service_state& service);
     static double estimate_pause_ms(instant now, const engine_state& state,
                                     const service_state& service, const engine_request& request,
                                     tokens uncached_tokens);
-    static double response_ms(const engine_state& state, const service_state& service,
+    static double response_ms(instant now, const engine_state& state, const service_state& service,
                               const engine_request& request);
 
     std::map<std::string, engine_state, std::less<>> engines_;
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -1,6 +1,7 @@
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -139,6 +140,11 @@
         text += ",reported=" + std::to_string(state.load.running) + "+" +
                 std::to_string(state.load.queued) + "/" + std::to_string(age.count()) + "ms";
     }
+    if (const std::optional<double> slowdown = recent_slowdown(now, id)) {
+        constexpr double whole_percent = 100.0;
+        text += ",slowdown_pct=" + std::to_string(std::lround(whole_percent * *slowdown)) +
+                ",service_ms=" + std::to_string(std::lround(state.speed.average_ms()));
+    }
     text += "," + placer_.describe(now, id);
     text += is_cold(now, id) ? ",cold" : "";
     const std::string limit = limits_.describe(now, id);
--- a/src/decision/gateway/target_pool_load.cpp
+++ b/src/decision/gateway/target_pool_load.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 
@@ -98,16 +99,20 @@
     }
 }
 
-void target_pool::on_load_report(instant now, std::string_view id, const load_report& load) {
+bool target_pool::on_load_report(instant now, std::string_view id, const load_report& load) {
     const auto found = targets_.find(id);
-    if (found != targets_.end()) {
-        found->second.load = load;
-        found->second.reported_at = now;
-        found->second.speed.record_load(now, load);
-        if (load.slowdown) {
-            services_[found->second.target.service].reports_slowdown = true;
-        }
+    if (found == targets_.end()) {
+        return false;
     }
+    target_state& state = found->second;
+    state.load = load;
+    state.reported_at = now;
+    state.speed.record_load(now, load);
+    if (!load.slowdown) {
+        return false;
+    }
+    placer_.record_slowdown(now, id, *load.slowdown);
+    return !std::exchange(services_[state.target.service].reports_slowdown, true);
 }
 
 /// The round trip to another region is no part of the service time; pick() adds it.
@@ -121,6 +126,19 @@
     }
 }
 
+void target_pool::record_peer_slowdown(instant now, std::string_view id, double factor) {
+    if (!recent_slowdown(now, id)) {
+        placer_.record_slowdown(now, id, factor);
+    }
+}
+
+std::optional<double> target_pool::recent_slowdown(instant now, std::string_view id) const {
+    const auto found = targets_.find(id);
+    return found != targets_.end() && found->second.speed.has_recent_slowdown(now)
+               ? std::optional(found->second.speed.slowdown(now))
+               : std::nullopt;
+}
+
 double target_pool::slowdown_of(instant now, std::string_view id) const {
     const auto found = targets_.find(id);
     return found == targets_.end() ? 1.0 : found->second.speed.slowdown(now);
--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -53,6 +53,7 @@
 constexpr double max_slowness = 5.0;
 
 constexpr double ms_per_second = 1000.0;
+constexpr double whole_percent = 100.0;
 
 /// The loss if a response has no value: all the tokens that it costs.
 double expected_total_tokens(const prompt_profile& prompt) {
@@ -222,7 +223,7 @@
     const engine_request& request = context.request;
     const double slots = std::max(1U, candidate.slots);
     const double excess_attempts = static_cast<double>(state.load.attempts()) - slots + 1.0;
-    const double response_duration_ms = response_ms(state, context.service, request);
+    const double response_duration_ms = response_ms(now, state, context.service, request);
     const double slot_wait = std::max(0.0, excess_attempts) * response_duration_ms / slots;
     const double copying =
         copied > 0 ? copy_setup_ms + request.engine.copy_ms_per_token * static_cast<double>(copied)
@@ -231,7 +232,7 @@
         context.service.model.first_event_ms(request.prompt.prompt_tokens, uncached_tokens);
     const double wait_ms = std::max(candidate.wait_ms, state.load.backlog_ms(now));
     return candidate.round_trip_ms + wait_ms + state.load.overdue_ms(now) + slot_wait + copying +
-           slowness(state, context.service) * unloaded_ms;
+           slowness(now, state, context.service) * unloaded_ms;
 }
 
 /// The probability that neither the first event nor a later pause is late.
@@ -240,7 +241,7 @@
     const engine_request& request = context.request;
     const double first_event_late = late_probability(
         first_event_ms, as_milliseconds(request.first_event_objective), first_event_logistic_scale);
-    const double response_duration_ms = response_ms(state, context.service, request);
+    const double response_duration_ms = response_ms(now, state, context.service, request);
     const double late_pauses =
         state.load.late_pauses_per_second(now, as_milliseconds(request.max_event_gap)) *
         response_duration_ms / ms_per_second;
@@ -258,12 +259,16 @@
     return std::clamp(excess / std::max(1.0, context.total_tokens), 0.0, 1.0);
 }
 
-/// The factor by which the target is slower than the median of the service's targets.
-double engine_placer::slowness(const engine_state& state, const service_state& service) {
+/// The factor by which the target is slower now than the median of the service's targets usually
+/// is. The learnt interval hardly includes short slowdowns, since it is a low quantile.
+double engine_placer::slowness(instant now, const engine_state& state,
+                               const service_state& service) {
+    const double slowdown = state.slowdown.at(now);
     if (!state.event_interval.is_known() || service.median_event_interval_ms <= 0.0) {
-        return 1.0;
+        return slowdown;
     }
-    return std::clamp(state.event_interval.interval_ms() / service.median_event_interval_ms,
+    return slowdown *
+           std::clamp(state.event_interval.interval_ms() / service.median_event_interval_ms,
                       min_slowness, max_slowness);
 }
 
@@ -272,7 +277,7 @@
 double engine_placer::estimate_pause_ms(instant now, const engine_state& state,
                                         const service_state& service, const engine_request& request,
                                         tokens uncached_tokens) {
-    const double factor = slowness(state, service);
+    const double factor = slowness(now, state, service);
     const tokens prompt_tokens = request.prompt.prompt_tokens;
     const double total_ms = state.load.backlog_ms(now) +
                             factor * service.model.prefill_ms(prompt_tokens, uncached_tokens);
@@ -282,15 +287,15 @@
 }
 
 /// The expected duration of the response's events, in ms.
-double engine_placer::response_ms(const engine_state& state, const service_state& service,
-                                  const engine_request& request) {
+double engine_placer::response_ms(instant now, const engine_state& state,
+                                  const service_state& service, const engine_request& request) {
     const double typical = service.median_event_interval_ms > 0.0 ? service.median_event_interval_ms
                                                                   : default_event_interval_ms;
     const double event_interval =
         state.event_interval.is_known() ? state.event_interval.interval_ms() : typical;
     const auto events = static_cast<double>(expected_output(request.prompt)) /
                         static_cast<double>(std::max<tokens>(1, request.engine.tokens_per_event));
-    return events * event_interval;
+    return events * event_interval * state.slowdown.at(now);
 }
 
 std::uint64_t engine_placer::begin_attempt(instant now, const std::string& service,
@@ -300,7 +305,7 @@
     const service_state& service_data = services_[service];
     const bool was_idle = state.load.backlog_ms(now) <= 0.0;
     const double prefill =
-        slowness(state, service_data) *
+        slowness(now, state, service_data) *
         service_data.model.prefill_ms(request.prompt.prompt_tokens, uncached_tokens);
     const double pause = estimate_pause_ms(now, state, service_data, request, uncached_tokens);
     const std::uint64_t attempt_id = ++last_attempt_id_;
@@ -329,7 +334,7 @@
     }
     service_state& service = services_[state.service];
     const double elapsed =
-        as_milliseconds(now - timed->second.started_at) / slowness(state, service);
+        as_milliseconds(now - timed->second.started_at) / slowness(now, state, service);
     service.model.observe(timed->second.prompt_tokens, timed->second.uncached_tokens, elapsed);
     state.timed_prefills.erase(timed);
 }
@@ -342,6 +347,13 @@
     }
 }
 
+void engine_placer::record_slowdown(instant now, std::string_view target, double factor) {
+    const auto found = engines_.find(target);
+    if (found != engines_.end()) {
+        found->second.slowdown.record(now, factor);
+    }
+}
+
 void engine_placer::end_attempt(instant now, std::string_view target, std::uint64_t attempt_id) {
     const auto found = engines_.find(target);
     if (found != engines_.end()) {
@@ -366,7 +378,10 @@
     return "runs=" + std::to_string(state.load.attempts()) +
            ",backlog_ms=" + whole(state.load.backlog_ms(now)) +
            ",overdue_ms=" + whole(state.load.overdue_ms(now)) +
-           ",pace_ms=" + whole(state.event_interval.interval_ms());
+           ",pace_ms=" + whole(state.event_interval.interval_ms()) +
+           (state.slowdown.is_known()
+                ? ",engine_slowdown_pct=" + whole(whole_percent * state.slowdown.at(now))
+                : "");
 }
 
 void engine_placer::remove_target(std::string_view target) {
--- a/src/roles/gateway/placement_coordinator.cpp
+++ b/src/roles/gateway/placement_coordinator.cpp
@@ -16,6 +16,11 @@
 /// Upper bound of a lease, whatever time the querying gateway states.
 constexpr microseconds max_lease = seconds(600);
 
+/// Bounds of a slowdown that another gateway tells, as for those that targets report.
+constexpr std::uint32_t min_slowdown_percent = 10;
+constexpr std::uint32_t max_slowdown_percent = 10'000;
+constexpr double whole_percent = 100.0;
+
 }  // namespace
 
 placement_coordinator::placement_coordinator(target_pool& targets,
@@ -84,6 +89,17 @@
     }
 }
 
+void placement_coordinator::record_slowdown(instant now, std::uint64_t attempt,
+                                            std::uint32_t percent) {
+    if (percent < min_slowdown_percent || percent > max_slowdown_percent) {
+        counters_.counter("placement_slowdowns_refused_total") += 1;
+        return;
+    }
+    if (const counted_attempt* counted = find(attempt)) {
+        targets_.record_peer_slowdown(now, counted->target, percent / whole_percent);
+    }
+}
+
 void placement_coordinator::end_remote_attempt(instant now, std::uint64_t attempt,
                                                attempt_outcome outcome) {
     const counted_attempt* counted = find(attempt);
@@ -108,6 +124,10 @@
 
 void placement_coordinator::apply_updates(instant now, const wire::RunNewsBatch& batch) {
     for (const wire::RunNews& update : batch.runs()) {
+        // The slowdown comes first, because the time of the first event is judged by it.
+        if (update.has_slowdown_percent()) {
+            record_slowdown(now, update.run(), update.slowdown_percent());
+        }
         if (update.first_event()) {
             record_first_event(now, update.run());
         }
--- a/src/roles/gateway/placement_coordinator.hpp
+++ b/src/roles/gateway/placement_coordinator.hpp
@@ -50,6 +50,9 @@
     /// A full span of later events of the attempt arrived within this time.
     void record_event_span(instant now, std::uint64_t attempt, microseconds span);
 
+    /// The engine reported this slowdown to the gateway that sent the attempt.
+    void record_slowdown(instant now, std::uint64_t attempt, std::uint32_t percent);
+
     /// An attempt that another gateway sent has ended; the outcome that it saw counts for the
     /// engine's health.
     void end_remote_attempt(instant now, std::uint64_t attempt, attempt_outcome outcome);
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -3,6 +3,7 @@
 #include <bus.pb.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "roles/gateway/placement_codec.hpp"
@@ -400,9 +401,20 @@
     wire::RunNews update;
     update.set_run(attempt.id);
     update.set_first_event(true);
+    add_slowdown(now, attempt.target, update);
     updates_.enqueue(attempt.coordinator_endpoint, update);
 }
 
+/// An older slowdown is omitted, because the coordinator takes it for the present one.
+void placement_exchange::add_slowdown(instant now, const std::string& target,
+                                      wire::RunNews& update) const {
+    constexpr double whole_percent = 100.0;
+    if (const std::optional<double> slowdown = targets_.recent_slowdown(now, target)) {
+        update.set_slowdown_percent(
+            static_cast<std::uint32_t>(std::lround(whole_percent * *slowdown)));
+    }
+}
+
 void placement_exchange::record_event_span(placed_attempt& attempt, microseconds span) {
     const instant now = monotonic_now();
     if (attempt.local_attempt != 0) {
@@ -425,6 +437,7 @@
     wire::RunNews update;
     update.set_run(attempt.id);
     update.set_end(to_wire(outcome));
+    add_slowdown(now, attempt.target, update);
     for (const microseconds span : attempt.event_spans) {
         update.add_spans_us(static_cast<std::uint32_t>(span.count()));
     }
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -20,6 +20,7 @@
 
 namespace wrenswitch::wire {
 class PlacementAnswer;
+class RunNews;
 }  // namespace wrenswitch::wire
 
 namespace wrenswitch {
@@ -110,6 +111,7 @@
     void on_query(const message_origin& origin, const wire::Envelope& message);
     bool is_usable_reply(const wire::PlacementAnswer& reply, const pending_query& pending) const;
     void on_reply(const message_origin& origin, const wire::Envelope& message);
+    void add_slowdown(instant now, const std::string& target, wire::RunNews& update) const;
     void drop_disallowed_copy(const engine_request& request, target_choice& choice);
 
     event_loop& loop_;
--- a/src/roles/gateway/signal_exchange.cpp
+++ b/src/roles/gateway/signal_exchange.cpp
@@ -89,7 +89,14 @@
 void signal_exchange::apply_load(instant now, const target_incarnation& incarnation, instant sent,
                                  std::string_view request, const target_signals& signals) {
     if (signals.load) {
-        targets_.on_load_report(now, incarnation.target, *signals.load);
+        if (targets_.on_load_report(now, incarnation.target, *signals.load)) {
+            const gateway_target* target = targets_.find(incarnation.target);
+            events_.log_routine("service_reports_slowdown",
+                                {{"service", target->service},
+                                 {"target", incarnation.target},
+                                 {"request", std::string(request)},
+                                 {"load", targets_.describe(now, incarnation.target)}});
+        }
         if (signals.succeeded) {
             targets_.record_response_time(now, incarnation.target, now - sent, *signals.load);
         }
--- a/tests/decision/placement/engine_placer_test.cpp
+++ b/tests/decision/placement/engine_placer_test.cpp
@@ -192,6 +192,40 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(reported_slowdown_multiplies_the_prefill_time_and_fades) {
+    ids = {"e1"};
+    const double usual_ms = choose(long_prompt(1000)).cost.first_event_ms;
+    placer.record_slowdown(now, "e1", 2.5);
+    BOOST_TEST(choose(long_prompt(1000)).cost.first_event_ms == 2.5 * usual_ms,
+               boost::test_tools::tolerance(0.01));
+    BOOST_TEST(choose(long_prompt(1000), now + seconds(5)).cost.first_event_ms == usual_ms,
+               boost::test_tools::tolerance(0.01));
+}
+
+BOOST_AUTO_TEST_CASE(engine_that_reports_a_slowdown_gets_no_long_prompt) {
+    choose(long_prompt(900));
+    placer.record_slowdown(now, "e2", 2.5);
+    for (std::uint64_t part_id = 1000; part_id < 1040; part_id += 2) {
+        BOOST_TEST(ids[choose(long_prompt(part_id)).index] != "e2");
+    }
+}
+
+// A slowed prefill must not make all engines of the service look slow.
+BOOST_AUTO_TEST_CASE(reported_slowdown_is_not_learnt_as_prefill_time) {
+    const double before_ms = placer.prefill_ms(service, 9000);
+    instant at = now;
+    for (std::uint64_t part_id = 1000; part_id < 1040; part_id += 2) {
+        const engine_request incoming = request(9000, 50, part_id, part_id + 1);
+        const std::uint64_t attempt = placer.begin_attempt(at, service, "e1", incoming, 9000, true);
+        at += first_event_after(9000, 9000) * 5 / 2;
+        placer.record_slowdown(at, "e1", 2.5);
+        placer.record_first_event(at, "e1", attempt);
+        placer.end_attempt(at, "e1", attempt);
+        at += seconds(5);
+    }
+    BOOST_TEST(placer.prefill_ms(service, 9000) == before_ms, boost::test_tools::tolerance(0.05));
+}
+
 BOOST_AUTO_TEST_CASE(prompt_cached_on_another_engine_is_copied) {
     complete_attempt_at("e4", request(12'000, 50, 100, 101));
     const engine_request again = request(12'000, 50, 100, 200);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -149,6 +149,21 @@
     BOOST_TEST(signals_of({}).unreadable_load == "");
 }
 
+BOOST_AUTO_TEST_CASE(only_successful_responses_of_requests_that_ran_count_as_succeeded) {
+    message_head answer;
+    for (const unsigned status : {200U, 204U, 299U}) {
+        answer.status = status;
+        BOOST_TEST(platform::read_signals(answer).succeeded);
+    }
+    for (const unsigned status : {199U, 300U, 404U, 503U}) {
+        answer.status = status;
+        BOOST_TEST(!platform::read_signals(answer).succeeded);
+    }
+    answer.status = 200;
+    answer.headers = {{"Not-Executed", "1"}};
+    BOOST_TEST(!platform::read_signals(answer).succeeded);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_slowdown_leaves_the_rest_of_the_load_valid) {
     for (const char* value :
          {"3,1,8,", "3,1,8,x", "3,1,8,-100", "3,1,8,0", "3,1,8,nan", "3,1,8,inf", "3,1,8,99999999",
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -292,6 +292,57 @@
     BOOST_REQUIRE(run_until([&] { return coordinator->placements.attempt_count() == 0U; }));
 }
 
+BOOST_AUTO_TEST_CASE(slowdown_that_an_engine_reports_to_one_gateway_reaches_its_coordinator) {
+    const std::string target = place(*requester, prompt(7));
+    load_report load{1, 0, 32, false};
+    load.slowdown = 2.5;
+    requester->targets.on_load_report(monotonic_now(), target, load);
+    requester->exchange.record_first_event(attempt);
+    BOOST_REQUIRE(run_until([&] {
+        return coordinator->targets.describe(monotonic_now(), target).find("engine_slowdown_pct") !=
+               std::string::npos;
+    }));
+}
+
+// An old slowdown would count as the present one at the coordinator.
+BOOST_AUTO_TEST_CASE(old_slowdown_is_not_told) {
+    const std::string target = place(*requester, prompt(7));
+    load_report load{1, 0, 32, false};
+    load.slowdown = 2.5;
+    requester->targets.on_load_report(monotonic_now() - seconds(1), target, load);
+    requester->exchange.record_first_event(attempt);
+    requester->exchange.end_attempt(attempt, attempt_outcome::succeeded);
+    BOOST_REQUIRE(run_until([&] { return coordinator->placements.attempt_count() == 0U; }));
+    BOOST_TEST(coordinator->targets.describe(monotonic_now(), target).find("slowdown") ==
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(told_slowdown_is_refused_out_of_range_and_yields_to_the_own_report) {
+    const std::string target = place(*requester, prompt(7));
+    const instant now = monotonic_now();
+    const auto tell = [&](std::uint32_t percent) {
+        wire::RunNewsBatch batch;
+        wire::RunNews& update = *batch.add_runs();
+        update.set_run(attempt.id);
+        update.set_slowdown_percent(percent);
+        coordinator->placements.apply_updates(now, batch);
+    };
+    for (const std::uint32_t percent : {0U, 9U, 10'001U, 4'000'000'000U}) {
+        tell(percent);
+    }
+    BOOST_TEST(coordinator->counters.counter("placement_slowdowns_refused_total") == 4U);
+    BOOST_TEST(coordinator->targets.describe(now, target).find("slowdown") == std::string::npos);
+    tell(250);
+    BOOST_TEST(coordinator->targets.describe(now, target).find("engine_slowdown_pct=250") !=
+               std::string::npos);
+    load_report load{1, 0, 32, false};
+    load.slowdown = 1.0;
+    coordinator->targets.on_load_report(now, target, load);
+    tell(250);
+    BOOST_TEST(coordinator->targets.describe(now, target).find("engine_slowdown_pct=100") !=
+               std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(engine_that_failed_one_gateway_is_avoided_for_all) {
     const std::string bad = place(*requester, prompt(7));
     requester->exchange.end_attempt(attempt, attempt_outcome::failed);
--- a/tests/roles/signal_exchange_test.cpp
+++ b/tests/roles/signal_exchange_test.cpp
@@ -75,6 +75,30 @@
     BOOST_TEST(unreadable() == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(first_slowdown_of_a_service_is_logged_once) {
+    load_report load = usual;
+    load.slowdown = 2.5;
+    respond("a", "", load);
+    BOOST_TEST(lines() == 1U);
+    respond("a", "", load);
+    respond("b", "", load);
+    BOOST_TEST(lines() == 1U);
+    BOOST_TEST(pool.describe(now, "b").find("slowdown_pct=250") != std::string::npos);
+}
+
+// A quick refusal or failure says nothing of how fast a target serves.
+BOOST_AUTO_TEST_CASE(only_successful_responses_teach_a_service_time) {
+    load_report load{1, 0, 8, false};
+    load.slowdown = 1.0;
+    target_signals signals;
+    signals.load = load;
+    exchange.on_response(now, {"a", 0}, now - milliseconds(30), "r", signals);
+    BOOST_TEST(pool.describe(now, "a").find("service_ms=0") != std::string::npos);
+    signals.succeeded = true;
+    exchange.on_response(now, {"a", 0}, now - milliseconds(30), "r", signals);
+    BOOST_TEST(pool.describe(now, "a").find("service_ms=30") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(load_with_a_malformed_slowdown_is_used) {
     respond("a", "3,1,8,x", usual);
     BOOST_TEST(pool.describe(now, "a").find("reported=3+1") != std::string::npos);
