Multiply the silence threshold of plain targets by their slowdown

A target that reports that it is slow is not ejected for silence that the slowdown explains. The factor is limited to five, so that a hung target is still found.

--- a/include/wrenswitch/decision/gateway/response_time_tracker.hpp
+++ b/include/wrenswitch/decision/gateway/response_time_tracker.hpp
@@ -16,8 +16,9 @@
     /// Adds the response time of one request.
     void observe(const std::string& service, microseconds time);
 
-    /// How long a target of the service may stay silent before it counts as unresponsive.
-    microseconds silence_threshold(std::string_view service) const;
+    /// How long a target of the service may stay silent before it counts as unresponsive, if it has
+    /// reported this slowdown.
+    microseconds silence_threshold(std::string_view service, double slowdown = 1.0) const;
 
 private:
     /// The moving average of the response time of each service, in milliseconds.
--- a/src/decision/gateway/response_time_tracker.cpp
+++ b/src/decision/gateway/response_time_tracker.cpp
@@ -16,6 +16,10 @@
 /// A shorter silence never counts, however fast the service usually is.
 constexpr microseconds min_silence_threshold = milliseconds(200);
 
+/// The largest slowdown that excuses silence: twice a usual one of 2.5. A target that hangs after
+/// it has reported a larger one is still found within about a second.
+constexpr double max_silence_factor = 5.0;
+
 }  // namespace
 
 void response_time_tracker::observe(const std::string& service, microseconds time) {
@@ -26,13 +30,19 @@
     }
 }
 
-microseconds response_time_tracker::silence_threshold(std::string_view service) const {
+microseconds response_time_tracker::silence_threshold(std::string_view service,
+                                                      double slowdown) const {
     const auto found = average_ms_.find(service);
     const double average_ms = found == average_ms_.end() ? 0.0 : found->second;
     constexpr double microseconds_per_millisecond = 1e3;
     const microseconds threshold(
         std::llround(slow_response_factor * average_ms * microseconds_per_millisecond));
-    return std::max(min_silence_threshold, threshold);
+    const microseconds usual = std::max(min_silence_threshold, threshold);
+    if (slowdown <= 1.0) {
+        return usual;
+    }
+    const double factor = std::min(slowdown, max_silence_factor);
+    return microseconds(std::llround(factor * static_cast<double>(usual.count())));
 }
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -87,6 +87,8 @@
     upstream_hooks hooks_for(unsigned attempt);
 
     void start_silence_timer();
+    instant silence_deadline(instant now) const;
+    void check_silence(instant due);
     void on_target_unresponsive();
     void record_engine_contact();
     void on_head(const message_head& head);
