--- a/src/decision/placement/engine_placer.cpp
+++ b/src/decision/placement/engine_placer.cpp
@@ -206,7 +206,7 @@
         estimate_first_event_ms(now, candidate, state, context, uncached_tokens, copied);
     cost.pause_ms = estimate_pause_ms(now, state, context.service, request, uncached_tokens);
     cost.prefill_ms =
-        slowness(state, context.service) *
+        slowness(now, state, context.service) *
         context.service.model.prefill_ms(request.prompt.prompt_tokens, uncached_tokens);
     cost.pending_pause_ms = state.load.pending_pause_ms(now);
     const double in_time = in_time_probability(now, state, context, cost.first_event_ms);
--- a/src/roles/gateway/caller_admission.cpp
+++ b/src/roles/gateway/caller_admission.cpp
@@ -18,8 +18,8 @@
 /// second and needs two failed checks to send new connections elsewhere.
 constexpr microseconds close_delay = seconds(2);
 
-/// Callers are shed only if the link is overrun for this long: link sharing needs up to half a second
-/// to answer a flood, and a step back 500 ms from the first evaluation that sees the demand.
+/// Callers are shed only if the link is overrun for this long: link sharing needs up to half a
+/// second to answer a flood, and a step back 500 ms from the first evaluation that sees the demand.
 constexpr microseconds shared_link_shed_delay = seconds(1);
 
 constexpr microseconds traffic_time_constant = seconds(1);
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -128,9 +128,10 @@
               admission_.update(now);
               sharing_->observe(now);
           }),
-      admission_(loop, settings.link_bytes_per_second, settings.host, rate_limited_log_, metrics_,
-                 {[this](instant now, std::size_t count) { return sharing_->usage().top(now, count); },
-                  [this] { return is_open(); }}),
+      admission_(
+          loop, settings.link_bytes_per_second, settings.host, rate_limited_log_, metrics_,
+          {[this](instant now, std::size_t count) { return sharing_->usage().top(now, count); },
+           [this] { return is_open(); }}),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
       retries_(settings.retry_share, settings.retry_window, metrics_),
       crashes_(loop, targets_, metrics_,
