--- a/tests/decision/membership/step_back_policy_test.cpp
+++ b/tests/decision/membership/step_back_policy_test.cpp
@@ -58,7 +58,7 @@
     }
 
     std::optional<step_back_change> evaluate() {
-        const auto change = policy.evaluate(now, load, table, members);
+        std::optional<step_back_change> change = policy.evaluate(now, load, table, members);
         if (change) {
             changes.push_back(*change);
         }
