--- a/tests/platform/link_sharing_live_test.cpp
+++ b/tests/platform/link_sharing_live_test.cpp
@@ -51,10 +51,10 @@
               "idleTimeoutMs":10000},
             "tenants":[{"name":"a","apiKeys":["key-a"]},{"name":"b","apiKeys":["key-b"]},
               {"name":"flood","apiKeys":["key-flood"]}]})");
-        std::string entry = worker.list_entry("app");
-        entry.replace(entry.find(worker.address()), worker.address().size(),
-                      "127.0.0.1:" + std::to_string(proxy.port()));
-        store.put("keyed.servers", worker.id(), entry);
+        std::string listed = worker.list_entry("app");
+        listed.replace(listed.find(worker.address()), worker.address().size(),
+                       "127.0.0.1:" + std::to_string(proxy.port()));
+        store.put("keyed.servers", worker.id(), listed);
     }
 
     void begin(const std::string& account, const std::string& path = "/long/x") {
@@ -179,10 +179,10 @@
     }
     worker_standin dead(loop, "i-dead");
     for (const char* id : {"i-dead", "i-gone"}) {
-        std::string entry = dead.list_entry("dead");
-        entry.replace(entry.find(dead.address()), dead.address().size(),
-                      "127.0.0.1:" + std::to_string(full.port()));
-        store.put("keyed.servers", id, entry);
+        std::string listed = dead.list_entry("dead");
+        listed.replace(listed.find(dead.address()), dead.address().size(),
+                       "127.0.0.1:" + std::to_string(full.port()));
+        store.put("keyed.servers", id, listed);
     }
     more_settings = R"(,"link_mbps":2)";
     start_all();
