--- a/include/wrenswitch/core/settings_reader.hpp
+++ b/include/wrenswitch/core/settings_reader.hpp
@@ -45,6 +45,9 @@
     /// An optional number from least to most.
     double number_or(std::string_view name, double fallback, double least, double most);
 
+    /// An optional true or false.
+    bool boolean_or(std::string_view name, bool fallback);
+
     /// An optional list of texts.
     std::vector<std::string> texts_or_empty(std::string_view name);
 
--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 
 #include "wrenswitch/core/time.hpp"
 
@@ -36,15 +35,7 @@
 /// docs/design/link-sharing.md for what was weighed.
 class link_congestion_detector {
 public:
-    explicit link_congestion_detector(link_congestion_settings settings)
-        : settings_(settings), shed_delay_(settings.shed_delay) {}
-
-    /// Sets how long the link has to be full before callers are sent away. Without a value they
-    /// aren't. Shedding that has begun goes on.
-    void set_shed_delay(std::optional<microseconds> delay) { shed_delay_ = delay; }
-
-    /// Restores the delay of the settings.
-    void reset_shed_delay() { shed_delay_ = settings_.shed_delay; }
+    explicit link_congestion_detector(link_congestion_settings settings) : settings_(settings) {}
 
     /// Updates the state from the total number of bytes that the process has received and sent.
     void observe(instant now, std::uint64_t received, std::uint64_t sent);
@@ -66,7 +57,6 @@
     bool is_overrun() const;
 
     link_congestion_settings settings_;
-    std::optional<microseconds> shed_delay_;
     instant last_sample_{};
     std::uint64_t received_ = 0;
     std::uint64_t sent_ = 0;
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -116,6 +116,8 @@
     double capacity = 1.0;
     /// The capacity of this host's network link in each direction; zero if unknown.
     double link_bytes_per_second = 0.0;
+    /// True if requests are held or refused by account when the link is used to more than half.
+    bool shares_link = false;
     /// The timing of a graceful shutdown.
     drain_plan drain;
     /// The share of a service's requests that may go to a version still under evaluation.
--- a/src/core/settings_reader.cpp
+++ b/src/core/settings_reader.cpp
@@ -184,6 +184,18 @@
     return value->get<double>();
 }
 
+bool settings_reader::boolean_or(std::string_view name, bool fallback) {
+    const json* value = state_->find(name);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_boolean()) {
+        state_->report(name, value->dump(), "true or false");
+        return fallback;
+    }
+    return value->get<bool>();
+}
+
 std::vector<std::string> settings_reader::texts_or_empty(std::string_view name) {
     const json* value = state_->find(name);
     if (value == nullptr) {
--- a/src/decision/gateway/link_congestion_detector.cpp
+++ b/src/decision/gateway/link_congestion_detector.cpp
@@ -79,7 +79,7 @@
         shedding_ = now < shed_until_;
         return;
     }
-    if (!has_shed_cause_ || !shed_delay_ || now - shed_cause_changed_at_ < *shed_delay_) {
+    if (!has_shed_cause_ || now - shed_cause_changed_at_ < settings_.shed_delay) {
         return;
     }
     const bool is_repeat =
--- a/src/roles/gateway/caller_admission.cpp
+++ b/src/roles/gateway/caller_admission.cpp
@@ -18,20 +18,8 @@
 /// second and needs two failed checks to send new connections elsewhere.
 constexpr microseconds close_delay = seconds(2);
 
-/// Callers are shed only if the link is overrun for this long: link sharing needs up to half a
-/// second to answer a flood, and a step back 500 ms from the first evaluation that sees the demand.
-constexpr microseconds shared_link_shed_delay = seconds(1);
-
 constexpr microseconds traffic_time_constant = seconds(1);
 
-link_congestion_settings link_settings(double bytes_per_second) {
-    link_congestion_settings settings;
-    settings.bytes_per_second = bytes_per_second;
-    settings.is_shared = true;
-    settings.shed_delay = shared_link_shed_delay;
-    return settings;
-}
-
 std::string whole(double value) {
     return std::to_string(static_cast<std::int64_t>(value));
 }
@@ -52,15 +40,15 @@
 
 }  // namespace
 
-caller_admission::caller_admission(event_loop& loop, double link_bytes_per_second,
+caller_admission::caller_admission(event_loop& loop, const link_congestion_settings& link,
                                    std::string own_host, rate_limited_log& events,
                                    metrics& counters, hooks callbacks)
     : loop_(loop),
-      bandwidth_(link_bytes_per_second),
+      bandwidth_(link.bytes_per_second),
       events_(events),
       counters_(counters),
       hooks_(std::move(callbacks)),
-      link_(link_settings(link_bytes_per_second)),
+      link_(link),
       policy_(std::move(own_host)) {}
 
 void caller_admission::open_exchange(message_bus& bus, const token_allocator_selector& members,
@@ -121,10 +109,37 @@
     if (link_.is_shedding() == shed_before) {
         return;
     }
-    server_->shed(link_.is_shedding());
+    if (link_.is_shedding()) {
+        begin_shedding(now);
+    } else {
+        end_shedding();
+    }
     log_event(log_level::warning, link_.is_shedding() ? "callers_sent_away" : "callers_taken_again",
               {{"received_share", std::to_string(link_.received_share())},
-               {"send_queue_ms", millis_text(link_.send_queue_delay())}});
+               {"send_queue_ms", millis_text(link_.send_queue_delay())},
+               {"account", shed_account_}});
+}
+
+/// An account that alone does not fit the link is the cause, so that only its connections are
+/// closed; those of the other accounts stay.
+void caller_admission::begin_shedding(instant now) {
+    const std::vector<account_demand> busiest = hooks_.top_accounts(now, 1);
+    if (policy_.has_large_account() && !busiest.empty()) {
+        shed_account_ = busiest.front().account;
+        server_->close_account(shed_account_, true);
+    } else {
+        server_->shed(true);
+    }
+}
+
+void caller_admission::end_shedding() {
+    server_->shed(false);
+    const std::string account = std::exchange(shed_account_, {});
+    const bool stays_closed = std::find(closed_accounts_.begin(), closed_accounts_.end(),
+                                        account) != closed_accounts_.end();
+    if (!account.empty() && !stays_closed) {
+        server_->close_account(account, false);
+    }
 }
 
 void caller_admission::sample_traffic(instant now) {
@@ -142,20 +157,6 @@
     last_traffic_ = traffic;
 }
 
-/// A step back moves one account, shedding all of them. An account that does not fit the link but
-/// cannot be moved is no reason to shed the others. While half of the members or more don't report,
-/// as during a rolling update, no entry can step back, and the protection of a single entry
-/// applies.
-void caller_admission::update_shedding_rule() {
-    if (2 * policy_.fresh_neighbours() <= exchange_->hosts().size()) {
-        link_.reset_shed_delay();
-        return;
-    }
-    const bool may_shed =
-        !policy_.has_large_account() && policy_.state() != entry_state::stepped_back;
-    link_.set_shed_delay(may_shed ? std::optional(shared_link_shed_delay) : std::nullopt);
-}
-
 void caller_admission::evaluate(instant now) {
     next_evaluation_ = now + evaluation_period;
     local_load load;
@@ -169,7 +170,6 @@
     }
     const std::optional<step_back_change> change =
         policy_.evaluate(now, load, exchange_->table(), exchange_->hosts());
-    update_shedding_rule();
     counters_.gauge("gateway_neighbours") = static_cast<double>(policy_.fresh_neighbours());
     if (change) {
         apply(*change);
--- a/src/roles/gateway/caller_admission.hpp
+++ b/src/roles/gateway/caller_admission.hpp
@@ -32,7 +32,7 @@
     };
 
     /// All references must outlive the object.
-    caller_admission(event_loop& loop, double link_bytes_per_second, std::string own_host,
+    caller_admission(event_loop& loop, const link_congestion_settings& link, std::string own_host,
                      rate_limited_log& events, metrics& counters, hooks callbacks);
 
     /// Starts the exchange of reports with the failure domain's other gateways.
@@ -62,7 +62,8 @@
 private:
     void sample_link(instant now);
     void sample_traffic(instant now);
-    void update_shedding_rule();
+    void begin_shedding(instant now);
+    void end_shedding();
     void evaluate(instant now);
     void apply(const step_back_change& change);
     void update_closed_accounts(instant now);
@@ -85,6 +86,8 @@
     traffic_counts last_traffic_;
     double received_per_second_ = 0.0;
     double sent_per_second_ = 0.0;
+    /// The account whose connections are closed while callers are shed; empty if it is all.
+    std::string shed_account_;
     /// The accounts whose connections are being closed.
     std::vector<std::string> closed_accounts_;
 };
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -79,6 +79,19 @@
     return [&targets](std::string_view engine) { return targets.region_of(engine); };
 }
 
+/// Link sharing needs up to half a second to answer a flood.
+constexpr microseconds shared_link_shed_delay = seconds(1);
+
+link_congestion_settings link_settings(const gateway_settings& settings) {
+    link_congestion_settings link;
+    link.bytes_per_second = settings.link_bytes_per_second;
+    link.is_shared = settings.shares_link;
+    if (settings.shares_link) {
+        link.shed_delay = shared_link_shed_delay;
+    }
+    return link;
+}
+
 shared_log_settings sharing_settings(const gateway_settings& settings, std::string member_log) {
     shared_log_settings sharing;
     sharing.member_log = std::move(member_log);
@@ -129,7 +142,7 @@
               sharing_->observe(now);
           }),
       admission_(
-          loop, settings.link_bytes_per_second, settings.host, rate_limited_log_, metrics_,
+          loop, link_settings(settings), settings.host, rate_limited_log_, metrics_,
           {[this](instant now, std::size_t count) { return sharing_->usage().top(now, count); },
            [this] { return is_open(); }}),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -74,6 +74,7 @@
     constexpr double bytes_per_megabit = 1e6 / 8.0;
     settings.link_bytes_per_second =
         bytes_per_megabit * reader.number_or("link_mbps", 0.0, 0.0, max_link_mbps);
+    settings.shares_link = reader.boolean_or("share_link", settings.shares_link);
     settings.exposed_share = reader.number_or("exposed_share", settings.exposed_share, 0.0, 1.0);
     settings.retry_share = reader.number_or("retry_share", settings.retry_share, 0.0, 1.0);
     settings.retry_slack = reader.number_or("retry_slack", settings.retry_slack, 0.0, max_slack);
--- a/src/roles/gateway/link_sharing.cpp
+++ b/src/roles/gateway/link_sharing.cpp
@@ -49,7 +49,8 @@
 }  // namespace
 
 link_sharing::link_sharing(parts used)
-    : parts_(std::move(used)), scheduler_(parts_.settings.link_bytes_per_second) {}
+    : parts_(std::move(used)),
+      scheduler_(parts_.settings.shares_link ? parts_.settings.link_bytes_per_second : 0.0) {}
 
 link_sharing::~link_sharing() {
     *alive_ = false;
@@ -61,8 +62,10 @@
         return {};
     }
     ingress_options options;
-    options.receive_buffer_bytes = static_cast<std::size_t>(
-        std::max(min_receive_buffer, bandwidth * as_seconds(receive_buffer_time)));
+    if (parts_.settings.shares_link) {
+        options.receive_buffer_bytes = static_cast<std::size_t>(
+            std::max(min_receive_buffer, bandwidth * as_seconds(receive_buffer_time)));
+    }
     options.on_head = [this](const message_head& head, const std::shared_ptr<waiting_head>& wait) {
         return on_head(head, wait);
     };
--- a/src/roles/gateway/link_sharing.hpp
+++ b/src/roles/gateway/link_sharing.hpp
@@ -19,8 +19,9 @@
 namespace wrenswitch {
 
 /// Shares this entry's link among client accounts: estimates what each request takes, asks the
-/// scheduler, holds or refuses requests on their heads, and keeps the figures of accounts. It does
-/// nothing if the bandwidth is unknown. See docs/design/link-sharing.md.
+/// scheduler, holds or refuses requests on their heads, and keeps the figures of accounts. Without
+/// the setting `share_link` it only keeps the figures, and nothing if the bandwidth is unknown. See
+/// docs/design/link-sharing.md.
 class link_sharing {
 public:
     struct parts {
--- a/tests/core/settings_reader_test.cpp
+++ b/tests/core/settings_reader_test.cpp
@@ -30,6 +30,18 @@
     BOOST_TEST(problems.items()[4].place == "/spare");
 }
 
+// A number in place of true or false must not pass for either.
+BOOST_AUTO_TEST_CASE(boolean_of_another_type_is_a_finding_and_keeps_its_default) {
+    settings_reader reader =
+        settings_reader::parse(R"({"on": true, "off": false, "odd": 1})", problems);
+    BOOST_TEST(reader.boolean_or("on", false));
+    BOOST_TEST(!reader.boolean_or("off", true));
+    BOOST_TEST(reader.boolean_or("odd", true));
+    BOOST_TEST(!reader.boolean_or("absent", false));
+    BOOST_REQUIRE(problems.items().size() == 1U);
+    BOOST_TEST(problems.items()[0].allowed == "true or false");
+}
+
 BOOST_AUTO_TEST_CASE(settings_that_are_not_json_name_the_byte) {
     settings_reader::parse("{\"a\": ", problems);
     BOOST_REQUIRE(problems.items().size() == 1U);
