--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -31,8 +31,9 @@
 /// what it carries, small messages queue behind large ones, responses do not reach the callers, and
 /// messages between hosts are so late that healthy peers are taken for failed.
 ///
-/// Shedding all callers is the last resort where link sharing can't keep the link usable. See
-/// docs/design/link-sharing.md for what was weighed.
+/// Shedding moves an account that no step back can move, and protects a link that is full because
+/// of many accounts. See docs/design/link-sharing.md and docs/design/entry-selection.md for what
+/// was weighed.
 class link_congestion_detector {
 public:
     explicit link_congestion_detector(link_congestion_settings settings) : settings_(settings) {}
--- a/src/roles/gateway/caller_admission.hpp
+++ b/src/roles/gateway/caller_admission.hpp
@@ -19,9 +19,8 @@
 namespace wrenswitch {
 
 /// Decides whether the gateway accepts callers, as far as that depends on its link: it is not ready
-/// while it has stepped back from an account that does not fit its link, and, if the neighbours'
-/// reports don't help, while its link is saturated. Does nothing while the bandwidth of the link is
-/// unknown.
+/// while it has stepped back from an account that does not fit its link, and for some seconds after
+/// its link was saturated. Does nothing while the bandwidth of the link is unknown.
 class caller_admission {
 public:
     struct hooks {
