Let tests of placement wait longer for replies than the product does

The timeouts of placement queries, 20 and 200 ms, are a struct that a process can set. Tests whose subject isn't a missing reply wait 500 ms, because a reply on one busy machine takes longer than 20 ms; tests of missing replies set the product's own or others that tell the two cases apart. No bound of a test is changed.

--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -12,11 +12,6 @@
 namespace wrenswitch {
 namespace {
 
-/// The timeout when engines are cold and this gateway has no send permit of its own to fall back
-/// on. It exceeds the queueing delay on a small gateway's 10 Mbit/s link that carries one account's
-/// callers after all processes were lost: with 20 ms two such gateways refused 340 requests in 3 s.
-constexpr microseconds cold_query_timeout = milliseconds(200);
-
 /// How many coordinators are queried while engines are cold. Each query takes about 2 ms, and one
 /// with capacity is found among a few.
 constexpr std::size_t max_cold_coordinators = 4;
@@ -100,7 +95,7 @@
     counters_.counter("placement_asks_total") += 1;
     pending.sent_at = monotonic_now();
     const instant sent_at = pending.sent_at;
-    const microseconds timeout = (pending.last_query ? cold_query_timeout : query_timeout) +
+    const microseconds timeout = (pending.last_query ? timeouts_.cold_query : timeouts_.query) +
                                  monitor_.round_trip(pending.coordinator);
     queries_.insert_or_assign(attempt, std::move(pending));
     loop_.call_after(timeout, [this, attempt, sent_at, alive = alive_] {
--- a/src/roles/gateway/placement_exchange.hpp
+++ b/src/roles/gateway/placement_exchange.hpp
@@ -25,6 +25,20 @@
 
 namespace wrenswitch {
 
+/// How long replies of coordinators are awaited. The round trip to a coordinator in another region
+/// is added: with 20 ms in all, every query to a region 40 ms away timed out, and fault scenarios
+/// with two regions lost 0.08 of their score.
+struct placement_timeouts {
+    /// A round trip takes about 2 ms; delays in busy processes add about half of that, and latency
+    /// objectives of routes are at least some hundreds of milliseconds.
+    microseconds query = milliseconds(20);
+    /// Used when engines are cold and this gateway has no send permit of its own to fall back on.
+    /// It exceeds the queueing delay on a small gateway's 10 Mbit/s link that carries one account's
+    /// callers after all processes were lost: with 20 ms two such gateways refused 340 requests in
+    /// 3 s.
+    microseconds cold_query = milliseconds(200);
+};
+
 /// Finds an engine for each request with a prompt. It queries the coordinator of the engine that
 /// the session maps to, and falls back to a choice by this gateway's own attempts if no coordinator
 /// replies in time. A request costs three small messages, however many gateways and engines there
@@ -61,6 +75,9 @@
     placement_exchange(const placement_exchange&) = delete;
     placement_exchange& operator=(const placement_exchange&) = delete;
 
+    /// Applies to queries that are sent from now on.
+    void set_timeouts(const placement_timeouts& timeouts) { timeouts_ = timeouts; }
+
     /// Chooses an engine other than those in `tried` for a caller whose deadline is `remaining`
     /// from now. Calls the hook either before it returns or later, as long as the handle exists.
     /// The choice has no target if there is none.
@@ -81,13 +98,6 @@
     bool on_message(const message_origin& origin, const wire::Envelope& message);
 
 private:
-    /// How long a coordinator's reply is awaited. A round trip takes about 2 ms; delays in busy
-    /// processes add about half of that, and latency objectives of routes are at least some
-    /// hundreds of milliseconds. The round trip to another region is added: with 20 ms in all,
-    /// every query to a region 40 ms away timed out, and fault scenarios with two regions lost 0.08
-    /// of their score.
-    static constexpr microseconds query_timeout = milliseconds(20);
-
     struct pending_query {
         std::string service;
         engine_request request;
@@ -136,6 +146,7 @@
     engine_coordinators& coordinators_;
     placement_coordinator& local_coordinator_;
     metrics& counters_;
+    placement_timeouts timeouts_;
     std::function<const engine_profile*(const std::string& service)> engine_of_;
     coordinator_monitor monitor_;
     attempt_update_sender updates_;
--- a/src/roles/gateway/placement_exchange_admission.cpp
+++ b/src/roles/gateway/placement_exchange_admission.cpp
@@ -78,7 +78,7 @@
     monitor_.on_reply(pending.coordinator, pending.sent_at);
     pending.held_until = monotonic_now() + hold;
     const instant sent_at = pending.sent_at;
-    loop_.call_after(hold + query_timeout, [this, attempt, sent_at, alive = alive_] {
+    loop_.call_after(hold + timeouts_.query, [this, attempt, sent_at, alive = alive_] {
         if (*alive) {
             on_timeout(attempt, sent_at);
         }
--- a/tests/roles/placement_admission_test.cpp
+++ b/tests/roles/placement_admission_test.cpp
@@ -251,6 +251,7 @@
 BOOST_AUTO_TEST_CASE(coordinator_that_dies_while_it_holds_a_request_causes_no_refusal) {
     receive_urgent();
     fill_engines(5'000);
+    requester->exchange.set_timeouts({milliseconds(100), milliseconds(100)});
     const auto handle = begin(*requester, competing(7, "bulk", 2));
     BOOST_REQUIRE(run_until([&] { return coordinator->placements.held_count() == 1U; }));
     // From now on its final reply is lost, as if it had died or were frozen.
--- a/tests/roles/placement_exchange_test.cpp
+++ b/tests/roles/placement_exchange_test.cpp
@@ -197,6 +197,7 @@
 
 BOOST_AUTO_TEST_CASE(unresponsive_coordinator_delays_request_by_no_more_than_query_timeout) {
     place(*requester, prompt(3));
+    requester->exchange.set_timeouts({});
     coordinator->accepts_messages = false;
     const instant started = monotonic_now();
     BOOST_TEST(!place(*requester, prompt(7)).empty());
@@ -214,6 +215,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(attempt_of_late_reply_is_released) {
+    requester->exchange.set_timeouts({});
     coordinator->accepts_messages = false;
     std::optional<wire::Envelope> held;
     message_origin from;
@@ -380,6 +382,8 @@
 
 BOOST_FIXTURE_TEST_CASE(timeout_of_remote_coordinator_includes_its_round_trip,
                         remote_coordinator_fixture) {
+    // Without the round trip of 50 ms the reply would come too late.
+    requester->exchange.set_timeouts({milliseconds(45), milliseconds(45)});
     BOOST_TEST(!place(*requester, prompt(7)).empty());
     BOOST_TEST(attempt.coordinator == "h1");
     BOOST_TEST((attempt.selection_time >= milliseconds(50)));
@@ -388,6 +392,7 @@
 
 BOOST_FIXTURE_TEST_CASE(longer_round_trip_of_coordinator_is_learnt_from_late_replies,
                         remote_coordinator_fixture) {
+    requester->exchange.set_timeouts({});
     proxy->delay = milliseconds(60);
     unsigned queries = 0;
     do {
--- a/tests/roles/placing_gateways.hpp
+++ b/tests/roles/placing_gateways.hpp
@@ -14,6 +14,10 @@
 
 inline const std::string service = "llm";
 
+/// Long enough that replies on one busy machine arrive in time. Tests of missing replies use the
+/// product's own timeouts.
+inline constexpr placement_timeouts patient_timeouts{milliseconds(500), milliseconds(500)};
+
 /// A gateway that places requests and may coordinate engines, over a real bus.
 struct placing_gateway {
     placing_gateway(event_loop& loop, int number, std::string own_region = {},
@@ -37,6 +41,7 @@
                     [this](const cluster_member& coordinator, microseconds elapsed) {
                         members.record_round_trip(coordinator, elapsed);
                     }}) {
+        exchange.set_timeouts(patient_timeouts);
         bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
             if (accepts_messages) {
                 handled = exchange.on_message(origin, message);
