Answer a held read of the fake log by its own timer

Timers of the loop may fire some milliseconds early, since libevent takes a coarse clock. The fake then found the read not due by the exact clock, kept it, and no other timer answered it.

The follower itself is unchanged; it waits for its log's answer in any case.

--- a/tests/support/fake_keyed_log.hpp
+++ b/tests/support/fake_keyed_log.hpp
@@ -101,8 +101,9 @@
             } else if (from < records_[name].size() || wait == microseconds(0)) {
                 done(page_from(name, from));
             } else {
-                held_.push_back({name, from, monotonic_now() + wait, done});
-                loop_.call_after(wait, [this] { answer_held(); });
+                const std::uint64_t number = ++last_held_;
+                held_.push_back({name, from, number, done});
+                loop_.call_after(wait, [this, number] { answer_held(number); });
             }
         });
     }
@@ -138,7 +139,7 @@
     struct held_read {
         std::string log;
         std::uint64_t from = 0;
-        instant until{};
+        std::uint64_t number = 0;
         page_hook done;
     };
 
@@ -169,11 +170,13 @@
         return true;
     }
 
-    void answer_held() {
+    /// Answers the held reads that have records now, and the one whose wait has ended. It is named
+    /// by its number, since timers of the loop may fire up to some milliseconds early, and a read
+    /// that isn't due by the clock then would never be answered.
+    void answer_held(std::uint64_t ended = 0) {
         std::deque<held_read> waiting = std::exchange(held_, {});
-        const instant now = monotonic_now();
         for (held_read& read : waiting) {
-            if (read.from < records_[read.log].size() || read.until <= now) {
+            if (read.from < records_[read.log].size() || read.number == ended) {
                 loop_.call_after(microseconds(0),
                                  [this, read] { read.done(page_from(read.log, read.from)); });
             } else {
@@ -187,6 +190,7 @@
     std::map<std::string, std::vector<keyed_record>> copy_;
     std::map<std::string, std::uint64_t> first_;
     std::deque<held_read> held_;
+    std::uint64_t last_held_ = 0;
 };
 
 }  // namespace wrenswitch::testing
