Decide on timed shedding by the step-back budget

Timed shedding took no account of step backs: entries whose links saturate together went out beside those that had stepped back, half of a domain or more.

After a freeze, reports that aren't trusted can restrict shedding, but not allow it. link_congestion_detector can be told that shedding must not begin, and says that it is withheld.

--- a/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
+++ b/include/wrenswitch/decision/gateway/link_congestion_detector.hpp
@@ -41,6 +41,12 @@
     /// Updates the state from the total number of bytes that the process has received and sent.
     void observe(instant now, std::uint64_t received, std::uint64_t sent);
 
+    /// While not allowed, no shedding begins. One that is under way goes on to its end.
+    void allow_shedding(bool allowed) { shedding_allowed_ = allowed; }
+
+    /// True while callers would be sent to other gateways if shedding were allowed.
+    bool is_shedding_withheld() const { return shedding_withheld_; }
+
     /// How long the link needs to transmit the data that is already written.
     microseconds send_queue_delay() const;
 
@@ -65,6 +71,8 @@
     double send_queue_bytes_ = 0.0;
     bool full_ = false;
     bool shedding_ = false;
+    bool shedding_allowed_ = true;
+    bool shedding_withheld_ = false;
     /// True while there is cause to send callers away, and since when.
     bool has_shed_cause_ = false;
     instant shed_cause_changed_at_{};
--- a/include/wrenswitch/decision/membership/step_back_policy.hpp
+++ b/include/wrenswitch/decision/membership/step_back_policy.hpp
@@ -12,6 +12,7 @@
 #include "wrenswitch/decision/membership/account_activity.hpp"
 #include "wrenswitch/decision/membership/demand_history.hpp"
 #include "wrenswitch/decision/membership/neighbour_table.hpp"
+#include "wrenswitch/decision/membership/shedding_budget.hpp"
 
 namespace wrenswitch {
 
@@ -75,6 +76,15 @@
                                              const neighbour_table& neighbours,
                                              std::span<const std::string> members);
 
+    /// What is known of the failure domain for `decide_shedding`, as of the evaluation at `now`.
+    ///
+    /// After a freeze the reports that may have been queued during it are not counted as accepting
+    /// entries, but a step back that they or the last evaluation before the freeze showed restricts
+    /// shedding until decisions are taken again. Otherwise an entry that resumes with a saturated
+    /// link would find no fresh neighbour and shed its callers as if it were alone.
+    shedding_conditions conditions_for_shedding(instant now, const neighbour_table& neighbours,
+                                                std::span<const std::string> members) const;
+
     /// `accepting`, `announced` or `stepped_back`.
     entry_state state() const { return state_; }
 
@@ -111,6 +121,8 @@
 
     std::vector<neighbour> fresh_reports(instant now, const neighbour_table& neighbours,
                                          std::span<const std::string> members) const;
+    bool reports_step_back(instant now, const neighbour_table& neighbours,
+                           std::span<const std::string> members) const;
     void detect_pause(instant now, std::size_t members);
     void record_demand(instant now, const local_load& load, std::span<const neighbour> fresh);
     void select_reported(const local_load& load, std::span<const neighbour> fresh);
@@ -144,6 +156,8 @@
     std::optional<instant> too_few_since_;
     std::optional<instant> no_wider_since_;
     std::size_t fresh_neighbours_ = 0;
+    /// True if a step back was known at the last evaluation that decided.
+    bool step_back_known_ = false;
     bool has_large_account_ = false;
     std::vector<account_demand> accounts_to_report_;
     return_reason return_reason_ = return_reason::fits;
--- a/src/decision/gateway/link_congestion_detector.cpp
+++ b/src/decision/gateway/link_congestion_detector.cpp
@@ -79,7 +79,9 @@
         shedding_ = now < shed_until_;
         return;
     }
-    if (!has_shed_cause_ || now - shed_cause_changed_at_ < settings_.shed_delay) {
+    const bool is_due = has_shed_cause_ && now - shed_cause_changed_at_ >= settings_.shed_delay;
+    shedding_withheld_ = is_due && !shedding_allowed_;
+    if (!is_due || !shedding_allowed_) {
         return;
     }
     const bool is_repeat =
--- a/src/decision/membership/step_back_policy.cpp
+++ b/src/decision/membership/step_back_policy.cpp
@@ -121,6 +121,34 @@
     return fresh;
 }
 
+/// True if a report that is new enough names a step back, also if it isn't trusted after a freeze.
+bool step_back_policy::reports_step_back(instant now, const neighbour_table& neighbours,
+                                         std::span<const std::string> members) const {
+    const microseconds max_age = max_report_age(count_members(members, own_host_));
+    return std::any_of(members.begin(), members.end(), [&](const std::string& host) {
+        const received_report* known = host == own_host_ ? nullptr : neighbours.find(host);
+        return known != nullptr && now - known->received < max_age &&
+               (known->report.state == entry_state::announced ||
+                known->report.state == entry_state::stepped_back);
+    });
+}
+
+shedding_conditions step_back_policy::conditions_for_shedding(
+    instant now, const neighbour_table& neighbours, std::span<const std::string> members) const {
+    shedding_conditions conditions;
+    conditions.own_state = state_;
+    conditions.members = count_members(members, own_host_);
+    for (const neighbour& each : fresh_reports(now, neighbours, members)) {
+        conditions.neighbours.push_back(each.report->state);
+        const bool precedes =
+            each.report->state == entry_state::accepting && each.report->host < own_host_;
+        conditions.preceding += precedes ? 1 : 0;
+    }
+    conditions.step_back_suspected =
+        (now < decides_from_ && step_back_known_) || reports_step_back(now, neighbours, members);
+    return conditions;
+}
+
 void step_back_policy::detect_pause(instant now, std::size_t members) {
     const bool was_frozen = last_evaluation_ != instant{} && now - last_evaluation_ > frozen_time;
     last_evaluation_ = now;
@@ -346,6 +374,8 @@
     std::optional<step_back_change::kind> kind;
     if (now >= decides_from_) {
         kind = next_step(now, load, fresh, count);
+        step_back_known_ =
+            state_ != entry_state::accepting || reports_step_back(now, neighbours, members);
     } else if (state_ == entry_state::announced) {
         state_ = entry_state::accepting;
         withdrawn_at_ = now;
--- a/tests/decision/gateway/link_congestion_detector_test.cpp
+++ b/tests/decision/gateway/link_congestion_detector_test.cpp
@@ -105,6 +105,36 @@
     BOOST_TEST(link.is_shedding());
 }
 
+// Step backs may leave no budget for shedding. The cause is judged anew when they do.
+BOOST_AUTO_TEST_CASE(shedding_that_is_not_allowed_begins_once_it_is_if_the_cause_still_holds) {
+    link.allow_shedding(false);
+    transfer(seconds(2), 1.0);
+    BOOST_TEST(!link.is_shedding());
+    BOOST_TEST(link.is_shedding_withheld());
+    transfer(seconds(1), 0.2);
+    BOOST_TEST(!link.is_shedding_withheld());
+    link.allow_shedding(true);
+    transfer(seconds(1), 0.2);
+    BOOST_TEST(!link.is_shedding());
+    link.allow_shedding(false);
+    transfer(seconds(1), 1.0);
+    BOOST_REQUIRE(link.is_shedding_withheld());
+    link.allow_shedding(true);
+    transfer(sample_interval, 1.0);
+    BOOST_TEST(link.is_shedding());
+    BOOST_TEST(!link.is_shedding_withheld());
+}
+
+// An end of shedding before its time would bring the callers back while the platform follows.
+BOOST_AUTO_TEST_CASE(shedding_under_way_goes_on_when_it_is_no_longer_allowed) {
+    transfer(seconds(1), 1.0);
+    BOOST_REQUIRE(link.is_shedding());
+    link.allow_shedding(false);
+    transfer(seconds(2), 1.0);
+    BOOST_TEST(link.is_shedding());
+    BOOST_TEST(!link.is_shedding_withheld());
+}
+
 BOOST_AUTO_TEST_CASE(link_of_unknown_capacity_is_never_full) {
     link = link_congestion_detector(link_congestion_settings{});
     transfer(seconds(3), 50.0, 50.0);
