Count the connections closed because of their account

A step back, or timed shedding of one account, closes that account's connections, and no figure showed who pays for it. The callers' server now reports each connection that ends only because its account is closed, and gateway_account_closed_total{account} counts them for 64 names, then as `other`. account_labels bounds the names.

Tests: connections_that_end_because_of_their_account_are_reported_once_each and closed_connections_are_counted_for_64_accounts_and_then_for_others. The first failed with idle connections not reported, with answered ones not reported and with other reasons reported too; the second failed with unbounded names.

--- a/include/wrenswitch/drivers/ingress_server.hpp
+++ b/include/wrenswitch/drivers/ingress_server.hpp
@@ -127,6 +127,10 @@
     /// rest end at once.
     virtual void close_account(std::string_view account, bool closes) = 0;
 
+    /// Sets what is called with the account of each connection that ends only because its account
+    /// is closed.
+    virtual void on_account_closed(std::function<void(std::string_view)> action) = 0;
+
     /// Takes no new connections and ends those that rest.
     virtual void stop_listening() = 0;
 
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -260,6 +260,9 @@
 void ingress_connection::finish_answer(bool keep) {
     gone_hook_ = {};
     if (!keep) {
+        if (is_kept_otherwise() && is_account_closing() && context_.on_account_closed) {
+            context_.on_account_closed(account_);
+        }
         linger();
         return;
     }
@@ -321,11 +324,13 @@
     context_.on_gone(this);
 }
 
-void ingress_connection::close_if_idle() {
-    if (phase_ == phase::idle && stream_ != nullptr &&
-        evbuffer_get_length(bufferevent_get_input(stream_)) == 0) {
-        close();
+bool ingress_connection::close_if_idle() {
+    if (phase_ != phase::idle || stream_ == nullptr ||
+        evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
+        return false;
     }
+    close();
+    return true;
 }
 
 void ingress_connection::set_read_timeout(microseconds length) {
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -28,6 +28,8 @@
     bool sheds = false;
     /// Accounts whose callers should go on over other connections.
     std::set<std::string, std::less<>> closing_accounts{};
+    /// Called for each connection that ends only because of `closing_accounts`. May be empty.
+    std::function<void(std::string_view)> on_account_closed{};
 };
 
 /// One caller's connection: reads one request at a time and writes its answer.
@@ -40,8 +42,8 @@
 
     void start();
 
-    /// Ends the connection now if no request is being read or answered.
-    void close_if_idle();
+    /// Ends the connection now if no request is being read or answered. True if it did.
+    bool close_if_idle();
 
     /// Writes to the peer as an exchange asks; `last` ends the answer.
     void write(std::string_view bytes);
@@ -52,10 +54,7 @@
     void end_wait(const head_decision& decision);
     void abort();
     bool open() const { return stream_ != nullptr; }
-    bool keeps_alive() const {
-        return keep_alive_ && !context_.draining && !context_.sheds &&
-               !context_.closing_accounts.contains(account_);
-    }
+    bool keeps_alive() const { return is_kept_otherwise() && !is_account_closing(); }
     /// The account that last used the connection, or empty.
     const std::string& account() const { return account_; }
     std::size_t unsent_bytes() const;
@@ -63,6 +62,11 @@
 private:
     enum class phase { idle, reading, waiting, answering, lingering };
 
+    /// True unless the connection ends after its present answer for another reason than its
+    /// account.
+    bool is_kept_otherwise() const { return keep_alive_ && !context_.draining && !context_.sheds; }
+    bool is_account_closing() const { return context_.closing_accounts.contains(account_); }
+
     static void on_readable(bufferevent*, void* self);
     static void on_written(bufferevent*, void* self);
     static void on_event(bufferevent*, short what, void* self);
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -78,12 +78,17 @@
         context_.closing_accounts.emplace(account);
         const auto open = connections_;
         for (const auto& [key, connection] : open) {
-            if (connection->account() == account) {
-                connection->close_if_idle();
+            if (connection->account() == account && connection->close_if_idle() &&
+                context_.on_account_closed) {
+                context_.on_account_closed(account);
             }
         }
     }
 
+    void on_account_closed(std::function<void(std::string_view)> action) override {
+        context_.on_account_closed = std::move(action);
+    }
+
     void stop_listening() override {
         context_.draining = true;
         if (listener_ != nullptr) {
--- a/src/roles/gateway/caller_admission.cpp
+++ b/src/roles/gateway/caller_admission.cpp
@@ -77,6 +77,14 @@
            (!exchange_ || exchange_->is_settled());
 }
 
+void caller_admission::set_server(ingress_server& server) {
+    server_ = &server;
+    server.on_account_closed([this](std::string_view account) {
+        counters_.counter(labelled("gateway_account_closed_total",
+                                   {{"account", closed_labels_.label_of(account)}})) += 1;
+    });
+}
+
 void caller_admission::update(instant now) {
     sample_link(now);
     if (!exchange_ || server_ == nullptr) {
--- a/src/roles/gateway/caller_admission.hpp
+++ b/src/roles/gateway/caller_admission.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "roles/gateway/account_labels.hpp"
 #include "roles/gateway/neighbour_exchange.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "wrenswitch/core/metrics.hpp"
@@ -39,7 +40,7 @@
                        const std::string& failure_domain, incarnation_id process);
 
     /// Sets the server whose connections are closed.
-    void set_server(ingress_server& server) { server_ = &server; }
+    void set_server(ingress_server& server);
 
     /// Records that an account has sent a request.
     void record_request(instant now, std::string_view account);
@@ -79,6 +80,7 @@
     step_back_policy policy_;
     std::unique_ptr<neighbour_exchange> exchange_;
     ingress_server* server_ = nullptr;
+    account_labels closed_labels_;
     instant next_evaluation_{};
     /// The own traffic in bytes per second, decaying over a second.
     instant last_sample_{};
--- a/tests/drivers/ingress_server_test.cpp
+++ b/tests/drivers/ingress_server_test.cpp
@@ -276,6 +276,36 @@
     BOOST_TEST(socket.received().ends_with("0\r\n\r\n"));
 }
 
+// The count shows who pays for a step back. Connections that end anyway would make it too high.
+BOOST_AUTO_TEST_CASE(connections_that_end_because_of_their_account_are_reported_once_each) {
+    answer_at_once = false;
+    std::vector<std::string> closed;
+    server->on_account_closed([&](std::string_view account) { closed.emplace_back(account); });
+    std::vector<raw_socket> sockets;
+    for (const std::string_view account : {"large", "large", "other"}) {
+        sockets.push_back(connect());
+        sockets.back().send(get);
+        BOOST_REQUIRE(run_until([&] { return exchanges.size() == sockets.size(); }));
+        exchanges.back()->set_account(account);
+    }
+    raw_socket leaving = connect();
+    leaving.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 4; }));
+    exchanges[3]->set_account("large");
+    exchanges[0]->answer(200, {}, "ok");
+    run_for(milliseconds(20));
+    server->close_account("large", true);
+    BOOST_TEST(run_until([&] { return sockets[0].ended(); }));
+    BOOST_TEST(closed == std::vector<std::string>{"large"});
+    exchanges[1]->answer(200, {}, "ok");
+    exchanges[2]->answer(200, {}, "ok");
+    exchanges[3]->answer(200, {}, "ok");
+    BOOST_TEST(run_until([&] { return sockets[1].ended() && leaving.ended(); }));
+    BOOST_TEST(closed == std::vector<std::string>({"large", "large"}),
+               boost::test_tools::per_element());
+    BOOST_TEST(!sockets[2].ended());
+}
+
 BOOST_AUTO_TEST_CASE(account_that_is_open_again_keeps_its_connections) {
     answer_at_once = false;
     server->close_account("large", true);
--- a/tests/roles/caller_admission_test.cpp
+++ b/tests/roles/caller_admission_test.cpp
@@ -28,11 +28,15 @@
             closed.erase(std::string(account));
         }
     }
+    void on_account_closed(std::function<void(std::string_view)> action) override {
+        report_closed = std::move(action);
+    }
     void stop_listening() override {}
     std::size_t connections() const override { return 0; }
 
     bool sheds_all = false;
     std::set<std::string> closed;
+    std::function<void(std::string_view)> report_closed;
 };
 
 /// A gateway of 10 Mbit/s whose four neighbours are made up: reports arrive by `report`.
@@ -95,6 +99,10 @@
         return !admission.accepts_callers();
     }
 
+    std::uint64_t closed_of(const std::string& account) {
+        return counters.counter(labelled("gateway_account_closed_total", {{"account", account}}));
+    }
+
     bool has_stepped_back() { return counters.gauge("gateway_stepped_back") > 0.0; }
 };
 
@@ -130,4 +138,20 @@
     BOOST_TEST(server.sheds_all);
 }
 
+// Nobody could see who pays for a step back or a shedding. The number of series must stay bounded.
+BOOST_AUTO_TEST_CASE(closed_connections_are_counted_for_64_accounts_and_then_for_others) {
+    server.report_closed("large");
+    server.report_closed("large");
+    for (std::size_t each = 1; each < account_labels::max_labels; ++each) {
+        server.report_closed("account-" + std::to_string(each));
+    }
+    server.report_closed("late");
+    server.report_closed("later");
+    server.report_closed("large");
+    BOOST_TEST(closed_of("large") == 3U);
+    BOOST_TEST(closed_of("account-63") == 1U);
+    BOOST_TEST(closed_of("late") == 0U);
+    BOOST_TEST(closed_of("other") == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
