Withhold timed shedding while step backs leave no budget for it

caller_admission now asks shedding_budget before timed shedding begins. While it is withheld, the gateway stays ready and keeps all connections; it decides anew every 250 ms, on changes of its neighbours' states, and when its turn comes. gateway_shedding_withheld_total and the event shedding_withheld, once each time that withholding begins, show it. callers_taken_again after timed shedding names the account that callers_sent_away named.

The begin and the end of shedding are reported to the neighbours at once. They were reported with the next periodic report, up to 1.5 s later in a domain of 60, and the neighbours count by these reports. The evaluation now comes before the sample of the link, so that an entry that resumes from a freeze does not act on a decision from before.

--- a/src/roles/gateway/caller_admission.cpp
+++ b/src/roles/gateway/caller_admission.cpp
@@ -85,16 +85,20 @@
     });
 }
 
+/// The evaluation comes first, so that shedding begins by what is known of the neighbours now:
+/// after a freeze the last decision is out of date.
 void caller_admission::update(instant now) {
+    const bool has_neighbours = exchange_ && server_ != nullptr;
+    if (has_neighbours) {
+        sample_traffic(now);
+        if (is_evaluation_due(now)) {
+            evaluate(now);
+        }
+    }
     sample_link(now);
-    if (!exchange_ || server_ == nullptr) {
+    if (!has_neighbours) {
         return;
     }
-    sample_traffic(now);
-    const std::optional<instant> due = policy_.due();
-    if (now >= next_evaluation_ || (due && now >= *due)) {
-        evaluate(now);
-    }
     update_closed_accounts(now);
     exchange_->tick(now);
 }
@@ -106,6 +110,7 @@
 void caller_admission::sample_link(instant now) {
     const traffic_counts& traffic = loop_.traffic();
     const bool shed_before = link_.is_shedding();
+    const bool withheld_before = link_.is_shedding_withheld();
     const bool full_before = link_.is_full();
     link_.observe(now, traffic.received, traffic.sent);
     if (link_.is_full() != full_before) {
@@ -114,6 +119,9 @@
                    {"send_queue_ms", millis_text(link_.send_queue_delay())},
                    {"connections", std::to_string(server_->connections())}});
     }
+    if (link_.is_shedding_withheld() && !withheld_before) {
+        record_withheld(now);
+    }
     if (link_.is_shedding() == shed_before) {
         return;
     }
@@ -122,22 +130,38 @@
     } else {
         end_shedding();
     }
-    log_event(log_level::warning, link_.is_shedding() ? "callers_sent_away" : "callers_taken_again",
-              {{"received_share", std::to_string(link_.received_share())},
-               {"send_queue_ms", millis_text(link_.send_queue_delay())},
-               {"account", shed_account_}});
+    // The neighbours count this entry as out, or as accepting again, from its next report on.
+    if (exchange_) {
+        exchange_->request_state_report();
+    }
 }
 
-/// An account that alone does not fit the link is the cause, so that only its connections are
-/// closed; those of the other accounts stay.
-void caller_admission::begin_shedding(instant now) {
+/// The account whose connections shedding closes; empty if it is all. An account that alone does
+/// not fit the link is the cause, so that only its connections are closed; those of the other
+/// accounts stay.
+std::string caller_admission::account_to_shed(instant now) const {
     const std::vector<account_demand> busiest = hooks_.top_accounts(now, 1);
-    if (policy_.has_large_account() && !busiest.empty()) {
-        shed_account_ = busiest.front().account;
-        server_->close_account(shed_account_, true);
-    } else {
+    return policy_.has_large_account() && !busiest.empty() ? busiest.front().account
+                                                           : std::string();
+}
+
+void caller_admission::record_withheld(instant now) {
+    counters_.counter("gateway_shedding_withheld_total") += 1;
+    events_.log_routine("shedding_withheld",
+                        {{"received_share", std::to_string(link_.received_share())},
+                         {"accepting", std::to_string(shedding_budget_.last_decision().accepting)},
+                         {"members", std::to_string(shedding_budget_.last_decision().members)},
+                         {"account", account_to_shed(now)}});
+}
+
+void caller_admission::begin_shedding(instant now) {
+    shed_account_ = account_to_shed(now);
+    if (shed_account_.empty()) {
         server_->shed(true);
+    } else {
+        server_->close_account(shed_account_, true);
     }
+    log_shedding("callers_sent_away", shed_account_);
 }
 
 void caller_admission::end_shedding() {
@@ -148,6 +172,14 @@
     if (!account.empty() && !stays_closed) {
         server_->close_account(account, false);
     }
+    log_shedding("callers_taken_again", account);
+}
+
+void caller_admission::log_shedding(std::string_view event, const std::string& account) const {
+    log_event(log_level::warning, event,
+              {{"received_share", std::to_string(link_.received_share())},
+               {"send_queue_ms", millis_text(link_.send_queue_delay())},
+               {"account", account}});
 }
 
 void caller_admission::sample_traffic(instant now) {
@@ -165,6 +197,11 @@
     last_traffic_ = traffic;
 }
 
+bool caller_admission::is_evaluation_due(instant now) const {
+    const auto is_due = [now](std::optional<instant> time) { return time && now >= *time; };
+    return now >= next_evaluation_ || is_due(policy_.due()) || is_due(shedding_budget_.due());
+}
+
 void caller_admission::evaluate(instant now) {
     next_evaluation_ = now + evaluation_period;
     local_load load;
@@ -176,8 +213,13 @@
             load.accounts.push_back({std::move(each), presence});
         }
     }
+    const std::vector<std::string> members = exchange_->hosts();
     const std::optional<step_back_change> change =
-        policy_.evaluate(now, load, exchange_->table(), exchange_->hosts());
+        policy_.evaluate(now, load, exchange_->table(), members);
+    shedding_budget_.evaluate(now,
+                              policy_.conditions_for_shedding(now, exchange_->table(), members),
+                              link_.is_shedding_withheld());
+    link_.allow_shedding(shedding_budget_.allows_shedding());
     counters_.gauge("gateway_neighbours") = static_cast<double>(policy_.fresh_neighbours());
     if (change) {
         apply(*change);
--- a/src/roles/gateway/caller_admission.hpp
+++ b/src/roles/gateway/caller_admission.hpp
@@ -13,6 +13,7 @@
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/gateway/link_congestion_detector.hpp"
 #include "wrenswitch/decision/membership/account_activity.hpp"
+#include "wrenswitch/decision/membership/shedding_budget.hpp"
 #include "wrenswitch/decision/membership/step_back_policy.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -21,7 +22,8 @@
 
 /// Decides whether the gateway accepts callers, as far as that depends on its link: it is not ready
 /// while it has stepped back from an account that does not fit its link, and for some seconds after
-/// its link was saturated. Does nothing while the bandwidth of the link is unknown.
+/// its link was saturated. The latter is withheld while step backs leave no budget for it. Does
+/// nothing while the bandwidth of the link is unknown.
 class caller_admission {
 public:
     struct hooks {
@@ -62,8 +64,12 @@
 private:
     void sample_link(instant now);
     void sample_traffic(instant now);
+    std::string account_to_shed(instant now) const;
+    void record_withheld(instant now);
     void begin_shedding(instant now);
     void end_shedding();
+    void log_shedding(std::string_view event, const std::string& account) const;
+    bool is_evaluation_due(instant now) const;
     void evaluate(instant now);
     void apply(const step_back_change& change);
     void update_closed_accounts(instant now);
@@ -80,6 +86,7 @@
     step_back_policy policy_;
     std::unique_ptr<neighbour_exchange> exchange_;
     ingress_server* server_ = nullptr;
+    shedding_budget shedding_budget_;
     account_labels closed_labels_;
     instant next_evaluation_{};
     /// The own traffic in bytes per second, decaying over a second.
