Extend the model of step backs by timed shedding

With SHEDDING, narrow entries shed callers at any moment at which the budget lets them. It is checked that no entry begins to shed beside a step back that the others have heard of unless more than half of the members accept callers afterwards, as far as reports can tell, and that step backs keep their own bounds beside shedding.

IGNORE_BUDGET and SHED_UNINFORMED fail as they must.

--- a/spec/checks.sh
+++ b/spec/checks.sh
@@ -48,3 +48,7 @@
 check step_back.pml fails -DNOBODY_LEFT
 check step_back.pml fails -DNO_ANNOUNCEMENT
 check step_back.pml fails -DNO_ORDER
+check step_back.pml holds -DSHEDDING
+check step_back.pml holds -DSHEDDING -DLAST_FREEZE=0 -DLAST_SHED=2
+check step_back.pml fails -DSHEDDING -DIGNORE_BUDGET
+check step_back.pml fails -DSHEDDING -DSHED_UNINFORMED
