--- a/src/roles/gateway/caller_admission.hpp
+++ b/src/roles/gateway/caller_admission.hpp
@@ -7,11 +7,13 @@
 #include <string_view>
 #include <vector>
 
+#include "roles/gateway/account_labels.hpp"
 #include "roles/gateway/neighbour_exchange.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/gateway/link_congestion_detector.hpp"
 #include "wrenswitch/decision/membership/account_activity.hpp"
+#include "wrenswitch/decision/membership/shedding_budget.hpp"
 #include "wrenswitch/decision/membership/step_back_policy.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -20,7 +22,8 @@
 
 /// Decides whether the gateway accepts callers, as far as that depends on its link: it is not ready
 /// while it has stepped back from an account that does not fit its link, and for some seconds after
-/// its link was saturated. Does nothing while the bandwidth of the link is unknown.
+/// its link was saturated. The latter is withheld while step backs leave no budget for it. Does
+/// nothing while the bandwidth of the link is unknown.
 class caller_admission {
 public:
     struct hooks {
@@ -39,7 +42,7 @@
                        const std::string& failure_domain, incarnation_id process);
 
     /// Sets the server whose connections are closed.
-    void set_server(ingress_server& server) { server_ = &server; }
+    void set_server(ingress_server& server);
 
     /// Records that an account has sent a request.
     void record_request(instant now, std::string_view account);
@@ -61,8 +64,12 @@
 private:
     void sample_link(instant now);
     void sample_traffic(instant now);
+    std::string account_to_shed(instant now) const;
+    void record_withheld(instant now);
     void begin_shedding(instant now);
     void end_shedding();
+    void log_shedding(std::string_view event, const std::string& account) const;
+    bool is_evaluation_due(instant now) const;
     void evaluate(instant now);
     void apply(const step_back_change& change);
     void update_closed_accounts(instant now);
@@ -79,6 +86,8 @@
     step_back_policy policy_;
     std::unique_ptr<neighbour_exchange> exchange_;
     ingress_server* server_ = nullptr;
+    shedding_budget shedding_budget_;
+    account_labels closed_labels_;
     instant next_evaluation_{};
     /// The own traffic in bytes per second, decaying over a second.
     instant last_sample_{};
