Test the urgent kind's share beside one account at five times its load

The goal of admission control (no kind earns less than a less urgent one by more than 0.10) was tested for a 2.5x burst, and an account at five times its load only among accounts of equal priority. The new test has an urgent kind beside three less urgent accounts of which one sends five times as much, at two engine speeds with 20 seeds each. The burst test runs 10 seeds in place of 2.

--- a/tests/decision/placement/engine_admission_load_test.cpp
+++ b/tests/decision/placement/engine_admission_load_test.cpp
@@ -47,7 +47,7 @@
             const double per_second = load * 2 * 1000.0 * speed / 9200.0;
             const std::vector<request_kind_load> kinds{urgent_kind(16),
                                                        less_urgent_kind(per_second, 2.5)};
-            for (unsigned seed = 1; seed <= 2; ++seed) {
+            for (unsigned seed = 1; seed <= 10; ++seed) {
                 BOOST_TEST_CONTEXT("speed " << speed << " load " << load << " seed " << seed) {
                     const auto before = coordinator_simulation(2, speed, false).run(kinds, seed);
                     auto with = coordinator_simulation(2, speed, true).run(kinds, seed);
@@ -89,6 +89,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(less_urgent_account_at_five_times_its_load_leaves_urgent_kind_its_value) {
+    // Guards against one less urgent account that takes the engines from a more urgent kind. Three
+    // less urgent accounts together use 0.4 of the capacity; then one of them sends five times as
+    // much, beside 16 urgent requests per second.
+    for (const double speed : {36.7, 110.0}) {
+        const double per_second = 0.4 / 3 * 2 * 1000.0 * speed / 9200.0;
+        std::vector<request_kind_load> kinds{urgent_kind(16)};
+        for (const char* account : {"a", "b", "flood"}) {
+            kinds.push_back(less_urgent_kind(per_second));
+            kinds.back().account = account;
+        }
+        kinds.back().burst_factor = 5.0;
+        for (unsigned seed = 1; seed <= 20; ++seed) {
+            BOOST_TEST_CONTEXT("speed " << speed << " seed " << seed) {
+                auto with = coordinator_simulation(2, speed, true).run(kinds, seed);
+                print("with", with);
+                for (const char* account : {"a", "b", "flood"}) {
+                    BOOST_TEST(with["urgent"].share() >= with[account].share() - 0.10);
+                }
+                BOOST_TEST(with["urgent"].refused == 0U);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(without_pressure_nothing_is_held_or_refused) {
     // Guards against a loss by the decision itself on usual days: 0.15 of the engines' capacity.
     for (const double speed : {36.7, 110.0}) {
