--- a/tests/platform/worker_standin.hpp
+++ b/tests/platform/worker_standin.hpp
@@ -55,11 +55,14 @@
         std::vector<http_header> headers{
             {"Request-Id", std::string(exchange->head().header("Request-Id"))},
             {"Server-Stamp", "stamp-" + id_},
-            {"Load-Report", "1,0,6"}};
+            {"Load-Report", load}};
         headers.insert(headers.end(), said.begin(), said.end());
         return headers;
     }
 
+    /// Running and waiting requests and slots, and the slowdown in percent if it reports one.
+    std::string load = "1,0,6";
+
     /// What it says of itself besides with each answer.
     std::vector<http_header> said;
 
