Let Retry-After of a refused request follow the other engine's backlog

The time until a request does no harm was searched up to the backlog of the best engine only. Its prefill harms urgent requests as long as the other engines are busy, so with 20 ms at the best engine and 230 ms at the other one no time was found, and the caller was given that of the floor. The search now covers the least backlog of the other engines. Some requests are held for the few milliseconds in place of a refusal.

refused_request_gets_the_time_at_which_the_other_engine_is_free fails without the change.

--- a/src/decision/placement/engine_admission.cpp
+++ b/src/decision/placement/engine_admission.cpp
@@ -313,7 +313,12 @@
                                            const share_level& level,
                                            const engine_estimate& best) const {
     const double value = expected_value(best);
+    // A prefill at a free engine harms requests that arrive while the other engines are busy, so
+    // the search covers their backlog as well. It is infinite if there is no other engine.
     double longest = std::max(best.backlog_ms, 0.0);
+    if (std::isfinite(best.other_backlog_ms)) {
+        longest = std::max(longest, best.other_backlog_ms);
+    }
     if (harm(now, request, level, after(best, longest)) > value) {
         return std::numeric_limits<double>::infinity();
     }
--- a/tests/decision/placement/engine_admission_test.cpp
+++ b/tests/decision/placement/engine_admission_test.cpp
@@ -125,6 +125,29 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(refused_request_gets_the_time_at_which_the_other_engine_is_free,
+                        admission_fixture) {
+    // Guards against a Retry-After of several seconds, the time of the floor, for a request that
+    // does harm only as long as the other engine is busy.
+    receive_urgent(16);
+    for (int index = 0; index < 8; ++index) {
+        admit(start, request("bulk", 2), 250.0);
+    }
+    competing_request held = request("bulk", 2);
+    held.held = max_hold(held.first_event_objective);
+    engine_estimate best = estimate(20.0, 250.0);
+    best.engines = 2;
+    best.other_backlog_ms = 230.0;
+    const auto decision = admission.decide(start, held, best);
+    BOOST_REQUIRE((decision.outcome == admission_outcome::refuse));
+    BOOST_TEST((decision.wait <= milliseconds(230)));
+    best = estimate(0.0, 250.0);
+    best.engines = 2;
+    best.other_backlog_ms = std::max(0.0, 230.0 - as_milliseconds(decision.wait));
+    const auto later = admission.decide(start + decision.wait, request("bulk", 2), best);
+    BOOST_TEST((later.outcome == admission_outcome::admit));
+}
+
 BOOST_FIXTURE_TEST_CASE(account_is_admitted_a_quarter_as_often_as_the_rest, admission_fixture) {
     // The floor: the engines are always too full for the less urgent kind.
     unsigned admitted = 0;
