End held reads of the store stand-in at their own timers

A held read was answered when a timer found that its time had come. The loop's timers use a coarse clock and may be some milliseconds early; then the read was kept and no timer was left for it, so that it ended only with the next call to the stand-in. Beside it a gateway logged service_call_unanswered for a read of the suspects (waitMs=1000, no byte after 1600 ms) while the stand-in was up, in the trace of a test that failed beside load.

Each read now ends by its own timer, and records still end it sooner.

--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -72,7 +72,7 @@
 void store_standin::restore_copy() {
     topics_ = copy_;
     generation_ += 1;
-    for (const held_read& read : std::exchange(held_, {})) {
+    for (const auto& [number, read] : std::exchange(held_, {})) {
         read.exchange->cut();
     }
 }
@@ -155,8 +155,7 @@
 void store_standin::read(const ingress_exchange_pointer& exchange, const std::string& topic) {
     const std::string wait = parameter(exchange, "waitMs");
     const microseconds hold = milliseconds(wait.empty() ? 0 : std::stoll(wait));
-    const held_read wanted{exchange, topic, std::stoull(parameter(exchange, "from")),
-                           monotonic_now() + hold};
+    const held_read wanted{exchange, topic, std::stoull(parameter(exchange, "from"))};
     if (wanted.from > topics_[topic].size()) {
         reply(exchange, 410, R"({"first":0})");
         return;
@@ -165,8 +164,9 @@
         answer_read(wanted);
         return;
     }
-    held_.push_back(wanted);
-    loop_.call_after(hold, [this] { answer_held(); });
+    const std::uint64_t number = ++last_held_;
+    held_.emplace(number, wanted);
+    loop_.call_after(hold, [this, number] { answer_when_due(number); });
 }
 
 void store_standin::answer_read(const held_read& read) {
@@ -185,14 +185,21 @@
 }
 
 void store_standin::answer_held() {
-    const std::vector<held_read> waiting = std::exchange(held_, {});
-    const instant now = monotonic_now();
-    for (const held_read& read : waiting) {
-        if (read.from < topics_[read.topic].size() || read.until <= now) {
-            answer_read(read);
-        } else {
-            held_.push_back(read);
+    std::erase_if(held_, [this](const auto& each) {
+        const bool has_records = each.second.from < topics_[each.second.topic].size();
+        if (has_records) {
+            answer_read(each.second);
         }
+        return has_records;
+    });
+}
+
+/// Ends a held read at its timer. The loop's timers may be some milliseconds early, so that the
+/// time isn't compared again.
+void store_standin::answer_when_due(std::uint64_t number) {
+    const auto found = held_.extract(number);
+    if (!found.empty()) {
+        answer_read(found.mapped());
     }
 }
 
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -48,7 +48,6 @@
         ingress_exchange_pointer exchange;
         std::string topic;
         std::uint64_t from = 0;
-        instant until{};
     };
 
     void serve(const ingress_exchange_pointer& exchange);
@@ -57,6 +56,7 @@
     void answer_newest(const ingress_exchange_pointer& exchange, const std::string& topic);
     void answer_read(const held_read& read);
     void answer_held();
+    void answer_when_due(std::uint64_t number);
     void reply(const ingress_exchange_pointer& exchange, unsigned status, const std::string& body,
                const std::string& type = "") const;
     static std::string parameter(const ingress_exchange_pointer& exchange, const std::string& name);
@@ -65,7 +65,8 @@
     std::map<std::string, std::vector<keyed_record>> topics_;
     std::map<std::string, std::vector<keyed_record>> copy_;
     std::uint64_t generation_ = 0;
-    std::vector<held_read> held_;
+    std::map<std::uint64_t, held_read> held_;
+    std::uint64_t last_held_ = 0;
     std::vector<ingress_exchange_pointer> unanswered_;
     std::unique_ptr<ingress_server> server_;
 };
