Split the soak fleet by responsibility

No statement changed except for the names of two constants and one function that several files need, and the test for a whole response is a function in a header.

--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -32,6 +32,8 @@
     /// The share that a version may get which isn't proved. So large that a verdict comes in the
     /// seconds of a play.
     static constexpr double exposed_share = 0.4;
+    /// The requests per second that a cold plain worker takes.
+    static constexpr double cold_rate = 6.0;
 
     explicit soak_fleet(std::uint64_t seed);
     ~soak_fleet();
@@ -91,6 +93,9 @@
     const std::vector<std::string>& faults() const { return faults_; }
 
 private:
+    /// How long gateways that can read the store may take to know of a change.
+    static constexpr microseconds until_known = milliseconds(1500);
+
     enum class request_shape { stream, single_run, repeatable };
 
     struct client {
@@ -117,6 +122,8 @@
         bool paused = false;
     };
 
+    /// An event of the streams that workers send.
+    static std::string stream_event(int number);
     /// What the platform's list says of a worker.
     static std::string entry_of(const worker_standin& worker, int cold_left_ms = 0);
     void start_gateway(std::size_t index);
