--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -107,14 +107,18 @@
     double sum_of(const std::string& figure) {
         double sum = 0.0;
         for (const entry& each : entries) {
-            const std::string text = raw_ask(
-                each.admin, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
-            const std::size_t at = text.find("\nwrenswitch_" + figure + " ");
-            sum += at == std::string::npos ? 0.0
-                                           : std::stod(text.substr(text.find(' ', at + 1) + 1, 20));
+            sum += figure_of(each, figure);
         }
         return sum;
     }
+
+    double figure_of(const entry& each, const std::string& figure) {
+        const std::string text =
+            raw_ask(each.admin, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const std::size_t at = text.find("\nwrenswitch_" + figure + " ");
+        return at == std::string::npos ? 0.0
+                                       : std::stod(text.substr(text.find(' ', at + 1) + 1, 20));
+    }
 };
 
 }  // namespace wrenswitch::testing
