Check the observed hold time of a held placement

placement_hold_ms was not read by any test without a network. The check fails with the observation removed: 0 observations in place of 1, 0 ms in place of at least 30.

--- a/tests/roles/placement_admission_test.cpp
+++ b/tests/roles/placement_admission_test.cpp
@@ -236,6 +236,9 @@
     BOOST_TEST(!attempt.target.empty());
     BOOST_TEST(attempt.coordinator == "h1");
     BOOST_TEST(counted(*coordinator, "placements_held_total") == 1.0);
+    const histogram_metric& held = coordinator->counters.histogram("placement_hold_ms");
+    BOOST_TEST(held.count_up_to(histogram_metric::bounds_ms.size()) == 1U);
+    BOOST_TEST(held.sum_ms() >= 30.0);
     BOOST_TEST(requester->unresponsive.empty());
 }
 
