--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -34,6 +34,8 @@
     tokens prepaid = 100'000;
     std::string keys = R"(["key-1"])";
     double cold_rate = 0.0;
+    /// Zero for a gateway that knows no relays.
+    std::uint16_t relay_port = relay_bus;
 
     gateway_fixture() {
         engine.answer = [this](const ingress_exchange_pointer& exchange) {
@@ -78,7 +80,7 @@
         std::ofstream(settings_file)
             << R"({"host":"front-1","failure_domain":"z1","listen":"127.0.0.1:)" << listen
             << R"(","admin":"127.0.0.1:)" << admin << R"(","service":")" << service_address
-            << R"(","bus_endpoint":"tcp://127.0.0.1:)" << bus << R"(","relay_port":)" << relay_bus
+            << R"(","bus_endpoint":"tcp://127.0.0.1:)" << bus << R"(","relay_port":)" << relay_port
             << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300,"least_ms_per_token":50)"
             << R"(,"retry_share":0.5})";
         gateway = std::make_unique<test::child_process>(
