Split gateway.cpp by responsibility

open_servers() becomes open_ingress() and open_admin(), called in its order. The hook that logs lost logs existed twice and is shared now. Nothing behaves differently.

--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -51,7 +51,8 @@
     result<void> open_bus();
     void open_logs();
     void open_exchanges();
-    result<void> open_servers();
+    result<void> open_ingress();
+    result<void> open_admin();
     void open_metrics();
     ingress_limits current_limits() const;
     bool is_open();
--- /dev/null
+++ b/src/roles/gateway/gateway_admin.cpp
@@ -0,0 +1,68 @@
+// The part of gateway that serves the admin port and the port of the metrics.
+
+#include <utility>
+
+#include "roles/gateway/gateway.hpp"
+#include "roles/gateway/http_status.hpp"
+#include "wrenswitch/core/log.hpp"
+
+namespace wrenswitch {
+
+result<void> gateway::open_admin() {
+    http_server_settings admin;
+    admin.address = settings_.admin.host;
+    admin.port = settings_.admin.port;
+    auto server = http_server::start(
+        loop_, admin, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); });
+    if (!server) {
+        return server.error();
+    }
+    admin_ = std::move(server.value());
+    open_metrics();
+    return outcome::success();
+}
+
+/// Serves the metrics on a separate port as well, for scrapers that can't be configured to use the
+/// admin port. The gateway works without it if the port is taken.
+void gateway::open_metrics() {
+    if (settings_.metrics_port == 0) {
+        return;
+    }
+    http_server_settings settings;
+    settings.address = settings_.admin.host;
+    settings.port = settings_.metrics_port;
+    auto server = http_server::start(
+        loop_, settings, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); });
+    if (!server) {
+        log_event(log_level::warning, "metrics_port_taken", {{"reason", server.error().message}});
+        return;
+    }
+    metrics_server_ = std::move(server.value());
+}
+
+/// True if the gateway is ready, as far as that doesn't depend on its link.
+bool gateway::is_open() {
+    return !stopping_ && configuration_.is_loaded() && ledger_->live() &&
+           target_follower_->live() && suspects_->ready() && !is_isolated();
+}
+
+void gateway::serve_admin(const http_exchange_pointer& exchange) {
+    if (exchange->path() == dialect_.ready_path) {
+        const bool is_ready = is_open() && admission_.accepts_callers();
+        exchange->reply(is_ready ? status_ok : status_unavailable, {}, is_ready ? "ready\n" : "\n");
+        return;
+    }
+    if (exchange->path() == "/metrics") {
+        metrics_.gauge("gateway_requests_under_way") =
+            static_cast<double>(context_->active_requests.size());
+        metrics_.gauge("gateway_refused_share") = lag_monitor_.overload().refused_share();
+        metrics_.gauge("gateway_connections") = static_cast<double>(ingress_->connections());
+        admission_.export_gauges();
+        exchange->reply(status_ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                        metrics_.to_prometheus_text());
+        return;
+    }
+    exchange->reply(status_not_found, {}, "");
+}
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/gateway_rollout_hooks.cpp
+++ b/src/roles/gateway/gateway_rollout_hooks.cpp
@@ -1,21 +1,9 @@
 // The part of gateway that tells rollouts of targets and requests.
 
-#include <functional>
-
 #include "roles/gateway/gateway.hpp"
+#include "roles/gateway/gateway_wiring.hpp"
 
 namespace wrenswitch {
-namespace {
-
-/// Creates a hook that logs when a log becomes unreachable or reachable again.
-std::function<void(bool)> reachable_hook(const std::string& log) {
-    return [log](bool reachable) {
-        log_event(reachable ? log_level::information : log_level::warning,
-                  reachable ? "log_regained" : "log_lost", {{"log", log}});
-    };
-}
-
-}  // namespace
 
 gateway_rollouts::hooks gateway::rollout_hooks() {
     const auto in_force = [this](const rollout_order& order, const version_set& excluded) {
@@ -29,7 +17,7 @@
         }
     };
     return {in_force, ordered, [this](const rollout_order& order) { return count_targets(order); },
-            reachable_hook(dialect_.rollout_log)};
+            make_reachable_hook(dialect_.rollout_log)};
 }
 
 /// Counts the targets of the old and of the new version. Unknown until the list of targets has been
