--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 
 #include "soak/soak_fleet.hpp"
+#include "soak/soak_seeds.hpp"
 
 namespace {
 
@@ -25,11 +25,6 @@
     45304,
 };
 
-std::uint64_t from_environment(const char* name, std::uint64_t fallback) {
-    const char* text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 /// Whether a play ends with a request that crashes its workers, workers that report on themselves,
 /// and a store that is restored from a copy. The kept seeds failed in plays without these parts and
 /// are replayed without them.
