Report what entries logged of a request that failed in the soak

A failed request is now reported with its state, its connection, and the lines that running entries logged of it.

--- a/tests/soak/contended_caller.cpp
+++ b/tests/soak/contended_caller.cpp
@@ -126,10 +126,11 @@
         result_.refused += 1;
     } else {
         result_.failed += 1;
-        failures_ += " " + ended.id + " at entry " + std::to_string(ended.on.entry) + ", request " +
-                     std::to_string(ended.on.requests) + " of its connection, after " +
-                     std::to_string((now - ended.sent_at) / milliseconds(1)) + " ms: \"" +
-                     text.substr(0, text.find("\r\n")) + "\";";
+        failures_[ended.id] = "entry " + std::to_string(ended.on.entry) + ", request " +
+                              std::to_string(ended.on.requests) + " of its connection, " +
+                              (ended.on.socket.ended() ? "closed" : "open") + " after " +
+                              std::to_string((now - ended.sent_at) / milliseconds(1)) + " ms: \"" +
+                              text.substr(0, text.find("\r\n")) + "\"";
     }
 }
 
--- a/tests/soak/contended_caller.hpp
+++ b/tests/soak/contended_caller.hpp
@@ -82,8 +82,8 @@
     /// Responses that were complete at a target and did not reach their caller.
     const std::vector<std::string>& undelivered() const { return undelivered_; }
 
-    /// What each failed request got and where.
-    const std::string& failures() const { return failures_; }
+    /// The identifier of each failed request, with what it got and where.
+    const std::map<std::string, std::string>& failures() const { return failures_; }
 
     /// The longest time without a served request, including the one that has not ended.
     microseconds longest_gap(instant now) const;
@@ -123,7 +123,7 @@
     std::vector<connection> idle_;
     std::vector<request> open_;
     outcome result_;
-    std::string failures_;
+    std::map<std::string, std::string> failures_;
     instant last_served_{};
     microseconds longest_gap_{};
     std::vector<std::string> undelivered_;
--- a/tests/soak/contended_checks.cpp
+++ b/tests/soak/contended_checks.cpp
@@ -1,6 +1,7 @@
 // What a contended domain has to hold, and what is seen of it.
 
 #include <algorithm>
+#include <sstream>
 
 #include "soak/contended_domain.hpp"
 
@@ -93,6 +94,20 @@
     check_callers(now);
 }
 
+/// What the entries that still run logged of a request.
+std::string contended_domain::log_lines_of(const std::string& request) const {
+    std::string found;
+    for (const gateway& each : gateways_) {
+        std::istringstream lines(each.process->output());
+        for (std::string line; std::getline(lines, line);) {
+            if (line.find("request=" + request + " ") != std::string::npos) {
+                found += "\n" + line;
+            }
+        }
+    }
+    return found;
+}
+
 void contended_domain::check_callers(instant now) {
     for (const contended_caller& each : callers_) {
         for (const std::string& response : each.undelivered()) {
@@ -106,7 +121,10 @@
         if (result.refused + result.failed > 0) {
             broken_.push_back(each.account() + ": " + std::to_string(result.refused) +
                               " requests refused and " + std::to_string(result.failed) +
-                              " failed although no fault affected their entry:" + each.failures());
+                              " failed although no fault affected their entry");
+            for (const auto& [id, failure] : each.failures()) {
+                broken_.push_back(id + " failed: " + failure + log_lines_of(id));
+            }
         }
         if (each.longest_gap(now) > max_unserved_time) {
             broken_.push_back(each.account() + ": no request served for " +
--- a/tests/soak/contended_domain.hpp
+++ b/tests/soak/contended_domain.hpp
@@ -98,6 +98,7 @@
     void check_accepting(instant now);
     void check_results(instant now);
     void check_callers(instant now);
+    std::string log_lines_of(const std::string& request) const;
     std::string summarize_callers(instant now) const;
     std::size_t count_stepped_back() const;
 
