Check the delay of the other accounts at the target, at p99 without an allowance

The test measured whole responses at p90 and allowed 15 ms for scheduling. Its trace shows another cause: the sockets of the tests had Nagle's algorithm on, so that the end of each request waited 40 ms for a delayed acknowledgement, in the baseline too (p99 87.6 ms). The time until the request reaches the target is measured now, at p99 of the 120 requests of both accounts together.

The fixture moves to a header, so that further live tests use it.

--- a/tests/platform/link_sharing_live_test.cpp
+++ b/tests/platform/link_sharing_live_test.cpp
@@ -1,156 +1,49 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <map>
 
-#include "platform/gateway_fleet.hpp"
-#include "support/loopback_proxy.hpp"
+#include "platform/link_sharing_fleet.hpp"
 
 namespace {
 
 using namespace wrenswitch;
 using namespace wrenswitch::testing;
 
-/// A real wrengate whose link to its target carries 2 Mbit/s, and callers of three accounts.
-struct link_sharing_fixture : gateway_fleet {
-    static constexpr double link_bytes_per_second = 250'000.0;
-    static constexpr std::size_t body_bytes = 4000;
-
-    struct call {
-        std::string account;
-        instant begun{};
-        raw_socket socket;
-    };
-
-    struct outcome {
-        std::vector<double> served_ms;
-        std::size_t refused = 0;
-        std::size_t other = 0;
-        std::string last_refusal;
-    };
-
-    throttled_link link{link_bytes_per_second};
-    worker_standin worker{loop, "i-plain"};
-    std::uint16_t worker_port = static_cast<std::uint16_t>(
-        std::stoul(worker.address().substr(worker.address().find(':') + 1)));
-    loopback_proxy proxy{loop, worker_port};
-    std::vector<call> calls;
-    std::map<std::string, outcome> outcomes;
-    std::size_t next_id = 0;
-
-    link_sharing_fixture() : gateway_fleet(1) {
-        proxy.request_link = &link;
-        store.put("keyed.op", "config",
-                  R"({"version":1,"routes":[{"name":"long","host":"h.test","pathPrefix":"/long/",
-              "kind":"idempotent","timeoutMs":4000,"targetLatencyMs":1000,"service":"app",
-              "maxAttempts":1},
-             {"name":"dead","host":"h.test","pathPrefix":"/dead/","kind":"idempotent",
-              "timeoutMs":4000,"targetLatencyMs":1000,"service":"dead","maxAttempts":2}],
-            "services":[{"name":"app","healthPath":"/health","maxConns":600},
-             {"name":"dead","healthPath":"/health","maxConns":600}],
-            "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":1000,
-              "idleTimeoutMs":10000},
-            "tenants":[{"name":"a","apiKeys":["key-a"]},{"name":"b","apiKeys":["key-b"]},
-              {"name":"flood","apiKeys":["key-flood"]}]})");
-        std::string listed = worker.list_entry("app");
-        listed.replace(listed.find(worker.address()), worker.address().size(),
-                       "127.0.0.1:" + std::to_string(proxy.port()));
-        store.put("keyed.servers", worker.id(), listed);
-    }
-
-    void begin(const std::string& account, const std::string& path = "/long/x") {
-        raw_socket socket = raw_socket::connect(entries[0].listen);
-        socket.send("POST " + path + " HTTP/1.1\r\nHost: h.test\r\nRequest-Id: r" +
-                    std::to_string(next_id++) + "\r\nCredential: key-" + account +
-                    "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
-                    std::string(body_bytes, 'x'));
-        calls.push_back({account, monotonic_now(), std::move(socket)});
-    }
-
-    void collect() {
-        std::erase_if(calls, [this](call& each) {
-            const std::string& text = each.socket.received();
-            if (text.find("\r\n\r\n") == std::string::npos && !each.socket.ended()) {
-                return false;
-            }
-            outcome& result = outcomes[each.account];
-            if (text.starts_with("HTTP/1.1 200 ")) {
-                result.served_ms.push_back(as_milliseconds(monotonic_now() - each.begun));
-            } else if (text.starts_with("HTTP/1.1 503 ")) {
-                result.refused += 1;
-                result.last_refusal = text;
-            } else {
-                result.other += 1;
-            }
-            return true;
-        });
-    }
-
-    /// Sends steady loads, as requests per second by account, and collects what comes back.
-    void offer(microseconds length, const std::map<std::string, double>& loads) {
-        outcomes.clear();
-        std::map<std::string, instant> due;
-        const instant end = monotonic_now() + length;
-        while (monotonic_now() < end) {
-            for (const auto& [account, rate] : loads) {
-                instant& next = due.try_emplace(account, monotonic_now()).first->second;
-                for (; next <= monotonic_now(); next += from_seconds(1.0 / rate)) {
-                    begin(account);
-                }
-            }
-            run_for(milliseconds(1));
-            collect();
-        }
-        run_until(
-            [this] {
-                collect();
-                return calls.empty();
-            },
-            seconds(6));
-    }
-
-    /// Begins a connection that may never be accepted.
-    static int connect_without_waiting(std::uint16_t port) {
-        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        return descriptor;
-    }
-
-    double quantile_ms(const std::string& account, double quantile) {
-        std::vector<double>& times = outcomes[account].served_ms;
-        BOOST_REQUIRE(!times.empty());
-        std::sort(times.begin(), times.end());
-        return times[static_cast<std::size_t>(quantile * static_cast<double>(times.size() - 1))];
-    }
-};
+/// Begins a connection that may never be accepted.
+int connect_without_waiting(std::uint16_t port) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    return descriptor;
+}
 
 }  // namespace
 
-BOOST_FIXTURE_TEST_SUITE(link_sharing_live_test, link_sharing_fixture)
+BOOST_FIXTURE_TEST_SUITE(link_sharing_live_test, link_sharing_fleet)
 
-/// Load: two accounts with 0.16 of the link each and one with five times the link, for 5 s. Guards
-/// against others' requests that wait behind those of the flooding account. The 15 ms allow for the
-/// scheduling of the test's own processes.
+/// Load: two accounts with 0.16 of the link each and one with five times the link, for 6 s. Guards
+/// against others' requests that wait behind those of the flooding account.
 BOOST_AUTO_TEST_CASE(flooding_account_is_refused_and_the_others_are_served_in_time) {
+    constexpr microseconds length = seconds(6);
     more_settings = R"(,"link_mbps":2,"share_link":true)";
     start_all();
-    offer(seconds(5), {{"a", 10.0}, {"b", 10.0}});
-    const double before = std::max(quantile_ms("a", 0.9), quantile_ms("b", 0.9));
-    offer(seconds(5), {{"a", 10.0}, {"b", 10.0}, {"flood", 312.0}});
+    offer(length, {{"a", 10.0}, {"b", 10.0}});
+    const double before = arrival_quantile_ms(0.99);
+    offer(length, {{"a", 10.0}, {"b", 10.0}, {"flood", 312.0}});
+    const double with_flood = arrival_quantile_ms(0.99);
+    BOOST_TEST_MESSAGE("p99 " << before << " ms, with flood " << with_flood << " ms");
+    BOOST_TEST(with_flood <= 1.5 * before);
     for (const char* account : {"a", "b"}) {
-        const double with_flood = quantile_ms(account, 0.9);
-        BOOST_TEST_MESSAGE("p90 " << before << " ms, with flood " << with_flood << " ms");
-        BOOST_TEST(with_flood <= 1.5 * before + 15.0);
         BOOST_TEST(outcomes[account].refused + outcomes[account].other == 0U);
     }
     const outcome& flood = outcomes["flood"];
     BOOST_TEST(flood.other == 0U);
     BOOST_TEST(flood.refused > flood.served_ms.size());
     // At least its equal share of the capacity, and what the others leave.
-    const double flood_rate = static_cast<double>(flood.served_ms.size() * body_bytes) / 5.0;
+    const double flood_rate =
+        static_cast<double>(flood.served_ms.size() * body_bytes) / as_seconds(length);
     BOOST_TEST_MESSAGE("flood served " << flood_rate << " bytes/s, refused " << flood.refused);
     BOOST_TEST(flood_rate > 0.4 * link_bytes_per_second);
     // Half of the objective, and half a second of promises to others that were refused.
--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,9 @@
     explicit raw_socket(int descriptor = -1) : descriptor_(descriptor) {
         if (descriptor_ >= 0) {
             ::fcntl(descriptor_, F_SETFL, ::fcntl(descriptor_, F_GETFL, 0) | O_NONBLOCK);
+            // Otherwise the end of a message waits up to 40 ms for a delayed acknowledgement.
+            const int immediately = 1;
+            ::setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &immediately, sizeof immediately);
         }
     }
     ~raw_socket() { close(); }
@@ -34,8 +38,12 @@
         return *this;
     }
 
-    static raw_socket connect(std::uint16_t port) {
+    /// With a receive buffer of about so many bytes, if given.
+    static raw_socket connect(std::uint16_t port, int receive_buffer = 0) {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        if (receive_buffer > 0) {
+            ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+        }
         sockaddr_in address = loopback(port);
         ::connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
         return raw_socket(descriptor);
