Name the account behind a late request in its request_ended line

From the id of a late request nothing led to the account that filled the link unless share_link was on. If a first response is later than the route's objective, or a request ends unserved, and the link was above half of its bandwidth meanwhile, request_ended now has link_share, link_account and link_account_share. Requests that link sharing refuses on their heads have them too.

The fraction is of the bytes offered by all accounts, or of those received or written if these are more, so that an account isn't blamed for a link that the store fills. Without link_mbps nothing changes.

A served request that was late because of another account is written also if it isn't in the sample; otherwise its id would lead nowhere in 19 of 20 cases. It shares the bound of the sampled lines.

The live test failed with the history off: no line of the late request.

--- a/include/wrenswitch/decision/ingress/account_usage.hpp
+++ b/include/wrenswitch/decision/ingress/account_usage.hpp
@@ -51,6 +51,10 @@
     /// within the last few seconds and requests without an account are omitted.
     std::vector<account_demand> top(instant now, std::size_t count) const;
 
+    /// The bytes per second of all accounts together, each in its busier direction, and of requests
+    /// without an account.
+    double total(instant now) const;
+
     /// The rates of an account, all zero if it is unknown.
     account_rates rates(instant now, std::string_view account) const;
 
--- a/src/decision/ingress/account_usage.cpp
+++ b/src/decision/ingress/account_usage.cpp
@@ -91,6 +91,14 @@
     return demands;
 }
 
+double account_usage::total(instant now) const {
+    double sum = 0.0;
+    for (const auto& [account, kept] : entries_) {
+        sum += decayed(kept, now).busier_direction();
+    }
+    return sum;
+}
+
 account_rates account_usage::rates(instant now, std::string_view account) const {
     const auto found = entries_.find(account);
     return found == entries_.end() ? account_rates{} : decayed(found->second, now);
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -85,7 +85,7 @@
     microseconds next_target_retry_after();
     void on_no_target(bool all_cold);
     void count_by_region(std::string_view counter) const;
-    void record_first_response() const;
+    void record_first_response();
     void refuse_without_target(bool all_cold);
     upstream_hooks hooks_for(unsigned attempt);
 
@@ -123,7 +123,11 @@
     void charge_unobserved_output();
     void abort_response(std::string_view reason);
     void forward_response();
+    std::optional<link_peak> peak_while_waiting() const;
+    bool is_due_to_another_account(const std::optional<link_peak>& peak) const;
     void record_end(std::string_view outcome, unsigned status);
+    void trace_end(instant now, std::string_view outcome, unsigned status, bool served,
+                   const std::optional<link_peak>& peak);
     void finish(std::string_view outcome, unsigned status);
 
     gateway_context& context_;
@@ -170,6 +174,8 @@
     /// True once the caller has disconnected. The response is then read only to charge the tokens
     /// that were produced.
     bool cancelled_ = false;
+    /// The highest use of the link before the first response, if that was late.
+    std::optional<link_peak> late_peak_;
     bool ended_ = false;
 };
 
--- a/src/roles/gateway/forwarded_request_end.cpp
+++ b/src/roles/gateway/forwarded_request_end.cpp
@@ -79,16 +79,26 @@
 }
 
 /// Counts a response, or the first event of a stream, that is later than the objective of its
-/// route.
-void forwarded_request::record_first_response() const {
+/// route, and keeps how full the link was meanwhile.
+void forwarded_request::record_first_response() {
     const microseconds objective = admitted_.route.first_response_objective;
     if (objective > microseconds(0) &&
         monotonic_now() - exchange_->received() + exchange_->waited() > objective) {
         count_by_region("gateway_late_by_region_total");
         context_.sharing.record_late(monotonic_now(), admitted_.key_owner);
+        late_peak_ = peak_while_waiting();
     }
 }
 
+std::optional<link_peak> forwarded_request::peak_while_waiting() const {
+    return context_.sharing.peak_since(monotonic_now(),
+                                       exchange_->received() - exchange_->waited());
+}
+
+bool forwarded_request::is_due_to_another_account(const std::optional<link_peak>& peak) const {
+    return peak && !peak->account.empty() && peak->account != admitted_.key_owner;
+}
+
 /// Increments a counter that is labelled with the region of this gateway, to which the caller
 /// connected, and that of the last target. The label is empty for a failure domain without a region
 /// or if there is no target.
@@ -99,11 +109,10 @@
     context_.counters.counter(labelled(counter, {caller, target})) += 1;
 }
 
-/// Counts the outcome and logs the trace: of every request that failed, and of a sample of the
-/// others.
+/// Counts the outcome and logs the trace: of every request that failed, of every one that was late
+/// while another account used the link the most, and of a sample of the others.
 void forwarded_request::record_end(std::string_view outcome, unsigned status) {
     const bool served = outcome == "served" && status < first_server_error;
-    const bool has_content = !served && !admitted_.service.empty();
     const instant now = monotonic_now();
     const microseconds duration = now - exchange_->received();
     const std::string_view outcome_label = served ? "served" : (status == 0 ? "cut" : "failed");
@@ -111,28 +120,40 @@
                                                  : "gateway_requests_by_region_total");
     context_.counters.histogram(labelled("gateway_request_ms", {{"outcome", outcome_label}}))
         .observe(duration);
-    trace_.add(now, "request_ended",
-               {{"outcome", std::string(outcome)},
-                {"status", std::to_string(status)},
-                {"route", admitted_.route.name},
-                {"configuration", std::to_string(context_.configuration.current().version)},
-                {"account", admitted_.account},
-                {"fingerprint", has_content ? suspicion_.fingerprint().to_hex() : ""},
-                {"target", target_},
-                {"target_region", std::string(context_.targets.region_of(target_))},
-                {"allowed_regions", describe(admitted_.regions)},
-                {"attempts", std::to_string(history_.attempt_number())},
-                {"tokens", std::to_string(charge_.spent())},
-                {"prompt", std::to_string(charge_.prompt_spent())},
-                {"longest_pause_ms", millis_text(stream_timing_.longest_gap())},
-                {"took_ms", millis_text(duration)}});
+    const std::optional<link_peak> peak = served || late_peak_ ? late_peak_ : peak_while_waiting();
+    trace_end(now, outcome, status, served, peak);
     const bool should_log =
-        !served || request_trace::is_sampled(trace_.id(), context_.settings.log_served_percent);
+        !served || is_due_to_another_account(peak) ||
+        request_trace::is_sampled(trace_.id(), context_.settings.log_served_percent);
     if (should_log) {
         context_.log.log_request(trace_, !served);
     }
 }
 
+void forwarded_request::trace_end(instant now, std::string_view outcome, unsigned status,
+                                  bool served, const std::optional<link_peak>& peak) {
+    const bool has_content = !served && !admitted_.service.empty();
+    std::vector<log_field> fields{
+        {"outcome", std::string(outcome)},
+        {"status", std::to_string(status)},
+        {"route", admitted_.route.name},
+        {"configuration", std::to_string(context_.configuration.current().version)},
+        {"account", admitted_.account},
+        {"fingerprint", has_content ? suspicion_.fingerprint().to_hex() : ""},
+        {"target", target_},
+        {"target_region", std::string(context_.targets.region_of(target_))},
+        {"allowed_regions", describe(admitted_.regions)},
+        {"attempts", std::to_string(history_.attempt_number())},
+        {"tokens", std::to_string(charge_.spent())},
+        {"prompt", std::to_string(charge_.prompt_spent())},
+        {"longest_pause_ms", millis_text(stream_timing_.longest_gap())},
+        {"took_ms", millis_text(now - exchange_->received())}};
+    if (peak) {
+        link_sharing::append_peak(fields, *peak);
+    }
+    trace_.add(now, "request_ended", fields);
+}
+
 void forwarded_request::finish(std::string_view outcome, unsigned status) {
     ended_ = true;
     token_wait_.reset();
--- a/src/roles/gateway/link_sharing.cpp
+++ b/src/roles/gateway/link_sharing.cpp
@@ -50,7 +50,8 @@
 
 link_sharing::link_sharing(parts used)
     : parts_(std::move(used)),
-      scheduler_(parts_.settings.shares_link ? parts_.settings.link_bytes_per_second : 0.0) {}
+      scheduler_(parts_.settings.shares_link ? parts_.settings.link_bytes_per_second : 0.0),
+      peaks_(parts_.settings.link_bytes_per_second) {}
 
 link_sharing::~link_sharing() {
     *alive_ = false;
@@ -78,6 +79,10 @@
     const link_bytes bus = parts_.bus_bytes();
     scheduler_.observe(now, {callers.received - refused_bytes_, callers.sent},
                        {store.received + bus.received + refused_bytes_, store.sent + bus.sent});
+    peaks_.observe(
+        now,
+        {callers.received + store.received + bus.received, callers.sent + store.sent + bus.sent},
+        usage_);
 }
 
 /// Requests that no account and route can be found for proceed, since they are answered without a
@@ -184,16 +189,7 @@
     request_trace trace;
     trace.begin(head.id, since);
     trace_state(now, trace, "link_refused", head.account, now - since);
-    trace.add(now, "request_ended",
-              {{"outcome", std::string(refusal_reason)},
-               {"status", std::to_string(status_unavailable)},
-               {"route", head.route},
-               {"configuration", std::to_string(parts_.configuration.current().version)},
-               {"account", head.account},
-               {"priority", std::to_string(head.request.priority)},
-               {"bytes", std::to_string(static_cast<std::uint64_t>(head.request.bytes))},
-               {"retry_after_ms", millis_text(retry_after)},
-               {"took_ms", millis_text(now - since)}});
+    trace_refusal(now, trace, head, since, retry_after);
     parts_.log.log_head_refusal(trace);
     return {head_action::refuse,
             status_unavailable,
@@ -201,6 +197,25 @@
             std::string(refusal_reason) + "\n"};
 }
 
+/// Adds the end of a refused request to its trace.
+void link_sharing::trace_refusal(instant now, request_trace& trace, const head_summary& head,
+                                 instant since, microseconds retry_after) {
+    std::vector<log_field> fields{
+        {"outcome", std::string(refusal_reason)},
+        {"status", std::to_string(status_unavailable)},
+        {"route", head.route},
+        {"configuration", std::to_string(parts_.configuration.current().version)},
+        {"account", head.account},
+        {"priority", std::to_string(head.request.priority)},
+        {"bytes", std::to_string(static_cast<std::uint64_t>(head.request.bytes))},
+        {"retry_after_ms", millis_text(retry_after)},
+        {"took_ms", millis_text(now - since)}};
+    if (const std::optional<link_peak> peak = peak_since(now, since)) {
+        append_peak(fields, *peak);
+    }
+    trace.add(now, "request_ended", fields);
+}
+
 void link_sharing::resolve() {
     const instant now = monotonic_now();
     observe(now);
@@ -295,6 +310,18 @@
          {"waiting_all", std::to_string(scheduler_.waiting())}});
 }
 
+std::optional<link_peak> link_sharing::peak_since(instant now, instant begun) {
+    observe(now);
+    // The sample before the wait, since a short wait may have none.
+    return peaks_.highest_since(begun - link_peak_history::sample_period);
+}
+
+void link_sharing::append_peak(std::vector<log_field>& fields, const link_peak& peak) {
+    fields.push_back({"link_share", std::to_string(peak.utilization)});
+    fields.push_back({"link_account", peak.account});
+    fields.push_back({"link_account_share", std::to_string(peak.account_share)});
+}
+
 /// The label of an account in metrics. The number of labels is bounded.
 std::string link_sharing::label_of(std::string_view account) {
     if (labels_.size() < max_labels) {
--- a/src/roles/gateway/link_sharing.hpp
+++ b/src/roles/gateway/link_sharing.hpp
@@ -3,14 +3,17 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "roles/gateway/rate_limited_log.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/gateway/active_configuration.hpp"
 #include "wrenswitch/decision/ingress/account_usage.hpp"
+#include "wrenswitch/decision/ingress/link_peak_history.hpp"
 #include "wrenswitch/decision/ingress/link_scheduler.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -65,6 +68,13 @@
     void trace_state(instant now, request_trace& trace, std::string_view event,
                      std::string_view account, microseconds waited) const;
 
+    /// The highest use of the link since a request began to wait. Nothing if it was never above
+    /// half of the bandwidth, or if that is unknown.
+    std::optional<link_peak> peak_since(instant now, instant begun);
+
+    /// Adds the fields `link_share`, `link_account` and `link_account_share` to those of a line.
+    static void append_peak(std::vector<log_field>& fields, const link_peak& peak);
+
     const account_usage& usage() const { return usage_; }
 
 private:
@@ -96,11 +106,14 @@
                          microseconds retry_after);
     void resolve();
     void schedule_resolve(instant now);
+    void trace_refusal(instant now, request_trace& trace, const head_summary& head, instant since,
+                       microseconds retry_after);
     std::string label_of(std::string_view account);
 
     parts parts_;
     account_usage usage_;
     link_scheduler scheduler_;
+    link_peak_history peaks_;
     std::map<std::uint64_t, held_request> held_;
     std::map<std::string, route_sizes, std::less<>> sizes_;
     std::uint64_t refused_bytes_ = 0;
--- a/src/roles/gateway/request_trace.cpp
+++ b/src/roles/gateway/request_trace.cpp
@@ -12,6 +12,10 @@
 
 void request_trace::add(instant now, std::string_view event,
                         std::initializer_list<log_field> fields) {
+    add(now, event, std::span<const log_field>(fields.begin(), fields.size()));
+}
+
+void request_trace::add(instant now, std::string_view event, std::span<const log_field> fields) {
     if (steps_.size() >= max_steps) {
         dropped_steps_ += 1;
         return;
--- a/src/roles/gateway/request_trace.hpp
+++ b/src/roles/gateway/request_trace.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,7 @@
     /// Adds a decision with the inputs that determined it. Beyond a limit only the number of
     /// decisions is kept.
     void add(instant now, std::string_view event, std::initializer_list<log_field> fields);
+    void add(instant now, std::string_view event, std::span<const log_field> fields);
 
     /// Logs all decisions, each with its time since the arrival of the request.
     void write() const;
--- a/tests/platform/link_sharing_live_test.cpp
+++ b/tests/platform/link_sharing_live_test.cpp
@@ -59,6 +59,7 @@
     const std::string log = entries[0].process->output();
     BOOST_TEST(log.find("outcome=link_share") != std::string::npos);
     BOOST_TEST(log.find("event=link_refused") != std::string::npos);
+    BOOST_TEST(log.find(" link_account=flood ") != std::string::npos);
     BOOST_TEST(log.find("event=callers_sent_away") == std::string::npos);
 }
 
