Send a whole response to a slow reader before its connection ends

A connection that isn't kept (the caller asks for its end, or the entry sheds or drains) was closed 500 ms after its answer was written to it, whatever was still unsent. A caller that read slowly lost the rest of a complete response: 3.8 of 16 MB arrived in the new test before the change. The 500 ms begin once all is written now. A peer that takes nothing for the head timeout is given up, which the second test covers.

ingress_server_test: 20 of 20 cases pass with the change; before it, slow_reader_gets_a_whole_answer_on_a_connection_that_ends failed with [3768320 <=].

--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -279,19 +279,31 @@
     phase_ = phase::lingering;
     gone_hook_ = {};
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
-    context_.loop.call_after(linger_time, [self = shared_from_this()] { self->close(); });
-    // The write side ends once all is written; libevent has no call for that, so it is looked for.
-    const auto shut = [](const std::shared_ptr<ingress_connection>& self, const auto& again) {
-        if (!self->open()) {
-            return;
-        }
-        if (self->unsent_bytes() == 0) {
-            ::shutdown(bufferevent_getfd(self->stream_), SHUT_WR);
-            return;
-        }
-        self->context_.loop.call_after(milliseconds(10), [self, again] { again(self, again); });
-    };
-    shut(shared_from_this(), shut);
+    finish_writing(unsent_bytes(), monotonic_now());
+}
+
+/// Ends the write side once all is written, and the connection a moment later. A peer that takes
+/// nothing for the head timeout is given up. libevent has no call for the end of writing, so it is
+/// looked for.
+void ingress_connection::finish_writing(std::size_t unsent_before, instant progress_at) {
+    if (!open()) {
+        return;
+    }
+    const std::size_t unsent = unsent_bytes();
+    if (unsent == 0) {
+        ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
+        context_.loop.call_after(linger_time, [self = shared_from_this()] { self->close(); });
+        return;
+    }
+    const instant now = monotonic_now();
+    const instant progress = unsent < unsent_before ? now : progress_at;
+    if (now - progress > limits_.head_timeout) {
+        close();
+        return;
+    }
+    context_.loop.call_after(milliseconds(10), [self = shared_from_this(), unsent, progress] {
+        self->finish_writing(unsent, progress);
+    });
 }
 
 void ingress_connection::abort() {
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -81,6 +81,7 @@
     void refuse(unsigned status) { refuse(head_decision{head_action::refuse, status, {}, {}}); }
     void peer_gone();
     void linger();
+    void finish_writing(std::size_t unsent_before, instant progress_at);
     void close();
     void set_read_timeout(microseconds length);
     void timed_out();
--- a/tests/drivers/ingress_server_test.cpp
+++ b/tests/drivers/ingress_server_test.cpp
@@ -291,4 +291,29 @@
     BOOST_TEST(!socket.ended());
 }
 
+/// Guards against responses that are cut because their callers read slowly, when the connection
+/// ends after them: because the entry drains or sheds, or the caller asks for it.
+BOOST_AUTO_TEST_CASE(slow_reader_gets_a_whole_answer_on_a_connection_that_ends) {
+    constexpr std::size_t answer_bytes = 16'000'000;
+    answer_at_once = false;
+    limits.head_timeout = seconds(3);
+    raw_socket socket = raw_socket::connect(server->port(), 32'768);
+    socket.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 1; }));
+    exchanges[0]->answer(200, {}, std::string(answer_bytes, 'y'));
+    run_for(milliseconds(700));
+    BOOST_TEST(run_until([&] { return socket.ended(); }));
+    BOOST_TEST(socket.received().size() > answer_bytes);
+}
+
+/// Guards against connections that are kept for callers which never read.
+BOOST_AUTO_TEST_CASE(reader_that_stops_is_given_up_on_a_connection_that_ends) {
+    answer_at_once = false;
+    raw_socket socket = raw_socket::connect(server->port(), 32'768);
+    socket.send("GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    BOOST_REQUIRE(run_until([&] { return exchanges.size() == 1; }));
+    exchanges[0]->answer(200, {}, std::string(16'000'000, 'y'));
+    BOOST_TEST(run_until([&] { return server->connections() == 0; }, seconds(2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
