--- a/tests/support/loopback_proxy.hpp
+++ b/tests/support/loopback_proxy.hpp
@@ -28,6 +28,12 @@
         return idle_at_;
     }
 
+    /// How long the queued bytes still need.
+    microseconds backlog() const {
+        return std::max(microseconds(0),
+                        std::chrono::duration_cast<microseconds>(idle_at_ - monotonic_now()));
+    }
+
 private:
     double bytes_per_second_;
     instant idle_at_{};
@@ -52,6 +58,9 @@
     throttled_link* link = nullptr;
     /// If set, limits the bandwidth of data sent to the target.
     throttled_link* request_link = nullptr;
+    /// If set, data sent to the target waits at its sender while the link's queue is longer, as TCP
+    /// makes it. Otherwise the queue has no bound.
+    microseconds longest_queue{};
 
     /// Resets all connections that are open.
     void reset_connections() {
@@ -95,8 +104,9 @@
             }
         }
         std::erase_if(connections_, [](connection& each) {
-            return (each.near.ended() && each.to_far.empty()) ||
-                   (each.far.ended() && each.to_near.empty());
+            // Data may have arrived with the end.
+            return (each.near.ended() && each.near.received().empty() && each.to_far.empty()) ||
+                   (each.far.ended() && each.far.received().empty() && each.to_near.empty());
         });
     }
 
@@ -104,8 +114,12 @@
               throttled_link* shared_link) const {
         constexpr std::size_t most_chunk_bytes = 4096;
         const instant now = monotonic_now();
-        const std::string bytes = from.received();
-        from.forget_received();
+        const bool is_held = shared_link != nullptr && longest_queue > microseconds(0) &&
+                             shared_link->backlog() > longest_queue;
+        const std::string bytes = is_held ? "" : from.received();
+        if (!is_held) {
+            from.forget_received();
+        }
         for (std::size_t at = 0; at < bytes.size(); at += most_chunk_bytes) {
             const std::string part = bytes.substr(at, most_chunk_bytes);
             const instant transmitted =
