Allow the p99 test the longest turn of its own process, as measured in each run

The process of the test carries the bytes of callers, link and target, and while it doesn't run they stand still.

--- a/tests/platform/link_sharing_fleet.hpp
+++ b/tests/platform/link_sharing_fleet.hpp
@@ -38,6 +38,9 @@
     std::vector<call> calls;
     std::map<std::string, outcome> outcomes;
     std::size_t next_id = 0;
+    /// The longest turn of this process's loop under the last load. It carries the bytes of
+    /// callers, link and target, which all stand still meanwhile.
+    microseconds longest_turn{};
     /// Account and begin of each request of the last load, by its id.
     std::map<std::string, std::pair<std::string, instant>> begun;
 
@@ -105,7 +108,9 @@
         worker.exchanges.clear();
         std::map<std::string, instant> due;
         const instant end = monotonic_now() + length;
+        longest_turn = {};
         while (monotonic_now() < end) {
+            const instant turn = monotonic_now();
             for (const auto& [account, rate] : loads) {
                 instant& next = due.try_emplace(account, monotonic_now()).first->second;
                 for (; next <= monotonic_now(); next += from_seconds(1.0 / rate)) {
@@ -115,6 +120,7 @@
             run_for(milliseconds(1));
             meanwhile();
             collect();
+            longest_turn = std::max(longest_turn, monotonic_now() - turn);
         }
         run_until(
             [this] {
