--- a/src/decision/membership/shedding_budget.cpp
+++ b/src/decision/membership/shedding_budget.cpp
@@ -20,7 +20,7 @@
         static_cast<std::size_t>(std::count(states.begin(), states.end(), entry_state::accepting));
     const bool has_budget = conditions.step_back_suspected || is_step_back(conditions.own_state) ||
                             std::any_of(states.begin(), states.end(), is_step_back);
-    decision.is_allowed = !has_budget || 2 * decision.accepting > decision.members;
+    decision.is_allowed = !has_budget || 2 * decision.accepting >= decision.members;
     return decision;
 }
 
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -2,7 +2,9 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -282,19 +284,32 @@
     phase_ = phase::lingering;
     gone_hook_ = {};
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
-    context_.loop.call_after(linger_time, [self = shared_from_this()] { self->close(); });
-    // The write side ends once all is written; libevent has no call for that, so it is looked for.
-    const auto shut = [](const std::shared_ptr<ingress_connection>& self, const auto& again) {
-        if (!self->open()) {
-            return;
-        }
-        if (self->unsent_bytes() == 0) {
-            ::shutdown(bufferevent_getfd(self->stream_), SHUT_WR);
-            return;
-        }
-        self->context_.loop.call_after(milliseconds(10), [self, again] { again(self, again); });
-    };
-    shut(shared_from_this(), shut);
+    finish_writing(unacknowledged_bytes(), monotonic_now());
+}
+
+/// Ends the write side once all is written, and the connection a moment later. A peer that takes
+/// nothing for the head timeout is given up. libevent has no call for the end of writing, so it is
+/// looked for. Progress is measured by acknowledgements, because the system accepts more only once
+/// a third of its buffer of some megabytes is free, which takes a slow reader seconds.
+void ingress_connection::finish_writing(std::size_t bytes_before, instant progress_at) {
+    if (!open()) {
+        return;
+    }
+    if (unsent_bytes() == 0) {
+        ::shutdown(bufferevent_getfd(stream_), SHUT_WR);
+        context_.loop.call_after(linger_time, [self = shared_from_this()] { self->close(); });
+        return;
+    }
+    const instant now = monotonic_now();
+    const std::size_t bytes = unacknowledged_bytes();
+    const instant progress = bytes < bytes_before ? now : progress_at;
+    if (now - progress > limits_.head_timeout) {
+        close();
+        return;
+    }
+    context_.loop.call_after(milliseconds(10), [self = shared_from_this(), bytes, progress] {
+        self->finish_writing(bytes, progress);
+    });
 }
 
 void ingress_connection::abort() {
@@ -329,7 +344,11 @@
         evbuffer_get_length(bufferevent_get_input(stream_)) > 0) {
         return false;
     }
-    close();
+    if (unsent_bytes() == 0) {
+        close();
+    } else {
+        linger();
+    }
     return true;
 }
 
@@ -351,6 +370,13 @@
     close();
 }
 
+/// Bytes that the peer has not acknowledged, including those in the buffer of the system.
+std::size_t ingress_connection::unacknowledged_bytes() const {
+    int in_system = 0;
+    ::ioctl(bufferevent_getfd(stream_), SIOCOUTQ, &in_system);
+    return unsent_bytes() + static_cast<std::size_t>(std::max(0, in_system));
+}
+
 std::size_t ingress_connection::unsent_bytes() const {
     return stream_ == nullptr ? 0 : evbuffer_get_length(bufferevent_get_output(stream_));
 }
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -42,7 +42,8 @@
 
     void start();
 
-    /// Ends the connection now if no request is being read or answered. True if it did.
+    /// Ends the connection if no request is being read or answered: at once, or after what isn't sent
+    /// yet of its last answer. True if it does.
     bool close_if_idle();
 
     /// Writes to the peer as an exchange asks; `last` ends the answer.
@@ -85,6 +86,8 @@
     void refuse(unsigned status) { refuse(head_decision{head_action::refuse, status, {}, {}}); }
     void peer_gone();
     void linger();
+    void finish_writing(std::size_t bytes_before, instant progress_at);
+    std::size_t unacknowledged_bytes() const;
     void close();
     void set_read_timeout(microseconds length);
     void timed_out();
