Let timed shedding leave half of a domain, not more than half

The platform uses all entries of a domain once fewer than half are ready, so shedding has an effect as long as half remain. Step backs keep their own bound of less than half; one that has stepped back returns within half a second when shedding takes the fifth place.

Tests: the cases at the bound move by one entry, since the rule did. One case about links that fill one after the other becomes two: with a step back that stays (never more than half out) and with step backs that return (half out for 500 ms at most).

--- a/include/wrenswitch/decision/membership/shedding_budget.hpp
+++ b/include/wrenswitch/decision/membership/shedding_budget.hpp
@@ -33,9 +33,11 @@
 };
 
 /// Decides whether timed shedding may begin. While an entry of the failure domain has announced a
-/// step back or has stepped back, more than half of the members must accept callers afterwards, as
-/// for a step back. All announcements count as out, since shedding isn't announced itself and so
-/// has no place in their order. Without a step back shedding is always allowed, since a saturated
+/// step back or has stepped back, at least half of the members must accept callers afterwards: the
+/// platform sends callers to all members once fewer than half are ready. One more may be out than
+/// with step backs alone, whose own rule returns one then, so that shedding can take the place of a
+/// step back. All announcements count as out, since shedding isn't announced itself and so has no
+/// place in their order. Without a step back shedding is always allowed, since a saturated
 /// link of a single entry or of equal ones has no other protection.
 shedding_decision decide_shedding(const shedding_conditions& conditions);
 
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -42,8 +42,8 @@
 
     void start();
 
-    /// Ends the connection if no request is being read or answered: at once, or after what isn't sent
-    /// yet of its last answer. True if it does.
+    /// Ends the connection if no request is being read or answered: at once, or after what isn't
+    /// sent yet of its last answer. True if it does.
     bool close_if_idle();
 
     /// Writes to the peer as an exchange asks; `last` ends the answer.
