--- a/src/roles/gateway/link_sharing.cpp
+++ b/src/roles/gateway/link_sharing.cpp
@@ -28,9 +28,8 @@
 /// More routes than a configuration of the platform has; beyond, sizes are not learnt.
 constexpr std::size_t max_routes = 1024;
 
-/// The accounts whose rates are exported, and the names that metrics may ever use as labels.
+/// The accounts whose rates are exported.
 constexpr std::size_t exported_accounts = 8;
-constexpr std::size_t max_labels = 64;
 
 /// Start times are not scheduled more finely than this.
 constexpr microseconds min_resolve_delay = milliseconds(1);
@@ -178,8 +177,8 @@
     counters.counter("gateway_requests_total") += 1;
     counters.counter("gateway_link_refused_total") += 1;
     counters.counter("gateway_outcome_link_share_total") += 1;
-    counters.counter(
-        labelled("gateway_account_link_refused_total", {{"account", label_of(head.account)}})) += 1;
+    counters.counter(labelled("gateway_account_link_refused_total",
+                              {{"account", labels_.label_of(head.account)}})) += 1;
     const gateway_settings& settings = parts_.settings;
     counters.counter(labelled(
         "gateway_refused_by_region_total",
@@ -257,7 +256,7 @@
             0.0;
     }
     for (const account_demand& each : usage_.top(now, exported_accounts)) {
-        const std::string label = label_of(each.account);
+        const std::string label = labels_.label_of(each.account);
         parts_.counters.gauge(labelled("gateway_account_bytes_per_second", {{"account", label}})) +=
             each.bytes_per_second;
         top_labels_.push_back(label);
@@ -278,7 +277,7 @@
     }
     usage_.record_late(now, account);
     parts_.counters.counter(
-        labelled("gateway_account_late_total", {{"account", label_of(account)}})) += 1;
+        labelled("gateway_account_late_total", {{"account", labels_.label_of(account)}})) += 1;
 }
 
 bool link_sharing::is_resend_futile() const {
@@ -322,12 +321,4 @@
     fields.push_back({"link_account_share", std::to_string(peak.account_share)});
 }
 
-/// The label of an account in metrics. The number of labels is bounded.
-std::string link_sharing::label_of(std::string_view account) {
-    if (labels_.size() < max_labels) {
-        labels_.emplace(account);
-    }
-    return labels_.contains(account) ? std::string(account) : "other";
-}
-
 }  // namespace wrenswitch
--- a/src/roles/gateway/link_sharing.hpp
+++ b/src/roles/gateway/link_sharing.hpp
@@ -4,11 +4,11 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "roles/gateway/account_labels.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/gateway/active_configuration.hpp"
@@ -108,7 +108,6 @@
     void schedule_resolve(instant now);
     void trace_refusal(instant now, request_trace& trace, const head_summary& head, instant since,
                        microseconds retry_after);
-    std::string label_of(std::string_view account);
 
     parts parts_;
     account_usage usage_;
@@ -117,7 +116,7 @@
     std::map<std::uint64_t, held_request> held_;
     std::map<std::string, route_sizes, std::less<>> sizes_;
     std::uint64_t refused_bytes_ = 0;
-    std::set<std::string, std::less<>> labels_;
+    account_labels labels_;
     std::vector<std::string> top_labels_;
     /// When the next resolve() is due, if it is scheduled.
     std::optional<instant> resolve_due_;
