--- a/tests/soak/contended_domain_test.cpp
+++ b/tests/soak/contended_domain_test.cpp
@@ -18,10 +18,9 @@
 const std::vector<std::uint64_t> regression_seeds{
     // A request that was sent in the millisecond of its entry's kill was held against the entry.
     7104,
-    // Connections that an entry closed when it shed callers, with requests still on the link, were
-    // counted as failed requests. Callers now send such requests again. Later a request of account
-    // b
-    // got no response in 3 s on a connection that stayed open; the cause isn't known.
+    // Requests still on the link when their entry shed callers were counted as failed. Callers now
+    // send them again. Later a request of an account that doesn't flood got no response in 3 s on a
+    // connection that stayed open; the cause isn't known.
     7105,
 };
 
