Name versions and continued streams in the lines about requests

No line named a target's version, none said that a caller resumes a stream or which request began it, and none that an attempt continues a response of which the caller already has events. So three hypotheses could not be told apart: a stream that a caller resumes at another entry, one that the entry itself continues after its target was lost, and a list of targets that is out of date.

- target_listed, request_sent and request_ended name the target's version;
- stream_resumed names the stream that a caller resumes, gateway_streams_resumed_total counts them;
- stream_continued has the version that began and the one that goes on, gateway_streams_continued_total{versions=same|different} counts them.

No decision changes.

--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -33,6 +33,8 @@
     std::string account;
     std::string expected_target;
     std::string last_event;
+    /// Set by a caller that resumes a stream: the request whose response brought its first event.
+    std::string resumed_request;
     std::string priority;
     /// Carries the address of another engine from which a prompt's prefix cache is copied.
     std::string copy_from;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -45,6 +45,7 @@
     if (parse_request() && admit_request() && check_quarantine() && check_allowed_regions() &&
         check_shutdown() && check_isolation() && check_overload()) {
         set_deadline();
+        trace_resumption();
         reserve_tokens();
     }
 }
@@ -281,6 +282,7 @@
     }
     allowed_permit_wait_ = microseconds(0);
     target_ = target.id;
+    target_version_ = target.version;
     incarnation_ = incarnation_of(target);
     history_.begin_attempt(target.id);
     response_head_ = message_head{};
@@ -292,8 +294,10 @@
     if (history_.attempt_number() == 1) {
         context_.retries.record_first_try(now, admitted_.service);
     }
+    trace_continuation();
     trace_.add(now, "request_sent",
                {{"target", target_},
+                {"version", target_version_},
                 {"attempt", std::to_string(history_.attempt_number())},
                 {"load", context_.targets.describe(now, target_)},
                 {"unread_prompt", std::to_string(choice.uncached_tokens)},
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -103,6 +103,8 @@
     void on_attempt_unsent();
 
     void forward_stream(std::string_view piece);
+    void trace_resumption();
+    void trace_continuation();
     void record_events(std::size_t count);
     void end_stream();
     void handle_refusal();
@@ -143,6 +145,8 @@
 
     /// The target of the current attempt, or empty.
     std::string target_;
+    /// The software version of that target.
+    std::string target_version_;
     target_incarnation incarnation_;
     attempt_history history_;
     request_rollout rollout_;
@@ -171,6 +175,8 @@
     /// True once the response is forwarded as a stream.
     bool streaming_ = false;
     event_splitter splitter_;
+    /// The software version of the target that sent the first event of this response, if one did.
+    std::optional<std::string> stream_version_;
     /// True once the caller has disconnected. The response is then read only to charge the tokens
     /// that were produced.
     bool cancelled_ = false;
--- a/src/roles/gateway/forwarded_request_end.cpp
+++ b/src/roles/gateway/forwarded_request_end.cpp
@@ -109,6 +109,31 @@
     context_.counters.counter(labelled(counter, {caller, target})) += 1;
 }
 
+/// Names the stream that the caller resumes.
+void forwarded_request::trace_resumption() {
+    if (!request_.resumes_stream()) {
+        return;
+    }
+    context_.counters.counter("gateway_streams_resumed_total") += 1;
+    trace_.add(monotonic_now(), "stream_resumed",
+               {{"resumes", request_.resumed_request}, {"last_event", request_.last_event}});
+}
+
+/// Shows an attempt that continues a response of which the caller already has events: the version
+/// that sent the first of them and the version that continues.
+void forwarded_request::trace_continuation() {
+    if (!stream_version_) {
+        return;
+    }
+    const bool same = *stream_version_ == target_version_;
+    context_.counters.counter(labelled("gateway_streams_continued_total",
+                                       {{"versions", same ? "same" : "different"}})) += 1;
+    trace_.add(monotonic_now(), "stream_continued",
+               {{"begun_version", *stream_version_},
+                {"version", target_version_},
+                {"last_event", splitter_.last_event_id()}});
+}
+
 /// Counts the outcome and logs the trace: of every request that failed, of every one that was late
 /// while another account used the link the most, and of a sample of the others.
 void forwarded_request::record_end(std::string_view outcome, unsigned status) {
@@ -141,6 +166,7 @@
         {"account", admitted_.account},
         {"fingerprint", has_content ? suspicion_.fingerprint().to_hex() : ""},
         {"target", target_},
+        {"version", target_version_},
         {"target_region", std::string(context_.targets.region_of(target_))},
         {"allowed_regions", describe(admitted_.regions)},
         {"attempts", std::to_string(history_.attempt_number())},
--- a/src/roles/gateway/incoming_request.cpp
+++ b/src/roles/gateway/incoming_request.cpp
@@ -36,6 +36,7 @@
     request.path = head.target.substr(0, head.target.find('?'));
     request.key = head.header(dialect.key);
     request.last_event = head.header(dialect.last_event);
+    request.resumed_request = head.header(dialect.resumed_request);
     const std::string_view deadline = head.header(dialect.deadline_ms);
     if (!deadline.empty()) {
         const std::optional<std::int64_t> parsed = parse_integer(deadline);
--- a/src/roles/gateway/incoming_request.hpp
+++ b/src/roles/gateway/incoming_request.hpp
@@ -24,6 +24,12 @@
     /// The identifier of the last event that the caller received of a stream that it resumes, or an
     /// empty string.
     std::string last_event;
+    /// The identifier of the request whose response brought the first event of the stream that the
+    /// caller resumes, or an empty string.
+    std::string resumed_request;
+
+    /// True if the caller resumes a stream of which it has received events.
+    bool resumes_stream() const { return !last_event.empty() || !resumed_request.empty(); }
 };
 
 /// Parses the head of a request. The error says what is malformed.
--- a/src/roles/gateway/target_list.cpp
+++ b/src/roles/gateway/target_list.cpp
@@ -109,6 +109,7 @@
         hooks_.log_change("target_listed", {{"target", target.id},
                                             {"service", target.service},
                                             {"address", target.address},
+                                            {"version", target.version},
                                             {"started", format_start(target)},
                                             {"leaving", target.draining ? "yes" : "no"},
                                             {"cold_ms", millis_text(entry.cold_remaining)}});
