Continue a broken stream only at the version that began it

One way: a target is lost in the middle of a stream, and the entry continues the response at another target. That choice was made as for a new request: without a rollout any version was allowed, and a rollout could even demand another version than the one that began.

Evidence: stream_version_live_test/stream_continued_in_one_response_joins_no_two_versions.

Once the caller has an event, the request carries the version of the target that sent it. Each later choice, at this entry or by an engine's coordinator, is limited to that version; the choice is checked again when the request is sent, since the coordinator's list may be older. A rollout can only narrow that: a version that was rolled back, is beyond its bound or whose targets are being stopped gets no continuation (rollout_gate::continuation_constraint, stream_continuation_test). A stream that can't continue ends as no_target_of_version or stream_version_withdrawn.

The same assumption stood in rollouts: resumable streams counted as requests that may move to the new version at any time, so a rollout completed under them and the old targets, which end at once, left them to be joined there. They are waited for now like other streams.

--- a/include/wrenswitch/decision/rollout/rollout_gate.hpp
+++ b/include/wrenswitch/decision/rollout/rollout_gate.hpp
@@ -67,6 +67,14 @@
     std::optional<version_constraint> fallback_constraint(
         const version_constraint& preferred) const;
 
+    /// The constraint for a stream that has to continue at the version that began it; empty if the
+    /// rollout allows that version nothing any more. `suspected` is true for a request that may
+    /// have crashed targets, which an unproven version doesn't get.
+    std::optional<version_constraint> continuation_constraint(instant now,
+                                                              const rollout_request& request,
+                                                              const std::string& version,
+                                                              bool suspected) const;
+
     /// Starts an attempt at a target of this version. To be called right before sending: false if
     /// the request must no longer go there because the bound is used up or the phase has changed.
     bool begin_attempt(instant now, const rollout_request& request, const std::string& version,
@@ -111,6 +119,7 @@
     bool must_avoid_old(instant now, const rollout_request& request) const;
     bool may_expose(instant now, const rollout_request& request) const;
     bool may_begin_at_new(instant now) const;
+    bool may_begin_at_old(instant now, const rollout_request& request) const;
     bool has_just_completed(instant now) const;
     bool is_selected_for_canary(const rollout_request& request) const;
     double usable_fraction(instant now, const rollout_request& request) const;
--- a/src/decision/rollout/rollout_gate.cpp
+++ b/src/decision/rollout/rollout_gate.cpp
@@ -209,6 +209,22 @@
     return constraint(version_rule::only);
 }
 
+std::optional<version_constraint> rollout_gate::continuation_constraint(
+    instant now, const rollout_request& request, const std::string& version, bool suspected) const {
+    if (excluded_.contains(version)) {
+        return std::nullopt;
+    }
+    const bool is_proven = already_deployed_ || directive_.phase == rollout_phase::completed;
+    if (is_new(version)) {
+        const bool allowed = may_begin_at_new(now) && (is_proven || !suspected);
+        return allowed ? std::optional(only_new()) : std::nullopt;
+    }
+    if (!may_begin_at_old(now, request)) {
+        return std::nullopt;
+    }
+    return version_constraint{version_rule::only, version, 0, 0, excluded_};
+}
+
 bool rollout_gate::begin_attempt(instant now, const rollout_request& request,
                                  const std::string& version, const std::string& target) {
     if (excluded_.contains(version)) {
@@ -216,9 +232,7 @@
         return false;
     }
     const bool to_new = is_new(version);
-    const bool avoid_old = must_avoid_old(now, request) || has_just_completed(now);
-    const bool old_not_allowed = avoid_old && !request.no_candidates && !already_deployed_;
-    if (to_new ? !may_begin_at_new(now) : old_not_allowed) {
+    if (to_new ? !may_begin_at_new(now) : !may_begin_at_old(now, request)) {
         return false;
     }
     if (to_new) {
@@ -232,6 +246,11 @@
     return true;
 }
 
+bool rollout_gate::may_begin_at_old(instant now, const rollout_request& request) const {
+    const bool avoid_old = must_avoid_old(now, request) || has_just_completed(now);
+    return !avoid_old || request.no_candidates || already_deployed_;
+}
+
 bool rollout_gate::may_begin_at_new(instant now) const {
     if (already_deployed_) {
         return true;
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -274,6 +274,13 @@
         refuse_suspect();
         return;
     }
+    if (stream_version_ && target.version != *stream_version_) {
+        // The coordinator's list of targets is older or newer than this one.
+        suspicion_.cancel_attempt();
+        cancel_placement(attempt);
+        wait_for_versions();
+        return;
+    }
     if (!rollout_.begin_attempt(now, target)) {
         suspicion_.cancel_attempt();
         cancel_placement(attempt);
@@ -365,7 +372,7 @@
         return;
     }
     if (!context_.targets.has_untried(now, admitted_.service, excluded_targets(),
-                                      {admitted_.regions, {}})) {
+                                      current_constraints())) {
         // The target may still respond, and no other target is available.
         return;
     }
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -65,6 +65,9 @@
     void apply_reservation_outcome(reserve_outcome outcome);
 
     void dispatch();
+    std::optional<version_constraint> choose_versions();
+    candidate_constraints current_constraints() const;
+    bool has_target_of_stream_version();
     void wait_for_versions();
     void set_admission_class();
     void refuse_for_others(const target_choice& choice, const placed_attempt& attempt);
@@ -121,6 +124,7 @@
     microseconds time_left() const;
 
     void refuse(unsigned status, std::string_view reason, microseconds retry_after);
+    void refuse_interrupted(std::string_view reason, microseconds retry_after);
     void fail(unsigned status, std::string_view reason);
     void charge_unobserved_output();
     void abort_response(std::string_view reason);
@@ -175,7 +179,8 @@
     /// True once the response is forwarded as a stream.
     bool streaming_ = false;
     event_splitter splitter_;
-    /// The software version of the target that sent the first event of this response, if one did.
+    /// The software version at which the stream began, once the caller has received an event of it.
+    /// It may continue only there: what two versions generate doesn't fit together.
     std::optional<std::string> stream_version_;
     /// True once the caller has disconnected. The response is then read only to charge the tokens
     /// that were produced.
--- a/src/roles/gateway/forwarded_request_end.cpp
+++ b/src/roles/gateway/forwarded_request_end.cpp
@@ -36,6 +36,16 @@
     finish(reason, status);
 }
 
+/// Refuses a stream that can't continue anywhere. If a target may have run this request, the caller
+/// is not told that it didn't run.
+void forwarded_request::refuse_interrupted(std::string_view reason, microseconds retry_after) {
+    if (history_.may_have_run()) {
+        fail(status_bad_gateway, reason);
+        return;
+    }
+    refuse(status_unavailable, reason, retry_after);
+}
+
 /// Refuses a request that could not be sent while the entry's own link is saturated. Another
 /// attempt would queue behind the same bytes and end in another connection timeout of 400 ms.
 bool forwarded_request::refuse_futile_resend() {
--- a/src/roles/gateway/forwarded_request_routing.cpp
+++ b/src/roles/gateway/forwarded_request_routing.cpp
@@ -28,16 +28,40 @@
                            admitted_.route.max_event_gap,
                            {}};
     }
-    const bool suspected = suspicion_.level() != suspicion::none;
-    const auto versions =
-        rollout_.choose_versions(monotonic_now(), history_.attempt_number() + 1, suspected);
+    const auto versions = choose_versions();
     if (versions) {
         choose_target(*versions);
+    } else if (stream_version_) {
+        refuse_interrupted("stream_version_withdrawn", targets_retry_after);
     } else {
         wait_for_versions();
     }
 }
 
+/// The versions that the next attempt may use: for a stream of which the caller has events only the
+/// version that began it.
+std::optional<version_constraint> forwarded_request::choose_versions() {
+    const instant now = monotonic_now();
+    const unsigned attempt = history_.attempt_number() + 1;
+    const bool suspected = suspicion_.level() != suspicion::none;
+    return stream_version_ ? rollout_.choose_continuation(now, attempt, *stream_version_, suspected)
+                           : rollout_.choose_versions(now, attempt, suspected);
+}
+
+/// The constraints that hold for this request whatever a rollout allows.
+candidate_constraints forwarded_request::current_constraints() const {
+    candidate_constraints constraints{admitted_.regions, {}};
+    if (stream_version_) {
+        constraints.version = {version_rule::only, *stream_version_, 0, 0, {}};
+    }
+    return constraints;
+}
+
+bool forwarded_request::has_target_of_stream_version() {
+    return context_.targets.has_untried(monotonic_now(), admitted_.service, {},
+                                        current_constraints());
+}
+
 /// Shortly before the deadline of a rollout the old version gets no request that it could not
 /// finish, and the new one no more than its bound allows. This lasts at most about 400 ms.
 void forwarded_request::wait_for_versions() {
@@ -186,7 +210,7 @@
     admitted_.regions =
         current_allowed_regions(context_.configuration, admitted_, request_.host, request_.path);
     if (!context_.targets.is_usable(pending_send_->target, admitted_.service,
-                                    {admitted_.regions, {}})) {
+                                    current_constraints())) {
         cancel_pending_send();
         dispatch();
         return;
@@ -235,7 +259,9 @@
         dispatch();
         return;
     }
-    if (const auto versions = rollout_.choose_fallback_versions(all_cold)) {
+    const auto versions =
+        stream_version_ ? std::nullopt : rollout_.choose_fallback_versions(all_cold);
+    if (versions) {
         choose_target(*versions);
     } else {
         refuse_without_target(all_cold);
@@ -246,7 +272,9 @@
 /// due.
 void forwarded_request::refuse_without_target(bool all_cold) {
     const auto earliest = context_.targets.earliest_permit(monotonic_now(), admitted_.service);
-    if (history_.may_have_run()) {
+    if (stream_version_ && !has_target_of_stream_version()) {
+        refuse_interrupted("no_target_of_version", version_retry_after);
+    } else if (history_.may_have_run()) {
         fail(status_bad_gateway, "no_target_left");
     } else if (all_cold) {
         refuse(status_unavailable, "targets_cold", permit_retry_after);
@@ -265,7 +293,7 @@
 microseconds forwarded_request::next_target_retry_after() {
     const instant now = monotonic_now();
     if (context_.targets.has_untried(now, admitted_.service, excluded_targets(),
-                                     {admitted_.regions, {}})) {
+                                     current_constraints())) {
         return targets_retry_after;
     }
     const auto earliest = context_.targets.earliest_permit(now, admitted_.service);
--- a/src/roles/gateway/request_rollout.cpp
+++ b/src/roles/gateway/request_rollout.cpp
@@ -10,7 +10,8 @@
     request_.route = route.name;
     request_.session = session;
     request_.streaming = is_stream(route.kind);
-    repeatable_ = may_repeat(route.kind);
+    // A stream of which the caller has events can't go on at another version.
+    repeatable_ = may_repeat(route.kind) && !is_stream(route.kind);
     max_attempts_ = route.max_attempts;
 }
 
@@ -21,11 +22,31 @@
     if (gate == nullptr) {
         return constraint_;
     }
+    begin_choice(attempt, suspected);
+    std::optional<version_constraint> constraint = gate->constraint_for(now, request_);
+    constraint_ = constraint.value_or(version_constraint{});
+    return constraint;
+}
+
+void request_rollout::begin_choice(unsigned attempt, bool suspected) {
     request_.already_sent = attempt > 1 || suspected;
     // It is retryable only if another attempt is left.
     request_.retryable = repeatable_ && attempt < max_attempts_;
     request_.no_candidates = false;
-    std::optional<version_constraint> constraint = gate->constraint_for(now, request_);
+}
+
+std::optional<version_constraint> request_rollout::choose_continuation(instant now,
+                                                                       unsigned attempt,
+                                                                       const std::string& version,
+                                                                       bool suspected) {
+    const rollout_gate* gate = rollouts_.gate_of(service_);
+    constraint_ = {version_rule::only, version, 0, 0, {}};
+    if (gate == nullptr) {
+        return constraint_;
+    }
+    begin_choice(attempt, suspected);
+    std::optional<version_constraint> constraint =
+        gate->continuation_constraint(now, request_, version, suspected);
     constraint_ = constraint.value_or(version_constraint{});
     return constraint;
 }
--- a/src/roles/gateway/request_rollout.hpp
+++ b/src/roles/gateway/request_rollout.hpp
@@ -27,6 +27,12 @@
     std::optional<version_constraint> choose_versions(instant now, unsigned attempt,
                                                       bool suspected = false);
 
+    /// Like choose_versions, for a stream that has to continue at the version that began it.
+    /// Returns nothing if the rollout allows that version no more requests.
+    std::optional<version_constraint> choose_continuation(instant now, unsigned attempt,
+                                                          const std::string& version,
+                                                          bool suspected = false);
+
     /// The chosen versions have no available target; `all_cold` has the meaning of
     /// target_choice::all_cold. Returns the versions to choose from instead, or nothing.
     std::optional<version_constraint> choose_fallback_versions(bool all_cold);
@@ -50,6 +56,8 @@
                      std::optional<microseconds> event_interval = {});
 
 private:
+    void begin_choice(unsigned attempt, bool suspected);
+
     /// The gate of the rollout in which the current attempt is counted, or null.
     rollout_gate* active_gate();
 
--- a/src/roles/gateway/retry_after.hpp
+++ b/src/roles/gateway/retry_after.hpp
@@ -8,6 +8,8 @@
 constexpr microseconds configuration_retry_after = milliseconds(300);
 constexpr microseconds tokens_retry_after = milliseconds(500);
 constexpr microseconds targets_retry_after = milliseconds(200);
+/// A target that crashed starts again at its version within about a second.
+constexpr microseconds version_retry_after = seconds(1);
 constexpr microseconds permit_retry_after = milliseconds(400);
 /// Upper bound of the time given to a caller that waits for a send permit: another gateway may get
 /// one earlier, and new targets may start.
