Resume a stream only at the service and version that began it

The way of the reported case: a stream breaks with its entry or its target, and the caller resumes it with a new request at another entry, which chose a target as for a new request. It knew nothing of the stream, and the entry that did was often gone; on a split route it could even send the request to another service.

Evidence: the reported stream began at v1.2 and went on, as another request, at v1.

Why it works: the entry that begins a resumable stream tells two others of request, service and version before the request is sent to its target, so no event can be at the caller before. Both are found again by the request's identifier alone, which the caller names: the first members in rendezvous order, one in the own failure domain and one in another. The entry that resumes asks them and limits the request to that service and version. If nobody knows the stream, it goes on only if all targets that may have begun it had one version, by a list that was followed for long enough; otherwise it is refused at once. Holders that are replaced get the records of running streams again, and an entry that stops hands over what it holds. Two messages of about 80 bytes a stream, none to the platform's store, nothing for a new stream to wait for.

stream_records_model_test plays entries that are killed, frozen and cut off while versions come and go: no join, and joins with rules that go on where nobody knows or trust short lists.

--- a/include/wrenswitch/decision/gateway/admission.hpp
+++ b/include/wrenswitch/decision/gateway/admission.hpp
@@ -48,6 +48,12 @@
                                                         std::string_view path, std::string_view key,
                                                         double fraction);
 
+/// Sends an admitted request to another service of its route, because a stream has to continue
+/// where it began. Returns false, without a change, if the active configuration sends no requests
+/// of the route there.
+bool assign_service(const active_configuration& configuration, admitted_request& admitted,
+                    std::string_view host, std::string_view path, std::string_view service);
+
 /// The regions in which an admitted request may be processed now: those at admission, further
 /// restricted by the active configuration for its route and for the owner of its key. While a
 /// request is queued, a newer configuration can therefore only narrow its regions.
--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -158,6 +158,9 @@
     bool has_only_version(std::string_view service, std::string_view version,
                           const version_set& excluded = {}) const;
 
+    /// The versions of the service's targets, including those that left the list recently.
+    version_set versions_of(std::string_view service) const;
+
     /// Handles a target that is no longer in the list because it left, crashed, or was lost by the
     /// list.
     void remove(instant now, std::string_view id);
--- a/include/wrenswitch/decision/grants/token_allocator_selector.hpp
+++ b/include/wrenswitch/decision/grants/token_allocator_selector.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -91,9 +92,12 @@
     std::vector<cluster_member> largest_known(std::size_t count,
                                               std::string_view region = {}) const;
 
-    /// The first members in rendezvous order for a name. All entries that know the same members
-    /// choose the same ones, regardless of which of them they reach.
-    std::vector<cluster_member> ranked_members(std::string_view name, std::size_t count) const;
+    /// The first members in rendezvous order for a name, among those that the filter admits. All
+    /// entries that know the same members choose the same ones, regardless of which of them they
+    /// reach.
+    std::vector<cluster_member> ranked_members(
+        std::string_view name, std::size_t count,
+        const std::function<bool(const cluster_member&)>& admits = {}) const;
 
     /// The members of a failure domain, in the order of their names.
     std::vector<cluster_member> members_in(std::string_view failure_domain) const;
--- a/src/decision/gateway/admission.cpp
+++ b/src/decision/gateway/admission.cpp
@@ -30,6 +30,21 @@
     return std::min(lowest_priority, base + route.priority);
 }
 
+namespace {
+
+/// Sets the service and what depends on it. The account must be set before.
+void set_service(const active_configuration& configuration, admitted_request& admitted,
+                 std::string_view name) {
+    admitted.service = name;
+    const gateway_service* service = configuration.find_service(name);
+    admitted.engine = service == nullptr ? std::nullopt : service->engine;
+    const gateway_account* account = configuration.find_account(admitted.account);
+    admitted.is_metered =
+        admitted.engine.has_value() && account != nullptr && account->prepaid_tokens.has_value();
+}
+
+}  // namespace
+
 std::variant<admitted_request, admission_refusal> admit(const active_configuration& configuration,
                                                         std::string_view host,
                                                         std::string_view path, std::string_view key,
@@ -47,14 +62,10 @@
     }
     admitted_request admitted;
     admitted.route = *route;
-    admitted.service = split->service;
     admitted.priority = request_priority(*route, nullptr);
     admitted.regions = route->regions;
     admitted.configuration_version = configuration.current().version;
-    const gateway_service* service = configuration.find_service(split->service);
-    if (service != nullptr) {
-        admitted.engine = service->engine;
-    }
+    set_service(configuration, admitted, split->service);
     const gateway_account* account = configuration.find_account_by_key(key);
     if (account != nullptr) {
         // A public route needs no key, but a key that is sent still identifies the account.
@@ -69,10 +80,26 @@
     }
     admitted.account = account->name;
     admitted.priority = request_priority(*route, account);
-    admitted.is_metered = admitted.engine.has_value() && account->prepaid_tokens.has_value();
+    set_service(configuration, admitted, split->service);
     return admitted;
 }
 
+bool assign_service(const active_configuration& configuration, admitted_request& admitted,
+                    std::string_view host, std::string_view path, std::string_view service) {
+    const gateway_route* route = configuration.find_route(host, path);
+    if (route == nullptr) {
+        return false;
+    }
+    const bool is_used = std::any_of(route->splits.begin(), route->splits.end(),
+                                     [service](const route_split& split) {
+                                         return split.service == service && split.weight > 0.0;
+                                     });
+    if (is_used) {
+        set_service(configuration, admitted, service);
+    }
+    return is_used;
+}
+
 allowed_regions current_allowed_regions(const active_configuration& configuration,
                                         const admitted_request& admitted, std::string_view host,
                                         std::string_view path) {
--- a/src/decision/gateway/target_pool_eligibility.cpp
+++ b/src/decision/gateway/target_pool_eligibility.cpp
@@ -57,6 +57,16 @@
     return any;
 }
 
+version_set target_pool::versions_of(std::string_view service) const {
+    version_set versions;
+    for (const auto& [id, state] : targets_) {
+        if (state.target.service == service) {
+            versions.insert(state.target.version);
+        }
+    }
+    return versions;
+}
+
 bool target_pool::is_eligible(const target_state& state, std::string_view service,
                               const candidate_constraints& constraints) const {
     return state.target.service == service && !state.target.draining && !state.announced_draining &&
--- a/src/decision/grants/token_allocator_selector.cpp
+++ b/src/decision/grants/token_allocator_selector.cpp
@@ -140,13 +140,16 @@
     return largest_among(answering, count);
 }
 
-std::vector<cluster_member> token_allocator_selector::ranked_members(std::string_view name,
-                                                                     std::size_t count) const {
+std::vector<cluster_member> token_allocator_selector::ranked_members(
+    std::string_view name, std::size_t count,
+    const std::function<bool(const cluster_member&)>& admits) const {
     const std::uint64_t seed = spread_hash(name);
     std::vector<std::pair<std::uint64_t, const cluster_member*>> ranked;
     ranked.reserve(members_.size());
     for (const auto& [host, member] : members_) {
-        ranked.emplace_back(spread_hash(host, seed), &member);
+        if (!admits || admits(member)) {
+            ranked.emplace_back(spread_hash(host, seed), &member);
+        }
     }
     const std::size_t selected_count = std::min(count, ranked.size());
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(selected_count),
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -45,8 +45,11 @@
     if (parse_request() && admit_request() && check_quarantine() && check_allowed_regions() &&
         check_shutdown() && check_isolation() && check_overload()) {
         set_deadline();
-        trace_resumption();
-        reserve_tokens();
+        if (resumes_stream()) {
+            find_stream_origin();
+        } else {
+            reserve_tokens();
+        }
     }
 }
 
@@ -74,9 +77,7 @@
                                          admitted_.key_owner, exchange_->waited());
         }
         context_.priorities.record(exchange_->received(), admitted_.service, admitted_.priority);
-        const bool has_session = !request_.prompt.parts.empty();
-        rollout_.set_request(admitted_.service, admitted_.route,
-                             has_session ? session_id(request_.prompt) : spread_hash(request_.id));
+        set_rollout_request();
         return true;
     }
     const auto refusal = std::get<admission_refusal>(admission);
@@ -98,6 +99,12 @@
     return false;
 }
 
+void forwarded_request::set_rollout_request() {
+    const bool has_session = !request_.prompt.parts.empty();
+    rollout_.set_request(admitted_.service, admitted_.route,
+                         has_session ? session_id(request_.prompt) : spread_hash(request_.id));
+}
+
 /// Records which account uses the connection.
 void forwarded_request::record_account() {
     if (admitted_.account.empty()) {
@@ -302,6 +309,7 @@
         context_.retries.record_first_try(now, admitted_.service);
     }
     trace_continuation();
+    record_stream_begin();
     trace_.add(now, "request_sent",
                {{"target", target_},
                 {"version", target_version_},
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -52,6 +52,7 @@
 private:
     bool parse_request();
     bool admit_request();
+    void set_rollout_request();
     void record_account();
     bool check_quarantine();
     bool check_allowed_regions();
@@ -106,7 +107,13 @@
     void on_attempt_unsent();
 
     void forward_stream(std::string_view piece);
-    void trace_resumption();
+    bool resumes_stream() const;
+    std::uint64_t stream_account() const;
+    void find_stream_origin();
+    void on_stream_origin(const stream_exchange::resolution& found);
+    bool adopt_stream_origin(const stream_origin& origin);
+    void trace_stream_origin(const stream_exchange::resolution& found);
+    void record_stream_begin();
     void trace_continuation();
     void record_events(std::size_t count);
     void end_stream();
@@ -146,6 +153,8 @@
     instant deadline_{};
     request_charge charge_;
     std::shared_ptr<token_wait_queue::handle> token_wait_;
+    /// Set while the origin of a resumed stream is asked for.
+    std::shared_ptr<stream_exchange::handle> origin_question_;
 
     /// The target of the current attempt, or empty.
     std::string target_;
@@ -179,7 +188,8 @@
     /// True once the response is forwarded as a stream.
     bool streaming_ = false;
     event_splitter splitter_;
-    /// The software version at which the stream began, once the caller has received an event of it.
+    /// The software version at which the stream began, once the caller has received an event of it
+    /// with this response or an earlier one that it resumes.
     /// It may continue only there: what two versions generate doesn't fit together.
     std::optional<std::string> stream_version_;
     /// True once the caller has disconnected. The response is then read only to charge the tokens
--- a/src/roles/gateway/forwarded_request_end.cpp
+++ b/src/roles/gateway/forwarded_request_end.cpp
@@ -119,31 +119,6 @@
     context_.counters.counter(labelled(counter, {caller, target})) += 1;
 }
 
-/// Names the stream that the caller resumes.
-void forwarded_request::trace_resumption() {
-    if (!request_.resumes_stream()) {
-        return;
-    }
-    context_.counters.counter("gateway_streams_resumed_total") += 1;
-    trace_.add(monotonic_now(), "stream_resumed",
-               {{"resumes", request_.resumed_request}, {"last_event", request_.last_event}});
-}
-
-/// Shows an attempt that continues a response of which the caller already has events: the version
-/// that sent the first of them and the version that continues.
-void forwarded_request::trace_continuation() {
-    if (!stream_version_) {
-        return;
-    }
-    const bool same = *stream_version_ == target_version_;
-    context_.counters.counter(labelled("gateway_streams_continued_total",
-                                       {{"versions", same ? "same" : "different"}})) += 1;
-    trace_.add(monotonic_now(), "stream_continued",
-               {{"begun_version", *stream_version_},
-                {"version", target_version_},
-                {"last_event", splitter_.last_event_id()}});
-}
-
 /// Counts the outcome and logs the trace: of every request that failed, of every one that was late
 /// while another account used the link the most, and of a sample of the others.
 void forwarded_request::record_end(std::string_view outcome, unsigned status) {
@@ -158,7 +133,7 @@
     const std::optional<link_peak> peak = served || late_peak_ ? late_peak_ : peak_while_waiting();
     trace_end(now, outcome, status, served, peak);
     const bool should_log =
-        !served || is_due_to_another_account(peak) ||
+        !served || resumes_stream() || is_due_to_another_account(peak) ||
         request_trace::is_sampled(trace_.id(), context_.settings.log_served_percent);
     if (should_log) {
         context_.log.log_request(trace_, !served);
@@ -193,10 +168,12 @@
 void forwarded_request::finish(std::string_view outcome, unsigned status) {
     ended_ = true;
     token_wait_.reset();
+    origin_question_.reset();
     placement_.reset();
     cancel_pending_send();
     charge_.settle();
     if (outcome == "served") {
+        context_.streams.end_stream(request_.id, stream_account());
         context_.sharing.record_response(admitted_.route.name, caller_response_.sent_bytes());
     }
     context_.counters.counter("gateway_outcome_" + std::string(outcome) + "_total") += 1;
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -374,6 +374,7 @@
     }
     cancelled_ = true;
     token_wait_.reset();
+    origin_question_.reset();
     placement_.reset();
     cancel_pending_send();
     if (upstream_call_ == nullptr || !upstream_call_->sent()) {
--- a/src/roles/gateway/forwarded_request_routing.cpp
+++ b/src/roles/gateway/forwarded_request_routing.cpp
@@ -38,30 +38,6 @@
     }
 }
 
-/// The versions that the next attempt may use: for a stream of which the caller has events only the
-/// version that began it.
-std::optional<version_constraint> forwarded_request::choose_versions() {
-    const instant now = monotonic_now();
-    const unsigned attempt = history_.attempt_number() + 1;
-    const bool suspected = suspicion_.level() != suspicion::none;
-    return stream_version_ ? rollout_.choose_continuation(now, attempt, *stream_version_, suspected)
-                           : rollout_.choose_versions(now, attempt, suspected);
-}
-
-/// The constraints that hold for this request whatever a rollout allows.
-candidate_constraints forwarded_request::current_constraints() const {
-    candidate_constraints constraints{admitted_.regions, {}};
-    if (stream_version_) {
-        constraints.version = {version_rule::only, *stream_version_, 0, 0, {}};
-    }
-    return constraints;
-}
-
-bool forwarded_request::has_target_of_stream_version() {
-    return context_.targets.has_untried(monotonic_now(), admitted_.service, {},
-                                        current_constraints());
-}
-
 /// Shortly before the deadline of a rollout the old version gets no request that it could not
 /// finish, and the new one no more than its bound allows. This lasts at most about 400 ms.
 void forwarded_request::wait_for_versions() {
@@ -102,11 +78,12 @@
 }
 
 /// Lets the request take part in admission control where requests of the service compete. One that
-/// was sent to a target before does not, since it may have run and must not be refused.
+/// was sent to a target before does not, since it may have run and must not be refused, and neither
+/// does a resumed stream, on which work was done already.
 void forwarded_request::set_admission_class() {
     engine_request_->priority.reset();
-    if (history_.attempt_number() == 0 &&
-        context_.configuration.has_competing_requests(admitted_.service)) {
+    const bool is_first_attempt = history_.attempt_number() == 0 && !stream_version_;
+    if (is_first_attempt && context_.configuration.has_competing_requests(admitted_.service)) {
         engine_request_->account = admitted_.account;
         engine_request_->priority = admitted_.priority;
     }
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -154,6 +154,7 @@
     sharing_->tick(now);
     crashes_.tick(now);
     signals_->tick(now);
+    streams_->tick(now);
     suspects_->tick(now);
     targets_.refresh_gateway_count(now);
     rollouts_.tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -13,12 +13,14 @@
 #include "roles/gateway/loop_lag_monitor.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "roles/gateway/signal_exchange.hpp"
+#include "roles/gateway/stream_exchange.hpp"
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_crash_detector.hpp"
 #include "roles/gateway/target_list.hpp"
 #include "wrenswitch/decision/gateway/isolation_detector.hpp"
 #include "wrenswitch/decision/gateway/region_outage_detector.hpp"
 #include "wrenswitch/decision/gateway/response_time_tracker.hpp"
+#include "wrenswitch/decision/streams/route_services.hpp"
 #include "wrenswitch/drivers/grant_ledger.hpp"
 #include "wrenswitch/drivers/http_server.hpp"
 #include "wrenswitch/drivers/ingress_server.hpp"
@@ -51,6 +53,8 @@
     result<void> open_bus();
     void open_logs();
     void open_exchanges();
+    void open_streams();
+    void apply_target_record(const keyed_record& record);
     result<void> open_ingress();
     result<void> open_admin();
     void open_metrics();
@@ -122,6 +126,8 @@
     std::unique_ptr<suspect_exchange> suspects_;
     target_crash_detector crashes_;
     std::unique_ptr<signal_exchange> signals_;
+    std::unique_ptr<stream_exchange> streams_;
+    route_services services_of_routes_;
     isolation_detector isolation_;
     bool was_isolated_ = false;
     bool grant_log_reachable_ = true;
--- a/src/roles/gateway/gateway_configuration.cpp
+++ b/src/roles/gateway/gateway_configuration.cpp
@@ -81,6 +81,7 @@
 }
 
 void gateway::apply_configuration() {
+    services_of_routes_.apply(monotonic_now(), configuration_.current());
     for (const gateway_service& service : configuration_.current().services) {
         targets_.set_warmup(monotonic_now(), service.name, service.warmup);
     }
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -14,6 +14,7 @@
 #include "roles/gateway/rollout_gates.hpp"
 #include "roles/gateway/service_retry_budgets.hpp"
 #include "roles/gateway/signal_exchange.hpp"
+#include "roles/gateway/stream_exchange.hpp"
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_crash_detector.hpp"
 #include "roles/gateway/token_exchange.hpp"
@@ -26,6 +27,7 @@
 #include "wrenswitch/decision/gateway/response_time_tracker.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
 #include "wrenswitch/decision/grants/grant_holder.hpp"
+#include "wrenswitch/decision/streams/route_services.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 #include "wrenswitch/roles/gateway.hpp"
@@ -54,6 +56,8 @@
     suspect_exchange& suspects;
     target_crash_detector& crashes;
     signal_exchange& signals;
+    stream_exchange& streams;
+    const route_services& services_of_routes;
     priority_tracker& priorities;
     random_source& random;
     metrics& counters;
--- a/src/roles/gateway/gateway_stop.cpp
+++ b/src/roles/gateway/gateway_stop.cpp
@@ -22,6 +22,7 @@
         log_level::information, "gateway_stopping",
         {{"host", settings_.host}, {"requests", std::to_string(context_->active_requests.size())}});
     ingress_->begin_drain();
+    streams_->hand_over();
     members_->leave();
     check_shutdown();
 }
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -22,6 +22,10 @@
 /// within two seconds of the store's return.
 constexpr microseconds lost_target_timeout = seconds(3);
 
+/// A list of targets that was read longer ago may lack new targets. Reads are held open for up to a
+/// second.
+constexpr microseconds max_list_age = seconds(2);
+
 /// The share of the link that pages of logs for other gateways may use.
 constexpr double shared_reads_link_share = 0.25;
 
@@ -67,6 +71,7 @@
                    !rollouts_.on_message(origin, message) &&
                    !suspects_->on_message(origin, message) &&
                    !signals_->on_message(origin, message) &&
+                   !streams_->on_message(origin, message) &&
                    !admission_.on_message(origin, message)) {
             tokens_->on_message(origin, message);
         }
@@ -97,9 +102,9 @@
         keyed_follower_settings{.log = dialect_.target_log,
                                 .pause = target_read_pause,
                                 .lost_key_timeout = lost_target_timeout},
-        keyed_follower_hooks{
-            [this](const keyed_record& record) { target_list_.apply(monotonic_now(), record); },
-            [] {}, make_reachable_hook(dialect_.target_log)});
+        keyed_follower_hooks{[this](const keyed_record& record) { apply_target_record(record); },
+                             [this] { streams_->note_list_read(monotonic_now()); },
+                             make_reachable_hook(dialect_.target_log)});
     ledger_ = std::make_unique<grant_ledger>(
         loop_, *shared_log_, dialect_.grant_log, metrics_,
         grant_ledger_hooks{
@@ -167,6 +172,7 @@
             }});
     signals_ = std::make_unique<signal_exchange>(loop_, *bus_, allocators_, targets_,
                                                  rate_limited_log_, metrics_);
+    open_streams();
     rollouts_.open(loop_, *shared_log_, *bus_, allocators_, incarnation_);
     admission_.open_exchange(*bus_, allocators_, settings_.failure_domain, incarnation_);
     grants_->set_draw_ahead_filter([this](const std::string& account) {
@@ -174,6 +180,24 @@
     });
 }
 
+void gateway::open_streams() {
+    streams_ = std::make_unique<stream_exchange>(
+        loop_, *bus_, allocators_, settings_.failure_domain,
+        std::string(settings_.regions.region_of(settings_.failure_domain)), metrics_,
+        stream_exchange::hooks{
+            [this](std::string_view service) { return targets_.versions_of(service); },
+            [this] { return monotonic_now() - target_follower_->last_answer() <= max_list_age; }});
+}
+
+/// Applies a record of the list of targets. A target that left the list had its version until now.
+void gateway::apply_target_record(const keyed_record& record) {
+    const instant now = monotonic_now();
+    target_list_.apply(now, record);
+    if (const gateway_target* target = targets_.find(record.key)) {
+        streams_->note_version(now, target->service, target->version);
+    }
+}
+
 void gateway::open_suspects() {
     suspects_ = std::make_unique<suspect_exchange>(
         loop_, *shared_log_, dialect_.suspect_log, *bus_, allocators_, metrics_,
@@ -205,6 +229,8 @@
         *suspects_,
         crashes_,
         *signals_,
+        *streams_,
+        services_of_routes_,
         priorities_,
         random_,
         metrics_,
--- /dev/null
+++ b/tests/decision/streams/stream_records_model_test.cpp
@@ -0,0 +1,325 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "wrenswitch/core/random_source.hpp"
+#include "wrenswitch/decision/streams/recent_values.hpp"
+#include "wrenswitch/decision/streams/stream_holders.hpp"
+#include "wrenswitch/decision/streams/stream_origin.hpp"
+#include "wrenswitch/decision/streams/stream_record_table.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+
+/// A way in which entries may decide; all but the first must join versions or lose streams.
+enum class rules {
+    as_built,
+    /// A stream that nobody knows goes on at any version.
+    unknown_goes_on,
+    /// The record is sent after the caller has the first event, so a kill may come before it.
+    recorded_late,
+    /// Only the entry that began a stream keeps its record.
+    kept_where_begun,
+    /// An entry that has just started trusts the versions it sees.
+    trusts_short_lists,
+};
+
+/// Entries of one region that keep and ask for records, with faults between them, in virtual time.
+class record_model {
+public:
+    static constexpr microseconds step = milliseconds(100);
+    static constexpr microseconds longest_stream = seconds(15);
+    static constexpr microseconds window = seconds(30);
+    static constexpr std::size_t entry_count = 6;
+
+    record_model(std::uint64_t seed, rules variant) : random_(seed), variant_(variant) {
+        for (std::size_t number = 0; number < entry_count; ++number) {
+            entries_.push_back(
+                std::make_unique<entry>("front-" + std::to_string(number), domain_of(number)));
+            start(*entries_.back());
+        }
+        for (const auto& each : entries_) {
+            for (std::size_t number = 0; number < entry_count; ++number) {
+                each->members.apply({entries_[number]->host,
+                                     {},
+                                     entries_[number]->host,
+                                     1.0,
+                                     domain_of(number),
+                                     "",
+                                     {},
+                                     true});
+            }
+        }
+    }
+
+    void play(int steps) {
+        for (int number = 0; number < steps; ++number) {
+            now_ += step;
+            change_versions();
+            harm();
+            for (const auto& each : entries_) {
+                note_versions(*each);
+            }
+            for (int turn = 0; turn < 3; ++turn) {
+                begin_stream();
+                resume_stream();
+            }
+            std::erase_if(streams_, [this](const stream& each) { return each.until <= now_; });
+        }
+    }
+
+    std::size_t joined = 0;
+    std::size_t resumed = 0;
+    std::size_t refused = 0;
+
+private:
+    struct entry {
+        entry(const std::string& name, const std::string& failure_domain)
+            : host(name), members(name, {}), holders(members, failure_domain, "") {}
+
+        std::string host;
+        token_allocator_selector members;
+        stream_holders holders;
+        std::unique_ptr<stream_record_table> table;
+        std::unique_ptr<recent_values> versions;
+        std::set<std::string, std::less<>> listed;
+        instant started{};
+        bool frozen = false;
+        bool cut_off = false;
+        std::deque<stream_record> queued;
+    };
+
+    struct stream {
+        std::string request;
+        std::string version;
+        instant until{};
+    };
+
+    /// Two entries are in each failure domain.
+    static std::string domain_of(std::size_t number) { return "z" + std::to_string(number / 2); }
+
+    void start(entry& at) {
+        at.table = std::make_unique<stream_record_table>(1000);
+        at.versions = std::make_unique<recent_values>(seconds(600));
+        at.listed.clear();
+        at.queued.clear();
+        at.started = now_;
+        at.frozen = false;
+        note_versions(at);
+    }
+
+    /// An entry that is cut off from the others is cut off from the list of targets as well.
+    void note_versions(entry& at) {
+        if (!at.cut_off && !at.frozen) {
+            at.listed = versions_;
+        }
+        for (const std::string& version : at.listed) {
+            at.versions->note(now_, "llm", version);
+        }
+    }
+
+    void change_versions() {
+        if (random_.below(60) != 0) {
+            return;
+        }
+        if (versions_.size() < 2) {
+            versions_.insert("v" + std::to_string(++last_version_));
+            return;
+        }
+        const std::string removed = any_of(versions_);
+        versions_.erase(removed);
+        removed_at_[removed] = now_;
+    }
+
+    std::string any_of(const std::set<std::string, std::less<>>& versions) {
+        return *std::next(versions.begin(),
+                          static_cast<std::ptrdiff_t>(random_.below(versions.size())));
+    }
+
+    /// Targets serve for some seconds after they have left the list.
+    bool serves(const std::string& version) const {
+        const auto removed = removed_at_.find(version);
+        return removed == removed_at_.end() || now_ - removed->second <= seconds(5);
+    }
+
+    void harm() {
+        entry& at = *entries_[random_.below(entry_count)];
+        switch (random_.below(120)) {
+            case 0:
+                start(at);
+                break;
+            case 1:
+                at.cut_off = true;
+                break;
+            case 2:
+                at.frozen = true;
+                break;
+            default:
+                break;
+        }
+        entry& healed = *entries_[random_.below(entry_count)];
+        if (random_.below(10) == 0) {
+            heal(healed);
+        }
+    }
+
+    void heal(entry& at) {
+        at.cut_off = false;
+        at.frozen = false;
+        for (const stream_record& each : at.queued) {
+            at.table->record(now_, each);
+        }
+        at.queued.clear();
+    }
+
+    static bool connected(const entry& one, const entry& other) {
+        return !one.cut_off && !other.cut_off;
+    }
+
+    entry& find(const std::string& host) {
+        return **std::find_if(entries_.begin(), entries_.end(),
+                              [&host](const auto& each) { return each->host == host; });
+    }
+
+    void begin_stream() {
+        entry& at = *entries_[random_.below(entry_count)];
+        if (at.frozen || at.listed.empty()) {
+            return;
+        }
+        const std::string request = "r" + std::to_string(++last_request_);
+        const microseconds life = longest_stream;
+        std::string version;
+        const std::uint32_t attempts = random_.below(4) == 0 ? 2 : 1;
+        for (std::uint32_t attempt = 1; attempt <= attempts; ++attempt) {
+            version = any_of(at.listed);
+            send(at, {request, "llm", version, 0, attempt, now_ + life});
+        }
+        if (serves(version)) {
+            streams_.push_back({request, version, now_ + life});
+        }
+        if (random_.below(200) == 0) {
+            start(at);
+        }
+    }
+
+    void send(entry& from, const stream_record& record) {
+        from.table->record(now_, record);
+        const bool is_lost = variant_ == rules::recorded_late && random_.below(10) == 0;
+        if (variant_ == rules::kept_where_begun || is_lost) {
+            return;
+        }
+        for (const cluster_member& each : from.holders.recipients(record.request)) {
+            entry& to = find(each.host);
+            if (connected(from, to)) {
+                if (to.frozen) {
+                    to.queued.push_back(record);
+                } else {
+                    to.table->record(now_, record);
+                }
+            }
+        }
+    }
+
+    stream_knowledge knowledge(const entry& at, const std::string& request) const {
+        stream_knowledge known;
+        known.host = at.host;
+        if (const stream_record* record = at.table->find(now_, request, 0)) {
+            known.record = *record;
+        }
+        known.versions = at.versions->within(now_, "llm", window);
+        const bool long_enough =
+            now_ - at.started >= window || variant_ == rules::trusts_short_lists;
+        known.versions_complete = long_enough && !at.cut_off;
+        return known;
+    }
+
+    void resume_stream() {
+        entry& at = *entries_[random_.below(entry_count)];
+        if (at.frozen || streams_.empty()) {
+            return;
+        }
+        const stream& taken = streams_[random_.below(streams_.size())];
+        std::vector<stream_knowledge> known{knowledge(at, taken.request)};
+        for (const cluster_member& each : at.holders.candidates(taken.request)) {
+            const entry& other = find(each.host);
+            if (connected(at, other) && !other.frozen) {
+                known.push_back(knowledge(other, taken.request));
+            }
+        }
+        if (known.size() == 1) {
+            known.front().versions_complete = false;
+        }
+        const stream_origin origin = determine_origin(known, "llm");
+        resumed += 1;
+        if (origin.source == origin_source::unknown) {
+            refused += variant_ == rules::unknown_goes_on ? 0 : 1;
+            joined += variant_ == rules::unknown_goes_on && !at.listed.contains(taken.version);
+            return;
+        }
+        joined += origin.version != taken.version;
+    }
+
+    random_source random_;
+    rules variant_;
+    instant now_{seconds(1000)};
+    std::vector<std::unique_ptr<entry>> entries_;
+    std::set<std::string, std::less<>> versions_{"v1"};
+    std::map<std::string, instant> removed_at_;
+    std::vector<stream> streams_;
+    int last_version_ = 1;
+    int last_request_ = 0;
+};
+
+constexpr std::uint64_t seeds = 40;
+constexpr int steps = 1500;
+
+/// The sums over all seeds.
+struct model_sums {
+    std::size_t joined = 0;
+    std::size_t resumed = 0;
+    std::size_t refused = 0;
+};
+
+model_sums play_all(rules variant) {
+    model_sums sums;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        record_model model(seed, variant);
+        model.play(steps);
+        sums.joined += model.joined;
+        sums.resumed += model.resumed;
+        sums.refused += model.refused;
+    }
+    return sums;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(stream_records_model_test)
+
+BOOST_AUTO_TEST_CASE(records_under_kills_freezes_and_cuts_join_no_two_versions) {
+    const model_sums sums = play_all(rules::as_built);
+    BOOST_TEST(sums.resumed > 10000U);
+    BOOST_TEST(sums.joined == 0U);
+    // Of an entry in six that is cut off or frozen, the others still know most streams.
+    BOOST_TEST(sums.refused * 4 < sums.resumed);
+}
+
+BOOST_AUTO_TEST_CASE(unknown_streams_that_go_on_join_versions) {
+    BOOST_TEST(play_all(rules::unknown_goes_on).joined > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(lists_that_have_just_been_read_join_versions) {
+    BOOST_TEST(play_all(rules::trusts_short_lists).joined > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(records_that_are_late_or_kept_only_where_begun_refuse_more_streams) {
+    const std::size_t refused = play_all(rules::as_built).refused;
+    BOOST_TEST(play_all(rules::recorded_late).refused > refused);
+    BOOST_TEST(play_all(rules::kept_where_begun).refused > 2 * refused);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -25,6 +25,8 @@
         std::uint16_t admin = 0;
         std::uint16_t bus = 0;
         std::string settings_file;
+        /// Settings of this entry alone, as JSON that begins with a comma.
+        std::string more_settings;
         std::unique_ptr<test::child_process> process;
     };
 
@@ -64,7 +66,8 @@
             << R"({"host":")" << each.name << R"(","failure_domain":"z1","listen":"127.0.0.1:)"
             << each.listen << R"(","admin":"127.0.0.1:)" << each.admin << R"(","service":")"
             << service_address << R"(","bus_endpoint":"tcp://127.0.0.1:)" << each.bus
-            << R"(","longest_drain_ms":3000,"listen_after_stop_ms":300)" << more_settings << "}";
+            << R"(","longest_drain_ms":3000,"listen_after_stop_ms":300)" << more_settings
+            << each.more_settings << "}";
         each.process = std::make_unique<test::child_process>(
             std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings",
                                      each.settings_file},
--- a/tests/platform/stream_fleet.hpp
+++ b/tests/platform/stream_fleet.hpp
@@ -26,28 +26,36 @@
 
     /// Ends like a process that is killed.
     void crash() {
-        crashed = true;
+        life_ += 1;
         worker.crash();
     }
 
+    /// Starts again under the same identifier and version.
+    void start_again() { worker.start_again(); }
+
+    bool runs() const { return worker.runs(); }
+
 private:
     event_loop& loop_;
 
 public:
     worker_standin worker;
+    std::string service;
     /// The time between two events.
     microseconds event_interval = milliseconds(25);
-    bool crashed = false;
 
 private:
+    /// Numbers the processes that this target has been.
+    unsigned life_ = 0;
+
     void serve(const ingress_exchange_pointer& exchange) {
         exchange->begin_answer(200, worker.signed_headers(exchange));
         const std::string last(exchange->head().header("Last-Event-Id"));
-        send_events(exchange, last.empty() ? 1 : std::stoi(last) + 1);
+        send_events(exchange, last.empty() ? 1 : std::stoi(last) + 1, life_);
     }
 
-    void send_events(const ingress_exchange_pointer& exchange, int number) {
-        if (crashed) {
+    void send_events(const ingress_exchange_pointer& exchange, int number, unsigned life) {
+        if (life != life_) {
             return;
         }
         if (number > events) {
@@ -56,8 +64,9 @@
         }
         exchange->send_piece("id: " + std::to_string(number) + "\ndata: " + worker.version +
                              "\n\n");
-        loop_.call_after(event_interval,
-                         [this, exchange, number] { send_events(exchange, number + 1); });
+        loop_.call_after(event_interval, [this, exchange, number, life] {
+            send_events(exchange, number + 1, life);
+        });
     }
 };
 
@@ -164,6 +173,7 @@
     stream_target& add_target(const std::string& service, const std::string& id,
                               const std::string& version) {
         targets.push_back(std::make_unique<stream_target>(loop, id, version));
+        targets.back()->service = service;
         list(*targets.back(), service);
         return *targets.back();
     }
--- /dev/null
+++ b/tests/roles/stream_exchange_test.cpp
@@ -0,0 +1,266 @@
+#include "roles/gateway/stream_exchange.hpp"
+
+#include <bus.pb.h>
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "support/loop_runner.hpp"
+
+namespace {
+
+using namespace wrenswitch;
+using namespace wrenswitch::testing;
+
+constexpr std::uint64_t account = 5;
+
+/// The exchange of one entry, over a real bus.
+class entry_process {
+public:
+    entry_process(event_loop& loop, int number)
+        : host("h" + std::to_string(number)),
+          bus(message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value()),
+          members(host, {}),
+          exchange(
+              loop, *bus, members, "z1", "", counters,
+              {[this](std::string_view) { return versions; }, [this] { return list_current; }}) {
+        bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
+            if (answers) {
+                exchange.on_message(origin, message);
+            }
+        });
+    }
+
+    cluster_member self(std::uint64_t process = 1) const {
+        return {host, incarnation_id{process}, bus->endpoint(), 1.0, "z1", {}, {}, true};
+    }
+
+    std::uint64_t sent(std::string_view kind) {
+        return counters.counter(
+            labelled("gateway_stream_messages_total", {{"kind", kind}, {"direction", "sent"}}));
+    }
+
+    double held() {
+        exchange.tick(monotonic_now());
+        return counters.gauge("gateway_stream_records");
+    }
+
+    std::string host;
+    metrics counters;
+    std::unique_ptr<message_bus> bus;
+    token_allocator_selector members;
+    recent_values::value_set versions{"v1"};
+    bool list_current = true;
+    bool answers = true;
+    stream_exchange exchange;
+};
+
+/// Four entries of one failure domain that know each other.
+struct stream_exchange_fixture : loop_runner {
+    entry_process first{loop, 1};
+    entry_process second{loop, 2};
+    entry_process third{loop, 3};
+    entry_process fourth{loop, 4};
+    std::vector<entry_process*> all{&first, &second, &third, &fourth};
+
+    stream_exchange_fixture() {
+        for (entry_process* each : all) {
+            for (const entry_process* other : all) {
+                each->members.apply(other->self());
+            }
+        }
+    }
+
+    static stream_record record(const std::string& request, const std::string& version = "v1",
+                                std::uint32_t attempt = 1) {
+        return {request, "llm", version, account, attempt, monotonic_now() + seconds(10)};
+    }
+
+    /// Asks at an entry and waits for what it finds out.
+    stream_exchange::resolution ask(entry_process& at, const std::string& request,
+                                    const std::string& service = "llm",
+                                    std::uint64_t of = account) {
+        std::optional<stream_exchange::resolution> found;
+        const auto question = at.exchange.ask({request, of, service, milliseconds(50)},
+                                              [&found](const auto& result) { found = result; });
+        BOOST_TEST(!found);
+        BOOST_REQUIRE(run_until([&found] { return found.has_value(); }));
+        return *found;
+    }
+
+    double held_by_all() {
+        double sum = 0.0;
+        for (entry_process* each : all) {
+            sum += each->held();
+        }
+        return sum;
+    }
+
+    /// Lets all lists of targets have been known for as long as is asked for.
+    void read_lists() {
+        for (entry_process* each : all) {
+            each->exchange.note_list_read(monotonic_now());
+        }
+        run_for(milliseconds(60));
+    }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(stream_exchange_test, stream_exchange_fixture)
+
+BOOST_AUTO_TEST_CASE(stream_begun_at_one_entry_is_known_at_the_others_for_two_messages) {
+    first.exchange.begin_stream(record("r1"));
+    BOOST_TEST(run_until([this] { return held_by_all() == 3.0; }));
+    BOOST_TEST(first.sent("records") == 2U);
+    for (entry_process* each : {&second, &third, &fourth}) {
+        const auto found = ask(*each, "r1");
+        BOOST_TEST(name_of(found.origin.source) == "record");
+        BOOST_TEST(found.origin.version == "v1");
+        BOOST_TEST(found.origin.service == "llm");
+        BOOST_TEST((found.elapsed < milliseconds(50)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_is_known_after_the_entry_that_began_it_and_one_holder_are_gone) {
+    first.exchange.begin_stream(record("r1"));
+    BOOST_REQUIRE(run_until([this] { return held_by_all() == 3.0; }));
+    first.answers = false;
+    entry_process* asker = nullptr;
+    for (entry_process* each : {&second, &third, &fourth}) {
+        if (each->held() == 0.0) {
+            asker = each;
+        }
+    }
+    BOOST_REQUIRE(asker != nullptr);
+    entry_process* gone = asker == &second ? &third : &second;
+    gone->answers = false;
+    const auto found = ask(*asker, "r1");
+    BOOST_TEST(found.origin.version == "v1");
+    // Another holder's answer is enough.
+    BOOST_TEST((found.elapsed < milliseconds(50)));
+}
+
+BOOST_AUTO_TEST_CASE(later_attempt_decides_where_the_stream_continues) {
+    first.exchange.begin_stream(record("r1", "v1", 1));
+    first.exchange.begin_stream(record("r1", "v2", 2));
+    run_for(milliseconds(20));
+    for (entry_process* each : all) {
+        BOOST_TEST(ask(*each, "r1").origin.version == "v2");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_another_account_is_unknown) {
+    first.exchange.begin_stream(record("r1"));
+    run_for(milliseconds(20));
+    for (entry_process* each : all) {
+        each->versions = {"v1", "v2"};
+    }
+    const auto other = ask(second, "r1", "llm", account + 1);
+    const auto none = ask(second, "r2", "llm", account);
+    BOOST_TEST(name_of(other.origin.source) == "unknown");
+    BOOST_TEST(name_of(none.origin.source) == "unknown");
+    BOOST_TEST(other.origin.version.empty());
+}
+
+BOOST_AUTO_TEST_CASE(unknown_stream_has_the_only_version_once_lists_are_known_for_long) {
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "unknown");
+    read_lists();
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "only_version");
+    BOOST_TEST(name_of(ask(second, "r1", "").origin.source) == "unknown");
+    third.versions = {"v2"};
+    fourth.versions = {"v2"};
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(version_that_has_just_left_is_not_forgotten) {
+    read_lists();
+    second.exchange.note_version(monotonic_now(), "llm", "v0");
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "unknown");
+    run_for(milliseconds(80));
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "only_version");
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_hears_of_nobody_trusts_no_list) {
+    read_lists();
+    for (entry_process* each : {&first, &third, &fourth}) {
+        each->answers = false;
+    }
+    const auto found = ask(second, "r1");
+    BOOST_TEST(name_of(found.origin.source) == "unknown");
+    BOOST_TEST(found.answered == 0U);
+    BOOST_TEST((found.elapsed < milliseconds(150)));
+}
+
+BOOST_AUTO_TEST_CASE(lists_that_are_not_up_to_date_are_not_trusted) {
+    read_lists();
+    for (entry_process* each : all) {
+        each->list_current = false;
+    }
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "unknown");
+}
+
+BOOST_AUTO_TEST_CASE(replaced_holder_gets_the_records_of_running_streams_again) {
+    first.exchange.begin_stream(record("r1"));
+    run_for(milliseconds(20));
+    first.exchange.tick(monotonic_now());
+    BOOST_TEST(first.sent("records") == 2U);
+    for (entry_process* each : all) {
+        first.members.apply(each->self(2));
+    }
+    first.exchange.tick(monotonic_now());
+    first.exchange.tick(monotonic_now());
+    BOOST_TEST(first.sent("records") == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_stops_hands_over_what_it_holds) {
+    first.exchange.begin_stream(record("r1"));
+    run_for(milliseconds(20));
+    entry_process* stopping = second.held() > 0.0 ? &second : &third;
+    stopping->exchange.hand_over();
+    run_for(milliseconds(20));
+    first.answers = false;
+    stopping->answers = false;
+    for (entry_process* each : {&second, &third, &fourth}) {
+        if (each != stopping) {
+            BOOST_TEST(ask(*each, "r1").origin.version == "v1");
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_was_received_whole_is_forgotten_where_it_began) {
+    first.exchange.begin_stream(record("r1"));
+    BOOST_TEST(first.held() == 1.0);
+    first.exchange.end_stream("r1", account);
+    BOOST_TEST(first.held() == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(damaged_messages_are_refused) {
+    wire::Envelope message;
+    message.mutable_stream_records()->add_records()->set_request("");
+    for (int number = 0; number < 1000; ++number) {
+        message.mutable_stream_records()->add_records()->set_request("r" + std::to_string(number));
+    }
+    second.bus->send(first.bus->endpoint(), message);
+    wire::Envelope question;
+    question.mutable_stream_question()->set_request(std::string(10'000, 'x'));
+    second.bus->send(first.bus->endpoint(), question);
+    wire::Envelope answer;
+    answer.mutable_stream_answer()->set_number(77);
+    second.bus->send(first.bus->endpoint(), answer);
+    run_for(milliseconds(50));
+    BOOST_TEST(first.held() == 0.0);
+    BOOST_TEST(first.counters.counter("gateway_stream_records_refused_total") == 1U);
+    BOOST_TEST(first.counters.counter("gateway_stream_questions_refused_total") == 1U);
+    BOOST_TEST(first.sent("answer") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(question_that_is_dropped_calls_nothing) {
+    bool called = false;
+    first.exchange.ask({"r1", account, "llm", milliseconds(50)},
+                       [&called](const auto&) { called = true; });
+    run_for(milliseconds(100));
+    BOOST_TEST(!called);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/soak/resumed_streams.cpp
@@ -0,0 +1,294 @@
+#include "soak/resumed_streams.hpp"
+
+#include <algorithm>
+#include <csignal>
+
+namespace wrenswitch::testing {
+namespace {
+
+constexpr std::size_t max_attempts = 5;
+constexpr microseconds stream_deadline = seconds(8);
+
+/// From the end of all faults until the fleet is in touch again.
+constexpr microseconds recovery_time = seconds(3);
+
+}  // namespace
+
+resumed_streams::resumed_streams(std::uint64_t seed)
+    : stream_fleet(entry_count), random_(seed), paused_(entry_count, false) {
+    for (std::size_t index = 0; index < entry_count; ++index) {
+        entry& each = entries[index];
+        links_.push_back(std::make_unique<loopback_proxy>(loop, each.bus));
+        each.more_settings =
+            R"(,"member_endpoint":"tcp://127.0.0.1:)" + std::to_string(links_.back()->port()) + '"';
+    }
+    for (const char* service : {"app", "llm"}) {
+        add_targets(service, "v1", 3);
+        add_targets(service, "v2", 3);
+    }
+    start_all();
+    run_for(seconds(1));
+}
+
+void resumed_streams::begin_stream() {
+    callers_.push_back({&begin(random_.below(2) == 0 ? "/plain/" : "/engine/",
+                               entries[random_.below(entry_count)]),
+                        instant{}, false});
+}
+
+void resumed_streams::play(microseconds length) {
+    const instant end = monotonic_now() + length;
+    instant next_fault = monotonic_now() + milliseconds(300);
+    while (monotonic_now() < end) {
+        begin_stream();
+        run_for(milliseconds(15 + static_cast<std::int64_t>(random_.below(25))));
+        update_callers();
+        restart_ended();
+        if (monotonic_now() > next_fault) {
+            next_fault =
+                monotonic_now() + milliseconds(150 + static_cast<std::int64_t>(random_.below(500)));
+            if (random_.below(3) == 0) {
+                end_faults();
+            }
+            inject_fault();
+        }
+    }
+    end_faults();
+    run_until(
+        [this] {
+            update_callers();
+            restart_ended();
+            return std::all_of(callers_.begin(), callers_.end(), [](const caller& each) {
+                return each.call->complete || each.given_up;
+            });
+        },
+        stream_deadline);
+}
+
+void resumed_streams::update_callers() {
+    const instant now = monotonic_now();
+    for (caller& each : callers_) {
+        if (each.given_up || each.call->complete || !each.call->ended()) {
+            continue;
+        }
+        if (each.call->complete) {
+            continue;
+        }
+        if (each.retry_at == instant{}) {
+            check_attempt(*each.call);
+            each.retry_at = now + milliseconds(50 + static_cast<std::int64_t>(random_.below(250)));
+            each.given_up = each.call->attempts.size() >= max_attempts;
+        } else if (now >= each.retry_at) {
+            retry(each);
+        }
+    }
+}
+
+void resumed_streams::retry(caller& each) {
+    each.retry_at = instant{};
+    resumptions_ += each.call->numbers.empty() ? 0 : 1;
+    send(*each.call, entries[random_.below(entry_count)]);
+}
+
+/// Keeps the attempts that an entry said it didn't run.
+void resumed_streams::check_attempt(const resumable_call& call) {
+    if (call.status == 503U || call.status == 429U) {
+        refused_.push_back(call.attempts.back());
+    }
+}
+
+void resumed_streams::restart_ended() {
+    for (entry& each : entries) {
+        if (each.process->ended()) {
+            launch(each);
+        }
+    }
+}
+
+void resumed_streams::inject_fault() {
+    switch (random_.below(8)) {
+        case 0:
+        case 1:
+        case 2:
+            harm_entry(random_.below(entry_count));
+            break;
+        case 3:
+        case 4:
+            harm_link(random_.below(entry_count));
+            break;
+        case 5:
+            faults_.push_back("lose the store");
+            store.silent = true;
+            break;
+        default:
+            harm_target();
+            break;
+    }
+}
+
+void resumed_streams::harm_entry(std::size_t index) {
+    const std::string name = " entry " + std::to_string(index + 1);
+    switch (random_.below(3)) {
+        case 0:
+            faults_.push_back("kill" + name);
+            entries[index].process->signal(SIGKILL);
+            break;
+        case 1:
+            faults_.push_back("stop" + name);
+            entries[index].process->signal(SIGTERM);
+            break;
+        default:
+            faults_.push_back("pause" + name);
+            entries[index].process->signal(SIGSTOP);
+            paused_[index] = true;
+            break;
+    }
+}
+
+void resumed_streams::harm_link(std::size_t index) {
+    const std::string name = " the link of entry " + std::to_string(index + 1);
+    switch (random_.below(4)) {
+        case 0:
+            faults_.push_back("silence" + name);
+            links_[index]->silent = true;
+            break;
+        case 1:
+            faults_.push_back("lose answers on" + name);
+            links_[index]->answers_lost = true;
+            break;
+        case 2:
+            faults_.push_back("delay" + name);
+            links_[index]->delay = milliseconds(20 + static_cast<std::int64_t>(random_.below(200)));
+            break;
+        default:
+            faults_.push_back("reset" + name);
+            links_[index]->reset_connections();
+            break;
+    }
+}
+
+void resumed_streams::harm_target() {
+    std::vector<stream_target*> running;
+    for (const auto& each : targets) {
+        if (each->runs()) {
+            running.push_back(each.get());
+        }
+    }
+    stream_target& harmed = *running[random_.below(running.size())];
+    if (random_.below(2) == 0) {
+        faults_.push_back("crash " + harmed.worker.id());
+        harmed.crash();
+        harmed.start_again();
+        list(harmed, harmed.service);
+        return;
+    }
+    replace_target(harmed);
+}
+
+/// Another target takes the place of one that leaves, now and then of a new version.
+void resumed_streams::replace_target(stream_target& old) {
+    if (random_.below(3) == 0) {
+        last_version_ += 1;
+    }
+    const std::string version =
+        "v" + std::to_string(last_version_ - static_cast<int>(random_.below(2)));
+    stream_target& added = add_target(
+        old.service, "i-" + old.service + "-new-" + std::to_string(++last_target_), version);
+    faults_.push_back("replace " + old.worker.id() + " by " + added.worker.id() + " of " + version);
+    list(old, old.service, "draining");
+    loop.call_after(milliseconds(600), [this, &old] {
+        old.crash();
+        store.put("keyed.servers", old.worker.id(), std::nullopt);
+    });
+}
+
+void resumed_streams::end_faults() {
+    store.silent = false;
+    for (std::size_t index = 0; index < entry_count; ++index) {
+        links_[index]->heal();
+        if (paused_[index]) {
+            paused_[index] = false;
+            entries[index].process->signal(SIGCONT);
+        }
+    }
+}
+
+double resumed_streams::share_resumed_after_kill() {
+    constexpr std::size_t streams = 24;
+    const instant until = monotonic_now() + recovery_time;
+    run_until(
+        [this, until] {
+            restart_ended();
+            return monotonic_now() > until;
+        },
+        recovery_time + seconds(1));
+    for (const entry& each : entries) {
+        until_ready(each);
+    }
+    run_for(seconds(1));
+    std::vector<resumable_call*> running;
+    for (std::size_t number = 0; number < streams; ++number) {
+        running.push_back(&begin(number % 2 == 0 ? "/plain/" : "/engine/", entries[0]));
+    }
+    run_until([&running] {
+        return std::all_of(running.begin(), running.end(), [](resumable_call* call) {
+            call->read();
+            return call->numbers.size() >= 3;
+        });
+    });
+    entries[0].process->signal(SIGKILL);
+    const auto all_ended = [&running] {
+        return std::all_of(running.begin(), running.end(),
+                           [](resumable_call* call) { return call->ended(); });
+    };
+    run_until(all_ended);
+    std::size_t resumed = 0;
+    for (resumable_call* call : running) {
+        if (!call->complete && !call->numbers.empty()) {
+            resumed += 1;
+            send(*call, entries[1 + resumed % (entry_count - 1)]);
+        }
+    }
+    run_until(all_ended);
+    const auto whole = std::count_if(running.begin(), running.end(),
+                                     [](const resumable_call* call) { return call->is_whole(); });
+    return static_cast<double>(whole) / static_cast<double>(streams);
+}
+
+bool resumed_streams::has_run(const std::string& id) const {
+    return std::any_of(targets.begin(), targets.end(), [&id](const auto& each) {
+        return std::any_of(
+            each->worker.seen.begin(), each->worker.seen.end(),
+            [&id](const message_head& head) { return head.header("Request-Id") == id; });
+    });
+}
+
+std::vector<std::string> resumed_streams::broken() {
+    std::vector<std::string> all;
+    for (const resumable_call& call : calls) {
+        if (call.versions.size() > 1) {
+            std::string versions;
+            for (const std::string& version : call.versions) {
+                versions += " " + version;
+            }
+            all.push_back("a stream of two versions, begun by " + call.begun_by + ":" + versions);
+        }
+        for (std::size_t at = 0; at < call.numbers.size(); ++at) {
+            if (call.numbers[at] != static_cast<int>(at) + 1) {
+                all.push_back("an event is missing or comes twice: " + call.begun_by);
+                break;
+            }
+        }
+        if (call.complete && !call.is_whole()) {
+            all.push_back("a stream ends whole without its events: " + call.begun_by);
+        }
+    }
+    for (const std::string& id : refused_) {
+        if (has_run(id)) {
+            all.push_back("refused as not run, and ran: " + id);
+        }
+    }
+    return all;
+}
+
+}  // namespace wrenswitch::testing
