Read the rollout orders as soon as targets of a new version wait for them

Callers were refused with no_target for up to 700 ms after an entry had started while targets of two versions served: all of them were held back until a read of the rollout orders that had begun after they were listed, and the long poll that was open had to end first.

When targets begin to wait for orders, the entry reads the orders without a poll.

--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -67,6 +67,7 @@
     gateway_rollouts::hooks rollout_hooks();
     rollout_target_counts count_targets(const rollout_order& order);
     void on_orders_read();
+    void on_targets_read();
     void apply_configuration();
     void open_suspects();
     void abort_quarantined(const digest& request);
@@ -130,6 +131,8 @@
     route_services services_of_routes_;
     isolation_detector isolation_;
     bool was_isolated_ = false;
+    /// True while targets of a new version are held back until the rollout orders have been read.
+    bool waits_for_orders_ = false;
     bool grant_log_reachable_ = true;
     std::map<std::string, std::unique_ptr<upstream_pool>> pools_;
     std::unique_ptr<gateway_context> context_;
--- a/src/roles/gateway/gateway_rollout_hooks.cpp
+++ b/src/roles/gateway/gateway_rollout_hooks.cpp
@@ -1,5 +1,7 @@
 // The part of gateway that tells rollouts of targets and requests.
 
+#include <utility>
+
 #include "roles/gateway/gateway.hpp"
 #include "roles/gateway/gateway_wiring.hpp"
 
@@ -41,8 +43,17 @@
 }
 
 /// A target of a new version is held back until a read of the rollout orders that began after the
-/// target was listed. A long poll that is open ends within 700 ms; another read without a poll
-/// follows it.
+/// target was listed. A long poll would delay that by up to 700 ms, in which an entry that has just
+/// started beside two versions would have no target at all. Reads that are under way are not
+/// repeated, since each would discard the one before.
+void gateway::on_targets_read() {
+    streams_->note_list_read(monotonic_now());
+    const bool was_waiting = std::exchange(waits_for_orders_, targets_.waits_for_orders());
+    if (waits_for_orders_ && !was_waiting) {
+        configuration_follower_->look_now();
+    }
+}
+
 void gateway::on_orders_read() {
     targets_.orders_read(configuration_follower_->last_read_began());
     if (targets_.waits_for_orders()) {
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -103,7 +103,7 @@
                                 .pause = target_read_pause,
                                 .lost_key_timeout = lost_target_timeout},
         keyed_follower_hooks{[this](const keyed_record& record) { apply_target_record(record); },
-                             [this] { streams_->note_list_read(monotonic_now()); },
+                             [this] { on_targets_read(); },
                              make_reachable_hook(dialect_.target_log)});
     ledger_ = std::make_unique<grant_ledger>(
         loop_, *shared_log_, dialect_.grant_log, metrics_,
