--- a/src/roles/gateway/forwarded_request_stream.cpp
+++ b/src/roles/gateway/forwarded_request_stream.cpp
@@ -13,8 +13,8 @@
 /// How much longer than its caller waits the record of a stream is kept.
 constexpr microseconds record_margin = seconds(2);
 
-/// The least time for which an unknown stream may have begun before it is resumed.
-constexpr microseconds min_stream_age = seconds(30);
+/// An unknown stream may have begun at least this long before it is resumed.
+constexpr microseconds min_stream_age = seconds(10);
 
 /// A caller may resume a stream after its route's timeout, with a new one.
 constexpr int timeouts_per_stream = 2;
