--- a/include/wrenswitch/decision/streams/stream_origin.hpp
+++ b/include/wrenswitch/decision/streams/stream_origin.hpp
@@ -42,6 +42,8 @@
     std::string version;
     /// The entry that held the record, if one did.
     std::string host;
+    /// When that record expires.
+    instant expires{};
 };
 
 /// Determines the origin of a stream by what entries know of it. `service` is the only service that
--- a/src/decision/streams/stream_origin.cpp
+++ b/src/decision/streams/stream_origin.cpp
@@ -25,7 +25,7 @@
     }
     if (latest != nullptr) {
         return {origin_source::record, latest->record->service, latest->record->version,
-                latest->host};
+                latest->host, latest->record->expires};
     }
     recent_values::value_set versions;
     bool complete = false;
@@ -36,7 +36,7 @@
     if (service.empty() || !complete || versions.size() != 1) {
         return {};
     }
-    return {origin_source::only_version, std::string(service), *versions.begin(), {}};
+    return {origin_source::only_version, std::string(service), *versions.begin(), {}, {}};
 }
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request_stream.cpp
+++ b/src/roles/gateway/forwarded_request_stream.cpp
@@ -82,13 +82,16 @@
 }
 
 void forwarded_request::trace_stream_origin(const stream_exchange::resolution& found) {
-    trace_.add(monotonic_now(), "stream_resumed",
+    const instant now = monotonic_now();
+    const bool has_record = found.origin.source == origin_source::record;
+    trace_.add(now, "stream_resumed",
                {{"resumes", request_.resumed_request},
                 {"last_event", request_.last_event},
                 {"source", std::string(name_of(found.origin.source))},
                 {"begun_service", found.origin.service},
                 {"begun_version", found.origin.version},
                 {"known_from", found.origin.host},
+                {"record_left_ms", has_record ? millis_text(found.origin.expires - now) : ""},
                 {"asked", std::to_string(found.asked)},
                 {"answered", std::to_string(found.answered)},
                 {"asked_for_us", std::to_string(found.elapsed.count())}});
