Let a few entries of each failure domain keep the records of streams

Records went to any entry of the region, so each entry came to need a connection to every other one, and a connection was opened by the first record for it: that record could still wait when the caller had its first events, and was lost with an entry that was killed then. Four keepers of each failure domain hold the records now; an entry opens its connections to them when it learns of them. At 339 entries in three domains it needs 12 at most (entry_of_a_large_fleet_sends_records_to_few_others).

--- a/include/wrenswitch/decision/streams/route_services.hpp
+++ b/include/wrenswitch/decision/streams/route_services.hpp
@@ -16,8 +16,8 @@
     /// Applies a configuration that is in force from now on in place of the one before.
     void apply(instant now, const gateway_configuration& configuration);
 
-    /// The only service that may have begun a stream of the route within the time before now, by the
-    /// configurations that this process has seen. Nothing if there were several.
+    /// The only service that may have begun a stream of the route within the time before now, by
+    /// the configurations that this process has seen. Nothing if there were several.
     std::optional<std::string> only_service(instant now, const gateway_route& route,
                                             microseconds window) const;
 
--- a/src/decision/streams/stream_holders.cpp
+++ b/src/decision/streams/stream_holders.cpp
@@ -1,8 +1,11 @@
 #include "wrenswitch/decision/streams/stream_holders.hpp"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
+#include "wrenswitch/core/digest.hpp"
+
 namespace wrenswitch {
 namespace {
 
@@ -10,8 +13,8 @@
 constexpr std::size_t candidates_in_domain = 2;
 constexpr std::size_t candidates_over_domains = stream_holders::copies + 1;
 
-/// Enough to find members of different failure domains, unless one domain has most of them.
-constexpr std::size_t considered_members = 8;
+/// Ranks the members that may keep records; the same for all streams.
+constexpr std::string_view keeper_name = "stream records";
 
 bool contains_domain(const std::vector<cluster_member>& members, std::string_view failure_domain) {
     return std::any_of(members.begin(), members.end(), [&](const cluster_member& each) {
@@ -30,9 +33,56 @@
                                std::string region)
     : members_(members), failure_domain_(std::move(failure_domain)), region_(std::move(region)) {}
 
+const std::vector<cluster_member>& stream_holders::all_keepers() const {
+    if (keepers_version_ == members_.version()) {
+        return keepers_;
+    }
+    keepers_version_ = members_.version();
+    keepers_.clear();
+    std::map<std::string, std::size_t> count_by_domain;
+    for (cluster_member& each : members_.ranked_members(keeper_name, members_.members())) {
+        std::size_t& count = count_by_domain[each.failure_domain];
+        if (count < keepers_per_domain) {
+            count += 1;
+            keepers_.push_back(std::move(each));
+        }
+    }
+    return keepers_;
+}
+
+std::vector<cluster_member> stream_holders::keepers() const {
+    std::vector<cluster_member> found;
+    for (const cluster_member& each : all_keepers()) {
+        const bool is_near = region_.empty() || each.region == region_;
+        if (is_near && each.host != members_.own_host()) {
+            found.push_back(each);
+        }
+    }
+    return found;
+}
+
+/// The first keepers in rendezvous order for a request, among those that the filter admits.
+std::vector<cluster_member> stream_holders::ranked(std::string_view request, std::size_t count,
+                                                   const member_filter& admits) const {
+    const std::uint64_t seed = spread_hash(request);
+    std::vector<std::pair<std::uint64_t, const cluster_member*>> order;
+    for (const cluster_member& each : all_keepers()) {
+        if (admits(each)) {
+            order.emplace_back(spread_hash(each.host, seed), &each);
+        }
+    }
+    std::sort(order.begin(), order.end(), std::greater<>());
+    order.resize(std::min(count, order.size()));
+    std::vector<cluster_member> selected;
+    for (const auto& [rank, member] : order) {
+        selected.push_back(*member);
+    }
+    return selected;
+}
+
 std::vector<cluster_member> stream_holders::ranked_in_domain(std::string_view request,
                                                              std::size_t count) const {
-    return members_.ranked_members(request, count, [this](const cluster_member& each) {
+    return ranked(request, count, [this](const cluster_member& each) {
         return each.failure_domain == failure_domain_;
     });
 }
@@ -45,7 +95,7 @@
     const auto in_region = [region](const cluster_member& each) {
         return region.empty() || each.region == region;
     };
-    for (cluster_member& each : members_.ranked_members(request, considered_members, in_region)) {
+    for (cluster_member& each : ranked(request, all_keepers().size(), in_region)) {
         const bool is_new_domain = !contains_domain(chosen, each.failure_domain);
         (is_new_domain ? chosen : same_domain).push_back(std::move(each));
     }
--- a/src/roles/gateway/stream_exchange.cpp
+++ b/src/roles/gateway/stream_exchange.cpp
@@ -285,6 +285,7 @@
     if (members_.version() == std::exchange(members_version_, members_.version())) {
         return;
     }
+    connect_to_keepers();
     records_by_endpoint batches;
     for (auto& [key, stream] : begun_) {
         add_recipients(now, stream, batches);
@@ -292,6 +293,22 @@
     send_records(now, batches);
 }
 
+/// Opens connections before records need them. A record that waits for its connection may still be
+/// here when the caller has the first event, and is lost if this process is killed then.
+void stream_exchange::connect_to_keepers() {
+    std::set<holder> keepers;
+    for (const cluster_member& each : holders_.keepers()) {
+        const holder process{each.host, each.process};
+        keepers.insert(process);
+        if (!connected_.contains(process)) {
+            wire::Envelope message;
+            message.mutable_stream_records();
+            bus_.send(each.endpoint, message);
+        }
+    }
+    connected_ = std::move(keepers);
+}
+
 void stream_exchange::tick(instant now) {
     repair(now);
     table_.remove_expired(now);
--- a/src/roles/gateway/stream_exchange.hpp
+++ b/src/roles/gateway/stream_exchange.hpp
@@ -134,6 +134,7 @@
     void on_question(instant now, const message_origin& origin, const wire::Envelope& message);
     void on_answer(const wire::Envelope& message);
     void repair(instant now);
+    void connect_to_keepers();
     void count_message(std::string_view kind, std::string_view direction);
 
     event_loop& loop_;
@@ -149,6 +150,8 @@
     std::map<std::uint64_t, pending_question> pending_;
     std::uint64_t last_question_ = 0;
     std::uint64_t members_version_ = 0;
+    /// The processes to which a connection was opened.
+    std::set<holder> connected_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/decision/streams/stream_holders_test.cpp
+++ b/tests/decision/streams/stream_holders_test.cpp
@@ -101,6 +101,21 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(entry_of_a_large_fleet_sends_records_to_few_others) {
+    add_domains(113);
+    const token_allocator_selector members = members_at("z1-1");
+    const stream_holders holders(members, "z1", "");
+    BOOST_TEST(holders.keepers().size() <= 3 * stream_holders::keepers_per_domain);
+    std::set<std::string> used;
+    for (int number = 0; number < 500; ++number) {
+        for (const cluster_member& each : holders.recipients("r" + std::to_string(number))) {
+            used.insert(each.host);
+        }
+    }
+    BOOST_TEST(used.size() <= holders.keepers().size());
+    BOOST_TEST(used.size() >= 8U);
+}
+
 BOOST_AUTO_TEST_CASE(domain_with_one_entry_has_its_records_in_two_others) {
     add_domains(1);
     const auto held = recipients("z1-1", "r1");
--- a/tests/soak/resumed_streams.cpp
+++ b/tests/soak/resumed_streams.cpp
@@ -258,15 +258,25 @@
             whole_streams += 1;
             continue;
         }
-        const std::string& text = call->socket.received();
-        faults_.push_back("not whole: " + call->begun_by + " as " + call->attempts.back() + " of " +
-                          (call->versions.empty() ? "no version" : *call->versions.begin()) +
+        faults_.push_back("not whole: " + call->begun_by + " as " + call->attempts.back() +
                           ", status " + std::to_string(call->status) + ", " +
-                          text.substr(text.size() - std::min<std::size_t>(text.size(), 40)));
+                          logged_resumption(call->attempts.back()));
     }
     return static_cast<double>(whole_streams) / static_cast<double>(streams);
 }
 
+/// What the entry that got the request has logged of its stream.
+std::string resumed_streams::logged_resumption(const std::string& id) const {
+    for (const entry& each : entries) {
+        const std::string output = each.process->output();
+        const std::size_t begin = output.find("event=stream_resumed request=" + id + " ");
+        if (begin != std::string::npos) {
+            return output.substr(begin, output.find('\n', begin) - begin);
+        }
+    }
+    return "not logged";
+}
+
 bool resumed_streams::has_run(const std::string& id) const {
     return std::any_of(targets.begin(), targets.end(), [&id](const auto& each) {
         return std::any_of(
--- a/tests/soak/resumed_streams.hpp
+++ b/tests/soak/resumed_streams.hpp
@@ -53,6 +53,7 @@
     void replace_target(stream_target& old);
     void end_faults();
     void restart_ended();
+    std::string logged_resumption(const std::string& id) const;
     bool has_run(const std::string& id) const;
 
     random_source random_;
