--- a/src/decision/streams/stream_holders.cpp
+++ b/src/decision/streams/stream_holders.cpp
@@ -74,6 +74,7 @@
     std::sort(order.begin(), order.end(), std::greater<>());
     order.resize(std::min(count, order.size()));
     std::vector<cluster_member> selected;
+    selected.reserve(order.size());
     for (const auto& [rank, member] : order) {
         selected.push_back(*member);
     }
