Don't let processes that tests start inherit the tests' sockets

When the proxy closed a connection to a killed entry, its peer saw no end, and the bus sent into it until the heartbeat gave up after 6 s.

Raw sockets close on exec now.

--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -20,6 +20,8 @@
     explicit raw_socket(int descriptor = -1) : descriptor_(descriptor) {
         if (descriptor_ >= 0) {
             ::fcntl(descriptor_, F_SETFL, ::fcntl(descriptor_, F_GETFL, 0) | O_NONBLOCK);
+            // A process that a test starts would keep a copy open, so that its peer sees no end.
+            ::fcntl(descriptor_, F_SETFD, FD_CLOEXEC);
             // Otherwise the end of a message waits up to 40 ms for a delayed acknowledgement.
             const int immediately = 1;
             ::setsockopt(descriptor_, IPPROTO_TCP, TCP_NODELAY, &immediately, sizeof immediately);
