Bound the records of streams whose callers wait very long

A caller states how long it waits, and the entry that began its stream kept the record that long: holders bound the life of a record to 300 s, the entry itself didn't, and its list of begun streams had no bound in number. An account could grow it by breaking off streams with huge deadlines. The life is bounded in one place now, and the list holds no more than the table.

callers_that_wait_forever_leave_no_more_records_than_the_table_holds begins 20,000 such streams: 16,384 are kept, for 300 s at most.

--- a/include/wrenswitch/decision/streams/stream_record.hpp
+++ b/include/wrenswitch/decision/streams/stream_record.hpp
@@ -13,6 +13,8 @@
     /// Longer names are not recorded. Identifiers come from callers, the others from operators.
     static constexpr std::size_t max_request_bytes = 64;
     static constexpr std::size_t max_name_bytes = 128;
+    /// The longest time that a record is kept, whatever a caller or a message says.
+    static constexpr microseconds max_life = seconds(300);
 
     std::string request;
     std::string service;
--- a/src/roles/gateway/stream_codec.cpp
+++ b/src/roles/gateway/stream_codec.cpp
@@ -7,9 +7,6 @@
 namespace wrenswitch {
 namespace {
 
-/// The longest time that a record is kept, whatever a message says.
-constexpr microseconds max_record_life = seconds(300);
-
 /// Two versions are as good as any larger number: the origin of the stream is then unknown.
 constexpr std::size_t max_sent_versions = 2;
 
@@ -29,7 +26,7 @@
 
 stream_record decode_stream_record(instant now, const wire::StreamRecord& message) {
     constexpr std::uint64_t max_ms =
-        std::chrono::duration_cast<milliseconds>(max_record_life).count();
+        std::chrono::duration_cast<milliseconds>(stream_record::max_life).count();
     stream_record record;
     record.request = message.request();
     record.service = message.service();
--- a/src/roles/gateway/stream_exchange.cpp
+++ b/src/roles/gateway/stream_exchange.cpp
@@ -53,6 +53,7 @@
 
 void stream_exchange::begin_stream(stream_record record) {
     const instant now = monotonic_now();
+    record.expires = std::min(record.expires, now + stream_record::max_life);
     if (table_.record(now, record) == stream_record_table::outcome::invalid) {
         counters_.counter("gateway_stream_records_refused_total") += 1;
         return;
@@ -313,7 +314,11 @@
     repair(now);
     table_.remove_expired(now);
     versions_.remove_old(now);
-    std::erase_if(begun_, [now](const auto& entry) { return entry.second.record.expires <= now; });
+    // The table bounds the number of records, also of those of this entry.
+    std::erase_if(begun_, [this, now](const auto& entry) {
+        return table_.find(now, entry.first.second, entry.first.first) == nullptr;
+    });
+    counters_.gauge("gateway_streams_begun") = static_cast<double>(begun_.size());
     counters_.gauge("gateway_stream_records") = static_cast<double>(table_.size());
     counters_.gauge("gateway_stream_record_bytes") = static_cast<double>(table_.bytes());
     counters_.counter("gateway_stream_records_evicted_total") = table_.evictions();
--- a/tests/roles/stream_exchange_test.cpp
+++ b/tests/roles/stream_exchange_test.cpp
@@ -246,6 +246,19 @@
     BOOST_TEST(first.held() == 0.0);
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_wait_forever_leave_no_more_records_than_the_table_holds) {
+    entry_process alone(loop, 5);
+    for (int number = 0; number < 20'000; ++number) {
+        stream_record patient = record("r" + std::to_string(number));
+        patient.expires = monotonic_now() + std::chrono::hours(24);
+        alone.exchange.begin_stream(patient);
+    }
+    BOOST_TEST(alone.held() == 16'384.0);
+    BOOST_TEST(alone.counters.gauge("gateway_streams_begun") == 16'384.0);
+    const auto found = ask(alone, "r19999");
+    BOOST_TEST((found.origin.expires <= monotonic_now() + stream_record::max_life));
+}
+
 BOOST_AUTO_TEST_CASE(damaged_messages_are_refused) {
     wire::Envelope message;
     message.mutable_stream_records()->add_records()->set_request("");
