Log each step of a process's start, and what a gateway is missing to become ready

Its first line came after the bus, the logs, the exchanges and both ports were open, so that a process that stops anywhere before could not be told from one that never got there, and one whose loop does not turn could not be told from one that lacks its configuration.

process_starting is written before anything that may fail or wait, gateway_opening before each address is bound, gateway_ready when callers are accepted for the first time, and gateway_not_ready after 3 s without that and every 10 s from then on, with what is missing.

--- a/src/main/shared/settings_program.cpp
+++ b/src/main/shared/settings_program.cpp
@@ -1,6 +1,7 @@
 #include "main/shared/settings_program.hpp"
 
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 #include <iostream>
 
@@ -31,6 +32,11 @@
         return exit_done;
     }
     start_logging(program.name);
+    // Written before anything that can fail or wait, so that a process that stops there is seen.
+    log_event(log_level::information, "process_starting",
+              {{"pid", std::to_string(::getpid())},
+               {"version", WRENSWITCH_VERSION},
+               {"settings", file.getValue()}});
     return program.run(file.getValue(), text);
 }
 
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -57,6 +57,12 @@
 /// Link sharing needs up to half a second to answer a flood.
 constexpr microseconds shared_link_shed_delay = seconds(1);
 
+/// Tells how far a start came if the process stops or waits before it has started.
+void log_opening(std::string_view part, const std::string& address) {
+    log_event(log_level::information, "gateway_opening",
+              {{"part", std::string(part)}, {"address", address}});
+}
+
 link_congestion_settings link_settings(const gateway_settings& settings) {
     link_congestion_settings link;
     link.bytes_per_second = settings.link_bytes_per_second;
@@ -111,15 +117,18 @@
 }
 
 result<void> gateway::start() {
+    log_opening("bus", settings_.bus.endpoint);
     if (result<void> opened = open_bus(); !opened) {
         return opened;
     }
     open_logs();
     open_exchanges();
     open_suspects();
+    log_opening("listener", settings_.listen.to_text());
     if (result<void> opened = open_ingress(); !opened) {
         return opened;
     }
+    log_opening("admin", settings_.admin.to_text());
     if (result<void> opened = open_admin(); !opened) {
         return opened;
     }
@@ -145,6 +154,7 @@
     metrics_.gauge("store_generation") = static_cast<double>(log_->generation());
     grants_->set_append_latency(ledger_->append_time());
     update_isolation();
+    watch_start(now);
     update_region_outages();
     tokens_->connect_to_allocators();
     tokens_->return_free_tokens(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "roles/gateway/caller_admission.hpp"
@@ -13,6 +14,7 @@
 #include "roles/gateway/loop_lag_monitor.hpp"
 #include "roles/gateway/rate_limited_log.hpp"
 #include "roles/gateway/signal_exchange.hpp"
+#include "roles/gateway/start_watch.hpp"
 #include "roles/gateway/stream_exchange.hpp"
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_crash_detector.hpp"
@@ -63,6 +65,8 @@
     void open_metrics();
     ingress_limits current_limits() const;
     bool is_open();
+    std::vector<std::string_view> missing_parts();
+    void watch_start(instant now);
     void serve_admin(const http_exchange_pointer& exchange);
 
     void configuration_changed(const keyed_record& record);
@@ -135,6 +139,7 @@
     route_services services_of_routes_;
     isolation_detector isolation_;
     bool was_isolated_ = false;
+    start_watch start_watch_;
     /// True while targets of a new version are held back until the rollout orders have been read.
     bool waits_for_orders_ = false;
     bool grant_log_reachable_ = true;
--- a/src/roles/gateway/gateway_admin.cpp
+++ b/src/roles/gateway/gateway_admin.cpp
@@ -42,8 +42,34 @@
 
 /// True if the gateway is ready, as far as that doesn't depend on its link.
 bool gateway::is_open() {
-    return !stopping_ && configuration_.is_loaded() && ledger_->live() &&
-           target_follower_->live() && suspects_->ready() && !is_isolated();
+    return !stopping_ && missing_parts().empty();
+}
+
+/// What the gateway lacks to serve requests.
+std::vector<std::string_view> gateway::missing_parts() {
+    std::vector<std::string_view> missing;
+    const auto require = [&missing](bool is_there, std::string_view name) {
+        if (!is_there) {
+            missing.push_back(name);
+        }
+    };
+    require(configuration_.is_loaded(), "configuration");
+    require(ledger_->live(), "grants");
+    require(target_follower_->live(), "targets");
+    require(suspects_->ready(), "suspects");
+    require(!is_isolated(), "contact");
+    return missing;
+}
+
+void gateway::watch_start(instant now) {
+    if (!start_watch_.is_starting() || stopping_) {
+        return;
+    }
+    std::vector<std::string_view> missing = missing_parts();
+    if (!admission_.accepts_callers()) {
+        missing.emplace_back("room_for_callers");
+    }
+    start_watch_.update(now, missing);
 }
 
 void gateway::serve_admin(const http_exchange_pointer& exchange) {
