--- a/tests/platform/gateway_fleet.hpp
+++ b/tests/platform/gateway_fleet.hpp
@@ -76,7 +76,7 @@
 
     void until_ready(const entry& each) {
         BOOST_REQUIRE_MESSAGE(run_until([&] { return is_ready(each); }, seconds(10)),
-                              each.process->output());
+                              each.process->describe());
     }
 
     /// Starts all of them and waits until each takes callers and has heard of the others.
--- a/tests/platform/step_back_live_test.cpp
+++ b/tests/platform/step_back_live_test.cpp
@@ -239,7 +239,7 @@
     ready[3] = false;
     BOOST_REQUIRE_MESSAGE(
         drive_until([&] { return ready[3]; }, seconds(8)),
-        "The entry that was started anew has written:\n" + entries[3].process->output());
+        "The entry that was started anew: " + entries[3].process->describe());
     BOOST_TEST(drive_until([&] { return flood->ended(); }, seconds(8)),
                entries[4].process->output());
     BOOST_TEST(sum_of(R"(gateway_account_closed_total{account="small"})") == 1.0);
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -20,6 +21,8 @@
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output_file_.c_str(),
                                      O_WRONLY | O_CREAT | O_TRUNC, 0600);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // A copy of a connection in the child would keep it open after this process has closed it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::vector<char*> arguments;
     for (std::string& word : words) {
         arguments.push_back(word.data());
@@ -66,6 +69,26 @@
     return text.str();
 }
 
+std::string child_process::describe() const {
+    const std::string folder = "/proc/" + std::to_string(pid_);
+    const auto first_line = [&folder](const char* name) {
+        std::ifstream file(folder + "/" + name);
+        std::string line;
+        std::getline(file, line);
+        return line;
+    };
+    std::ostringstream text;
+    text << "pid " << pid_ << "\nstat: " << first_line("stat")
+         << "\nwaits in: " << first_line("wchan") << "\ndescriptors:";
+    std::error_code unreadable;
+    for (const auto& each : std::filesystem::directory_iterator(folder + "/fd", unreadable)) {
+        const std::filesystem::path target = std::filesystem::read_symlink(each, unreadable);
+        text << " " << each.path().filename().string() << "=" << target.string();
+    }
+    text << "\noutput:\n" << output();
+    return text.str();
+}
+
 std::string child_process::field(const std::string& event, const std::string& name) const {
     std::istringstream lines(output());
     std::string line;
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -15,6 +15,8 @@
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
 
+    pid_t pid() const { return pid_; }
+
     void signal(int number) const;
 
     /// True if it has ended; then exit_code() is set.
@@ -26,6 +28,9 @@
     /// All that it has written so far.
     std::string output() const;
 
+    /// What the system knows of the process, and its output. For the messages of failed checks.
+    std::string describe() const;
+
     /// The value of a field in the first line with an event, or an empty text.
     std::string field(const std::string& event, const std::string& name) const;
 
