Let the soak of a flooded domain put messages between entries on the flooded links

Allocators and coordinators behind a flooded link are what flooded_link_live_test has without faults beside. The new case of contended_domain_test runs the same domain with the bus of the low-bandwidth entries on their links, whose router holds 200 ms of callers' bytes, beside kills, freezes and stops. An entry that no fault affected may not be told as lost by another one that none affected.

--- a/tests/soak/contended_checks.cpp
+++ b/tests/soak/contended_checks.cpp
@@ -42,6 +42,28 @@
         // The end of timed shedding has this field, the return from a step back doesn't.
         const bool ends_shedding = line.find("received_share=") != std::string::npos;
         (ends_shedding ? source.sheds : source.stepped_back) = false;
+    } else if (is_event(line, "token_home_lost") || is_event(line, "engine_keeper_lost")) {
+        check_loss(source, line);
+    }
+}
+
+bool contended_domain::is_undisturbed(std::size_t index, instant now) const {
+    return entries_[index].running &&
+           now - entries_[index].last_fault >= contended_caller::fault_effect;
+}
+
+/// An entry may only be told as lost by one that a fault affected, or if one affected it.
+void contended_domain::check_loss(const gateway& source, const std::string& line) {
+    const instant now = monotonic_now();
+    const auto source_index = static_cast<std::size_t>(&source - gateways_.data());
+    for (std::size_t index = 0; index < gateways_.size(); ++index) {
+        const std::string host = "=front-" + std::to_string(index);
+        const bool is_named = line.size() >= host.size() &&
+                              line.compare(line.size() - host.size(), host.size(), host) == 0;
+        if (is_named && is_undisturbed(index, now) && is_undisturbed(source_index, now)) {
+            broken_.push_back("entry " + std::to_string(source_index) +
+                              " took a living entry for lost: " + line);
+        }
     }
 }
 
--- a/tests/soak/contended_domain.cpp
+++ b/tests/soak/contended_domain.cpp
@@ -33,6 +33,10 @@
 /// sent when the last entry returned.
 constexpr microseconds recovery_bound = seconds(15) + load_balancer_standin::check_period;
 
+/// What the router before a link holds of callers' bytes until senders back off, where messages
+/// between entries cross the link as well.
+constexpr microseconds router_queue = milliseconds(200);
+
 double bytes_per_second(int mbps) {
     return 125'000.0 * mbps;
 }
@@ -40,9 +44,10 @@
 }  // namespace
 
 contended_domain::contended_domain(event_loop& loop, std::uint64_t seed, bool shares_link,
-                                   microseconds flood_length)
+                                   microseconds flood_length, link_traffic traffic)
     : seed_(seed),
       shares_link_(shares_link),
+      traffic_(traffic),
       flood_length_(flood_length),
       random_(seed),
       store_(loop),
@@ -103,6 +108,12 @@
             added.proxy->request_link = added.inbound.get();
             added.proxy->link = added.outbound.get();
         }
+        if (traffic_ == link_traffic::callers_and_entries) {
+            added.proxy->longest_queue = router_queue;
+            added.bus_proxy = std::make_unique<loopback_proxy>(loop, added.bus);
+            added.bus_proxy->request_link = added.inbound.get();
+            added.bus_proxy->link = added.outbound.get();
+        }
         admin_ports.push_back(added.admin);
         entries_.push_back({added.proxy->port(), true, {}, 0});
         start_gateway(index);
@@ -119,13 +130,18 @@
     // The previous process removes its output file.
     started.process.reset();
     const std::string path = settings_path(index);
+    const std::string member_endpoint = started.bus_proxy
+                                            ? R"(,"member_endpoint":"tcp://127.0.0.1:)" +
+                                                  std::to_string(started.bus_proxy->port()) + "\""
+                                            : "";
     std::ofstream(path) << R"({"host":"front-)" << index << R"(","failure_domain":"z1",)"
                         << R"("listen":"127.0.0.1:)" << started.listen << R"(","admin":"127.0.0.1:)"
                         << started.admin << R"(","service":")" << store_.address()
                         << R"(","bus_endpoint":"tcp://127.0.0.1:)" << started.bus
                         << R"(","longest_drain_ms":3000,"listen_after_stop_ms":300)"
                         << R"(,"link_mbps":)" << (index == wide_entry ? wide_mbps : narrow_mbps)
-                        << R"(,"share_link":)" << (shares_link_ ? "true" : "false") << "}";
+                        << R"(,"share_link":)" << (shares_link_ ? "true" : "false")
+                        << member_endpoint << "}";
     started.process = std::make_unique<test::child_process>(
         std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", path},
         path + ".log");
--- a/tests/soak/contended_domain.hpp
+++ b/tests/soak/contended_domain.hpp
@@ -32,10 +32,13 @@
     /// Less than is requested, so that the budget runs out during the run.
     static constexpr tokens prepaid = 3000;
 
+    /// What crosses the links of the low-bandwidth entries.
+    enum class link_traffic { callers, callers_and_entries };
+
     /// Without link sharing if `shares_link` is false. Faults come for `flood_length` from the
     /// first step back on.
     contended_domain(event_loop& loop, std::uint64_t seed, bool shares_link,
-                     microseconds flood_length);
+                     microseconds flood_length, link_traffic traffic = link_traffic::callers);
     ~contended_domain();
     contended_domain(const contended_domain&) = delete;
     contended_domain& operator=(const contended_domain&) = delete;
@@ -71,6 +74,8 @@
         std::unique_ptr<throttled_link> inbound;
         std::unique_ptr<throttled_link> outbound;
         std::unique_ptr<loopback_proxy> proxy;
+        /// Between the other gateways and this one, if their messages cross the link.
+        std::unique_ptr<loopback_proxy> bus_proxy;
         std::unique_ptr<test::child_process> process;
         std::unique_ptr<log_follower> log;
         bool stepped_back = false;
@@ -95,6 +100,8 @@
 
     void read_logs();
     void read_line(gateway& source, const std::string& line);
+    void check_loss(const gateway& source, const std::string& line);
+    bool is_undisturbed(std::size_t index, instant now) const;
     void check_accepting(instant now);
     void check_results(instant now);
     void check_callers(instant now);
@@ -104,6 +111,7 @@
 
     std::uint64_t seed_;
     bool shares_link_;
+    link_traffic traffic_;
     microseconds flood_length_;
     random_source random_;
     store_standin store_;
--- a/tests/soak/contended_domain_test.cpp
+++ b/tests/soak/contended_domain_test.cpp
@@ -29,12 +29,15 @@
     return seed % 2 == 0;
 }
 
-void run_domains(const std::vector<std::uint64_t>& seeds, microseconds flood_length) {
+using link_traffic = contended_domain::link_traffic;
+
+void run_domains(const std::vector<std::uint64_t>& seeds, microseconds flood_length,
+                 link_traffic traffic = link_traffic::callers) {
     loop_runner runner;
     std::vector<std::unique_ptr<contended_domain>> domains;
     for (const std::uint64_t seed : seeds) {
-        domains.push_back(
-            std::make_unique<contended_domain>(runner.loop, seed, shares_link(seed), flood_length));
+        domains.push_back(std::make_unique<contended_domain>(runner.loop, seed, shares_link(seed),
+                                                             flood_length, traffic));
     }
     const auto is_over = [](const auto& each) { return each->is_over(); };
     while (!std::all_of(domains.begin(), domains.end(), is_over)) {
@@ -77,4 +80,21 @@
     }
 }
 
+/// The same with the messages between entries on the flooded links, on which allocators and
+/// coordinators depend. Guards against living entries that are taken for lost behind callers'
+/// bytes, beside others that are killed and frozen.
+BOOST_AUTO_TEST_CASE(seeded_faults_beside_flooded_links_lose_no_living_entry) {
+    const std::uint64_t first = from_environment("SOAK_FIRST_SEED", 1);
+    const std::uint64_t count = from_environment("SOAK_SEEDS", 2);
+    const auto length = seconds(from_environment("SOAK_SECONDS", 8));
+    for (std::uint64_t seed = first; seed < first + count; seed += concurrent_domains) {
+        std::vector<std::uint64_t> seeds;
+        for (std::uint64_t each = seed;
+             each < std::min<std::uint64_t>(first + count, seed + concurrent_domains); ++each) {
+            seeds.push_back(each);
+        }
+        run_domains(seeds, length, link_traffic::callers_and_entries);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
