--- a/include/wrenswitch/decision/grants/token_allocator_selector.hpp
+++ b/include/wrenswitch/decision/grants/token_allocator_selector.hpp
@@ -14,6 +14,7 @@
 #include "wrenswitch/core/ids.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/grants/peer_round_trips.hpp"
+#include "wrenswitch/decision/membership/peer_backoffs.hpp"
 #include "wrenswitch/decision/membership/peer_suspicions.hpp"
 
 namespace wrenswitch {
@@ -168,11 +169,6 @@
     const std::string& own_host() const { return own_host_; }
 
 private:
-    struct backoff {
-        instant until{};
-        microseconds duration{};
-    };
-
     struct call_count {
         std::uint64_t answers = 0;
         std::uint64_t failures = 0;
@@ -198,7 +194,7 @@
     mutable std::vector<std::string> allocators_;
     mutable bool allocators_outdated_ = false;
     peer_suspicions suspicions_;
-    std::map<std::string, backoff, std::less<>> backoffs_;
+    peer_backoffs backoffs_;
     std::map<std::string, call_count, std::less<>> call_counts_;
     std::uint64_t version_ = 0;
 };
--- a/include/wrenswitch/decision/sharing/log_reader_selector.hpp
+++ b/include/wrenswitch/decision/sharing/log_reader_selector.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -10,6 +9,7 @@
 
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/decision/grants/token_allocator_selector.hpp"
+#include "wrenswitch/decision/membership/peer_backoffs.hpp"
 
 namespace wrenswitch {
 
@@ -62,17 +62,12 @@
     bool record_answer(std::string_view host);
 
 private:
-    struct backoff {
-        instant until{};
-        microseconds duration{};
-    };
-
     std::string own_host_;
     log_reader_settings settings_;
     bool is_reader_ = false;
     /// In the order in which this entry asks them.
     std::vector<cluster_member> readers_;
-    std::map<std::string, backoff, std::less<>> backoffs_;
+    peer_backoffs backoffs_;
 };
 
 }  // namespace wrenswitch
--- a/src/decision/grants/token_allocator_selector.cpp
+++ b/src/decision/grants/token_allocator_selector.cpp
@@ -28,13 +28,14 @@
                                                    token_allocator_settings settings)
     : own_host_(std::move(own_host)),
       settings_(std::move(settings)),
-      round_trips_(settings_.own_region, settings_.remote_round_trip) {}
+      round_trips_(settings_.own_region, settings_.remote_round_trip),
+      backoffs_(settings_.initial_backoff, settings_.max_backoff) {}
 
 void token_allocator_selector::apply(const cluster_member& member) {
     const auto known = members_.find(member.host);
     if (known == members_.end() || known->second.process != member.process) {
         suspicions_.clear(member.host);
-        backoffs_.erase(member.host);
+        backoffs_.clear(member.host);
         call_counts_.erase(member.host);
     }
     members_.insert_or_assign(member.host, member);
@@ -48,7 +49,7 @@
         return;
     }
     suspicions_.clear(found->first);
-    backoffs_.erase(found->first);
+    backoffs_.clear(found->first);
     call_counts_.erase(found->first);
     round_trips_.remove(host);
     members_.erase(found);
@@ -106,8 +107,7 @@
 }
 
 bool token_allocator_selector::is_backed_off(instant now, const std::string& host) const {
-    const auto found = backoffs_.find(host);
-    return host != own_host_ && found != backoffs_.end() && found->second.until > now;
+    return host != own_host_ && backoffs_.is_backed_off(now, host);
 }
 
 std::optional<cluster_member> token_allocator_selector::allocator_of(
@@ -266,16 +266,9 @@
         return false;
     }
     call_counts_[std::string(host)].failures += 1;
-    backoff& current = backoffs_[std::string(host)];
-    const bool was_healthy = current.duration == microseconds(0);
-    if (current.until > now) {
-        return false;
-    }
-    current.duration = was_healthy ? settings_.initial_backoff
-                                   : std::min(current.duration * 2, settings_.max_backoff);
-    current.until = now + current.duration;
-    version_ += 1;
-    return was_healthy;
+    const peer_backoffs::outcome outcome = backoffs_.record_failure(now, host);
+    version_ += outcome == peer_backoffs::outcome::ignored ? 0 : 1;
+    return outcome == peer_backoffs::outcome::first;
 }
 
 bool token_allocator_selector::record_answer(std::string_view host) {
@@ -292,13 +285,9 @@
     if (members_.contains(host)) {
         call_counts_[std::string(host)].answers += 1;
     }
-    const auto found = backoffs_.find(host);
-    if (found == backoffs_.end()) {
-        return false;
-    }
-    backoffs_.erase(found);
-    version_ += 1;
-    return true;
+    const bool had_failed = backoffs_.clear(host);
+    version_ += had_failed ? 1 : 0;
+    return had_failed;
 }
 
 std::vector<member_call_counts> token_allocator_selector::call_counts() const {
--- a/src/decision/sharing/log_reader_selector.cpp
+++ b/src/decision/sharing/log_reader_selector.cpp
@@ -27,7 +27,9 @@
 }  // namespace
 
 log_reader_selector::log_reader_selector(std::string own_host, log_reader_settings settings)
-    : own_host_(std::move(own_host)), settings_(settings) {}
+    : own_host_(std::move(own_host)),
+      settings_(settings),
+      backoffs_(settings.initial_backoff, settings.max_backoff) {}
 
 void log_reader_selector::set_members(std::span<const cluster_member> members) {
     std::vector<cluster_member> candidates;
@@ -56,10 +58,9 @@
                   return spread_hash(left.host, seed) > spread_hash(right.host, seed);
               });
     readers_ = std::move(candidates);
-    std::erase_if(backoffs_, [this](const auto& each) {
-        return std::none_of(
-            readers_.begin(), readers_.end(),
-            [&each](const cluster_member& reader) { return reader.host == each.first; });
+    backoffs_.keep_only([this](std::string_view host) {
+        return std::any_of(readers_.begin(), readers_.end(),
+                           [host](const cluster_member& reader) { return reader.host == host; });
     });
 }
 
@@ -75,31 +76,17 @@
 std::optional<cluster_member> log_reader_selector::reader(instant now) const {
     const auto found =
         std::find_if(readers_.begin(), readers_.end(), [this, now](const cluster_member& each) {
-            const auto known = backoffs_.find(each.host);
-            return known == backoffs_.end() || known->second.until <= now;
+            return !backoffs_.is_backed_off(now, each.host);
         });
     return found == readers_.end() ? std::nullopt : std::optional(*found);
 }
 
 bool log_reader_selector::record_failure(instant now, std::string_view host) {
-    backoff& current = backoffs_[std::string(host)];
-    const bool was_healthy = current.duration == microseconds(0);
-    if (current.until > now) {
-        return false;
-    }
-    current.duration = was_healthy ? settings_.initial_backoff
-                                   : std::min(current.duration * 2, settings_.max_backoff);
-    current.until = now + current.duration;
-    return was_healthy;
+    return backoffs_.record_failure(now, host) == peer_backoffs::outcome::first;
 }
 
 bool log_reader_selector::record_answer(std::string_view host) {
-    const auto found = backoffs_.find(host);
-    if (found == backoffs_.end()) {
-        return false;
-    }
-    backoffs_.erase(found);
-    return true;
+    return backoffs_.clear(host);
 }
 
 }  // namespace wrenswitch
--- a/src/roles/entry/request_handler.hpp
+++ b/src/roles/entry/request_handler.hpp
@@ -82,6 +82,8 @@
     request_handler_phase phase() const { return phase_; }
 
 private:
+    static constexpr microseconds overload_retry_after = seconds(1);
+
     reservation_request make_reservation_request() const;
     void reserve();
     void reserve_at(incarnation_id allocator);
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "roles/gateway/http_status.hpp"
 #include "roles/gateway/retry_after.hpp"
 #include "roles/gateway/upstream_request_builder.hpp"
+#include "roles/shared/http_status.hpp"
 #include "wrenswitch/core/digest.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/forwarded_request_end.cpp
+++ b/src/roles/gateway/forwarded_request_end.cpp
@@ -1,7 +1,7 @@
 // The part of forwarded_request that ends a request.
 
 #include "roles/gateway/forwarded_request.hpp"
-#include "roles/gateway/http_status.hpp"
+#include "roles/shared/http_status.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "roles/gateway/forwarded_request.hpp"
-#include "roles/gateway/http_status.hpp"
 #include "roles/gateway/retry_after.hpp"
+#include "roles/shared/http_status.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/roles/gateway/forwarded_request_silence.cpp
+++ b/src/roles/gateway/forwarded_request_silence.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 
 #include "roles/gateway/forwarded_request.hpp"
-#include "roles/gateway/http_status.hpp"
 #include "roles/gateway/retry_after.hpp"
+#include "roles/shared/http_status.hpp"
 
 namespace wrenswitch {
 namespace {
--- a/src/roles/gateway/gateway_admin.cpp
+++ b/src/roles/gateway/gateway_admin.cpp
@@ -3,7 +3,7 @@
 #include <utility>
 
 #include "roles/gateway/gateway.hpp"
-#include "roles/gateway/http_status.hpp"
+#include "roles/shared/http_status.hpp"
 #include "wrenswitch/core/log.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/link_sharing.cpp
+++ b/src/roles/gateway/link_sharing.cpp
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include "roles/gateway/caller_response.hpp"
-#include "roles/gateway/http_status.hpp"
 #include "roles/gateway/incoming_request.hpp"
 #include "roles/gateway/request_trace.hpp"
+#include "roles/shared/http_status.hpp"
 #include "wrenswitch/decision/gateway/admission.hpp"
 
 namespace wrenswitch {
--- a/src/roles/gateway/http_status.hpp
+++ b/src/roles/shared/http_status.hpp
@@ -2,7 +2,7 @@
 
 namespace wrenswitch {
 
-/// HTTP statuses that a gateway sends or distinguishes.
+/// HTTP statuses that entries and gateways send or distinguish.
 constexpr unsigned status_ok = 200;
 constexpr unsigned first_redirection = 300;
 constexpr unsigned status_bad_request = 400;
@@ -10,7 +10,9 @@
 constexpr unsigned status_payment_required = 402;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_request_timeout = 408;
+constexpr unsigned status_conflict = 409;
 constexpr unsigned status_misdirected = 421;
+constexpr unsigned status_unprocessable = 422;
 constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned first_server_error = 500;
 constexpr unsigned status_bad_gateway = 502;
