Keep free tokens while their account's allocator is suspected

One that is frozen would have kept them until it wakes or its grants expire. They stay here now until the allocator has answered or is lost. free_tokens_wait_for_a_suspected_allocator checks it; before, its first half failed by construction (the tokens were sent at once).

--- a/include/wrenswitch/decision/grants/token_allocator_selector.hpp
+++ b/include/wrenswitch/decision/grants/token_allocator_selector.hpp
@@ -125,6 +125,8 @@
     std::optional<peer_suspicions::suspicion_id> begin_suspicion(instant now,
                                                                  std::string_view host);
 
+    bool is_suspected(std::string_view host) const { return suspicions_.is_suspected(host); }
+
     /// Ends one suspicion. Returns true if the allocator hasn't answered since it began.
     bool end_suspicion(std::string_view host, peer_suspicions::suspicion_id id) {
         return suspicions_.end(host, id);
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -519,11 +519,13 @@
     connected_ = std::move(endpoints);
 }
 
+/// Tokens of a suspected owner stay here, since a frozen one would keep what is sent to it.
 void token_exchange::return_free_tokens(instant now) {
     std::map<std::string, wire::Envelope> by_endpoint;
     for (const std::string& account : grants_.accounts_with_free_tokens()) {
         const auto owner = allocators_.owner_of(now, account);
-        const bool belongs_elsewhere = owner && owner->host != allocators_.own_host();
+        const bool belongs_elsewhere = owner && owner->host != allocators_.own_host() &&
+                                       !allocators_.is_suspected(owner->host);
         const tokens free = belongs_elsewhere ? grants_.withdraw_free(account) : 0;
         if (free <= 0) {
             continue;
--- a/tests/roles/token_exchange_silence_test.cpp
+++ b/tests/roles/token_exchange_silence_test.cpp
@@ -100,11 +100,17 @@
     BOOST_TEST(is_second_skipped());
 }
 
-/// Guards against free tokens that are sent to another allocator because a reply was late.
-BOOST_AUTO_TEST_CASE(free_tokens_return_to_an_allocator_with_late_replies) {
+/// Guards against free tokens that are sent to a frozen allocator, which keeps them, or to another
+/// one because a reply was late.
+BOOST_AUTO_TEST_CASE(free_tokens_wait_for_a_suspected_allocator) {
     BOOST_REQUIRE((reserve(gateway, 5000) == reserve_outcome::reserved));
     gateway.grants.release(account, 5000);
     BOOST_REQUIRE(!is_queried());
+    const tokens kept = gateway.grants.free_tokens(account);
+    BOOST_TEST(kept >= 5000);
+    gateway.exchange.return_free_tokens(monotonic_now());
+    BOOST_TEST(gateway.grants.free_tokens(account) == kept);
+    BOOST_REQUIRE(run_until([this] { return is_queried(); }));
     const tokens before = slow.grants.free_tokens(account);
     gateway.exchange.return_free_tokens(monotonic_now());
     BOOST_TEST(run_until([&] { return slow.grants.free_tokens(account) >= before + 5000; }));
