Let the next allocator act for a suspected one, and wait a second before it is lost

Cause: the next allocator didn't draw ahead, since the account wasn't its own, and appended to the ledger for each request. The flooded allocator reads late, lost each race for its own appends, and a request that had been told to wait there got nothing in its 800 ms. Evidence: grant_asked of the three entries around a refused request: nine appends of 1,050 tokens in 0.4 s at one, and eleven tries in a row without a grant at the other.

is_allocator now follows the choice that skips suspected hosts; only returns of free tokens go by the owner. And an allocator is passed over for a second instead of 0.6, as long as the first backoff was.

--- a/include/wrenswitch/decision/grants/token_allocator_selector.hpp
+++ b/include/wrenswitch/decision/grants/token_allocator_selector.hpp
@@ -83,8 +83,8 @@
     std::optional<cluster_member> allocator_of(instant now, std::string_view account,
                                                std::span<const std::string> excluded = {}) const;
 
-    /// The allocator that an account belongs to, skipping only hosts in backoff, so that a late
-    /// answer moves no tokens to another host. Empty if none is left.
+    /// The allocator that free tokens of an account go back to, skipping only hosts in backoff, so
+    /// that a late answer moves no tokens to another host. Empty if none is left.
     std::optional<cluster_member> owner_of(instant now, std::string_view account) const;
 
     /// The host of the allocator that is reached at an endpoint. Empty if there is none.
@@ -117,7 +117,7 @@
     /// The allocators that are in another region than this entry.
     std::vector<cluster_member> remote_allocators() const;
 
-    /// True if this host is the account's allocator.
+    /// True if this host is the account's allocator, also in place of a suspected one.
     bool is_allocator(instant now, std::string_view account) const;
 
     /// Begins to suspect an allocator that let a query time out. Empty if it is suspected already,
--- a/src/decision/grants/token_allocator_selector.cpp
+++ b/src/decision/grants/token_allocator_selector.cpp
@@ -248,8 +248,8 @@
 }
 
 bool token_allocator_selector::is_allocator(instant now, std::string_view account) const {
-    const std::optional<cluster_member> owner = owner_of(now, account);
-    return owner && owner->host == own_host_;
+    const std::optional<cluster_member> allocator = allocator_of(now, account);
+    return allocator && allocator->host == own_host_;
 }
 
 std::optional<peer_suspicions::suspicion_id> token_allocator_selector::begin_suspicion(
--- a/src/roles/gateway/token_exchange.cpp
+++ b/src/roles/gateway/token_exchange.cpp
@@ -22,7 +22,7 @@
 /// An allocator that has sent no answer for this long after a query timed out is taken for lost.
 /// This is a few times the retransmission time of a lost packet, and longer than messages queue
 /// before a saturated link.
-constexpr microseconds loss_timeout = milliseconds(600);
+constexpr microseconds loss_timeout = seconds(1);
 
 /// How often a request waits behind another one that brings too few tokens before it sends a query
 /// of its own.
