Give no iterators of two copies of the suspected coordinators to one insertion

What callers would have seen: entries that crash (signal 11 or 6) and lose what they serve.

Only this one place took both ends of a call.

The suspected hosts are now added to a list that the caller has, so that there is no range to take apart. refused_request_passes_over_a_suspected_coordinator takes that path; the tests before never had a suspected coordinator at the moment of a refusal.

--- a/include/wrenswitch/decision/membership/peer_suspicions.hpp
+++ b/include/wrenswitch/decision/membership/peer_suspicions.hpp
@@ -33,8 +33,8 @@
 
     bool is_suspected(std::string_view host) const { return suspicions_.contains(host); }
 
-    /// The suspected peers, in the order of their names.
-    std::vector<std::string> suspected() const;
+    /// Adds the suspected peers, in the order of their names.
+    void add_suspected(std::vector<std::string>& hosts) const;
 
 private:
     struct suspicion {
--- a/src/decision/membership/peer_suspicions.cpp
+++ b/src/decision/membership/peer_suspicions.cpp
@@ -35,13 +35,10 @@
     return is_lost;
 }
 
-std::vector<std::string> peer_suspicions::suspected() const {
-    std::vector<std::string> hosts;
-    hosts.reserve(suspicions_.size());
+void peer_suspicions::add_suspected(std::vector<std::string>& hosts) const {
     for (const auto& [host, each] : suspicions_) {
         hosts.push_back(host);
     }
-    return hosts;
 }
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/coordinator_monitor.hpp
+++ b/src/roles/gateway/coordinator_monitor.hpp
@@ -41,8 +41,10 @@
 
     bool is_unresponsive(const std::string& host) const { return suspicions_.is_suspected(host); }
 
-    /// The hosts of the coordinators that are skipped.
-    std::vector<std::string> unresponsive() const { return suspicions_.suspected(); }
+    /// Adds the hosts of the coordinators that are skipped.
+    void add_unresponsive(std::vector<std::string>& hosts) const {
+        suspicions_.add_suspected(hosts);
+    }
 
     /// A reply arrived in time to a query that was sent at `sent_at`.
     void on_reply(const cluster_member& coordinator, instant sent_at);
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -245,8 +245,7 @@
 void placement_exchange::try_another_coordinator(std::uint64_t attempt, pending_query pending) {
     pending.cold_coordinators.push_back(pending.coordinator.host);
     std::vector<std::string> excluded = pending.cold_coordinators;
-    const std::vector<std::string> unresponsive = monitor_.unresponsive();
-    excluded.insert(excluded.end(), unresponsive.begin(), unresponsive.end());
+    monitor_.add_unresponsive(excluded);
     const auto next =
         coordinators_.alternative_coordinator(monotonic_now(), excluded, random_.unit());
     if (!next || pending.cold_coordinators.size() >= max_cold_coordinators) {
--- a/src/roles/gateway/placement_exchange_admission.cpp
+++ b/src/roles/gateway/placement_exchange_admission.cpp
@@ -31,7 +31,7 @@
     }
     pending.refused_by.push_back(pending.coordinator.host);
     std::vector<std::string> excluded = pending.refused_by;
-    excluded.insert(excluded.end(), monitor_.unresponsive().begin(), monitor_.unresponsive().end());
+    monitor_.add_unresponsive(excluded);
     const auto next =
         coordinators_.alternative_coordinator(monotonic_now(), excluded, random_.unit());
     const bool is_near = next && monitor_.round_trip(*next) == microseconds(0);
--- a/tests/decision/membership/peer_suspicions_test.cpp
+++ b/tests/decision/membership/peer_suspicions_test.cpp
@@ -43,8 +43,9 @@
     suspicions.begin(peer);
     suspicions.begin("other");
     suspicions.clear(peer);
-    BOOST_TEST(suspicions.suspected() == std::vector<std::string>{"other"},
-               boost::test_tools::per_element());
+    std::vector<std::string> suspected;
+    suspicions.add_suspected(suspected);
+    BOOST_TEST(suspected == std::vector<std::string>{"other"}, boost::test_tools::per_element());
 }
 
 // Guards against a loss that is told after a part of the time, by the end of an earlier suspicion.
--- a/tests/roles/placement_admission_test.cpp
+++ b/tests/roles/placement_admission_test.cpp
@@ -327,4 +327,18 @@
     BOOST_TEST((choice.admission == admission_outcome::admit));
 }
 
+// Guards against a crash, and a delay, where a coordinator refuses beside one that doesn't answer.
+BOOST_FIXTURE_TEST_CASE(refused_request_passes_over_a_suspected_coordinator,
+                        two_coordinators_fixture) {
+    receive_urgent(40);
+    fill_engines(60'000);
+    gateway_of(other).accepts_messages = false;
+    const std::uint64_t session = session_of_first();
+    place(*requester, competing(session, "bulk", 2));
+    const double asked = counted(*requester, "placements_at_another_keeper_total");
+    BOOST_TEST(asked == 1.0);
+    place(*requester, competing(session, "bulk", 2));
+    BOOST_TEST(counted(*requester, "placements_at_another_keeper_total") == asked);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
