Give the tests' proxies a listen queue that their own thread can't fill

What was seen: a run of flooded_link_live_test stood still for a minute, at a load of 22, until it was ended (1 of 32 runs). /proc named connect as the call of its only thread, and its wrengates logged that the store didn't answer.

Cause: the test opens connections to its own proxies and accepts them in the same thread. After a pause of 25 ms it opens more than the 17 connections that a listen queue of 16 takes, and the next connect waits for a queue that nobody empties until the system gives up after two minutes.

The proxies listen with a queue of 1024. Listeners that a test fills on purpose keep theirs.

--- a/tests/support/loopback_proxy.hpp
+++ b/tests/support/loopback_proxy.hpp
@@ -133,7 +133,10 @@
     }
 
     std::uint16_t target_;
-    raw_socket listener_ = raw_socket::listen();
+    /// Opening a connection to a full listen queue would block the thread that empties it.
+    static constexpr int backlog = 1024;
+
+    raw_socket listener_ = raw_socket::listen(0, backlog);
     std::vector<connection> connections_;
     std::unique_ptr<timer> ticker_;
 };
--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -51,12 +51,13 @@
         return raw_socket(descriptor);
     }
 
-    /// At a port, or any that is free. Another one if that is taken.
-    static raw_socket listen(std::uint16_t port = 0) {
+    /// At a port, or any that is free. Another one if that is taken. `backlog` is how many
+    /// connections wait to be accepted before further ones wait to be opened.
+    static raw_socket listen(std::uint16_t port = 0, int backlog = 16) {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address = loopback(port);
         ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
-        ::listen(descriptor, 16);
+        ::listen(descriptor, backlog);
         return raw_socket(descriptor);
     }
 
