--- a/tests/soak/contended_domain_test.cpp
+++ b/tests/soak/contended_domain_test.cpp
@@ -19,8 +19,8 @@
     // A request that was sent in the millisecond of its entry's kill was held against the entry.
     7104,
     // Requests still on the link when their entry shed callers were counted as failed. Callers now
-    // send them again. Later a request of an account that doesn't flood got no response in 3 s on a
-    // connection that stayed open; the cause isn't known.
+    // send them again. Later requests got no response on a connection that stayed open, because a
+    // process that the test had started held a copy of its other end.
     7105,
 };
 
