Name the prompts' parts in the lines of requests that broke and of targets that crashed

Three hypotheses on the prompts that crash targets, and no line that tells them apart: lines name a request by its whole content, so that requests with one part in common look unrelated; and a response that ends with its connection looks like any other.

attempt_failed, request_ended of failed requests and target_ended now have the prompt's parts without its last, and target_answered says whether the end of the body is known or is that of the connection. The attempts that wait for a crash to be known keep the parts' fingerprints beside the content's. What counts as evidence is unchanged.

--- a/include/wrenswitch/decision/suspects/interrupted_attempts.hpp
+++ b/include/wrenswitch/decision/suspects/interrupted_attempts.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -29,13 +30,14 @@
     explicit interrupted_attempts(interrupted_attempts_settings settings = {})
         : settings_(settings) {}
 
-    /// Records an attempt whose connection ended before its response did.
+    /// Records an attempt whose connection ended before its response did. `suspects` are the
+    /// fingerprints of the request's content and of its prompt's parts.
     void record_interrupted(instant now, const target_incarnation& incarnation,
-                            const digest& request);
+                            std::span<const digest> suspects);
 
     /// Records an attempt that this entry cancelled before the response was complete.
     void record_cancelled(instant now, const target_incarnation& incarnation,
-                          const digest& request);
+                          std::span<const digest> suspects);
 
     /// Discards the attempts of an incarnation that has proven to be alive: they were interrupted
     /// for another reason.
@@ -49,8 +51,8 @@
     /// The incarnations of a target with interrupted attempts.
     std::vector<target_incarnation> interrupted_incarnations(std::string_view target) const;
 
-    /// Removes the attempts of an incarnation that has ended and returns the requests that were in
-    /// flight at the time, without duplicates.
+    /// Removes the attempts of an incarnation that has ended and returns the fingerprints of the
+    /// requests that were in flight at the time, without duplicates.
     std::vector<digest> take_in_flight(const target_incarnation& incarnation);
 
     /// Discards attempts that are older than the retention time.
@@ -58,7 +60,7 @@
 
 private:
     struct attempt {
-        digest request;
+        std::vector<digest> suspects;
         instant ended{};
         /// False if this entry cancelled the attempt.
         bool interrupted = false;
--- a/include/wrenswitch/decision/suspects/request_fingerprint.hpp
+++ b/include/wrenswitch/decision/suspects/request_fingerprint.hpp
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <cstdint>
+#include <span>
+#include <string>
 #include <string_view>
 
 #include "wrenswitch/core/digest.hpp"
@@ -21,4 +24,16 @@
 /// content, and one caller must not be able to forge the fingerprint of another's request.
 digest fingerprint_of(const request_content& content);
 
+/// The fingerprint of a prompt part, which many requests may share. It is never that of a content.
+digest fingerprint_of_part(std::uint64_t part);
+
+/// True for the fingerprint of a prompt part, false for that of a content.
+bool is_prompt_part(const digest& fingerprint);
+
+/// The prompt part's identifier in hexadecimal digits, as callers name it, for logs.
+std::string part_name(const digest& fingerprint);
+
+/// The names of prompt parts with commas between them, for logs.
+std::string part_names(std::span<const digest> parts);
+
 }  // namespace wrenswitch
--- a/include/wrenswitch/drivers/message_head.hpp
+++ b/include/wrenswitch/drivers/message_head.hpp
@@ -31,6 +31,9 @@
     std::size_t count(std::string_view name) const;
 };
 
+/// True if the end of the connection is all that shows where the answer's body ends.
+bool ends_with_connection(const message_head& answer);
+
 /// True if both names are the same header, in any case.
 bool same_header_name(std::string_view left, std::string_view right);
 
--- a/src/decision/suspects/interrupted_attempts.cpp
+++ b/src/decision/suspects/interrupted_attempts.cpp
@@ -2,17 +2,18 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace wrenswitch {
 
 void interrupted_attempts::record_interrupted(instant now, const target_incarnation& incarnation,
-                                              const digest& request) {
-    add(incarnation, {request, now, true});
+                                              std::span<const digest> suspects) {
+    add(incarnation, {{suspects.begin(), suspects.end()}, now, true});
 }
 
 void interrupted_attempts::record_cancelled(instant now, const target_incarnation& incarnation,
-                                            const digest& request) {
-    add(incarnation, {request, now, false});
+                                            std::span<const digest> suspects) {
+    add(incarnation, {{suspects.begin(), suspects.end()}, now, false});
 }
 
 void interrupted_attempts::add(const target_incarnation& incarnation, attempt ended) {
@@ -20,7 +21,7 @@
     if (attempts.size() >= settings_.max_per_incarnation) {
         attempts.erase(attempts.begin());
     }
-    attempts.push_back(ended);
+    attempts.push_back(std::move(ended));
 }
 
 bool interrupted_attempts::has_interrupted(const target_incarnation& incarnation) const {
@@ -59,7 +60,7 @@
     std::set<digest> in_flight;
     for (const attempt& each : attempts) {
         if (each.ended >= in_flight_since) {
-            in_flight.insert(each.request);
+            in_flight.insert(each.suspects.begin(), each.suspects.end());
         }
     }
     return {in_flight.begin(), in_flight.end()};
--- a/src/drivers/message_head.cpp
+++ b/src/drivers/message_head.cpp
@@ -44,6 +44,13 @@
 
 }  // namespace
 
+bool ends_with_connection(const message_head& answer) {
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    const bool has_body = answer.status != no_content && answer.status != not_modified;
+    return has_body && !answer.content_length && answer.count("Transfer-Encoding") == 0;
+}
+
 bool same_header_name(std::string_view left, std::string_view right) {
     const auto same_letter = [](unsigned char first, unsigned char second) {
         return std::tolower(first) == std::tolower(second);
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -71,7 +71,8 @@
         admitted_ = std::move(*admitted);
         record_account();
         suspicion_.set_content({exchange_->head().method, request_.host, exchange_->head().target,
-                                admitted_.account, exchange_->body()});
+                                admitted_.account, exchange_->body()},
+                               request_.prompt.parts);
         if (exchange_->waited() > microseconds(0)) {
             context_.sharing.trace_state(monotonic_now(), trace_, "link_waited",
                                          admitted_.key_owner, exchange_->waited());
--- a/src/roles/gateway/forwarded_request_end.cpp
+++ b/src/roles/gateway/forwarded_request_end.cpp
@@ -131,6 +131,7 @@
         {"configuration", std::to_string(context_.configuration.current().version)},
         {"account", admitted_.account},
         {"fingerprint", has_content ? suspicion_.fingerprint().to_hex() : ""},
+        {"parts", has_content ? suspicion_.describe_parts() : ""},
         {"target", target_},
         {"version", target_version_},
         {"target_region", std::string(context_.targets.region_of(target_))},
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -38,6 +38,7 @@
     trace_.add(now, "target_answered",
                {{"target", target_},
                 {"status", std::to_string(head.status)},
+                {"body_end", ends_with_connection(head) ? "connection" : "known"},
                 {"after_ms", millis_text(now - sent_at_)}});
     response_head_ = head;
     target_refused_ = head.count(context_.dialect.not_run) > 0 || head.status == status_misdirected;
@@ -229,6 +230,7 @@
                 {"attempt", std::to_string(history_.attempt_number())},
                 {"failure", std::string(name_of(failure))},
                 {"fingerprint", suspicion_.fingerprint().to_hex()},
+                {"parts", suspicion_.describe_parts()},
                 {"held", std::string(name_of(suspicion_.level()))},
                 {"after_ms", millis_text(monotonic_now() - sent_at_)}});
     context_.targets.on_failure(monotonic_now(), target_);
--- a/src/roles/gateway/request_suspicion.cpp
+++ b/src/roles/gateway/request_suspicion.cpp
@@ -4,6 +4,21 @@
 
 namespace wrenswitch {
 
+void request_suspicion::set_content(const request_content& content,
+                                    std::span<const prompt_part> prompt) {
+    content_ = content;
+    parts_.clear();
+    for (const prompt_part& part : prompt.first(prompt.empty() ? 0 : prompt.size() - 1)) {
+        parts_.push_back(fingerprint_of_part(part.id));
+    }
+}
+
+std::vector<digest> request_suspicion::all_fingerprints() {
+    std::vector<digest> all{fingerprint()};
+    all.insert(all.end(), parts_.begin(), parts_.end());
+    return all;
+}
+
 const digest& request_suspicion::fingerprint() {
     if (!fingerprint_) {
         fingerprint_ = fingerprint_of(content_);
@@ -33,14 +48,14 @@
     attempt_active_ = false;
     release_exclusive_attempt();
     if (failure == upstream_failure::cut_short || failure == upstream_failure::broken) {
-        crashes_.record_interrupted(now, incarnation_, fingerprint());
+        crashes_.record_interrupted(now, incarnation_, all_fingerprints());
     }
 }
 
 void request_suspicion::record_abandonment(instant now) {
     release_exclusive_attempt();
     if (std::exchange(attempt_active_, false)) {
-        crashes_.record_cancelled(now, incarnation_, fingerprint());
+        crashes_.record_cancelled(now, incarnation_, all_fingerprints());
     }
 }
 
--- a/src/roles/gateway/request_suspicion.hpp
+++ b/src/roles/gateway/request_suspicion.hpp
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <optional>
+#include <span>
+#include <string>
+#include <vector>
 
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_crash_detector.hpp"
+#include "wrenswitch/decision/placement/prompt_profile.hpp"
 #include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 #include "wrenswitch/drivers/upstream_pool.hpp"
 
@@ -19,12 +23,15 @@
     request_suspicion(const request_suspicion&) = delete;
     request_suspicion& operator=(const request_suspicion&) = delete;
 
-    /// Sets the content that identifies the request. The referenced strings must outlive this
-    /// object.
-    void set_content(const request_content& content) { content_ = content; }
+    /// Sets the content that identifies the request, and its prompt's parts. The last part belongs
+    /// to the request alone. The referenced strings must outlive this object.
+    void set_content(const request_content& content, std::span<const prompt_part> prompt);
 
     const digest& fingerprint();
 
+    /// The prompt's parts that other requests may share, for logs.
+    std::string describe_parts() const { return part_names(parts_); }
+
     /// The current suspicion against the request.
     suspicion level();
 
@@ -57,10 +64,14 @@
 private:
     void release_exclusive_attempt();
 
+    /// The fingerprints of the content and of the parts.
+    std::vector<digest> all_fingerprints();
+
     suspect_exchange& suspects_;
     target_crash_detector& crashes_;
     request_content content_;
     std::optional<digest> fingerprint_;
+    std::vector<digest> parts_;
     target_incarnation incarnation_;
     bool attempt_active_ = false;
     /// True while the request holds the permission to have the only attempt of its content at this
--- a/src/roles/gateway/target_crash_detector.cpp
+++ b/src/roles/gateway/target_crash_detector.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "wrenswitch/core/log.hpp"
+#include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -28,6 +29,9 @@
 /// Requests named in one log line; all of them are counted.
 constexpr std::size_t max_logged_requests = 6;
 
+/// Prompt parts named in one log line.
+constexpr std::size_t max_logged_parts = 24;
+
 std::string fingerprints_of(std::span<const digest> requests) {
     std::string fingerprints;
     for (const digest& request : requests.first(std::min(max_logged_requests, requests.size()))) {
@@ -44,13 +48,13 @@
 
 /// A draining or unlisted target ends as planned.
 void target_crash_detector::record_interrupted(instant now, const target_incarnation& incarnation,
-                                               const digest& request) {
+                                               std::span<const digest> suspects) {
     counters_.counter("gateway_runs_broken_total") += 1;
     const gateway_target* target = targets_.find(incarnation.target);
     if (target == nullptr || target->draining || !targets_.is_listed(incarnation.target)) {
         return;
     }
-    attempts_.record_interrupted(now, incarnation, request);
+    attempts_.record_interrupted(now, incarnation, suspects);
     if (target->started.value_or(0) > incarnation.started) {
         report_crash(incarnation, "restarted");
         return;
@@ -136,18 +140,24 @@
 
 void target_crash_detector::report_crash(const target_incarnation& incarnation,
                                          std::string_view evidence) {
-    const std::vector<digest> requests = attempts_.take_in_flight(incarnation);
+    std::vector<digest> suspects = attempts_.take_in_flight(incarnation);
     probes_.erase(incarnation);
-    if (requests.empty()) {
+    if (suspects.empty()) {
         return;
     }
+    const auto first_part =
+        std::stable_partition(suspects.begin(), suspects.end(),
+                              [](const digest& suspect) { return !is_prompt_part(suspect); });
+    const std::span<const digest> requests(suspects.begin(), first_part);
+    const std::span<const digest> parts(first_part, suspects.end());
     counters_.counter("gateway_targets_ended_total") += 1;
     log_event(log_level::warning, "target_ended",
               {{"target", incarnation.target},
                {"started", std::to_string(incarnation.started)},
                {"seen_by", std::string(evidence)},
                {"requests", std::to_string(requests.size())},
-               {"fingerprints", fingerprints_of(requests)}});
+               {"fingerprints", fingerprints_of(requests)},
+               {"parts", part_names(parts.first(std::min(max_logged_parts, parts.size())))}});
     hooks_.crashed(incarnation, requests);
 }
 
--- a/src/roles/gateway/target_crash_detector.hpp
+++ b/src/roles/gateway/target_crash_detector.hpp
@@ -39,12 +39,12 @@
 
     /// The connection of an attempt at this incarnation closed before the response was complete.
     void record_interrupted(instant now, const target_incarnation& incarnation,
-                            const digest& request);
+                            std::span<const digest> suspects);
 
     /// This process cancelled an attempt before its response was complete.
     void record_cancelled(instant now, const target_incarnation& incarnation,
-                          const digest& request) {
-        attempts_.record_cancelled(now, incarnation, request);
+                          std::span<const digest> suspects) {
+        attempts_.record_cancelled(now, incarnation, suspects);
     }
 
     /// Data from this incarnation was received, so it is alive, unless the data was sent before the
--- a/tests/decision/suspects/interrupted_attempts_test.cpp
+++ b/tests/decision/suspects/interrupted_attempts_test.cpp
@@ -12,6 +12,12 @@
 const target_incarnation incarnation{"t", 1};
 const digest first{1, 1};
 const digest second{2, 2};
+const digest third{3, 3};
+
+/// The fingerprints of an attempt whose prompt has no parts.
+std::span<const digest> only(const digest& fingerprint) {
+    return {&fingerprint, 1};
+}
 
 struct interrupted_attempts_fixture {
     interrupted_attempts attempts;
@@ -20,51 +26,59 @@
 BOOST_FIXTURE_TEST_SUITE(interrupted_attempts_test, interrupted_attempts_fixture)
 
 BOOST_AUTO_TEST_CASE(interrupted_requests_of_ended_incarnation_are_returned_once_each) {
-    attempts.record_interrupted(now, incarnation, first);
-    attempts.record_interrupted(now, incarnation, first);
-    attempts.record_interrupted(now, incarnation, second);
-    attempts.record_interrupted(now, {"t", 2}, {3, 3});
+    attempts.record_interrupted(now, incarnation, only(first));
+    attempts.record_interrupted(now, incarnation, only(first));
+    attempts.record_interrupted(now, incarnation, only(second));
+    attempts.record_interrupted(now, {"t", 2}, only(third));
     BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{first, second}));
     BOOST_TEST(attempts.take_in_flight(incarnation).empty());
     BOOST_TEST(attempts.has_interrupted({"t", 2}));
 }
 
 BOOST_AUTO_TEST_CASE(request_cancelled_just_before_the_end_is_returned) {
-    attempts.record_cancelled(now - milliseconds(900), incarnation, first);
-    attempts.record_cancelled(now - milliseconds(1100), incarnation, second);
-    attempts.record_interrupted(now, incarnation, {3, 3});
+    attempts.record_cancelled(now - milliseconds(900), incarnation, only(first));
+    attempts.record_cancelled(now - milliseconds(1100), incarnation, only(second));
+    attempts.record_interrupted(now, incarnation, only(third));
     BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{first, {3, 3}}));
 }
 
 BOOST_AUTO_TEST_CASE(request_interrupted_long_before_the_end_is_not_returned) {
-    attempts.record_interrupted(now - milliseconds(1100), incarnation, first);
-    attempts.record_interrupted(now, incarnation, second);
+    attempts.record_interrupted(now - milliseconds(1100), incarnation, only(first));
+    attempts.record_interrupted(now, incarnation, only(second));
     BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{second}));
 }
 
 BOOST_AUTO_TEST_CASE(incarnation_with_only_cancelled_attempts_returns_none) {
-    attempts.record_cancelled(now, incarnation, first);
+    attempts.record_cancelled(now, incarnation, only(first));
     BOOST_TEST(!attempts.has_interrupted(incarnation));
     BOOST_TEST(attempts.take_in_flight(incarnation).empty());
 }
 
 BOOST_AUTO_TEST_CASE(discarded_incarnation_returns_none) {
-    attempts.record_interrupted(now, incarnation, first);
+    attempts.record_interrupted(now, incarnation, only(first));
     attempts.discard(incarnation);
     BOOST_TEST(attempts.take_in_flight(incarnation).empty());
 }
 
 BOOST_AUTO_TEST_CASE(unexplained_interruption_expires) {
-    attempts.record_interrupted(now, incarnation, first);
+    attempts.record_interrupted(now, incarnation, only(first));
     attempts.discard_expired(now + seconds(8));
     BOOST_TEST(attempts.has_interrupted(incarnation));
     attempts.discard_expired(now + seconds(9));
     BOOST_TEST(!attempts.has_interrupted(incarnation));
 }
 
+BOOST_AUTO_TEST_CASE(prompt_parts_of_attempts_are_returned_once_each) {
+    const digest part = fingerprint_of_part(7);
+    attempts.record_interrupted(now, incarnation, std::vector<digest>{first, part});
+    attempts.record_interrupted(now, incarnation, std::vector<digest>{second, part});
+    BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{first, second, part}));
+}
+
 BOOST_AUTO_TEST_CASE(attempts_per_incarnation_are_bounded) {
     for (std::uint64_t number = 0; number < 1000; ++number) {
-        attempts.record_interrupted(now, incarnation, {number, 0});
+        const digest each{number, 0};
+        attempts.record_interrupted(now, incarnation, only(each));
     }
     BOOST_TEST(attempts.take_in_flight(incarnation).size() == 256U);
 }
@@ -78,6 +92,13 @@
     BOOST_TEST((fingerprint_of(content) == fingerprint_of(content)));
 }
 
+BOOST_AUTO_TEST_CASE(prompt_part_is_told_from_content_and_keeps_its_name) {
+    const digest part = fingerprint_of_part(0x5c1e07a2);
+    BOOST_TEST(is_prompt_part(part));
+    BOOST_TEST(!is_prompt_part(fingerprint_of({"POST", "h", "/a", "account", "body"})));
+    BOOST_TEST(part_names(std::vector<digest>{part, fingerprint_of_part(1)}) == "5c1e07a2,1");
+}
+
 BOOST_AUTO_TEST_CASE(change_of_any_part_changes_fingerprint) {
     const request_content content{"POST", "h", "/a/b", "account", "body"};
     const digest original = fingerprint_of(content);
--- a/tests/drivers/message_parser_test.cpp
+++ b/tests/drivers/message_parser_test.cpp
@@ -130,6 +130,7 @@
     message_parser parser = make(message_kind::answer);
     BOOST_REQUIRE(parser.feed("HTTP/1.1 200 OK\r\n\r\nabc").has_value());
     BOOST_TEST(ended == 0);
+    BOOST_TEST(ends_with_connection(head));
     BOOST_TEST(parser.end_of_input());
     BOOST_TEST(ended == 1);
     BOOST_TEST(body == "abc");
