--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -55,6 +55,9 @@
     /// connections wait to be accepted before further ones wait to be opened.
     static raw_socket listen(std::uint16_t port = 0, int backlog = 16) {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        // Closed connections of an earlier listener don't keep the port taken.
+        const int reuse = 1;
+        ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
         sockaddr_in address = loopback(port);
         ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
         ::listen(descriptor, backlog);
