Quarantine prompt parts that crash engines, and let survivors clear the sound ones

What callers saw: engines crashed one after the other, with all streams that they served, under requests of which no two were alike.

Cause: a crash was held against the whole contents of the requests under way. Contents that come once each never add up. The class is that what is common to many requests is known to none of them.

Why it works: a crash counts against each part of each prompt under way but the last, over all entries, by the same log and messages as contents. Sound parts are told apart by survivors: attempts that began to write after the crash and ended well or went on for a second. They remove what was known before they began, so that a part that turns bad is not protected by its past. Three crashes one after the other, or five, and no survivor quarantine a part; crashes that it explains don't count against others.

Whatever a request with a quarantined part waits for, it ends at once with 502. One entry tries such a part again, 30 s, 60 s and then 10 min after its last crash.

--- a/include/wrenswitch/core/time.hpp
+++ b/include/wrenswitch/core/time.hpp
@@ -20,6 +20,13 @@
     return std::chrono::time_point_cast<microseconds>(std::chrono::steady_clock::now());
 }
 
+/// The wall clock in Unix milliseconds, for times that other hosts read. It may be stepped.
+inline std::int64_t unix_milliseconds_now() {
+    return std::chrono::duration_cast<milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 /// A length of time as a number of seconds.
 constexpr double as_seconds(microseconds length) {
     constexpr double microseconds_a_second = 1e6;
--- a/include/wrenswitch/decision/suspects/suspect_table.hpp
+++ b/include/wrenswitch/decision/suspects/suspect_table.hpp
@@ -1,45 +1,18 @@
 #pragma once
 
 #include <cstddef>
-#include <deque>
-#include <optional>
 #include <set>
-#include <span>
-#include <string_view>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
 #include "wrenswitch/core/digest.hpp"
 #include "wrenswitch/core/time.hpp"
-#include "wrenswitch/decision/suspects/target_incarnation.hpp"
+#include "wrenswitch/decision/suspects/crash_evidence.hpp"
+#include "wrenswitch/decision/suspects/recent_times.hpp"
+#include "wrenswitch/decision/suspects/suspicion.hpp"
 
 namespace wrenswitch {
 
-/// How likely a request is to crash its targets.
-enum class suspicion {
-    none,
-    /// In flight at fewer crashes than the quarantine threshold: may be unrelated to them.
-    suspected,
-    /// Not sent to any target.
-    quarantined,
-};
-
-/// The name of a suspicion in logs.
-std::string_view name_of(suspicion value);
-
-/// One piece of evidence: a target crashed while the request was in flight there.
-struct crash_evidence {
-    digest request;
-    target_incarnation incarnation;
-
-    friend bool operator==(const crash_evidence&, const crash_evidence&) = default;
-    friend bool operator<(const crash_evidence& left, const crash_evidence& right) {
-        return std::tie(left.request, left.incarnation) <
-               std::tie(right.request, right.incarnation);
-    }
-};
-
 /// Settings of suspect_table.
 struct suspect_settings {
     /// The number of target incarnations that have to crash under a request before it is
@@ -66,7 +39,8 @@
 /// other entries and from the log; entries with the same evidence reach the same result.
 class suspect_table {
 public:
-    explicit suspect_table(suspect_settings settings = {}) : settings_(settings) {}
+    explicit suspect_table(suspect_settings settings = {})
+        : settings_(settings), proven_(settings.max_proven, settings.proof_lifetime / 2) {}
 
     /// Adds evidence. True if it is new. A crash of one incarnation counts once, however many
     /// entries report it.
@@ -104,21 +78,14 @@
         instant last_crash{};
     };
 
-    struct proof {
-        digest request;
-        instant at{};
-    };
-
-    void trim_proven();
     microseconds quarantine_duration(const suspect_entry& entry) const;
     std::vector<crash_evidence> drop(const digest& request);
     const digest* weakest_suspect() const;
 
     suspect_settings settings_;
     std::unordered_map<digest, suspect_entry> suspects_;
-    std::unordered_map<digest, instant> proven_;
-    /// Successful requests, oldest first; a request may appear several times.
-    std::deque<proof> proven_order_;
+    /// When each request succeeded.
+    recent_times proven_;
 };
 
 }  // namespace wrenswitch
--- a/src/decision/suspects/suspect_table.cpp
+++ b/src/decision/suspects/suspect_table.cpp
@@ -4,20 +4,8 @@
 
 namespace wrenswitch {
 
-std::string_view name_of(suspicion value) {
-    switch (value) {
-        case suspicion::none:
-            return "none";
-        case suspicion::suspected:
-            return "suspected";
-        case suspicion::quarantined:
-            return "quarantined";
-    }
-    return "unnamed";
-}
-
 bool suspect_table::add(instant now, const crash_evidence& evidence) {
-    suspect_entry& entry = suspects_[evidence.request];
+    suspect_entry& entry = suspects_[evidence.fingerprint];
     if (!entry.crashes.insert(evidence.incarnation).second) {
         return false;
     }
@@ -26,7 +14,7 @@
 }
 
 bool suspect_table::remove(const crash_evidence& evidence) {
-    const auto found = suspects_.find(evidence.request);
+    const auto found = suspects_.find(evidence.fingerprint);
     if (found == suspects_.end() || found->second.crashes.erase(evidence.incarnation) == 0) {
         return false;
     }
@@ -37,30 +25,13 @@
 }
 
 std::vector<crash_evidence> suspect_table::record_success(instant now, const digest& request) {
-    instant& at = proven_[request];
-    // Limits the entries of a request that is repeated all the time.
-    if (at == instant{} || now - at > settings_.proof_lifetime / 2) {
-        proven_order_.push_back({request, now});
-        at = now;
-    }
-    trim_proven();
+    proven_.record(request, now);
     return drop(request);
 }
 
-void suspect_table::trim_proven() {
-    while (proven_order_.size() > settings_.max_proven) {
-        const proof& oldest = proven_order_.front();
-        const auto found = proven_.find(oldest.request);
-        if (found != proven_.end() && found->second == oldest.at) {
-            proven_.erase(found);
-        }
-        proven_order_.pop_front();
-    }
-}
-
 bool suspect_table::is_proven(instant now, const digest& request) const {
-    const auto found = proven_.find(request);
-    return found != proven_.end() && now - found->second <= settings_.proof_lifetime;
+    const std::optional<instant> succeeded = proven_.latest(request);
+    return succeeded && now - *succeeded <= settings_.proof_lifetime;
 }
 
 microseconds suspect_table::quarantine_duration(const suspect_entry& entry) const {
@@ -82,7 +53,7 @@
 }
 
 bool suspect_table::contains(const crash_evidence& evidence) const {
-    const auto found = suspects_.find(evidence.request);
+    const auto found = suspects_.find(evidence.fingerprint);
     return found != suspects_.end() && found->second.crashes.contains(evidence.incarnation);
 }
 
--- a/src/drivers/suspect_log.cpp
+++ b/src/drivers/suspect_log.cpp
@@ -33,8 +33,9 @@
 keyed_record encode_suspect_end(const crash_evidence& end, const std::string& host) {
     wire::SuspectRecord value;
     value.set_host(host);
-    return {end.request.to_hex() + separator + std::to_string(end.incarnation.started) + separator +
-                end.incarnation.target,
+    value.set_crashed(end.crashed);
+    return {end.fingerprint.to_hex() + separator + std::to_string(end.incarnation.started) +
+                separator + end.incarnation.target,
             value.SerializeAsString(), 0};
 }
 
@@ -54,7 +55,10 @@
     if (!request || problem != std::errc{} || rest != number.data() + number.size()) {
         return std::nullopt;
     }
-    return crash_evidence{*request, {std::string(key.substr(second + 1)), started}};
+    wire::SuspectRecord value;
+    const bool has_value = record.value && value.ParseFromString(*record.value);
+    return crash_evidence{
+        *request, {std::string(key.substr(second + 1)), started}, has_value ? value.crashed() : 0};
 }
 
 suspect_log::suspect_log(event_loop& loop, keyed_log& log, std::string name, std::string host,
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -115,16 +115,13 @@
     context_.admission.record_request(exchange_->received(), admitted_.account);
 }
 
-/// Fails a request that is held responsible for crashes of three targets, since it would also crash
-/// the next one, with all other requests there. Retried by gateways that did not know of each
-/// other's attempts, one such request crashed eleven of twelve engines within 15 s. Status 502
-/// without a retry time tells the caller that the request failed at targets. It is not charged
-/// again.
+/// Fails a request whose content, or a part of whose prompt, is held responsible for crashes of
+/// targets, since it would also crash the next one, with all other requests there.
 bool forwarded_request::check_quarantine() {
     if (suspicion_.level() != suspicion::quarantined) {
         return true;
     }
-    fail(status_bad_gateway, "request_quarantined");
+    fail_quarantined();
     return false;
 }
 
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -45,9 +45,9 @@
     /// Handles a new rollout order for the service while the request may have an active attempt.
     void on_rollout_order(const std::string& service);
 
-    /// Handles the quarantine of a request. If it is this one, its active attempt is ended before
-    /// it crashes the target.
-    void abort_if_quarantined(const digest& request);
+    /// Handles the quarantine of a content or a prompt part. If it is this request's, the request
+    /// ends before it crashes a target, whatever it waits for.
+    void abort_if_quarantined(const digest& fingerprint);
 
 private:
     bool parse_request();
@@ -120,6 +120,7 @@
     void handle_refusal();
     void handle_response();
     void refuse_suspect();
+    void fail_quarantined();
     bool refuse_futile_resend();
     bool try_acquire_retry();
     bool retry();
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -50,6 +50,7 @@
     charge_.charge_prompt(now);
     streaming_ = is_stream(admitted_.route.kind) && head.status == status_ok;
     if (!streaming_) {
+        suspicion_.record_answer_progress(now);
         rollout_.record_first_event(now);
     }
 }
@@ -96,6 +97,7 @@
 void forwarded_request::record_events(std::size_t count) {
     const instant now = monotonic_now();
     suspicion_.record_activity(now);
+    suspicion_.record_answer_progress(now);
     const bool is_first = stream_timing_.event_count() == 0;
     const microseconds gap = stream_timing_.record_events(now, count);
     if (is_first) {
@@ -255,17 +257,42 @@
 /// Refuses a suspected request. While another attempt of it is active, it has to wait for the
 /// result of that attempt, which clears or confirms the suspicion.
 void forwarded_request::refuse_suspect() {
-    const bool quarantined = suspicion_.level() == suspicion::quarantined;
-    if (quarantined || history_.may_have_run()) {
-        fail(status_bad_gateway, quarantined ? "request_quarantined" : "suspect_under_way");
+    if (suspicion_.level() == suspicion::quarantined) {
+        fail_quarantined();
+        return;
+    }
+    if (history_.may_have_run()) {
+        fail(status_bad_gateway, "suspect_under_way");
         return;
     }
     refuse(status_unavailable, "suspect_under_way", suspect_retry_after);
 }
 
-void forwarded_request::abort_if_quarantined(const digest& request) {
-    if (ended_ || cancelled_ || upstream_call_ == nullptr ||
-        !suspicion_.has_active_attempt(request)) {
+/// Status 502 without a retry time tells the caller that its request failed at targets. It is not
+/// charged again.
+void forwarded_request::fail_quarantined() {
+    const digest* part = suspicion_.quarantined_part();
+    if (part == nullptr) {
+        fail(status_bad_gateway, "request_quarantined");
+        return;
+    }
+    const instant now = monotonic_now();
+    const part_record record = context_.suspects.parts().record_of(*part);
+    trace_.add(now, "part_quarantined",
+               {{"part", part_name(*part)},
+                {"ends", std::to_string(record.crashes)},
+                {"age_ms", millis_text(now - record.first_crash)}});
+    fail(status_bad_gateway, "part_quarantined");
+}
+
+/// An attempt whose target writes already either crashes it anyway or shows that the part is sound.
+void forwarded_request::abort_if_quarantined(const digest& fingerprint) {
+    if (ended_ || cancelled_ || !suspicion_.concerns(fingerprint) ||
+        (is_prompt_part(fingerprint) && suspicion_.has_begun_answer())) {
+        return;
+    }
+    if (upstream_call_ == nullptr) {
+        fail_quarantined();
         return;
     }
     const bool sent = upstream_call_->sent();
@@ -275,7 +302,7 @@
         history_.record_possible_run();
         charge_unobserved_output();
     }
-    fail(status_bad_gateway, "request_quarantined");
+    fail_quarantined();
 }
 
 /// Returns true if the request may be retried at another target: the response can be continued from
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -104,10 +104,11 @@
            [this] { return is_open(); }}),
       rollouts_(dialect, settings.exposed_share, metrics_, rollout_hooks()),
       retries_(settings.retry_share, settings.retry_window, metrics_),
-      crashes_(loop, targets_, metrics_,
-               {[this](const target_incarnation& incarnation, std::span<const digest> requests) {
-                   suspects_->record_crash(incarnation, requests);
-               }}) {
+      crashes_(
+          loop, targets_, metrics_,
+          {[this](const target_incarnation& incarnation, std::span<const digest> fingerprints) {
+              suspects_->record_crash(incarnation, fingerprints);
+          }}) {
     metrics_.gauge("gateway_retry_share") = settings.retry_share;
     metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
 }
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -77,7 +77,7 @@
     void on_targets_read();
     void apply_configuration();
     void open_suspects();
-    void abort_quarantined(const digest& request);
+    void abort_quarantined(const digest& fingerprint);
     void on_coordinator_unresponsive(const std::string& host, bool others_answered);
     void on_coordinator_responded(const std::string& host);
     void on_peer_unresponsive(const std::string& peer);
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -221,8 +221,9 @@
 void gateway::open_suspects() {
     suspects_ = std::make_unique<suspect_exchange>(
         loop_, *shared_log_, dialect_.suspect_log, *bus_, allocators_, metrics_,
-        suspect_exchange::hooks{[this](const digest& request) { abort_quarantined(request); },
-                                make_reachable_hook(dialect_.suspect_log)});
+        suspect_exchange::hooks{
+            [this](const digest& fingerprint) { abort_quarantined(fingerprint); },
+            make_reachable_hook(dialect_.suspect_log)});
 }
 
 result<void> gateway::open_ingress() {
@@ -280,11 +281,11 @@
     return outcome::success();
 }
 
-void gateway::abort_quarantined(const digest& request) {
+void gateway::abort_quarantined(const digest& fingerprint) {
     const std::vector<std::shared_ptr<forwarded_request>> requests(
         context_->active_requests.begin(), context_->active_requests.end());
     for (const std::shared_ptr<forwarded_request>& each : requests) {
-        each->abort_if_quarantined(request);
+        each->abort_if_quarantined(fingerprint);
     }
 }
 
--- /dev/null
+++ b/src/roles/gateway/part_suspect_tracker.cpp
@@ -0,0 +1,162 @@
+#include "roles/gateway/part_suspect_tracker.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "wrenswitch/core/log.hpp"
+#include "wrenswitch/decision/suspects/request_fingerprint.hpp"
+
+namespace wrenswitch {
+namespace {
+
+/// How long an attempt may show that a part known as sound had nothing to do with a crash.
+constexpr microseconds survivor_wait = milliseconds(500);
+
+/// Parts with fewer crashes get no log line of their own: most were only beside the one that
+/// caused the crash.
+constexpr std::size_t logged_crashes = 2;
+
+/// Crashes that are said to be older count as this old.
+constexpr microseconds max_crash_age = part_suspect_settings{}.evidence_retention;
+
+/// From this many crashes on a part may be quarantined without waiting for the next update.
+constexpr std::size_t immediate_crashes = part_suspect_settings{}.certain_threshold;
+
+/// When a crash happened, by this host's clock. A time in the future, from a clock that is ahead,
+/// is now, and so is an unknown one.
+instant time_of(instant now, const crash_evidence& crash) {
+    const std::int64_t age = crash.crashed == 0 ? 0 : unix_milliseconds_now() - crash.crashed;
+    return now - std::clamp<microseconds>(milliseconds(age), microseconds(0), max_crash_age);
+}
+
+/// The age of a time in milliseconds, for logs; empty if there is none.
+std::string age_text(instant now, const std::optional<instant>& at) {
+    return at ? millis_text(now - *at) : "";
+}
+
+}  // namespace
+
+part_suspect_tracker::part_suspect_tracker(event_loop& loop, metrics& counters,
+                                           const part_suspect_settings& settings, hooks callbacks)
+    : loop_(loop), counters_(counters), hooks_(std::move(callbacks)), table_(settings) {}
+
+part_suspect_tracker::~part_suspect_tracker() {
+    *alive_ = false;
+}
+
+bool part_suspect_tracker::awaits_survivor(const crash_evidence& crash) {
+    const instant now = monotonic_now();
+    if (!table_.is_survived_recently(now, crash.fingerprint)) {
+        return false;
+    }
+    loop_.call_after(survivor_wait, [this, crash, now, alive = alive_] {
+        if (*alive && !table_.is_survived_since(crash.fingerprint, now)) {
+            hooks_.share(crash);
+        }
+    });
+    return true;
+}
+
+void part_suspect_tracker::add(const crash_evidence& crash, std::string_view source) {
+    const instant now = monotonic_now();
+    if (!table_.add(now, crash, time_of(now, crash))) {
+        return;
+    }
+    counters_.counter("gateway_part_crashes_total") += 1;
+    log_suspected(crash, source);
+    if (table_.record_of(crash.fingerprint).crashes >= immediate_crashes) {
+        update(now);
+    }
+}
+
+void part_suspect_tracker::log_suspected(const crash_evidence& crash,
+                                         std::string_view source) const {
+    const part_record record = table_.record_of(crash.fingerprint);
+    if (record.crashes < logged_crashes) {
+        return;
+    }
+    const instant now = monotonic_now();
+    log_event(log_level::warning, "part_suspected",
+              {{"part", part_name(crash.fingerprint)},
+               {"held", std::string(name_of(table_.suspicion_of(now, crash.fingerprint)))},
+               {"ends", std::to_string(record.crashes)},
+               {"target", crash.incarnation.target},
+               {"started", std::to_string(crash.incarnation.started)},
+               {"known_from", std::string(source)},
+               {"age_ms", millis_text(now - record.first_crash)},
+               {"survived_ms_ago", age_text(now, record.survived)}});
+}
+
+void part_suspect_tracker::remove(const crash_evidence& crash, std::string_view source) {
+    const std::string held_before(name_of(table_.suspicion_of(monotonic_now(), crash.fingerprint)));
+    if (!table_.withdraw(crash) || held_before == name_of(suspicion::none)) {
+        return;
+    }
+    log_event(log_level::information, "part_end_taken_back",
+              {{"part", part_name(crash.fingerprint)},
+               {"held_before", held_before},
+               {"ends", std::to_string(table_.record_of(crash.fingerprint).crashes)},
+               {"target", crash.incarnation.target},
+               {"known_from", std::string(source)}});
+}
+
+part_suspect_tracker::acquittal part_suspect_tracker::record_survival(const digest& part,
+                                                                      instant began) {
+    const instant now = monotonic_now();
+    const suspicion before = table_.suspicion_of(now, part);
+    acquittal acquitted{table_.record_survival(part, began), before == suspicion::quarantined};
+    if (!acquitted.removed.empty() && before != suspicion::none) {
+        counters_.counter("gateway_parts_acquitted_total") += 1;
+        log_event(log_level::information, "part_acquitted",
+                  {{"part", part_name(part)},
+                   {"held_before", std::string(name_of(before))},
+                   {"ends", std::to_string(acquitted.removed.size())},
+                   {"began_ms_ago", millis_text(now - began)}});
+    }
+    return acquitted;
+}
+
+suspicion part_suspect_tracker::suspicion_of(const digest& part) const {
+    const instant now = monotonic_now();
+    const suspicion held = table_.suspicion_of(now, part);
+    const bool may_try = held == suspicion::quarantined && !trials_.contains(part) &&
+                         table_.is_trial_due(now, part) &&
+                         hooks_.tries_again(part, table_.record_of(part).crashes);
+    return may_try ? suspicion::suspected : held;
+}
+
+bool part_suspect_tracker::is_quarantined(const digest& part) const {
+    return table_.suspicion_of(monotonic_now(), part) == suspicion::quarantined;
+}
+
+bool part_suspect_tracker::try_begin_trial(const digest& part) {
+    if (!trials_.insert(part).second) {
+        return false;
+    }
+    counters_.counter("gateway_parts_tried_total") += 1;
+    log_event(
+        log_level::warning, "part_tried",
+        {{"part", part_name(part)}, {"ends", std::to_string(table_.record_of(part).crashes)}});
+    return true;
+}
+
+void part_suspect_tracker::update(instant now) {
+    counters_.gauge("gateway_suspected_parts") = static_cast<double>(table_.size());
+    for (const digest& part : table_.quarantine_due(now)) {
+        const part_record record = table_.record_of(part);
+        counters_.counter("gateway_parts_quarantined_total") += 1;
+        log_event(log_level::warning, "part_quarantined",
+                  {{"part", part_name(part)},
+                   {"ends", std::to_string(record.crashes)},
+                   {"age_ms", millis_text(now - record.first_crash)},
+                   {"survived_ms_ago", age_text(now, record.survived)}});
+        loop_.call_after(microseconds(0), [this, part, alive = alive_] {
+            if (*alive) {
+                hooks_.quarantined(part);
+            }
+        });
+    }
+}
+
+}  // namespace wrenswitch
--- a/src/roles/gateway/request_suspicion.cpp
+++ b/src/roles/gateway/request_suspicion.cpp
@@ -3,6 +3,13 @@
 #include <utility>
 
 namespace wrenswitch {
+namespace {
+
+/// An attempt that writes for this long survives the parts of its prompt: a part that crashes its
+/// target does so when the target begins to write.
+constexpr microseconds survival_time = seconds(1);
+
+}  // namespace
 
 void request_suspicion::set_content(const request_content& content,
                                     std::span<const prompt_part> prompt) {
@@ -27,33 +34,122 @@
 }
 
 suspicion request_suspicion::level() {
-    return suspects_.has_suspects() ? suspects_.suspicion_of(fingerprint()) : suspicion::none;
+    if (!suspects_.has_suspects()) {
+        return suspicion::none;
+    }
+    suspicion strongest = suspects_.suspicion_of(fingerprint());
+    for (const digest& part : parts_) {
+        strongest = std::max(strongest, suspects_.suspicion_of(part));
+    }
+    return strongest;
+}
+
+const digest* request_suspicion::quarantined_part() const {
+    const auto found = std::find_if(parts_.begin(), parts_.end(), [this](const digest& part) {
+        return suspects_.suspicion_of(part) == suspicion::quarantined;
+    });
+    return found == parts_.end() ? nullptr : &*found;
+}
+
+bool request_suspicion::concerns(const digest& fingerprint_sought) {
+    return is_prompt_part(fingerprint_sought)
+               ? std::find(parts_.begin(), parts_.end(), fingerprint_sought) != parts_.end()
+               : fingerprint() == fingerprint_sought;
 }
 
 bool request_suspicion::begin_attempt(const target_incarnation& incarnation) {
-    if (level() != suspicion::none) {
-        if (!suspects_.try_begin_exclusive(fingerprint())) {
-            return false;
-        }
-        exclusive_ = true;
+    if (suspects_.has_suspects() && !take_permissions()) {
+        release_permissions();
+        return false;
     }
     incarnation_ = incarnation;
     attempt_active_ = true;
+    answer_began_.reset();
+    survivals_recorded_ = false;
+    return true;
+}
+
+bool request_suspicion::take_permissions() {
+    if (suspects_.suspicion_of(fingerprint()) != suspicion::none) {
+        exclusive_ = suspects_.try_begin_exclusive(fingerprint());
+        if (!exclusive_) {
+            return false;
+        }
+    }
+    for (const digest& part : parts_) {
+        if (!suspects_.parts().is_quarantined(part)) {
+            continue;
+        }
+        if (!suspects_.parts().try_begin_trial(part)) {
+            return false;
+        }
+        trials_.push_back(part);
+    }
     return true;
 }
 
+void request_suspicion::release_permissions() {
+    if (std::exchange(exclusive_, false)) {
+        suspects_.end_exclusive(fingerprint());
+    }
+    for (const digest& part : std::exchange(trials_, {})) {
+        suspects_.parts().end_trial(part);
+    }
+}
+
+void request_suspicion::record_answer_progress(instant now) {
+    if (!answer_began_) {
+        answer_began_ = now;
+        begin_writing();
+    }
+    if (now - *answer_began_ >= survival_time) {
+        record_survivals();
+    }
+}
+
+void request_suspicion::begin_writing() {
+    if (!suspects_.has_suspects()) {
+        return;
+    }
+    writing_ = true;
+    for (const digest& part : parts_) {
+        suspects_.parts().begin_writing(part);
+    }
+}
+
+void request_suspicion::end_writing() {
+    if (!std::exchange(writing_, false)) {
+        return;
+    }
+    for (const digest& part : parts_) {
+        suspects_.parts().end_writing(part);
+    }
+}
+
+void request_suspicion::record_survivals() {
+    end_writing();
+    if (!answer_began_ || std::exchange(survivals_recorded_, true)) {
+        return;
+    }
+    for (const digest& part : parts_) {
+        suspects_.record_survival(part, *answer_began_);
+    }
+}
+
 /// A malformed response shows that the target is running, and a request that was not sent shows
 /// nothing.
 void request_suspicion::record_connection_failure(instant now, upstream_failure failure) {
     attempt_active_ = false;
-    release_exclusive_attempt();
+    release_permissions();
+    end_writing();
     if (failure == upstream_failure::cut_short || failure == upstream_failure::broken) {
         crashes_.record_interrupted(now, incarnation_, all_fingerprints());
     }
 }
 
 void request_suspicion::record_abandonment(instant now) {
-    release_exclusive_attempt();
+    release_permissions();
+    end_writing();
     if (std::exchange(attempt_active_, false)) {
         crashes_.record_cancelled(now, incarnation_, all_fingerprints());
     }
@@ -61,16 +157,12 @@
 
 void request_suspicion::record_response(bool succeeded) {
     attempt_active_ = false;
-    release_exclusive_attempt();
+    release_permissions();
     if (succeeded) {
         suspects_.record_success(fingerprint());
+        record_survivals();
     }
-}
-
-void request_suspicion::release_exclusive_attempt() {
-    if (std::exchange(exclusive_, false)) {
-        suspects_.end_exclusive(fingerprint());
-    }
+    end_writing();
 }
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/request_suspicion.hpp
+++ b/src/roles/gateway/request_suspicion.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <span>
 #include <string>
@@ -13,13 +14,16 @@
 
 namespace wrenswitch {
 
-/// Tracks one request in the search for requests that crash their targets: the suspicion against
-/// it, and the evidence of its attempts.
+/// Tracks one request in the search for requests and prompt parts that crash their targets: the
+/// suspicion against it, and the evidence of its attempts.
 class request_suspicion {
 public:
     request_suspicion(suspect_exchange& suspects, target_crash_detector& crashes)
         : suspects_(suspects), crashes_(crashes) {}
-    ~request_suspicion() { release_exclusive_attempt(); }
+    ~request_suspicion() {
+        release_permissions();
+        end_writing();
+    }
     request_suspicion(const request_suspicion&) = delete;
     request_suspicion& operator=(const request_suspicion&) = delete;
 
@@ -32,27 +36,35 @@
     /// The prompt's parts that other requests may share, for logs.
     std::string describe_parts() const { return part_names(parts_); }
 
-    /// The current suspicion against the request.
+    /// The strongest suspicion against the content and the parts.
     suspicion level();
 
-    /// True if this is the request with the given fingerprint and an attempt of it is active.
-    bool has_active_attempt(const digest& request) {
-        return attempt_active_ && fingerprint() == request;
-    }
+    /// The quarantined part of the prompt, or null.
+    const digest* quarantined_part() const;
+
+    /// True if this is the fingerprint of the request's content or of one of its parts.
+    bool concerns(const digest& fingerprint);
+
+    /// True while an attempt is active whose target has begun to write a response.
+    bool has_begun_answer() const { return attempt_active_ && answer_began_; }
 
     /// Starts an attempt at a target. Returns false if the request must wait for the end of another
-    /// attempt with the same content.
+    /// attempt with the same content, or of a trial of the same part.
     bool begin_attempt(const target_incarnation& incarnation);
 
     /// Cancels an attempt that was not sent.
     void cancel_attempt() {
         attempt_active_ = false;
-        release_exclusive_attempt();
+        release_permissions();
     }
 
     /// Records that data of the target of the current attempt arrived.
     void record_activity(instant now) { crashes_.record_activity(now, incarnation_); }
 
+    /// Records that the target writes the response: its first bytes, or more of them. An attempt
+    /// that goes on for some time survives the parts of its prompt.
+    void record_answer_progress(instant now);
+
     /// Records that the connection of the current attempt failed.
     void record_connection_failure(instant now, upstream_failure failure);
     /// Records that this gateway ended the current attempt before its response was complete.
@@ -62,10 +74,13 @@
     void record_response(bool succeeded);
 
 private:
-    void release_exclusive_attempt();
-
     /// The fingerprints of the content and of the parts.
     std::vector<digest> all_fingerprints();
+    bool take_permissions();
+    void release_permissions();
+    void begin_writing();
+    void end_writing();
+    void record_survivals();
 
     suspect_exchange& suspects_;
     target_crash_detector& crashes_;
@@ -74,9 +89,16 @@
     std::vector<digest> parts_;
     target_incarnation incarnation_;
     bool attempt_active_ = false;
+    /// When the target of the current attempt began to write its response.
+    std::optional<instant> answer_began_;
+    bool survivals_recorded_ = false;
+    /// True while the attempt has begun to write and may still survive its prompt's parts.
+    bool writing_ = false;
     /// True while the request holds the permission to have the only attempt of its content at this
     /// gateway.
     bool exclusive_ = false;
+    /// The quarantined parts of which the request's attempt is the only trial at this gateway.
+    std::vector<digest> trials_;
 };
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/suspect_exchange.cpp
+++ b/src/roles/gateway/suspect_exchange.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "wrenswitch/core/log.hpp"
+#include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -32,10 +33,11 @@
 
 wire::SuspectEnd to_wire(const crash_evidence& crash) {
     wire::SuspectEnd message;
-    message.set_request_high(crash.request.high);
-    message.set_request_low(crash.request.low);
+    message.set_request_high(crash.fingerprint.high);
+    message.set_request_low(crash.fingerprint.low);
     message.set_target(crash.incarnation.target);
     message.set_started(crash.incarnation.started);
+    message.set_crashed(crash.crashed);
     return message;
 }
 
@@ -51,19 +53,29 @@
 }
 
 crash_evidence from_wire(const wire::SuspectEnd& message) {
-    return {{message.request_high(), message.request_low()}, {message.target(), message.started()}};
+    return {{message.request_high(), message.request_low()},
+            {message.target(), message.started()},
+            message.crashed()};
 }
 
 }  // namespace
 
 suspect_exchange::suspect_exchange(event_loop& loop, keyed_log& log, std::string log_name,
                                    message_bus& bus, const token_allocator_selector& members,
-                                   metrics& counters, hooks callbacks)
+                                   metrics& counters, hooks callbacks,
+                                   const part_suspect_settings& part_settings)
     : loop_(loop),
       bus_(bus),
       members_(members),
       counters_(counters),
       hooks_(std::move(callbacks)),
+      parts_(
+          loop, counters, part_settings,
+          {[this](const crash_evidence& crash) {
+               share({&crash, 1});
+           },
+           [this](const digest& part) { hooks_.quarantined(part); },
+           [this](const digest& part, std::size_t crashes) { return tries_again(part, crashes); }}),
       log_(loop, log, std::move(log_name), members.own_host(), counters,
            {[this](const crash_evidence& crash) {
                 if (!add_evidence(crash, "log")) {
@@ -78,21 +90,53 @@
     *alive_ = false;
 }
 
-suspicion suspect_exchange::suspicion_of(const digest& request) const {
-    return has_suspects() ? table_.suspicion_of(monotonic_now(), request) : suspicion::none;
+suspicion suspect_exchange::suspicion_of(const digest& fingerprint) const {
+    if (!has_suspects()) {
+        return suspicion::none;
+    }
+    return is_prompt_part(fingerprint) ? parts_.suspicion_of(fingerprint)
+                                       : table_.suspicion_of(monotonic_now(), fingerprint);
+}
+
+std::size_t suspect_exchange::crash_count(const digest& fingerprint) const {
+    return is_prompt_part(fingerprint) ? parts_.record_of(fingerprint).crashes
+                                       : table_.crash_count(fingerprint);
+}
+
+bool suspect_exchange::contains(const crash_evidence& crash) const {
+    return is_prompt_part(crash.fingerprint) ? parts_.contains(crash) : table_.contains(crash);
+}
+
+/// One gateway of the fleet tries a part again, and another one after each further crash.
+bool suspect_exchange::tries_again(const digest& part, std::size_t crashes) const {
+    const std::string name = part_name(part) + "/" + std::to_string(crashes);
+    const std::vector<cluster_member> first = members_.ranked_members(name, 1);
+    return !first.empty() && first.front().host == members_.own_host();
 }
 
 void suspect_exchange::record_crash(const target_incarnation& incarnation,
-                                    std::span<const digest> requests) {
+                                    std::span<const digest> fingerprints) {
+    const std::int64_t crashed = unix_milliseconds_now();
+    std::vector<crash_evidence> crashes;
+    for (const digest& fingerprint : fingerprints) {
+        const crash_evidence crash{fingerprint, incarnation, crashed};
+        if (!is_prompt_part(fingerprint) || !parts_.awaits_survivor(crash)) {
+            crashes.push_back(crash);
+        }
+    }
+    share(crashes);
+}
+
+/// Adds evidence of this gateway's own attempts and makes it known to the others.
+void suspect_exchange::share(std::span<const crash_evidence> crashes) {
     std::vector<crash_evidence> added;
     std::vector<crash_evidence> urgent;
-    for (const digest& request : requests) {
-        const crash_evidence crash{request, incarnation};
+    for (const crash_evidence& crash : crashes) {
         if (!add_evidence(crash, "own run")) {
             continue;
         }
         added.push_back(crash);
-        if (is_urgent(request)) {
+        if (is_urgent(crash.fingerprint)) {
             urgent.push_back(crash);
         } else {
             unshared_.insert(crash);
@@ -116,7 +160,7 @@
 }
 
 bool suspect_exchange::is_urgent(const digest& request) const {
-    return table_.crash_count(request) >= urgent_crashes;
+    return crash_count(request) >= urgent_crashes;
 }
 
 bool suspect_exchange::is_logged(const digest& request) const {
@@ -127,26 +171,30 @@
 /// Without this, callers that repeat one poll at many targets would have it quarantined when three
 /// of them crash at the same moment.
 bool suspect_exchange::add_evidence(const crash_evidence& crash, std::string_view source) {
+    if (is_prompt_part(crash.fingerprint)) {
+        parts_.add(crash, source);
+        return true;
+    }
     const instant now = monotonic_now();
-    if (table_.is_proven(now, crash.request)) {
+    if (table_.is_proven(now, crash.fingerprint)) {
         counters_.counter("gateway_suspects_proven_total") += 1;
         return false;
     }
-    const suspicion before = table_.suspicion_of(now, crash.request);
+    const suspicion before = table_.suspicion_of(now, crash.fingerprint);
     if (!table_.add(now, crash)) {
         return true;
     }
     counters_.counter("gateway_suspect_ends_total") += 1;
-    if (is_logged(crash.request)) {
+    if (is_logged(crash.fingerprint)) {
         log_event(log_level::information, "request_suspected",
-                  {{"fingerprint", crash.request.to_hex()},
-                   {"held", std::string(name_of(table_.suspicion_of(now, crash.request)))},
-                   {"ends", std::to_string(table_.crash_count(crash.request))},
+                  {{"fingerprint", crash.fingerprint.to_hex()},
+                   {"held", std::string(name_of(table_.suspicion_of(now, crash.fingerprint)))},
+                   {"ends", std::to_string(table_.crash_count(crash.fingerprint))},
                    {"target", crash.incarnation.target},
                    {"started", std::to_string(crash.incarnation.started)},
                    {"known_from", std::string(source)}});
     }
-    quarantine_if_due(crash.request, before);
+    quarantine_if_due(crash.fingerprint, before);
     return true;
 }
 
@@ -182,7 +230,7 @@
 /// although two other gateways had it in quarantine.
 void suspect_exchange::ensure_logged(const crash_evidence& crash) {
     after_writer_delay([this, crash] {
-        if (!log_.holds(crash) && table_.contains(crash)) {
+        if (!log_.holds(crash) && contains(crash)) {
             log_.add({&crash, 1});
         }
     });
@@ -198,15 +246,19 @@
 }
 
 void suspect_exchange::remove_evidence(const crash_evidence& crash, std::string_view source) {
-    const suspicion before = suspicion_of(crash.request);
-    const bool was_logged = is_logged(crash.request);
+    if (is_prompt_part(crash.fingerprint)) {
+        parts_.remove(crash, source);
+        return;
+    }
+    const suspicion before = suspicion_of(crash.fingerprint);
+    const bool was_logged = is_logged(crash.fingerprint);
     if (!table_.remove(crash) || !was_logged) {
         return;
     }
     log_event(log_level::information, "request_end_taken_back",
-              {{"fingerprint", crash.request.to_hex()},
+              {{"fingerprint", crash.fingerprint.to_hex()},
                {"held_before", std::string(name_of(before))},
-               {"ends", std::to_string(table_.crash_count(crash.request))},
+               {"ends", std::to_string(table_.crash_count(crash.fingerprint))},
                {"target", crash.incarnation.target},
                {"known_from", std::string(source)}});
 }
@@ -232,6 +284,19 @@
     }
 }
 
+void suspect_exchange::record_survival(const digest& part, instant began) {
+    const part_suspect_tracker::acquittal acquitted = parts_.record_survival(part, began);
+    if (acquitted.was_quarantined) {
+        log_.drop(acquitted.removed);
+        broadcast(acquitted.removed, true);
+        return;
+    }
+    // Many gateways may have survivors of a common part at the same time.
+    for (const crash_evidence& crash : acquitted.removed) {
+        ensure_removed_from_log(crash);
+    }
+}
+
 void suspect_exchange::broadcast(std::span<const crash_evidence> crashes, bool cleared) {
     if (crashes.empty()) {
         return;
@@ -279,15 +344,18 @@
 
 /// Only one gateway cleans up the log, the largest reachable one.
 void suspect_exchange::tick(instant now) {
+    parts_.update(now);
     counters_.gauge("gateway_suspects") = static_cast<double>(table_.size());
     if (now - last_eviction_ < eviction_period) {
         return;
     }
     last_eviction_ = now;
     std::erase_if(unshared_, [this](const crash_evidence& crash) {
-        return log_.holds(crash) || !table_.contains(crash);
+        return log_.holds(crash) || !contains(crash);
     });
-    const std::vector<crash_evidence> dropped = table_.evict_expired(now);
+    std::vector<crash_evidence> dropped = table_.evict_expired(now);
+    const std::vector<crash_evidence> dropped_of_parts = parts_.evict_expired(now);
+    dropped.insert(dropped.end(), dropped_of_parts.begin(), dropped_of_parts.end());
     if (dropped.empty()) {
         return;
     }
--- a/src/roles/gateway/suspect_exchange.hpp
+++ b/src/roles/gateway/suspect_exchange.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "roles/gateway/part_suspect_tracker.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/grants/token_allocator_selector.hpp"
@@ -17,21 +18,22 @@
 
 namespace wrenswitch {
 
-/// A gateway's view of the requests that may have crashed their targets. Crashes are written to a
-/// log that every gateway reads, also one that has just started. Urgent ones, and those that can't
-/// be logged now, are sent to the other gateways as well.
+/// A gateway's view of the requests, and of the prompt parts, that may have crashed their targets.
+/// Crashes are written to a log that every gateway reads, also one that has just started. Urgent
+/// ones, and those that can't be logged now, are sent to the other gateways as well.
 class suspect_exchange {
 public:
     struct hooks {
-        /// A request is quarantined: it is sent to no target any more. Called from the event loop,
-        /// never from within a method of this class.
-        std::function<void(const digest& request)> quarantined;
+        /// A request's content or a prompt part is quarantined: it is sent to no target any more.
+        /// Called from the event loop, never from within a method of this class.
+        std::function<void(const digest& fingerprint)> quarantined;
         std::function<void(bool reachable)> log_reachable;
     };
 
     /// All references must outlive the exchange.
     suspect_exchange(event_loop& loop, keyed_log& log, std::string log_name, message_bus& bus,
-                     const token_allocator_selector& members, metrics& counters, hooks callbacks);
+                     const token_allocator_selector& members, metrics& counters, hooks callbacks,
+                     const part_suspect_settings& part_settings = {});
     ~suspect_exchange();
     suspect_exchange(const suspect_exchange&) = delete;
     suspect_exchange& operator=(const suspect_exchange&) = delete;
@@ -42,18 +44,26 @@
     /// then serves what it can and learns from the other gateways and its own attempts.
     bool ready() const { return log_.live() || !log_.reachable(); }
 
-    /// An incarnation of a target crashed while these requests of this gateway were in flight at
-    /// it.
-    void record_crash(const target_incarnation& incarnation, std::span<const digest> requests);
+    /// An incarnation of a target crashed while requests of this gateway with these fingerprints,
+    /// of contents and of prompt parts, were in flight at it.
+    void record_crash(const target_incarnation& incarnation, std::span<const digest> fingerprints);
 
     /// A request of this gateway was completed without a crash.
     void record_success(const digest& request);
 
-    /// False if no request is under suspicion.
-    bool has_suspects() const { return table_.size() > 0; }
+    /// An attempt of this gateway that began to write at `began` survived a prompt part.
+    void record_survival(const digest& part, instant began);
 
-    suspicion suspicion_of(const digest& request) const;
-    std::size_t crash_count(const digest& request) const { return table_.crash_count(request); }
+    /// False if nothing is under suspicion.
+    bool has_suspects() const { return table_.size() > 0 || parts_.size() > 0; }
+
+    /// The suspicion against a request's content or a prompt part.
+    suspicion suspicion_of(const digest& fingerprint) const;
+    std::size_t crash_count(const digest& fingerprint) const;
+
+    /// The prompt parts under suspicion.
+    part_suspect_tracker& parts() { return parts_; }
+    const part_suspect_tracker& parts() const { return parts_; }
 
     /// Begins an attempt of a suspected request. False if this gateway already has one in flight:
     /// until it is known whether that crashes its target, the request is sent nowhere else.
@@ -67,6 +77,7 @@
     void tick(instant now);
 
 private:
+    void share(std::span<const crash_evidence> crashes);
     /// False if the request was completed here recently, so that the evidence doesn't count.
     bool add_evidence(const crash_evidence& crash, std::string_view source);
     void quarantine_if_due(const digest& request, suspicion before);
@@ -79,6 +90,8 @@
     void broadcast(std::span<const crash_evidence> crashes, bool cleared);
     bool is_urgent(const digest& request) const;
     bool is_logged(const digest& request) const;
+    bool contains(const crash_evidence& crash) const;
+    bool tries_again(const digest& part, std::size_t crashes) const;
 
     event_loop& loop_;
     message_bus& bus_;
@@ -87,6 +100,7 @@
     hooks hooks_;
     random_source random_;
     suspect_table table_;
+    part_suspect_tracker parts_;
     suspect_log log_;
     std::set<digest> exclusive_;
     /// Crashes that this gateway saw and, as far as it knows, no other process knows of.
--- a/src/roles/gateway/target_crash_detector.cpp
+++ b/src/roles/gateway/target_crash_detector.cpp
@@ -158,7 +158,7 @@
                {"requests", std::to_string(requests.size())},
                {"fingerprints", fingerprints_of(requests)},
                {"parts", part_names(parts.first(std::min(max_logged_parts, parts.size())))}});
-    hooks_.crashed(incarnation, requests);
+    hooks_.crashed(incarnation, suspects);
 }
 
 void target_crash_detector::tick(instant now) {
--- a/src/roles/gateway/target_crash_detector.hpp
+++ b/src/roles/gateway/target_crash_detector.hpp
@@ -26,9 +26,10 @@
 class target_crash_detector {
 public:
     struct hooks {
-        /// An incarnation of a target crashed while these requests of this process were in flight
-        /// at it.
-        std::function<void(const target_incarnation& incarnation, std::span<const digest> requests)>
+        /// An incarnation of a target crashed while requests of this process with these
+        /// fingerprints, of contents and of prompt parts, were in flight at it.
+        std::function<void(const target_incarnation& incarnation,
+                           std::span<const digest> fingerprints)>
             crashed;
     };
 
--- a/tests/drivers/suspect_log_test.cpp
+++ b/tests/drivers/suspect_log_test.cpp
@@ -15,7 +15,7 @@
 
 crash_evidence end_of(std::uint64_t request, const std::string& target = "t/1",
                       std::int64_t start = 5) {
-    return {{request, 1}, {target, start}};
+    return {{request, 1}, {target, start}, 1'700'000'000'123};
 }
 
 /// One process that follows the log.
@@ -49,6 +49,7 @@
 BOOST_AUTO_TEST_CASE(end_written_as_a_record_and_read_is_the_same) {
     const keyed_record record = encode_suspect_end(end_of(7), "h");
     BOOST_TEST((decode_suspect_end(record) == end_of(7)));
+    BOOST_TEST(decode_suspect_end(record)->crashed == end_of(7).crashed);
     BOOST_TEST((decode_suspect_end({record.key, std::nullopt, 0}) == end_of(7)));
 }
 
--- a/tests/roles/suspect_exchange_test.cpp
+++ b/tests/roles/suspect_exchange_test.cpp
@@ -7,6 +7,7 @@
 
 #include "support/fake_keyed_log.hpp"
 #include "support/loop_runner.hpp"
+#include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 
 namespace {
 
@@ -14,6 +15,14 @@
 using namespace wrenswitch::testing;
 
 const digest request{1, 1};
+const digest part = fingerprint_of_part(1);
+
+/// Trials are due soon.
+part_suspect_settings test_settings() {
+    part_suspect_settings settings;
+    settings.trial_delay = milliseconds(800);
+    return settings;
+}
 
 target_incarnation incarnation(int number) {
     return {"t" + std::to_string(number), 1};
@@ -27,7 +36,8 @@
           bus(message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value()),
           members(host, {}),
           exchange(loop, log, "suspects", *bus, members, counters,
-                   {[this](const digest& each) { quarantined.insert(each); }, [](bool) {}}) {
+                   {[this](const digest& each) { quarantined.insert(each); }, [](bool) {}},
+                   test_settings()) {
         bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
             exchange.on_message(origin, message);
         });
@@ -40,7 +50,11 @@
     void record_crash(int number) {
         exchange.record_crash(incarnation(number), std::span(&request, 1));
     }
+    void record_part_crash(int number) {
+        exchange.record_crash(incarnation(number), std::span(&part, 1));
+    }
     suspicion suspicion_held() const { return exchange.suspicion_of(request); }
+    suspicion part_suspicion_held() const { return exchange.suspicion_of(part); }
 
     std::string host;
     metrics counters;
@@ -71,6 +85,20 @@
         return first.suspicion_held() == wanted && second.suspicion_held() == wanted &&
                third.suspicion_held() == wanted;
     }
+
+    bool all_have_part(suspicion wanted) const {
+        return first.part_suspicion_held() == wanted && second.part_suspicion_held() == wanted &&
+               third.part_suspicion_held() == wanted;
+    }
+
+    /// Crashes under the part at all gateways in turn, not at the same time.
+    void crash_under_part(int count) {
+        gateway_process* const gateways[] = {&first, &second, &third};
+        for (int number = 0; number < count; ++number) {
+            gateways[number % 3]->record_part_crash(number);
+            run_for(milliseconds(350));
+        }
+    }
 };
 
 BOOST_FIXTURE_TEST_SUITE(suspect_exchange_test, suspect_exchange_fixture)
@@ -123,6 +151,68 @@
         run_until([&] { return later.suspicion_held() == suspicion::quarantined; }, seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(crashes_under_a_part_add_up_over_gateways_until_all_quarantine_it) {
+    crash_under_part(2);
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::suspected); }));
+    third.record_part_crash(2);
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::quarantined); }));
+    BOOST_TEST(run_until([this] { return first.quarantined.contains(part); }));
+}
+
+BOOST_AUTO_TEST_CASE(part_survived_at_one_gateway_is_cleared_at_all) {
+    crash_under_part(2);
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::suspected); }));
+    third.exchange.record_survival(part, monotonic_now());
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::none); }));
+    BOOST_TEST(run_until([this] { return first.exchange.crash_count(part) == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(crash_under_a_part_known_as_sound_is_told_only_if_no_survivor_follows) {
+    first.exchange.record_survival(part, monotonic_now());
+    first.record_part_crash(1);
+    run_for(milliseconds(100));
+    first.exchange.record_survival(part, monotonic_now());
+    run_for(milliseconds(900));
+    BOOST_TEST(second.exchange.crash_count(part) == 0U);
+    first.record_part_crash(2);
+    BOOST_TEST(run_until([this] { return second.exchange.crash_count(part) == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_under_a_part_reach_all_during_a_log_outage) {
+    log.down = true;
+    crash_under_part(3);
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::quarantined); }, seconds(2)));
+    log.down = false;
+    gateway_process later(loop, log, 4);
+    BOOST_TEST(run_until([&] { return later.exchange.crash_count(part) == 3; }, seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(quarantined_part_is_tried_again_by_one_gateway_with_one_attempt) {
+    crash_under_part(3);
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::quarantined); }));
+    const auto trying = [this] {
+        std::vector<gateway_process*> found;
+        for (gateway_process* each : {&first, &second, &third}) {
+            if (each->part_suspicion_held() == suspicion::suspected) {
+                found.push_back(each);
+            }
+        }
+        return found;
+    };
+    BOOST_REQUIRE(run_until([&] { return !trying().empty(); }));
+    run_for(milliseconds(200));
+    const std::vector<gateway_process*> found = trying();
+    BOOST_REQUIRE(found.size() == 1U);
+    part_suspect_tracker& parts = found.front()->exchange.parts();
+    BOOST_TEST(parts.try_begin_trial(part));
+    BOOST_TEST(!parts.try_begin_trial(part));
+    BOOST_TEST((found.front()->part_suspicion_held() == suspicion::quarantined));
+    // The attempt survives the part.
+    parts.end_trial(part);
+    found.front()->exchange.record_survival(part, monotonic_now());
+    BOOST_TEST(run_until([this] { return all_have_part(suspicion::none); }));
+}
+
 BOOST_AUTO_TEST_CASE(damaged_message_changes_nothing) {
     wire::Envelope message;
     wire::SuspectNews& batch = *message.mutable_suspect_news();
