Don't take a response that ends with its connection for proof that its target lives

An engine that crashes while it writes a response without length or chunks ends that response as its connection ends, so that the crash looked like a whole response.

Cause: the end of the connection completed the response, and the response cleared its request and was no evidence. A stream that so ended inside an event was broken off for the caller, but also no evidence. The class: an end that can mean two things was taken for the better one.

Why it works: such a response proves nothing until its target shows that it is alive, by other data or by a connection that it accepts 150 ms later. If it is gone instead, the request was in flight at the crash. A stream that ends so inside an event, or before its first, has been broken off: it is repeated if it may be, and told to the crash detector.

--- a/src/decision/suspects/interrupted_attempts.cpp
+++ b/src/decision/suspects/interrupted_attempts.cpp
@@ -8,12 +8,44 @@
 
 void interrupted_attempts::record_interrupted(instant now, const target_incarnation& incarnation,
                                               std::span<const digest> suspects) {
-    add(incarnation, {{suspects.begin(), suspects.end()}, now, true});
+    add(incarnation, {{suspects.begin(), suspects.end()}, now, attempt_end::interrupted, {}});
 }
 
 void interrupted_attempts::record_cancelled(instant now, const target_incarnation& incarnation,
                                             std::span<const digest> suspects) {
-    add(incarnation, {{suspects.begin(), suspects.end()}, now, false});
+    add(incarnation, {{suspects.begin(), suspects.end()}, now, attempt_end::cancelled, {}});
+}
+
+void interrupted_attempts::record_unconfirmed(instant now, const target_incarnation& incarnation,
+                                              unconfirmed_response response) {
+    add(incarnation, {std::move(response.suspects), now, attempt_end::unconfirmed, response.began});
+}
+
+std::vector<unconfirmed_response> interrupted_attempts::take_unconfirmed(
+    const target_incarnation& incarnation) {
+    std::vector<unconfirmed_response> taken;
+    const auto found = attempts_by_incarnation_.find(incarnation);
+    if (found == attempts_by_incarnation_.end()) {
+        return taken;
+    }
+    for (attempt& each : found->second) {
+        if (each.end == attempt_end::unconfirmed) {
+            taken.push_back({std::move(each.suspects), each.began});
+        }
+    }
+    std::erase_if(found->second,
+                  [](const attempt& each) { return each.end == attempt_end::unconfirmed; });
+    if (found->second.empty()) {
+        attempts_by_incarnation_.erase(found);
+    }
+    return taken;
+}
+
+std::vector<unconfirmed_response> interrupted_attempts::discard(
+    const target_incarnation& incarnation) {
+    std::vector<unconfirmed_response> confirmed = take_unconfirmed(incarnation);
+    attempts_by_incarnation_.erase(incarnation);
+    return confirmed;
 }
 
 void interrupted_attempts::add(const target_incarnation& incarnation, attempt ended) {
@@ -28,7 +60,7 @@
     const auto found = attempts_by_incarnation_.find(incarnation);
     return found != attempts_by_incarnation_.end() &&
            std::any_of(found->second.begin(), found->second.end(),
-                       [](const attempt& each) { return each.interrupted; });
+                       [](const attempt& each) { return each.end != attempt_end::cancelled; });
 }
 
 std::vector<target_incarnation> interrupted_attempts::interrupted_incarnations(
@@ -49,23 +81,29 @@
     }
     const std::vector<attempt> attempts = std::move(found->second);
     attempts_by_incarnation_.erase(found);
-    const auto last_interruption = std::find_if(
-        attempts.rbegin(), attempts.rend(), [](const attempt& each) { return each.interrupted; });
-    if (last_interruption == attempts.rend()) {
+    const auto last_end = std::find_if(attempts.rbegin(), attempts.rend(), [](const attempt& each) {
+        return each.end != attempt_end::cancelled;
+    });
+    if (last_end == attempts.rend()) {
         return {};
     }
-    // A crash interrupts all requests in flight at the same moment; earlier interruptions had
-    // another cause.
-    const instant in_flight_since = last_interruption->ended - settings_.cancelled_in_flight_time;
     std::set<digest> in_flight;
     for (const attempt& each : attempts) {
-        if (each.ended >= in_flight_since) {
+        if (was_in_flight(each, last_end->ended)) {
             in_flight.insert(each.suspects.begin(), each.suspects.end());
         }
     }
     return {in_flight.begin(), in_flight.end()};
 }
 
+/// A crash interrupts all requests in flight at the same moment; earlier ends had another cause.
+bool interrupted_attempts::was_in_flight(const attempt& each, instant crashed) const {
+    const microseconds window = each.end == attempt_end::unconfirmed
+                                    ? settings_.simultaneous_end_time
+                                    : settings_.cancelled_in_flight_time;
+    return crashed - each.ended <= window;
+}
+
 void interrupted_attempts::discard_expired(instant now) {
     for (auto& [incarnation, attempts] : attempts_by_incarnation_) {
         std::erase_if(attempts,
--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -101,6 +101,8 @@
     void on_head(const message_head& head);
     void on_piece(std::string_view piece);
     void on_end();
+    bool is_stream_broken_off() const;
+    void record_suspicion_of_response();
     void on_failed(upstream_failure failure);
     void end_attempt(attempt_outcome end, rollout_gate::outcome rollout_outcome);
     rollout_gate::outcome outcome_at_deadline() const;
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -128,12 +128,13 @@
         finish_cancellation();
         return;
     }
-    const bool complete = responded_ok && !(streaming_ && splitter_.has_partial_event());
-    const bool is_success =
-        response_head_.status >= status_ok && response_head_.status < first_redirection;
-    suspicion_.record_response(complete && is_success && !target_refused_);
+    if (streaming_ && is_stream_broken_off()) {
+        on_failed(upstream_failure::cut_short);
+        return;
+    }
+    record_suspicion_of_response();
     const auto attempt_outcome =
-        complete ? rollout_gate::outcome::succeeded : rollout_gate::outcome::failed;
+        responded_ok ? rollout_gate::outcome::succeeded : rollout_gate::outcome::failed;
     end_attempt(responded_ok ? attempt_outcome::succeeded : attempt_outcome::error_response,
                 target_refused_ ? rollout_gate::outcome::inconclusive : attempt_outcome);
     context_.targets.on_response(monotonic_now(), target_, responded_ok);
@@ -153,11 +154,24 @@
     handle_response();
 }
 
-void forwarded_request::end_stream() {
-    if (splitter_.has_partial_event()) {
-        on_attempt_interrupted();
-        return;
+/// True if the target ended the stream inside an event, or without length before the first one.
+bool forwarded_request::is_stream_broken_off() const {
+    const bool is_empty = stream_timing_.event_count() == 0 && splitter_.last_event_id().empty() &&
+                          request_.last_event.empty();
+    return splitter_.has_partial_event() || (is_empty && ends_with_connection(response_head_));
+}
+
+void forwarded_request::record_suspicion_of_response() {
+    const bool is_success = !target_refused_ && response_head_.status >= status_ok &&
+                            response_head_.status < first_redirection;
+    if (is_success && ends_with_connection(response_head_)) {
+        suspicion_.record_unconfirmed_response(monotonic_now());
+    } else {
+        suspicion_.record_response(is_success);
     }
+}
+
+void forwarded_request::end_stream() {
     caller_response_.end_stream(response_head_);
     finish("served", response_head_.status);
 }
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -107,8 +107,11 @@
       crashes_(
           loop, targets_, metrics_,
           {[this](const target_incarnation& incarnation, std::span<const digest> fingerprints) {
-              suspects_->record_crash(incarnation, fingerprints);
-          }}) {
+               suspects_->record_crash(incarnation, fingerprints);
+           },
+           [this](const unconfirmed_response& response) {
+               suspects_->record_confirmed(response);
+           }}) {
     metrics_.gauge("gateway_retry_share") = settings.retry_share;
     metrics_.gauge("gateway_retry_slack") = settings.retry_slack;
 }
--- a/src/roles/gateway/request_suspicion.cpp
+++ b/src/roles/gateway/request_suspicion.cpp
@@ -155,6 +155,14 @@
     }
 }
 
+void request_suspicion::record_unconfirmed_response(instant now) {
+    attempt_active_ = false;
+    release_permissions();
+    end_writing();
+    crashes_.record_unconfirmed(now, incarnation_,
+                                {all_fingerprints(), answer_began_.value_or(now)});
+}
+
 void request_suspicion::record_response(bool succeeded) {
     attempt_active_ = false;
     release_permissions();
--- a/src/roles/gateway/request_suspicion.hpp
+++ b/src/roles/gateway/request_suspicion.hpp
@@ -69,6 +69,9 @@
     void record_connection_failure(instant now, upstream_failure failure);
     /// Records that this gateway ended the current attempt before its response was complete.
     void record_abandonment(instant now);
+    /// Records a successful response that ended with its connection. Whether it is complete shows
+    /// when its target does or doesn't go on.
+    void record_unconfirmed_response(instant now);
     /// Records the response to the current attempt. `succeeded` is true if the target completed the
     /// request successfully.
     void record_response(bool succeeded);
--- a/src/roles/gateway/suspect_exchange.cpp
+++ b/src/roles/gateway/suspect_exchange.cpp
@@ -297,6 +297,16 @@
     }
 }
 
+void suspect_exchange::record_confirmed(const unconfirmed_response& response) {
+    for (const digest& fingerprint : response.suspects) {
+        if (is_prompt_part(fingerprint)) {
+            record_survival(fingerprint, response.began);
+        } else {
+            record_success(fingerprint);
+        }
+    }
+}
+
 void suspect_exchange::broadcast(std::span<const crash_evidence> crashes, bool cleared) {
     if (crashes.empty()) {
         return;
--- a/src/roles/gateway/suspect_exchange.hpp
+++ b/src/roles/gateway/suspect_exchange.hpp
@@ -11,6 +11,7 @@
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/grants/token_allocator_selector.hpp"
+#include "wrenswitch/decision/suspects/interrupted_attempts.hpp"
 #include "wrenswitch/decision/suspects/suspect_table.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
@@ -54,6 +55,9 @@
     /// An attempt of this gateway that began to write at `began` survived a prompt part.
     void record_survival(const digest& part, instant began);
 
+    /// A response that ended with its connection is complete.
+    void record_confirmed(const unconfirmed_response& response);
+
     /// False if nothing is under suspicion.
     bool has_suspects() const { return table_.size() > 0 || parts_.size() > 0; }
 
--- a/src/roles/gateway/target_crash_detector.cpp
+++ b/src/roles/gateway/target_crash_detector.cpp
@@ -26,6 +26,10 @@
 /// to close, within an iteration or two of the event loop. A generous bound.
 constexpr microseconds unread_data_window = milliseconds(120);
 
+/// How long a target whose response ended with its connection has to show with other data that it
+/// is alive, before it is probed.
+constexpr microseconds confirmation_delay = milliseconds(150);
+
 /// Requests named in one log line; all of them are counted.
 constexpr std::size_t max_logged_requests = 6;
 
@@ -47,15 +51,19 @@
 }
 
 /// A draining or unlisted target ends as planned.
+bool target_crash_detector::is_expected_to_run(const target_incarnation& incarnation) const {
+    const gateway_target* target = targets_.find(incarnation.target);
+    return target != nullptr && !target->draining && targets_.is_listed(incarnation.target);
+}
+
 void target_crash_detector::record_interrupted(instant now, const target_incarnation& incarnation,
                                                std::span<const digest> suspects) {
     counters_.counter("gateway_runs_broken_total") += 1;
-    const gateway_target* target = targets_.find(incarnation.target);
-    if (target == nullptr || target->draining || !targets_.is_listed(incarnation.target)) {
+    if (!is_expected_to_run(incarnation)) {
         return;
     }
     attempts_.record_interrupted(now, incarnation, suspects);
-    if (target->started.value_or(0) > incarnation.started) {
+    if (targets_.find(incarnation.target)->started.value_or(0) > incarnation.started) {
         report_crash(incarnation, "restarted");
         return;
     }
@@ -69,6 +77,38 @@
     }
 }
 
+void target_crash_detector::record_unconfirmed(instant now, const target_incarnation& incarnation,
+                                               unconfirmed_response response) {
+    if (!is_expected_to_run(incarnation)) {
+        confirm({&response, 1});
+        return;
+    }
+    counters_.counter("gateway_unconfirmed_responses_total") += 1;
+    attempts_.record_unconfirmed(now, incarnation, std::move(response));
+    probes_[incarnation].interrupted_at = now;
+    probe_later(incarnation, confirmation_delay);
+}
+
+void target_crash_detector::confirm(std::span<const unconfirmed_response> responses) const {
+    for (const unconfirmed_response& response : responses) {
+        hooks_.confirmed(response);
+    }
+}
+
+/// Probes the target after a delay, unless the cause is known or another probe is under way by
+/// then.
+void target_crash_detector::probe_later(const target_incarnation& incarnation, microseconds delay) {
+    loop_.call_after(delay, [this, incarnation, alive = alive_] {
+        if (!*alive || !attempts_.has_interrupted(incarnation)) {
+            return;
+        }
+        const auto found = probes_.find(incarnation);
+        if (found != probes_.end() && found->second.probe == nullptr) {
+            start_probe(incarnation);
+        }
+    });
+}
+
 void target_crash_detector::start_probe(const target_incarnation& incarnation) {
     const gateway_target* target = targets_.find(incarnation.target);
     const result<http_address> address =
@@ -97,6 +137,11 @@
         [finished_probe = std::shared_ptr<connection_probe>(std::move(state.probe))] {});
     state.accepted = result == probe_answer::accepted;
     state.refusals += result == probe_answer::refused ? 1 : 0;
+    if (state.accepted) {
+        state.refusals = 0;
+        confirm(attempts_.take_unconfirmed(incarnation));
+        return;
+    }
     if (result != probe_answer::refused || !attempts_.has_interrupted(incarnation)) {
         return;
     }
@@ -104,11 +149,7 @@
         report_crash(incarnation, "refused");
         return;
     }
-    loop_.call_after(probe_interval, [this, incarnation, alive = alive_] {
-        if (*alive && attempts_.has_interrupted(incarnation) && probes_.contains(incarnation)) {
-            start_probe(incarnation);
-        }
-    });
+    probe_later(incarnation, probe_interval);
 }
 
 void target_crash_detector::record_activity(instant now, const target_incarnation& incarnation) {
@@ -118,7 +159,7 @@
     const auto found = probes_.find(incarnation);
     if (found != probes_.end() && now - found->second.interrupted_at > unread_data_window) {
         probes_.erase(found);
-        attempts_.discard(incarnation);
+        confirm(attempts_.discard(incarnation));
     }
 }
 
--- a/src/roles/gateway/target_crash_detector.hpp
+++ b/src/roles/gateway/target_crash_detector.hpp
@@ -20,9 +20,10 @@
 
 /// Detects whether a target whose attempts were interrupted has crashed, and which requests were in
 /// flight then. An interrupted attempt looks the same whether the target crashed, its connection
-/// was reset or its response was garbled. It counts as a crash if two connection probes in a row
-/// are refused and nothing was received from the target meanwhile, or if the target is listed with
-/// a later start time or removed from the list.
+/// was reset or its response was garbled, and a response that ends with its connection looks
+/// complete even if it ended with the target's process. It counts as a crash if two connection
+/// probes in a row are refused and nothing was received from the target meanwhile, or if the target
+/// is listed with a later start time or removed from the list.
 class target_crash_detector {
 public:
     struct hooks {
@@ -31,6 +32,8 @@
         std::function<void(const target_incarnation& incarnation,
                            std::span<const digest> fingerprints)>
             crashed;
+        /// A response that ended with its connection is complete: its target is alive.
+        std::function<void(const unconfirmed_response& response)> confirmed;
     };
 
     /// All references must outlive the detector.
@@ -42,6 +45,10 @@
     void record_interrupted(instant now, const target_incarnation& incarnation,
                             std::span<const digest> suspects);
 
+    /// The response of an attempt at this incarnation ended with its connection.
+    void record_unconfirmed(instant now, const target_incarnation& incarnation,
+                            unconfirmed_response response);
+
     /// This process cancelled an attempt before its response was complete.
     void record_cancelled(instant now, const target_incarnation& incarnation,
                           std::span<const digest> suspects) {
@@ -70,6 +77,9 @@
         std::optional<instant> probed_at;
     };
 
+    bool is_expected_to_run(const target_incarnation& incarnation) const;
+    void probe_later(const target_incarnation& incarnation, microseconds delay);
+    void confirm(std::span<const unconfirmed_response> responses) const;
     void start_probe(const target_incarnation& incarnation);
     void on_probe_result(const target_incarnation& incarnation, probe_answer result);
     void report_crash(const target_incarnation& incarnation, std::string_view evidence);
--- a/tests/decision/suspects/interrupted_attempts_test.cpp
+++ b/tests/decision/suspects/interrupted_attempts_test.cpp
@@ -75,6 +75,31 @@
     BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{first, second, part}));
 }
 
+BOOST_AUTO_TEST_CASE(
+    response_that_ended_with_its_connection_is_confirmed_by_a_target_that_is_alive) {
+    attempts.record_unconfirmed(now, incarnation, {{first}, now - seconds(1)});
+    attempts.record_interrupted(now, incarnation, only(second));
+    BOOST_TEST(attempts.has_interrupted(incarnation));
+    const std::vector<unconfirmed_response> confirmed = attempts.take_unconfirmed(incarnation);
+    BOOST_REQUIRE(confirmed.size() == 1U);
+    BOOST_TEST((confirmed.front().suspects == std::vector<digest>{first}));
+    BOOST_TEST((confirmed.front().began == now - seconds(1)));
+    BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{second}));
+}
+
+BOOST_AUTO_TEST_CASE(response_that_ended_with_its_connection_and_its_target_was_in_flight) {
+    attempts.record_unconfirmed(now, incarnation, {{first}, now});
+    BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{first}));
+    BOOST_TEST(attempts.discard(incarnation).empty());
+}
+
+BOOST_AUTO_TEST_CASE(response_that_ended_shortly_before_its_target_was_not_in_flight) {
+    attempts.record_unconfirmed(now - milliseconds(121), incarnation, {{first}, now});
+    attempts.record_unconfirmed(now - milliseconds(120), incarnation, {{third}, now});
+    attempts.record_interrupted(now, incarnation, only(second));
+    BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{second, third}));
+}
+
 BOOST_AUTO_TEST_CASE(attempts_per_incarnation_are_bounded) {
     for (std::uint64_t number = 0; number < 1000; ++number) {
         const digest each{number, 0};
