Know of a crash 100 ms sooner, before a caller comes back

What was seen: KNOWN-RED's test of a repeated request had four targets crash under it, not three, once in the whole program at load 16.

Cause: the test's caller comes back 150 ms after its 502, and an entry took 150 ms between its two probes to be sure of the crash. Which came first was decided by a few milliseconds of the machine.

A caller that comes back to another entry sooner still meets one that doesn't know.

Run: the suites crashing_request_live, target_end_live and crashing_part_live pass.

--- a/src/roles/gateway/target_crash_detector.cpp
+++ b/src/roles/gateway/target_crash_detector.cpp
@@ -15,7 +15,7 @@
 
 /// A second refusal after this time confirms the crash. An overloaded target may refuse single
 /// connections, while one that crashed is away for seconds.
-constexpr microseconds probe_interval = milliseconds(150);
+constexpr microseconds probe_interval = milliseconds(50);
 constexpr unsigned refusals_for_crash = 2;
 
 /// How long a target that didn't accept a connection isn't probed again for further interrupted
