Don't end a stream as whole when the target that went on with it sent no event

What callers saw: a stream whose engine crashed went on at another one, which crashed before an event of its own; its response had no length, and the caller got the stream's end as if it were whole.

Cause: an empty response without a length counted as broken off only for a stream that had no event yet. A continuation was taken for the rest of the stream, which was empty.

Now a response without a length and without an event of its own is broken off, whatever came before it.

--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -154,10 +154,10 @@
     handle_response();
 }
 
-/// True if the target ended the stream inside an event, or without length before the first one.
+/// True if the target ended the stream inside an event, or without length before it sent one:
+/// whether a stream that another target began was complete can't be told from that.
 bool forwarded_request::is_stream_broken_off() const {
-    const bool is_empty = stream_timing_.event_count() == 0 && splitter_.last_event_id().empty() &&
-                          request_.last_event.empty();
+    const bool is_empty = stream_timing_.event_count() == 0;
     return splitter_.has_partial_event() || (is_empty && ends_with_connection(response_head_));
 }
 
--- a/tests/platform/crashing_part_live_test.cpp
+++ b/tests/platform/crashing_part_live_test.cpp
@@ -144,6 +144,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(
+    continuation_that_ends_with_its_connection_before_an_event_is_no_end_of_the_stream) {
+    play_load(seconds(1), false);
+    finish_calls();
+    calls.clear();
+    // The first engine sends an event, and the one that goes on ends before one of its own.
+    for (const auto& engine : engines) {
+        engine->events_before_crash = 1;
+    }
+    send_crashing(entries.front(), "/resume/");
+    BOOST_REQUIRE(run_until([this] { return crashes.size() == 1; }));
+    for (const auto& engine : engines) {
+        engine->delimiter = body_end::connection;
+        engine->events_before_crash = 0;
+        engine->crashes_inside_event = false;
+    }
+    finish_calls();
+    BOOST_TEST(crashes.size() == 2U);
+    BOOST_TEST(calls.front().socket.received().find("id: 1") != std::string::npos);
+    BOOST_TEST(!calls.front().is_served());
+}
+
 BOOST_AUTO_TEST_CASE(requests_beside_engines_that_crash_in_waves_are_not_quarantined) {
     const instant until = monotonic_now() + seconds(8);
     for (std::size_t turn = 0; monotonic_now() < until; ++turn) {
