Bound what callers and clocks can do to the suspicion of prompt parts

Found in reading the change once more, each with a test that would not have held: - A prompt may name thousands of parts. They were all kept, and could displace the parts of all other callers: 32 of a request count, and 32 crashes of a part are kept. - A trial could hold another quarantined part that wasn't due, and so send a guilty part along. It has to be due itself. - An attempt that began to write and hangs held off a quarantine until its deadline: a second at most. - Crashes dated by a wrong clock decided about trials and expiry, and one with an extreme date overflowed. Trials and expiry go by when an entry learnt of a crash; dates only order crashes. - An entry that started anew forgot which early trials had failed: they are counted from the evidence. - One entry alone had the turn to try a part, also if it is gone: the turn passes on every ten seconds. - The end of a target that leaves confirmed responses that ended with their connections: it shows nothing. Not tested. - Each entry with a survivor of a quarantined part told all others: only the trial does.

--- a/include/wrenswitch/decision/suspects/interrupted_attempts.hpp
+++ b/include/wrenswitch/decision/suspects/interrupted_attempts.hpp
@@ -29,7 +29,7 @@
 /// looked the same.
 struct unconfirmed_response {
     /// The fingerprints of the request's content and of its prompt's parts.
-    std::vector<digest> suspects;
+    std::vector<digest> fingerprints;
     /// When the target began to write it.
     instant began{};
 };
@@ -45,11 +45,11 @@
     /// Records an attempt whose connection ended before its response did. `suspects` are the
     /// fingerprints of the request's content and of its prompt's parts.
     void record_interrupted(instant now, const target_incarnation& incarnation,
-                            std::span<const digest> suspects);
+                            std::span<const digest> fingerprints);
 
     /// Records an attempt that this entry cancelled before the response was complete.
     void record_cancelled(instant now, const target_incarnation& incarnation,
-                          std::span<const digest> suspects);
+                          std::span<const digest> fingerprints);
 
     /// Records an attempt whose response ended with its connection.
     void record_unconfirmed(instant now, const target_incarnation& incarnation,
@@ -81,7 +81,7 @@
     enum class attempt_end { interrupted, cancelled, unconfirmed };
 
     struct attempt {
-        std::vector<digest> suspects;
+        std::vector<digest> fingerprints;
         instant ended{};
         attempt_end end = attempt_end::interrupted;
         /// When the target began to write; only of unconfirmed responses.
--- a/include/wrenswitch/decision/suspects/part_suspect_table.hpp
+++ b/include/wrenswitch/decision/suspects/part_suspect_table.hpp
@@ -46,9 +46,15 @@
     std::size_t refusals_factor = 8;
     std::size_t max_early_trials = 2;
     microseconds early_trial_delay = seconds(1);
+    /// How long one entry has the turn to try a part.
+    microseconds trial_turn = seconds(10);
+    /// How long an attempt that writes has to go on until it has survived its parts.
+    microseconds survival_time = seconds(1);
     /// How long evidence is kept after the last crash.
     microseconds evidence_retention = seconds(7200);
     std::size_t max_parts = 4096;
+    /// The newest crashes under one part are kept.
+    std::size_t max_crashes_per_part = 32;
     std::size_t max_survivals = 4096;
 };
 
@@ -57,8 +63,9 @@
     std::size_t crashes = 0;
     /// When the latest attempt that survived the part at this entry began to write, if remembered.
     std::optional<instant> survived;
-    /// The first crash that still counts.
+    /// The first and the last crash that still count.
     instant first_crash{};
+    instant last_crash{};
 };
 
 /// Tracks prompt parts that may crash the engines that begin to write an answer on them, whatever
@@ -73,8 +80,8 @@
     explicit part_suspect_table(part_suspect_settings settings = {})
         : settings_(settings), survivals_(settings.max_survivals, settings.survival_lifetime / 2) {}
 
-    /// Adds evidence of a crash at a time of this entry's clock. False if it is known. One crash
-    /// counts once, however many entries report it.
+    /// Adds evidence of a crash at a time of this entry's clock. False if it is known or too old to
+    /// be kept. One crash counts once, however many entries report it.
     bool add(instant now, const crash_evidence& evidence, instant crashed);
 
     /// Removes evidence that was withdrawn: an attempt survived the part at another entry. True if
@@ -84,9 +91,9 @@
     /// Removes evidence. True if it was present.
     bool remove(const crash_evidence& evidence);
 
-    /// An attempt at this entry began to write on the part. While it may still survive the part,
-    /// the part isn't quarantined.
-    void begin_writing(const digest& part) { writing_[part] += 1; }
+    /// An attempt at this entry began to write on the part. The part isn't quarantined before it
+    /// had the time to survive the part.
+    void begin_writing(instant now, const digest& part);
     /// It ended, or has survived the part.
     void end_writing(const digest& part);
 
@@ -113,7 +120,8 @@
     /// stands in fewer crashes or was survived recently.
     bool is_less_suspect(instant now, const digest& part, const digest& than) const;
 
-    /// True if the part is quarantined and an attempt may show whether it still crashes engines.
+    /// True if the part is quarantined and it is time for an attempt to show whether it still
+    /// crashes engines.
     bool is_trial_due(instant now, const digest& part) const;
 
     bool contains(const crash_evidence& evidence) const;
@@ -139,7 +147,9 @@
         /// True if quarantined parts explain so many of the crashes that the rest raises no
         /// suspicion.
         bool is_explained = false;
-        instant quarantined_at{};
+        /// When this entry learnt of the last crash. Other hosts' clocks, by which the crashes are
+        /// dated, decide neither about trials nor about expiry.
+        instant last_learnt{};
         /// Requests that this entry refused since the quarantine began or the last crash.
         std::size_t refusals = 0;
     };
@@ -148,11 +158,14 @@
     void update_explained();
     std::vector<digest> strongest_due(instant now) const;
     bool is_due(instant now, const digest& part, std::span<const instant> crashed) const;
+    bool is_awaiting_survivor(instant now, const digest& part) const;
+    std::size_t failed_trials(const suspect& entry) const;
 
     std::vector<instant> unexplained_crashes(const suspect& entry,
                                              std::span<const suspect* const> quarantined) const;
     std::vector<instant> successive_crashes(std::span<const instant> crashed) const;
     bool is_early_trial_due(instant now, const suspect& entry) const;
+    void erase_oldest(suspect& entry);
     void erase_crash(suspect& entry, const target_incarnation& incarnation);
     std::vector<crash_evidence> drop(const digest& part);
     const digest* weakest_suspect() const;
@@ -162,8 +175,13 @@
     std::unordered_map<digest, suspect> suspects_;
     /// When the latest survivor of each part began to write.
     recent_times survivals_;
+    struct writing_attempts {
+        std::size_t count = 0;
+        instant last_began{};
+    };
+
     /// Attempts that have begun to write on each part and haven't survived it yet.
-    std::unordered_map<digest, std::size_t> writing_;
+    std::unordered_map<digest, writing_attempts> writing_;
 };
 
 }  // namespace wrenswitch
--- a/include/wrenswitch/decision/suspects/request_fingerprint.hpp
+++ b/include/wrenswitch/decision/suspects/request_fingerprint.hpp
@@ -4,8 +4,10 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "wrenswitch/core/digest.hpp"
+#include "wrenswitch/decision/placement/prompt_profile.hpp"
 
 namespace wrenswitch {
 
@@ -27,6 +29,10 @@
 /// The fingerprint of a prompt part, which many requests may share. It is never that of a content.
 digest fingerprint_of_part(std::uint64_t part);
 
+/// The parts of a prompt that count as suspects: all that other requests may share, which is all
+/// but the last, each once and no more than a bounded number, since callers name them.
+std::vector<digest> shared_part_fingerprints(std::span<const prompt_part> prompt);
+
 /// True for the fingerprint of a prompt part, false for that of a content.
 bool is_prompt_part(const digest& fingerprint);
 
--- a/src/decision/suspects/interrupted_attempts.cpp
+++ b/src/decision/suspects/interrupted_attempts.cpp
@@ -7,18 +7,20 @@
 namespace wrenswitch {
 
 void interrupted_attempts::record_interrupted(instant now, const target_incarnation& incarnation,
-                                              std::span<const digest> suspects) {
-    add(incarnation, {{suspects.begin(), suspects.end()}, now, attempt_end::interrupted, {}});
+                                              std::span<const digest> fingerprints) {
+    add(incarnation,
+        {{fingerprints.begin(), fingerprints.end()}, now, attempt_end::interrupted, {}});
 }
 
 void interrupted_attempts::record_cancelled(instant now, const target_incarnation& incarnation,
-                                            std::span<const digest> suspects) {
-    add(incarnation, {{suspects.begin(), suspects.end()}, now, attempt_end::cancelled, {}});
+                                            std::span<const digest> fingerprints) {
+    add(incarnation, {{fingerprints.begin(), fingerprints.end()}, now, attempt_end::cancelled, {}});
 }
 
 void interrupted_attempts::record_unconfirmed(instant now, const target_incarnation& incarnation,
                                               unconfirmed_response response) {
-    add(incarnation, {std::move(response.suspects), now, attempt_end::unconfirmed, response.began});
+    add(incarnation,
+        {std::move(response.fingerprints), now, attempt_end::unconfirmed, response.began});
 }
 
 std::vector<unconfirmed_response> interrupted_attempts::take_unconfirmed(
@@ -30,7 +32,7 @@
     }
     for (attempt& each : found->second) {
         if (each.end == attempt_end::unconfirmed) {
-            taken.push_back({std::move(each.suspects), each.began});
+            taken.push_back({std::move(each.fingerprints), each.began});
         }
     }
     std::erase_if(found->second,
@@ -90,7 +92,7 @@
     std::set<digest> in_flight;
     for (const attempt& each : attempts) {
         if (was_in_flight(each, last_end->ended)) {
-            in_flight.insert(each.suspects.begin(), each.suspects.end());
+            in_flight.insert(each.fingerprints.begin(), each.fingerprints.end());
         }
     }
     return {in_flight.begin(), in_flight.end()};
--- a/src/decision/suspects/part_suspect_table.cpp
+++ b/src/decision/suspects/part_suspect_table.cpp
@@ -6,15 +6,30 @@
 
 bool part_suspect_table::add(instant now, const crash_evidence& evidence, instant crashed) {
     suspect& entry = suspects_[evidence.fingerprint];
-    if (!entry.crashes.emplace(evidence.incarnation, crash_times{crashed, now}).second) {
+    const bool is_full = entry.crashes.size() >= settings_.max_crashes_per_part;
+    if (entry.crashes.contains(evidence.incarnation) ||
+        (is_full && crashed <= entry.crashed.front())) {
         return false;
     }
+    if (is_full) {
+        erase_oldest(entry);
+    }
+    entry.crashes.emplace(evidence.incarnation, crash_times{crashed, now});
     entry.crashed.insert(std::upper_bound(entry.crashed.begin(), entry.crashed.end(), crashed),
                          crashed);
+    entry.last_learnt = now;
     entry.refusals = 0;
     return true;
 }
 
+void part_suspect_table::erase_oldest(suspect& entry) {
+    const auto oldest = std::min_element(entry.crashes.begin(), entry.crashes.end(),
+                                         [](const auto& left, const auto& right) {
+                                             return left.second.crashed < right.second.crashed;
+                                         });
+    erase_crash(entry, target_incarnation(oldest->first));
+}
+
 void part_suspect_table::erase_crash(suspect& entry, const target_incarnation& incarnation) {
     const auto found = entry.crashes.find(incarnation);
     if (found == entry.crashes.end()) {
@@ -53,13 +68,26 @@
     return remove(evidence);
 }
 
+void part_suspect_table::begin_writing(instant now, const digest& part) {
+    writing_attempts& writing = writing_[part];
+    writing.count += 1;
+    writing.last_began = now;
+}
+
 void part_suspect_table::end_writing(const digest& part) {
     const auto found = writing_.find(part);
-    if (found != writing_.end() && --found->second == 0) {
+    if (found != writing_.end() && --found->second.count == 0) {
         writing_.erase(found);
     }
 }
 
+/// An attempt at a target that hangs doesn't hold off a quarantine for longer than a survivor
+/// needs.
+bool part_suspect_table::is_awaiting_survivor(instant now, const digest& part) const {
+    const auto found = writing_.find(part);
+    return found != writing_.end() && now - found->second.last_began < settings_.survival_time;
+}
+
 std::vector<crash_evidence> part_suspect_table::record_survival(const digest& part, instant began) {
     survivals_.record(part, began);
     std::vector<crash_evidence> removed;
@@ -89,7 +117,7 @@
 
 bool part_suspect_table::is_due(instant now, const digest& part,
                                 std::span<const instant> crashed) const {
-    if (crashed.size() < settings_.quarantine_threshold || writing_.contains(part)) {
+    if (crashed.size() < settings_.quarantine_threshold || is_awaiting_survivor(now, part)) {
         return false;
     }
     const std::vector<instant> successive = successive_crashes(crashed);
@@ -142,7 +170,6 @@
         for (const digest& part : due) {
             suspect& entry = suspects_.at(part);
             entry.is_quarantined = true;
-            entry.quarantined_at = now;
             entry.refusals = 0;
         }
         quarantined.insert(quarantined.end(), due.begin(), due.end());
@@ -217,21 +244,32 @@
         return false;
     }
     const suspect& entry = found->second;
-    return now - entry.crashed.back() >= trial_delay(entry) || is_early_trial_due(now, entry);
+    return now - entry.last_learnt >= trial_delay(entry) || is_early_trial_due(now, entry);
 }
 
 bool part_suspect_table::is_early_trial_due(instant now, const suspect& entry) const {
-    // Attempts that were in flight when the quarantine began crash their targets sooner.
-    const instant first_trial = entry.quarantined_at + settings_.early_trial_delay;
-    const auto failed_trials = static_cast<std::size_t>(
-        std::count_if(entry.crashed.begin(), entry.crashed.end(),
-                      [first_trial](instant at) { return at >= first_trial; }));
+    const std::size_t failed = failed_trials(entry);
     std::size_t refusals = settings_.refusals_for_trial;
-    for (std::size_t trial = 0; trial < failed_trials; ++trial) {
+    for (std::size_t trial = 0; trial < std::min(failed, settings_.max_early_trials); ++trial) {
         refusals *= settings_.refusals_factor;
     }
-    return failed_trials < settings_.max_early_trials && entry.refusals >= refusals &&
-           now - entry.crashed.back() >= settings_.early_trial_delay;
+    return failed < settings_.max_early_trials && entry.refusals >= refusals &&
+           now - entry.last_learnt >= settings_.early_trial_delay;
+}
+
+/// The crashes that only trials can have caused: those some time after the one that was enough for
+/// a quarantine. Known from the evidence alone, also to an entry that has just started.
+std::size_t part_suspect_table::failed_trials(const suspect& entry) const {
+    const std::size_t enough = entry.crashed.size() >= settings_.certain_threshold
+                                   ? settings_.certain_threshold
+                                   : settings_.quarantine_threshold;
+    if (entry.crashed.size() < enough) {
+        return 0;
+    }
+    const instant first_trial = entry.crashed[enough - 1] + settings_.early_trial_delay;
+    return static_cast<std::size_t>(
+        std::count_if(entry.crashed.begin(), entry.crashed.end(),
+                      [first_trial](instant at) { return at >= first_trial; }));
 }
 
 void part_suspect_table::record_refusal(const digest& part) {
@@ -255,6 +293,7 @@
     if (const auto found = suspects_.find(part); found != suspects_.end()) {
         record.crashes = found->second.crashes.size();
         record.first_crash = found->second.crashed.front();
+        record.last_crash = found->second.crashed.back();
     }
     record.survived = survivals_.latest(part);
     return record;
@@ -271,12 +310,12 @@
     return dropped;
 }
 
-/// The part with the fewest crashes, and among these the one whose last crash is the oldest.
+/// The part with the fewest crashes, and among these the one whose last crash is known the longest.
 const digest* part_suspect_table::weakest_suspect() const {
     const auto weakest = std::min_element(
         suspects_.begin(), suspects_.end(), [](const auto& left, const auto& right) {
-            return std::pair(left.second.crashes.size(), left.second.crashed.back()) <
-                   std::pair(right.second.crashes.size(), right.second.crashed.back());
+            return std::pair(left.second.crashes.size(), left.second.last_learnt) <
+                   std::pair(right.second.crashes.size(), right.second.last_learnt);
         });
     return weakest == suspects_.end() ? nullptr : &weakest->first;
 }
@@ -285,7 +324,7 @@
     std::vector<digest> expired;
     for (const auto& [part, entry] : suspects_) {
         const microseconds trial = entry.is_quarantined ? trial_delay(entry) : microseconds(0);
-        if (now - entry.crashed.back() > trial + settings_.evidence_retention) {
+        if (now - entry.last_learnt > trial + settings_.evidence_retention) {
             expired.push_back(part);
         }
     }
--- a/src/decision/suspects/request_fingerprint.cpp
+++ b/src/decision/suspects/request_fingerprint.cpp
@@ -1,5 +1,6 @@
 #include "wrenswitch/decision/suspects/request_fingerprint.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -9,6 +10,9 @@
 /// The first half of a part's fingerprint. A content has it with a probability of 2^-64.
 constexpr std::uint64_t part_mark = 0x70726f6d70742d70;  // "prompt-p"
 
+/// Several times what prompts have. More would let one caller displace the parts of all others.
+constexpr std::size_t max_parts_per_request = 32;
+
 }  // namespace
 
 digest fingerprint_of(const request_content& content) {
@@ -21,6 +25,19 @@
     return {part_mark, part};
 }
 
+std::vector<digest> shared_part_fingerprints(std::span<const prompt_part> prompt) {
+    std::vector<digest> fingerprints;
+    for (const prompt_part& part : prompt.first(prompt.empty() ? 0 : prompt.size() - 1)) {
+        const digest fingerprint = fingerprint_of_part(part.id);
+        const bool is_known =
+            std::find(fingerprints.begin(), fingerprints.end(), fingerprint) != fingerprints.end();
+        if (!is_known && fingerprints.size() < max_parts_per_request) {
+            fingerprints.push_back(fingerprint);
+        }
+    }
+    return fingerprints;
+}
+
 bool is_prompt_part(const digest& fingerprint) {
     return fingerprint.high == part_mark;
 }
--- a/src/roles/gateway/forwarded_request_suspicion.cpp
+++ b/src/roles/gateway/forwarded_request_suspicion.cpp
@@ -7,7 +7,9 @@
 namespace wrenswitch {
 
 /// Fails a request whose content, or a part of whose prompt, is held responsible for crashes of
-/// targets, since it would also crash the next one, with all other requests there.
+/// targets, since it would also crash the next one, with all other requests there. Sent on by
+/// gateways that did not know of each other's attempts, one such request crashed eleven of twelve
+/// engines within 15 s.
 bool forwarded_request::check_quarantine() {
     if (suspicion_.level() != suspicion::quarantined) {
         return true;
--- a/src/roles/gateway/part_suspect_tracker.cpp
+++ b/src/roles/gateway/part_suspect_tracker.cpp
@@ -23,11 +23,16 @@
 /// From this many crashes on a part may be quarantined without waiting for the next update.
 constexpr std::size_t immediate_crashes = part_suspect_settings{}.certain_threshold;
 
-/// When a crash happened, by this host's clock. A time in the future, from a clock that is ahead,
-/// is now, and so is an unknown one.
+/// When a crash happened, by this host's clock. One in the future, by a clock that is ahead, is
+/// now, and so is an unknown one.
 instant time_of(instant now, const crash_evidence& crash) {
-    const std::int64_t age = crash.crashed == 0 ? 0 : unix_milliseconds_now() - crash.crashed;
-    return now - std::clamp<microseconds>(milliseconds(age), microseconds(0), max_crash_age);
+    const std::int64_t unix_now = unix_milliseconds_now();
+    if (crash.crashed <= 0 || crash.crashed >= unix_now) {
+        return now;
+    }
+    return now - std::min<microseconds>(max_crash_age, milliseconds(std::min<std::int64_t>(
+                                                           unix_now - crash.crashed,
+                                                           max_crash_age / milliseconds(1))));
 }
 
 /// The age of a time in milliseconds, for logs; empty if there is none.
@@ -39,7 +44,11 @@
 
 part_suspect_tracker::part_suspect_tracker(event_loop& loop, metrics& counters,
                                            const part_suspect_settings& settings, hooks callbacks)
-    : loop_(loop), counters_(counters), hooks_(std::move(callbacks)), table_(settings) {}
+    : loop_(loop),
+      counters_(counters),
+      hooks_(std::move(callbacks)),
+      trial_turn_(settings.trial_turn),
+      table_(settings) {}
 
 part_suspect_tracker::~part_suspect_tracker() {
     *alive_ = false;
@@ -101,32 +110,52 @@
                {"known_from", std::string(source)}});
 }
 
-part_suspect_tracker::acquittal part_suspect_tracker::record_survival(const digest& part,
-                                                                      instant began) {
+std::vector<crash_evidence> part_suspect_tracker::record_survival(const digest& part,
+                                                                  instant began) {
     const instant now = monotonic_now();
     const suspicion before = table_.suspicion_of(now, part);
-    acquittal acquitted{table_.record_survival(part, began), before == suspicion::quarantined};
-    if (!acquitted.removed.empty() && before != suspicion::none) {
+    std::vector<crash_evidence> removed = table_.record_survival(part, began);
+    if (!removed.empty() && before != suspicion::none) {
         counters_.counter("gateway_parts_acquitted_total") += 1;
         log_event(log_level::information, "part_acquitted",
                   {{"part", part_name(part)},
                    {"held_before", std::string(name_of(before))},
-                   {"ends", std::to_string(acquitted.removed.size())},
+                   {"ends", std::to_string(removed.size())},
                    {"began_ms_ago", millis_text(now - began)}});
     }
-    return acquitted;
+    return removed;
 }
 
 suspicion part_suspect_tracker::suspicion_of(const digest& part) const {
     return table_.suspicion_of(monotonic_now(), part);
 }
 
+bool part_suspect_tracker::is_trial_due(const digest& part) const {
+    return !trials_.contains(part) && table_.is_trial_due(monotonic_now(), part);
+}
+
 bool part_suspect_tracker::may_try(const digest& part) const {
-    return may_join_trial(part) && hooks_.tries_again(part, table_.record_of(part).crashes);
+    if (!is_trial_due(part)) {
+        return false;
+    }
+    const part_record record = table_.record_of(part);
+    const auto turn = (monotonic_now() - record.last_crash) / trial_turn_;
+    return hooks_.is_first_for(part_name(part) + "/" + std::to_string(record.crashes) + "/" +
+                               std::to_string(turn));
 }
 
-bool part_suspect_tracker::may_join_trial(const digest& part) const {
-    return !trials_.contains(part) && table_.is_trial_due(monotonic_now(), part);
+bool part_suspect_tracker::may_stand_beside(const digest& part, const digest& tried) const {
+    const bool is_quarantined = suspicion_of(part) == suspicion::quarantined;
+    return is_quarantined ? is_trial_due(part)
+                          : table_.is_less_suspect(monotonic_now(), part, tried);
+}
+
+bool part_suspect_tracker::may_try_any(std::span<const digest> parts) const {
+    return std::any_of(parts.begin(), parts.end(), [&](const digest& tried) {
+        return may_try(tried) && std::all_of(parts.begin(), parts.end(), [&](const digest& other) {
+                   return other == tried || may_stand_beside(other, tried);
+               });
+    });
 }
 
 bool part_suspect_tracker::try_begin_trial(const digest& part) {
--- a/src/roles/gateway/part_suspect_tracker.hpp
+++ b/src/roles/gateway/part_suspect_tracker.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -23,14 +24,8 @@
         /// A part is quarantined. Called from the event loop, never from within a method of this
         /// class.
         std::function<void(const digest& part)> quarantined;
-        /// True if this gateway is the one that tries the part again after so many crashes.
-        std::function<bool(const digest& part, std::size_t crashes)> tries_again;
-    };
-
-    /// Evidence that a survivor has removed.
-    struct acquittal {
-        std::vector<crash_evidence> removed;
-        bool was_quarantined = false;
+        /// True if this gateway is the first of all for a name.
+        std::function<bool(std::string_view name)> is_first_for;
     };
 
     /// The loop and the counters must outlive the tracker.
@@ -51,21 +46,23 @@
     void remove(const crash_evidence& crash, std::string_view source);
 
     /// An attempt began to write on the part, and has ended or survived it.
-    void begin_writing(const digest& part) { table_.begin_writing(part); }
+    void begin_writing(const digest& part) { table_.begin_writing(monotonic_now(), part); }
     void end_writing(const digest& part) { table_.end_writing(part); }
 
-    /// Records that an attempt which began to write at `began` survived the part.
-    acquittal record_survival(const digest& part, instant began);
+    /// Records that an attempt which began to write at `began` survived the part. Returns the
+    /// evidence that this removes.
+    std::vector<crash_evidence> record_survival(const digest& part, instant began);
 
     suspicion suspicion_of(const digest& part) const;
 
-    /// True if this gateway is the one that may try a quarantined part now.
+    /// True if this gateway is the one that may try a quarantined part now: one of the fleet at a
+    /// time, and another one after each crash and each `trial_turn`, so that one that is gone or
+    /// gets no such requests doesn't keep the part in quarantine.
     bool may_try(const digest& part) const;
-    /// True if a gateway that tries another part of a prompt may try this one with it.
-    bool may_join_trial(const digest& part) const;
-    bool is_less_suspect(const digest& part, const digest& than) const {
-        return table_.is_less_suspect(monotonic_now(), part, than);
-    }
+
+    /// True if an attempt with these parts may try one of them. Each other one has to be less
+    /// likely than that to be the cause of a crash, or to be due for a trial itself.
+    bool may_try_any(std::span<const digest> parts) const;
 
     /// Records that a request was refused because the part is quarantined.
     void record_refusal(const digest& part) { table_.record_refusal(part); }
@@ -84,11 +81,14 @@
     std::vector<crash_evidence> evict_expired(instant now) { return table_.evict_expired(now); }
 
 private:
+    bool is_trial_due(const digest& part) const;
+    bool may_stand_beside(const digest& part, const digest& tried) const;
     void log_suspected(const crash_evidence& crash, std::string_view source) const;
 
     event_loop& loop_;
     metrics& counters_;
     hooks hooks_;
+    microseconds trial_turn_;
     part_suspect_table table_;
     /// The parts with a trial in flight at this gateway.
     std::set<digest> trials_;
--- a/src/roles/gateway/request_suspicion.cpp
+++ b/src/roles/gateway/request_suspicion.cpp
@@ -5,19 +5,15 @@
 namespace wrenswitch {
 namespace {
 
-/// An attempt that writes for this long survives the parts of its prompt: a part that crashes its
-/// target does so when the target begins to write.
-constexpr microseconds survival_time = seconds(1);
+/// A part that crashes its target does so when the target begins to write.
+constexpr microseconds survival_time = part_suspect_settings{}.survival_time;
 
 }  // namespace
 
 void request_suspicion::set_content(const request_content& content,
                                     std::span<const prompt_part> prompt) {
     content_ = content;
-    parts_.clear();
-    for (const prompt_part& part : prompt.first(prompt.empty() ? 0 : prompt.size() - 1)) {
-        parts_.push_back(fingerprint_of_part(part.id));
-    }
+    parts_ = shared_part_fingerprints(prompt);
 }
 
 std::vector<digest> request_suspicion::all_fingerprints() {
@@ -44,20 +40,8 @@
     }
     const bool is_part_quarantined =
         strongest == suspicion::quarantined && content_level != suspicion::quarantined;
-    return is_part_quarantined && may_be_trial() ? suspicion::suspected : strongest;
-}
-
-/// A trial shows something about a part only if no other one is as likely to be the cause of a
-/// crash, unless that one is to be tried as well.
-bool request_suspicion::may_be_trial() const {
-    const part_suspect_tracker& parts = suspects_.parts();
-    return std::any_of(parts_.begin(), parts_.end(), [&](const digest& tried) {
-        return parts.may_try(tried) &&
-               std::all_of(parts_.begin(), parts_.end(), [&](const digest& other) {
-                   return other == tried || parts.is_less_suspect(other, tried) ||
-                          parts.may_join_trial(other);
-               });
-    });
+    return is_part_quarantined && suspects_.parts().may_try_any(parts_) ? suspicion::suspected
+                                                                        : strongest;
 }
 
 const digest* request_suspicion::quarantined_part() const {
@@ -154,7 +138,8 @@
         return;
     }
     for (const digest& part : parts_) {
-        suspects_.record_survival(part, *answer_began_);
+        const bool is_trial = std::find(trials_.begin(), trials_.end(), part) != trials_.end();
+        suspects_.record_survival(part, *answer_began_, is_trial);
     }
 }
 
@@ -187,11 +172,11 @@
 
 void request_suspicion::record_response(bool succeeded) {
     attempt_active_ = false;
-    release_permissions();
     if (succeeded) {
         suspects_.record_success(fingerprint());
         record_survivals();
     }
+    release_permissions();
     end_writing();
 }
 
--- a/src/roles/gateway/request_suspicion.hpp
+++ b/src/roles/gateway/request_suspicion.hpp
@@ -83,7 +83,6 @@
 private:
     /// The fingerprints of the content and of the parts.
     std::vector<digest> all_fingerprints();
-    bool may_be_trial() const;
     bool take_permissions();
     void release_permissions();
     void begin_writing();
--- a/src/roles/gateway/suspect_exchange.cpp
+++ b/src/roles/gateway/suspect_exchange.cpp
@@ -69,13 +69,12 @@
       members_(members),
       counters_(counters),
       hooks_(std::move(callbacks)),
-      parts_(
-          loop, counters, part_settings,
-          {[this](const crash_evidence& crash) {
-               share({&crash, 1});
-           },
-           [this](const digest& part) { hooks_.quarantined(part); },
-           [this](const digest& part, std::size_t crashes) { return tries_again(part, crashes); }}),
+      parts_(loop, counters, part_settings,
+             {[this](const crash_evidence& crash) {
+                  share({&crash, 1});
+              },
+              [this](const digest& part) { hooks_.quarantined(part); },
+              [this](std::string_view name) { return is_first_for(name); }}),
       log_(loop, log, std::move(log_name), members.own_host(), counters,
            {[this](const crash_evidence& crash) {
                 if (!add_evidence(crash, "log")) {
@@ -107,9 +106,7 @@
     return is_prompt_part(crash.fingerprint) ? parts_.contains(crash) : table_.contains(crash);
 }
 
-/// One gateway of the fleet tries a part again, and another one after each further crash.
-bool suspect_exchange::tries_again(const digest& part, std::size_t crashes) const {
-    const std::string name = part_name(part) + "/" + std::to_string(crashes);
+bool suspect_exchange::is_first_for(std::string_view name) const {
     const std::vector<cluster_member> first = members_.ranked_members(name, 1);
     return !first.empty() && first.front().host == members_.own_host();
 }
@@ -284,23 +281,24 @@
     }
 }
 
-void suspect_exchange::record_survival(const digest& part, instant began) {
-    const part_suspect_tracker::acquittal acquitted = parts_.record_survival(part, began);
-    if (acquitted.was_quarantined) {
-        log_.drop(acquitted.removed);
-        broadcast(acquitted.removed, true);
+/// Many gateways may have survivors of a common part at the same time. Only a trial, of which there
+/// is one in the fleet, is told to all.
+void suspect_exchange::record_survival(const digest& part, instant began, bool is_trial) {
+    const std::vector<crash_evidence> removed = parts_.record_survival(part, began);
+    if (is_trial) {
+        log_.drop(removed);
+        broadcast(removed, true);
         return;
     }
-    // Many gateways may have survivors of a common part at the same time.
-    for (const crash_evidence& crash : acquitted.removed) {
+    for (const crash_evidence& crash : removed) {
         ensure_removed_from_log(crash);
     }
 }
 
 void suspect_exchange::record_confirmed(const unconfirmed_response& response) {
-    for (const digest& fingerprint : response.suspects) {
+    for (const digest& fingerprint : response.fingerprints) {
         if (is_prompt_part(fingerprint)) {
-            record_survival(fingerprint, response.began);
+            record_survival(fingerprint, response.began, false);
         } else {
             record_success(fingerprint);
         }
--- a/src/roles/gateway/suspect_exchange.hpp
+++ b/src/roles/gateway/suspect_exchange.hpp
@@ -52,8 +52,9 @@
     /// A request of this gateway was completed without a crash.
     void record_success(const digest& request);
 
-    /// An attempt of this gateway that began to write at `began` survived a prompt part.
-    void record_survival(const digest& part, instant began);
+    /// An attempt of this gateway that began to write at `began` survived a prompt part. The other
+    /// gateways are told at once if it was a trial of the part.
+    void record_survival(const digest& part, instant began, bool is_trial);
 
     /// A response that ended with its connection is complete.
     void record_confirmed(const unconfirmed_response& response);
@@ -95,7 +96,7 @@
     bool is_urgent(const digest& request) const;
     bool is_logged(const digest& request) const;
     bool contains(const crash_evidence& crash) const;
-    bool tries_again(const digest& part, std::size_t crashes) const;
+    bool is_first_for(std::string_view name) const;
 
     event_loop& loop_;
     message_bus& bus_;
--- a/src/roles/gateway/target_crash_detector.cpp
+++ b/src/roles/gateway/target_crash_detector.cpp
@@ -57,12 +57,12 @@
 }
 
 void target_crash_detector::record_interrupted(instant now, const target_incarnation& incarnation,
-                                               std::span<const digest> suspects) {
+                                               std::span<const digest> fingerprints) {
     counters_.counter("gateway_runs_broken_total") += 1;
     if (!is_expected_to_run(incarnation)) {
         return;
     }
-    attempts_.record_interrupted(now, incarnation, suspects);
+    attempts_.record_interrupted(now, incarnation, fingerprints);
     if (targets_.find(incarnation.target)->started.value_or(0) > incarnation.started) {
         report_crash(incarnation, "restarted");
         return;
@@ -80,7 +80,6 @@
 void target_crash_detector::record_unconfirmed(instant now, const target_incarnation& incarnation,
                                                unconfirmed_response response) {
     if (!is_expected_to_run(incarnation)) {
-        confirm({&response, 1});
         return;
     }
     counters_.counter("gateway_unconfirmed_responses_total") += 1;
@@ -181,16 +180,16 @@
 
 void target_crash_detector::report_crash(const target_incarnation& incarnation,
                                          std::string_view evidence) {
-    std::vector<digest> suspects = attempts_.take_in_flight(incarnation);
+    std::vector<digest> fingerprints = attempts_.take_in_flight(incarnation);
     probes_.erase(incarnation);
-    if (suspects.empty()) {
+    if (fingerprints.empty()) {
         return;
     }
     const auto first_part =
-        std::stable_partition(suspects.begin(), suspects.end(),
+        std::stable_partition(fingerprints.begin(), fingerprints.end(),
                               [](const digest& suspect) { return !is_prompt_part(suspect); });
-    const std::span<const digest> requests(suspects.begin(), first_part);
-    const std::span<const digest> parts(first_part, suspects.end());
+    const std::span<const digest> requests(fingerprints.begin(), first_part);
+    const std::span<const digest> parts(first_part, fingerprints.end());
     counters_.counter("gateway_targets_ended_total") += 1;
     log_event(log_level::warning, "target_ended",
               {{"target", incarnation.target},
@@ -199,7 +198,7 @@
                {"requests", std::to_string(requests.size())},
                {"fingerprints", fingerprints_of(requests)},
                {"parts", part_names(parts.first(std::min(max_logged_parts, parts.size())))}});
-    hooks_.crashed(incarnation, suspects);
+    hooks_.crashed(incarnation, fingerprints);
 }
 
 void target_crash_detector::tick(instant now) {
--- a/src/roles/gateway/target_crash_detector.hpp
+++ b/src/roles/gateway/target_crash_detector.hpp
@@ -43,16 +43,17 @@
 
     /// The connection of an attempt at this incarnation closed before the response was complete.
     void record_interrupted(instant now, const target_incarnation& incarnation,
-                            std::span<const digest> suspects);
+                            std::span<const digest> fingerprints);
 
-    /// The response of an attempt at this incarnation ended with its connection.
+    /// The response of an attempt at this incarnation ended with its connection. One of a target
+    /// that is to end shows nothing.
     void record_unconfirmed(instant now, const target_incarnation& incarnation,
                             unconfirmed_response response);
 
     /// This process cancelled an attempt before its response was complete.
     void record_cancelled(instant now, const target_incarnation& incarnation,
-                          std::span<const digest> suspects) {
-        attempts_.record_cancelled(now, incarnation, suspects);
+                          std::span<const digest> fingerprints) {
+        attempts_.record_cancelled(now, incarnation, fingerprints);
     }
 
     /// Data from this incarnation was received, so it is alive, unless the data was sent before the
--- a/tests/decision/suspects/interrupted_attempts_test.cpp
+++ b/tests/decision/suspects/interrupted_attempts_test.cpp
@@ -82,7 +82,7 @@
     BOOST_TEST(attempts.has_interrupted(incarnation));
     const std::vector<unconfirmed_response> confirmed = attempts.take_unconfirmed(incarnation);
     BOOST_REQUIRE(confirmed.size() == 1U);
-    BOOST_TEST((confirmed.front().suspects == std::vector<digest>{first}));
+    BOOST_TEST((confirmed.front().fingerprints == std::vector<digest>{first}));
     BOOST_TEST((confirmed.front().began == now - seconds(1)));
     BOOST_TEST((attempts.take_in_flight(incarnation) == std::vector<digest>{second}));
 }
@@ -124,6 +124,21 @@
     BOOST_TEST(part_names(std::vector<digest>{part, fingerprint_of_part(1)}) == "5c1e07a2,1");
 }
 
+BOOST_AUTO_TEST_CASE(shared_parts_of_a_prompt_are_all_but_the_last_once_each) {
+    const std::vector<prompt_part> prompt{{1, 10}, {2, 10}, {1, 10}, {9, 10}};
+    BOOST_TEST((shared_part_fingerprints(prompt) ==
+                std::vector<digest>{fingerprint_of_part(1), fingerprint_of_part(2)}));
+    BOOST_TEST(shared_part_fingerprints({}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(shared_parts_of_a_prompt_that_names_thousands_are_bounded) {
+    std::vector<prompt_part> prompt;
+    for (std::uint64_t id = 0; id < 8000; ++id) {
+        prompt.push_back({id, 1});
+    }
+    BOOST_TEST(shared_part_fingerprints(prompt).size() == 32U);
+}
+
 BOOST_AUTO_TEST_CASE(change_of_any_part_changes_fingerprint) {
     const request_content content{"POST", "h", "/a/b", "account", "body"};
     const digest original = fingerprint_of(content);
--- a/tests/decision/suspects/part_suspect_table_test.cpp
+++ b/tests/decision/suspects/part_suspect_table_test.cpp
@@ -118,13 +118,52 @@
 }
 
 BOOST_AUTO_TEST_CASE(part_is_not_quarantined_while_an_attempt_may_survive_it) {
-    table.begin_writing(guilty);
+    table.begin_writing(now, guilty);
     crash_under(guilty, 0, 5);
     BOOST_TEST((suspicion_at(now, guilty) == suspicion::suspected));
     table.end_writing(guilty);
     BOOST_TEST((suspicion_at(now, guilty) == suspicion::quarantined));
 }
 
+BOOST_AUTO_TEST_CASE(attempt_that_hangs_holds_off_a_quarantine_for_a_second_at_most) {
+    table.begin_writing(now, guilty);
+    crash_under(guilty, 0, 5);
+    BOOST_TEST((suspicion_at(now + milliseconds(999), guilty) == suspicion::suspected));
+    BOOST_TEST((suspicion_at(now + seconds(1), guilty) == suspicion::quarantined));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_dated_by_a_clock_that_is_behind_are_kept_and_tried_no_sooner) {
+    for (int number = 0; number < 5; ++number) {
+        table.add(now, {guilty, incarnation(number), 0}, now - seconds(7200));
+    }
+    BOOST_TEST((suspicion_at(now, guilty) == suspicion::quarantined));
+    BOOST_TEST(table.evict_expired(now + seconds(10)).empty());
+    BOOST_TEST(!table.is_trial_due(now + seconds(599), guilty));
+}
+
+BOOST_AUTO_TEST_CASE(entry_that_starts_anew_counts_the_trials_that_failed_before) {
+    for (int number = 0; number < 7; ++number) {
+        // Five crashes at a time, and two trials after them.
+        const instant crashed = now - seconds(number < 5 ? 100 : 100 - 20 * (number - 4));
+        table.add(now, {guilty, incarnation(number), 0}, crashed);
+    }
+    BOOST_TEST((suspicion_at(now, guilty) == suspicion::quarantined));
+    for (int refusal = 0; refusal < 10'000; ++refusal) {
+        table.record_refusal(guilty);
+    }
+    BOOST_TEST(!table.is_trial_due(now + seconds(599), guilty));
+}
+
+BOOST_AUTO_TEST_CASE(newest_crashes_under_a_part_are_kept) {
+    for (int number = 0; number < 100; ++number) {
+        crash_under(guilty, number, 1, now + seconds(number));
+    }
+    BOOST_TEST(table.record_of(guilty).crashes == 32U);
+    BOOST_TEST((table.record_of(guilty).first_crash == now + seconds(68)));
+    BOOST_TEST(!table.add(now + seconds(100), {guilty, incarnation(3), 0}, now + seconds(3)));
+    BOOST_TEST(table.record_of(guilty).crashes == 32U);
+}
+
 BOOST_AUTO_TEST_CASE(part_whose_evidence_was_withdrawn_counts_as_survived) {
     crash_under(sound, 0, 1);
     BOOST_TEST(table.withdraw({sound, incarnation(0), 0}));
--- a/tests/decision/suspects/part_suspicion_model_test.cpp
+++ b/tests/decision/suspects/part_suspicion_model_test.cpp
@@ -162,7 +162,7 @@
         begun.began = now_;
         begun.is_writing = true;
         for (const digest& part : begun.parts) {
-            tables_[begun.entry].begin_writing(part);
+            tables_[begun.entry].begin_writing(now_, part);
         }
         if (is_guilty) {
             crash(begun.engine, true);
--- a/tests/roles/suspect_exchange_test.cpp
+++ b/tests/roles/suspect_exchange_test.cpp
@@ -3,6 +3,7 @@
 #include <bus.pb.h>
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <set>
 
 #include "support/fake_keyed_log.hpp"
@@ -21,6 +22,7 @@
 part_suspect_settings test_settings() {
     part_suspect_settings settings;
     settings.trial_delay = milliseconds(800);
+    settings.trial_turn = milliseconds(700);
     return settings;
 }
 
@@ -162,16 +164,16 @@
 BOOST_AUTO_TEST_CASE(part_survived_at_one_gateway_is_cleared_at_all) {
     crash_under_part(2);
     BOOST_TEST(run_until([this] { return all_have_part(suspicion::suspected); }));
-    third.exchange.record_survival(part, monotonic_now());
+    third.exchange.record_survival(part, monotonic_now(), false);
     BOOST_TEST(run_until([this] { return all_have_part(suspicion::none); }));
     BOOST_TEST(run_until([this] { return first.exchange.crash_count(part) == 0; }));
 }
 
 BOOST_AUTO_TEST_CASE(crash_under_a_part_known_as_sound_is_told_only_if_no_survivor_follows) {
-    first.exchange.record_survival(part, monotonic_now());
+    first.exchange.record_survival(part, monotonic_now(), false);
     first.record_part_crash(1);
     run_for(milliseconds(100));
-    first.exchange.record_survival(part, monotonic_now());
+    first.exchange.record_survival(part, monotonic_now(), false);
     run_for(milliseconds(900));
     BOOST_TEST(second.exchange.crash_count(part) == 0U);
     first.record_part_crash(2);
@@ -200,7 +202,6 @@
         return found;
     };
     BOOST_REQUIRE(run_until([&] { return !trying().empty(); }));
-    run_for(milliseconds(200));
     const std::vector<gateway_process*> found = trying();
     BOOST_REQUIRE(found.size() == 1U);
     part_suspect_tracker& parts = found.front()->exchange.parts();
@@ -209,10 +210,68 @@
     BOOST_TEST(!parts.may_try(part));
     // The attempt survives the part.
     parts.end_trial(part);
-    found.front()->exchange.record_survival(part, monotonic_now());
+    found.front()->exchange.record_survival(part, monotonic_now(), true);
     BOOST_TEST(run_until([this] { return all_have_part(suspicion::none); }));
 }
 
+BOOST_AUTO_TEST_CASE(turn_to_try_a_part_passes_to_another_gateway_if_the_first_makes_no_trial) {
+    crash_under_part(3);
+    std::set<std::string> had_a_turn;
+    const bool all_in_turn = run_until(
+        [&] {
+            for (gateway_process* each : {&first, &second, &third}) {
+                if (each->exchange.parts().may_try(part)) {
+                    had_a_turn.insert(each->host);
+                }
+            }
+            return had_a_turn.size() >= 2;
+        },
+        seconds(12));
+    BOOST_TEST(all_in_turn);
+}
+
+BOOST_AUTO_TEST_CASE(trial_holds_no_other_quarantined_part_that_is_not_due) {
+    const digest companion = fingerprint_of_part(2);
+    const std::vector<digest> prompt{part, companion};
+    crash_under_part(4);
+    BOOST_REQUIRE(run_until([this] { return all_have_part(suspicion::quarantined); }));
+    const auto may_try = [&](std::span<const digest> parts) {
+        return first.exchange.parts().may_try_any(parts) ||
+               second.exchange.parts().may_try_any(parts) ||
+               third.exchange.parts().may_try_any(parts);
+    };
+    BOOST_TEST(run_until([&] { return may_try(prompt); }, seconds(12)));
+    // Three newer crashes of its own, which the first part doesn't explain.
+    for (int number = 10; number < 13; ++number) {
+        for (gateway_process* each : {&first, &second, &third}) {
+            each->exchange.record_crash(incarnation(number), std::span(&companion, 1));
+        }
+        run_for(milliseconds(350));
+    }
+    BOOST_REQUIRE(run_until([&] {
+        return first.exchange.suspicion_of(companion) == suspicion::quarantined &&
+               second.exchange.suspicion_of(companion) == suspicion::quarantined &&
+               third.exchange.suspicion_of(companion) == suspicion::quarantined;
+    }));
+    BOOST_TEST(!may_try(prompt));
+}
+
+BOOST_AUTO_TEST_CASE(crash_with_an_impossible_time_counts_as_just_seen) {
+    wire::Envelope message;
+    for (const std::int64_t crashed : {std::numeric_limits<std::int64_t>::min(), std::int64_t{1},
+                                       std::numeric_limits<std::int64_t>::max()}) {
+        wire::SuspectEnd& end = *message.mutable_suspect_news()->add_ends();
+        end.set_request_high(part.high);
+        end.set_request_low(part.low);
+        end.set_target("t" + std::to_string(crashed));
+        end.set_crashed(crashed);
+    }
+    BOOST_TEST(first.exchange.on_message({}, message));
+    BOOST_TEST(first.exchange.crash_count(part) == 3U);
+    run_for(milliseconds(300));
+    BOOST_TEST((first.exchange.suspicion_of(part) != suspicion::quarantined));
+}
+
 BOOST_AUTO_TEST_CASE(damaged_message_changes_nothing) {
     wire::Envelope message;
     wire::SuspectNews& batch = *message.mutable_suspect_news();
