--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -22,11 +22,11 @@
 constexpr int receive_buffer = 65536;
 
 /// Less than maxBodyBytes.
-constexpr std::size_t upload_bytes = 2'000'000;
+constexpr std::size_t upload_bytes = 4'000'000;
 
 /// The service has seven workers, of which one crashes.
 constexpr int worker_count = 7;
-constexpr int client_count = 14;
+constexpr int client_count = 10;
 
 std::string piece(const std::string& id, int number) {
     std::string text = id + " piece " + std::to_string(number) + " ";
