--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case3 ] && [ -x target/bin/wrengate ] || exit 2
 # At the limit all processes of the group end, also those that the case started.
-timeout 110 target/review/case3 review/3/record.txt
+timeout 100 target/review/case3 review/3/record.txt
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
