--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -168,7 +168,7 @@
     bool done = false;
 };
 
-// The route is like the one for bid-commit of lelang-tani-grown.
+// A plain service, and a route whose requests may not be repeated.
 const std::string configuration = R"({"version":7,"routes":[
   {"name":"r-bid","host":"a.example","pathPrefix":"/bid/","kind":"non_idempotent",
    "timeoutMs":4000,"targetLatencyMs":400,"priority":2,"service":"app","maxAttempts":1,
