--- a/review/stand-2/streams.hpp
+++ b/review/stand-2/streams.hpp
@@ -25,6 +25,12 @@
 
     const std::string& id() const { return id_; }
 
+    /// The time to the first event and between two events.
+    void set_pace(std::int64_t first_event_ms, std::int64_t event_gap_ms) {
+        first_event_ms_ = first_event_ms;
+        event_gap_ms_ = event_gap_ms;
+    }
+
     /// Begins a new life under the same id and address.
     void start(const std::string& version) {
         const std::lock_guard<std::mutex> hold(mutex_);
@@ -58,9 +64,6 @@
     }
 
 private:
-    static constexpr std::int64_t first_event_ms = 40;
-    static constexpr std::int64_t event_gap_ms = 200;
-
     void serve(connection& peer, const std::string& version) {
         while (const std::optional<message> request = peer.whole()) {
             const std::string number = request->header("Request-Id");
@@ -91,7 +94,7 @@
             return false;
         }
         for (int event = from + 1; event <= events_; ++event) {
-            sleep_ms(event == from + 1 ? first_event_ms : event_gap_ms);
+            sleep_ms(event == from + 1 ? first_event_ms_ : event_gap_ms_);
             const std::string text = "id: " + std::to_string(event) + "\ndata: " + version + "\n\n";
             char size[16];
             std::snprintf(size, sizeof size, "%zx\r\n", text.size());
@@ -106,6 +109,8 @@
     std::string host_;
     int events_;
     record_file& record_;
+    std::atomic<std::int64_t> first_event_ms_{40};
+    std::atomic<std::int64_t> event_gap_ms_{200};
     std::mutex mutex_;
     std::string version_;
     int port_ = 0;
@@ -117,20 +122,22 @@
 };
 
 /// The operator's configuration: one service of model workers behind one route, whose streams may
-/// be resumed.
-inline std::string stream_configuration() {
+/// be resumed or not, and one tenant with so many tokens.
+inline std::string stream_configuration(bool resumable, std::int64_t prepaid) {
     return "{\"version\":7,\"routes\":[{\"name\":\"r-texts\",\"host\":\"site.example\","
-           "\"pathPrefix\":\"/texts/\",\"kind\":\"streaming\",\"timeoutMs\":30000,"
-           "\"targetLatencyMs\":600,\"priority\":1,\"service\":\"texts\",\"maxAttempts\":3,"
-           "\"public\":false,\"sticky\":true,\"resumable\":true,\"targetGapMs\":400}],"
-           "\"services\":[{\"name\":\"texts\",\"healthPath\":\"/health\",\"maxConns\":360,"
-           "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacity\":374509,"
-           "\"kvTokenBytes\":163840,\"linkMbps\":1100000.0,\"moves\":true,\"backups\":true,"
-           "\"stride\":3,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":5.0,"
-           "\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"maxHeaderBytes\":16384,"
-           "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-           "\"tenants\":[{\"name\":\"tenant1\",\"apiKeys\":[\"key1\"],\"priority\":1,"
-           "\"prepaid\":100000000}]}";
+           "\"pathPrefix\":\"/texts/"
+           "\",\"kind\":\"streaming\",\"timeoutMs\":30000,\"targetLatencyMs\":600,\"priority\":1,"
+           "\"service\":\"texts\",\"maxAttempts\":3,\"public\":false,\"sticky\":true,"
+           "\"resumable\":" +
+           std::string(resumable ? "true" : "false") +
+           ",\"targetGapMs\":400}],\"services\":[{\"name\":\"texts\",\"healthPath\":\"/"
+           "health\",\"maxConns\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,"
+           "\"kvCapacity\":374509,\"kvTokenBytes\":163840,\"linkMbps\":1100000.0,\"moves\":true,"
+           "\"backups\":true,\"stride\":3,\"most\":12,\"pinMs\":4000.0,\"holdMs\":2000.0,"
+           "\"handleS\":5.0,\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"maxHeaderBytes\":16384,"
+           "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"tenants\":"
+           "[{\"name\":\"tenant1\",\"apiKeys\":[\"key1\"],\"priority\":1,\"prepaid\":" +
+           std::to_string(prepaid) + "}]}";
 }
 
 /// What one client saw of its stream, over all its tries.
@@ -150,9 +157,10 @@
 /// Two front machines with a gateway each, and side machines with a relay each.
 class stream_fleet {
 public:
-    stream_fleet(const std::string& binaries, const std::string& folder, record_file& record)
+    stream_fleet(const std::string& binaries, const std::string& folder, record_file& record,
+                 const std::string& configuration = stream_configuration(true, 100'000'000))
         : record_(record), store_("127.0.0.10") {
-        store_.put("keyed.op", "config", stream_configuration());
+        store_.put("keyed.op", "config", configuration);
         for (int at = 0; at < 2; ++at) {
             const std::string name = "front-" + std::to_string(at + 1);
             gateways_.push_back(std::make_unique<program>(
