--- a/review/stand-2/killed_worker.cpp
+++ b/review/stand-2/killed_worker.cpp
@@ -2,7 +2,8 @@
 // of seven worker processes is killed while it answers requests that it has read whole.
 //
 // usage: killed_worker FOLDER-OF-BINARIES TEMPORARY-FOLDER RECORD-FILE TROUBLE
-//        killed_worker --settings FILE       a worker: FILE holds its id, its host and its port
+//        killed_worker --settings FILE       a worker: FILE holds its id, its host, its port and
+//        the time at which the record begins
 #include "kit.hpp"
 
 namespace {
@@ -29,10 +30,11 @@
     std::string id;
     std::string host;
     int port = 0;
-    std::ifstream(settings) >> id >> host >> port;
+    std::int64_t began = 0;
+    std::ifstream(settings) >> id >> host >> port >> began;
     kit::server server(
         host,
-        [&id](kit::connection& peer) {
+        [&id, began](kit::connection& peer) {
             while (const std::optional<kit::message> request = peer.whole()) {
                 const std::string number = request->header("Request-Id");
                 if (request->header("Expect-Instance") != id) {
@@ -40,6 +42,10 @@
                                                {{"Request-Id", number}, {"Instance-Id", id}}, ""));
                     continue;
                 }
+                std::printf("%lld run %s request %s\n",
+                            static_cast<long long>(kit::unix_ms() - began), id.c_str(),
+                            number.c_str());
+                std::fflush(stdout);
                 if (!peer.send("HTTP/1.1 200 OK\r\nRequest-Id: " + number + "\r\nServer-Stamp: " +
                                id + "." + number + "\r\nConnection: close\r\n\r\n")) {
                     return;
@@ -111,6 +117,28 @@
     }
 }
 
+/// Adds what the workers ran to the record, in the order of time.
+void add_runs(const std::string& folder, const std::string& record) {
+    std::vector<std::pair<std::int64_t, std::string>> lines;
+    const auto read = [&lines](const std::string& path) {
+        std::ifstream file(path);
+        std::string line;
+        while (std::getline(file, line)) {
+            lines.emplace_back(std::atoll(line.c_str()), line);
+        }
+    };
+    for (int worker = 0; worker < worker_count; ++worker) {
+        read(folder + "/w-" + std::to_string(worker + 1) + ".log");
+    }
+    read(record);
+    std::stable_sort(lines.begin(), lines.end(),
+                     [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::ofstream file(record);
+    for (const auto& [at, line] : lines) {
+        file << line << "\n";
+    }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -132,6 +160,7 @@
     std::vector<std::unique_ptr<kit::program>> workers;
     std::atomic<int> killed{-1};
     const std::int64_t born = kit::unix_ms();
+    const std::int64_t began = born - kit::now_ms();
     const auto name_of = [](int at) { return "w-" + std::to_string(at + 1); };
     const auto host_of = [](int at) { return "127.0.0.2" + std::to_string(at + 1); };
     const auto list = [&](int seq) {
@@ -147,10 +176,11 @@
         }
     };
     for (int at = 0; at < worker_count; ++at) {
-        workers.push_back(std::make_unique<kit::program>(
-            argv[0], folder + "/" + name_of(at),
-            name_of(at) + " " + host_of(at) + " " + std::to_string(worker_port) + "\n",
-            folder + "/" + name_of(at) + ".log"));
+        workers.push_back(std::make_unique<kit::program>(argv[0], folder + "/" + name_of(at),
+                                                         name_of(at) + " " + host_of(at) + " " +
+                                                             std::to_string(worker_port) + " " +
+                                                             std::to_string(began) + "\n",
+                                                         folder + "/" + name_of(at) + ".log"));
     }
     list(1);
     std::atomic<bool> beating{true};
@@ -198,5 +228,6 @@
     workers.clear();
     beating = false;
     beats.join();
+    add_runs(folder, argv[3]);
     return result;
 }
