--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "wrenswitch/core/findings.hpp"
+#include "wrenswitch/core/process_limits.hpp"
 #include "wrenswitch/decision/gateway/drain_plan.hpp"
 #include "wrenswitch/decision/gateway/gateway_configuration.hpp"
 #include "wrenswitch/decision/gateway/region_table.hpp"
@@ -150,6 +151,7 @@
     unsigned log_requests_per_second = 20;
     /// The percentage of served requests that are sampled for the log.
     unsigned log_served_percent = 5;
+    process_limits limits;
 };
 
 /// Parses a gateway's settings from JSON. Returns nothing if there are findings.
--- a/include/wrenswitch/roles/relay.hpp
+++ b/include/wrenswitch/roles/relay.hpp
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "wrenswitch/core/findings.hpp"
+#include "wrenswitch/core/process_limits.hpp"
 #include "wrenswitch/drivers/http_client.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
 
@@ -15,6 +16,7 @@
     message_bus_settings bus;
     /// The address of the platform's service, to which calls are forwarded.
     http_address service;
+    process_limits limits;
 };
 
 /// Parses a relay's settings from JSON. Returns nothing if there are findings.
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -91,6 +91,7 @@
     settings.log_served_percent = static_cast<unsigned>(
         reader.integer_or("log_served_percent", settings.log_served_percent, 0, max_percent));
     settings.grants = read_grants(reader);
+    settings.limits = read_process_limits(reader);
     reader.finish();
     return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
 }
--- a/src/roles/relay/relay.cpp
+++ b/src/roles/relay/relay.cpp
@@ -149,6 +149,7 @@
     settings.host = reader.text("host");
     settings.bus.endpoint = reader.text("bus_endpoint");
     settings.service = read_address(reader, "service", problems);
+    settings.limits = read_process_limits(reader);
     reader.finish();
     return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
 }
--- a/src/roles/shared/process_settings.cpp
+++ b/src/roles/shared/process_settings.cpp
@@ -8,6 +8,11 @@
 constexpr std::int64_t max_timeline_events = 10'000'000;
 constexpr std::int64_t max_drain_ms = 86'400'000;
 constexpr std::size_t curve_key_length = 40;
+constexpr std::int64_t bytes_per_mb = 1'000'000;
+constexpr std::int64_t min_memory_mb = 32;
+constexpr std::int64_t max_memory_mb = 1'000'000;
+constexpr std::int64_t min_descriptors = 128;
+constexpr std::int64_t max_descriptors = 10'000'000;
 
 std::string read_curve_key(settings_reader& reader, std::string_view name, findings& problems) {
     std::string key = reader.text_or(name, "");
@@ -34,6 +39,18 @@
     return address.value();
 }
 
+process_limits read_process_limits(settings_reader& reader) {
+    const process_limits usual;
+    const auto usual_mb = static_cast<std::int64_t>(usual.memory_bytes) / bytes_per_mb;
+    const auto usual_descriptors = static_cast<std::int64_t>(usual.descriptors);
+    process_limits limits;
+    limits.memory_bytes = static_cast<std::size_t>(
+        bytes_per_mb * reader.integer_or("memory_mb", usual_mb, min_memory_mb, max_memory_mb));
+    limits.descriptors = static_cast<std::size_t>(
+        reader.integer_or("most_descriptors", usual_descriptors, min_descriptors, max_descriptors));
+    return limits;
+}
+
 process_settings read_process_settings(settings_reader& reader, findings& problems) {
     process_settings settings;
     settings.host = reader.text("host");
@@ -56,6 +73,7 @@
                           max_timeline_events));
     settings.max_drain =
         milliseconds(reader.integer_or("longest_drain_ms", 120'000, 0, max_drain_ms));
+    settings.limits = read_process_limits(reader);
     return settings;
 }
 
--- a/src/roles/shared/process_settings.hpp
+++ b/src/roles/shared/process_settings.hpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "wrenswitch/core/findings.hpp"
+#include "wrenswitch/core/process_limits.hpp"
 #include "wrenswitch/core/settings_reader.hpp"
 #include "wrenswitch/drivers/http_client.hpp"
 #include "wrenswitch/drivers/message_bus.hpp"
@@ -26,11 +27,15 @@
     std::uint64_t timeline_events = 20'000;
     /// How long a graceful shutdown waits for running requests.
     microseconds max_drain = seconds(120);
+    process_limits limits;
 };
 
 /// Parses the common settings. Every invalid one is added to `problems`.
 process_settings read_process_settings(settings_reader& reader, findings& problems);
 
+/// Parses what the process may use of its host.
+process_limits read_process_limits(settings_reader& reader);
+
 /// Parses a required address. Adds a finding and returns an empty address if it is missing or
 /// malformed.
 http_address read_address(settings_reader& reader, std::string_view name, findings& problems);
