--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -56,7 +56,7 @@
 run_step "layers" scripts/check_layers.sh
 run_step "examples" scripts/check_examples.sh
 run_step "models" scripts/check_models.sh
-for test in core decision drivers roles platform soak fuzz live; do
+for test in core decision drivers roles platform soak fuzz live clients; do
     run_step "test $test" run_tests "$test"
     print_known_red "$test"
 done
--- a/tests/platform/gateway_fixture.hpp
+++ b/tests/platform/gateway_fixture.hpp
@@ -36,6 +36,11 @@
     double cold_rate = 0.0;
     /// Zero for a gateway that knows no relays.
     std::uint16_t relay_port = relay_bus;
+    /// What callers may send and how long they may take.
+    std::string limits = R"("maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000)";
+    /// Further members of the gateway's settings, each behind a comma.
+    std::string more_settings;
+    std::string more_relay_settings;
 
     gateway_fixture() {
         engine.answer = [this](const ingress_exchange_pointer& exchange) {
@@ -69,8 +74,8 @@
                                  R"(,
               "engine":{"slots":64,"kvCapacity":1000000,"stride":3}},
              {"name":"app","healthPath":"/health","maxConns":60}],
-            "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"headerTimeoutMs":1000,
-              "idleTimeoutMs":10000},
+            "limits":{)" + limits +
+                                 R"(,"idleTimeoutMs":10000},
             "tenants":[{"name":"tenant","apiKeys":)" +
                                  keys + R"(,"prepaid":)" + std::to_string(prepaid) + "}]}";
         store.put("keyed.op", "config", text);
@@ -82,7 +87,7 @@
             << R"(","admin":"127.0.0.1:)" << admin << R"(","service":")" << service_address
             << R"(","bus_endpoint":"tcp://127.0.0.1:)" << bus << R"(","relay_port":)" << relay_port
             << R"(,"longest_drain_ms":3000,"listen_after_stop_ms":300,"least_ms_per_token":50)"
-            << R"(,"retry_share":0.5})";
+            << R"(,"retry_share":0.5)" << more_settings << "}";
         gateway = std::make_unique<test::child_process>(
             std::vector<std::string>{WRENSWITCH_BINARIES "/wrengate", "--settings", settings_file},
             settings_file + ".log");
@@ -92,7 +97,8 @@
     void start_relay() {
         const std::string file = settings_file + ".relay";
         std::ofstream(file) << R"({"host":"side-1","bus_endpoint":"tcp://127.0.0.1:)" << relay_bus
-                            << R"(","service":")" << store.address() << R"("})";
+                            << R"(","service":")" << store.address() << R"(")"
+                            << more_relay_settings << "}";
         relay = std::make_unique<test::child_process>(
             std::vector<std::string>{WRENSWITCH_BINARIES "/wrenrelay", "--settings", file},
             file + ".log");
--- a/tests/support/raw_socket.hpp
+++ b/tests/support/raw_socket.hpp
@@ -92,6 +92,13 @@
             ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    /// Sends what the system takes now; the number of bytes taken.
+    std::size_t send_some(std::string_view bytes) const {
+        const auto sent =
+            bytes.empty() ? 0 : ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return static_cast<std::size_t>(sent > 0 ? sent : 0);
+    }
+
     /// Reads so many bytes at the most.
     void read(std::size_t most) {
         std::string bytes(most, '\0');
