--- a/include/wrenswitch/drivers/ingress_server.hpp
+++ b/include/wrenswitch/drivers/ingress_server.hpp
@@ -11,6 +11,7 @@
 
 #include "wrenswitch/core/error.hpp"
 #include "wrenswitch/core/time.hpp"
+#include "wrenswitch/decision/ingress/intake_memory.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/message_head.hpp"
 
@@ -92,12 +93,20 @@
 using ingress_head_hook =
     std::function<head_decision(const message_head&, const std::shared_ptr<waiting_head>&)>;
 
+/// Makes the answer to a request that is refused because memory is short.
+using shortage_hook = std::function<head_decision(const message_head&)>;
+
 /// What a server does beyond reading and answering. By default, nothing.
 struct ingress_options {
     /// The receive buffer of callers' connections, which limits what arrives unread. Zero leaves it
     /// to the system.
     std::size_t receive_buffer_bytes = 0;
     ingress_head_hook on_head;
+    /// The memory that the connections share with others of the process. Without limit if empty.
+    std::shared_ptr<intake_memory> intake;
+    /// Makes the answer to a request for which there is no memory, as status 503 says that it has
+    /// not run. Its head is empty if it has not been read.
+    shortage_hook refuse_for_shortage;
 };
 
 /// A strict HTTP/1.1 server for requests that are passed on: heads are kept as they came, one
--- a/include/wrenswitch/drivers/message_parser.hpp
+++ b/include/wrenswitch/drivers/message_parser.hpp
@@ -58,6 +58,10 @@
     /// True once the head of the present message is whole.
     bool head_complete() const;
 
+    /// The memory in bytes of the present message's head, whether the parser still holds it or has
+    /// handed it out.
+    std::size_t head_memory() const;
+
 private:
     struct state;
     std::unique_ptr<state> state_;
--- a/include/wrenswitch/drivers/upstream_pool.hpp
+++ b/include/wrenswitch/drivers/upstream_pool.hpp
@@ -46,6 +46,8 @@
     /// Without lengths and without what concerns the connection.
     std::vector<http_header> headers;
     std::string_view body;
+    /// Keeps the body alive until it is sent. Without, the body is copied.
+    std::shared_ptr<const void> body_owner;
     /// The longest rest of a kept connection that this request may go over. A request that may not
     /// be repeated wants a short one: the peer might be closing.
     microseconds longest_rest = seconds(3600);
--- a/src/drivers/connection_exchange.hpp
+++ b/src/drivers/connection_exchange.hpp
@@ -15,10 +15,11 @@
 class connection_exchange final : public ingress_exchange {
 public:
     connection_exchange(std::shared_ptr<ingress_connection> connection, message_head head,
-                        std::string body)
+                        std::string body, std::unique_ptr<intake_claim> claim)
         : connection_(std::move(connection)),
           head_(std::move(head)),
           body_(std::move(body)),
+          claim_(std::move(claim)),
           received_(monotonic_now()),
           waited_(connection_->waited_) {}
 
@@ -124,6 +125,8 @@
     std::shared_ptr<ingress_connection> connection_;
     message_head head_;
     std::string body_;
+    /// For the head and the body.
+    std::unique_ptr<intake_claim> claim_;
     instant received_;
     microseconds waited_;
     bool ended_ = false;
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -11,6 +11,7 @@
 #include "drivers/connection_exchange.hpp"
 #include "drivers/connection_wait.hpp"
 #include "drivers/direct_send.hpp"
+#include "drivers/large_body.hpp"
 #include "drivers/socket_queue.hpp"
 #include "drivers/status_reason.hpp"
 #include "drivers/timeval.hpp"
@@ -22,6 +23,7 @@
 constexpr unsigned status_timeout = 408;
 constexpr unsigned status_too_large = 413;
 constexpr unsigned status_head_too_large = 431;
+constexpr unsigned status_unavailable = 503;
 
 /// How long a refused peer may go on sending, so that it can read its refusal before the close.
 constexpr microseconds linger_time = milliseconds(500);
@@ -29,6 +31,15 @@
 /// What a request with all its limits may hold unread before the socket is left alone.
 constexpr std::size_t most_unread_bytes = 256U * 1024U;
 
+/// A connection that rests, with its socket and its parser.
+constexpr std::size_t connection_bytes = 8U * 1024U;
+
+/// A request beside its head and its body, while it is read and answered.
+constexpr std::size_t request_overhead_bytes = 8U * 1024U;
+
+/// A head is held twice: as it came, and as it is passed on.
+constexpr std::size_t head_copies = 2;
+
 /// What is read of a body while its request waits. A caller that disconnects is noticed at once if
 /// it has sent no more than this.
 constexpr std::size_t most_waiting_bytes = 4096;
@@ -44,7 +55,11 @@
 }  // namespace
 
 ingress_connection::ingress_connection(ingress_context& context, bufferevent* stream)
-    : context_(context), stream_(stream), limits_(context.limits()), parser_(make_parser()) {}
+    : context_(context),
+      intake_(context.intake),
+      stream_(stream),
+      limits_(context.limits()),
+      parser_(make_parser()) {}
 
 ingress_connection::~ingress_connection() {
     if (stream_ != nullptr) {
@@ -60,15 +75,25 @@
     return {message_kind::request, {limits_.most_header_bytes}, std::move(hooks)};
 }
 
-void ingress_connection::start() {
+bool ingress_connection::start(std::size_t receive_buffer_bytes) {
+    claim_.emplace(*intake_, intake_kind::connection, monotonic_now(),
+                   [this](intake_shortage) { close(); });
+    if (!hold_buffers()) {
+        close();
+        return false;
+    }
+    claim_->record_receive_buffer(receive_buffer_bytes);
+    claim_->set_revocable(true);
     bufferevent_setcb(stream_, &on_readable, &on_written, &on_event, this);
     set_read_timeout(limits_.idle_timeout);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    return true;
 }
 
 void ingress_connection::on_readable(bufferevent*, void* self) {
     const auto connection = static_cast<ingress_connection*>(self)->shared_from_this();
     connection->read_available();
+    connection->hold_after_read();
 }
 
 void ingress_connection::on_written(bufferevent*, void*) {}
@@ -97,12 +122,7 @@
             return;
         }
         if (phase_ == phase::idle) {
-            phase_ = phase::reading;
-            limits_ = context_.limits();
-            parser_ = make_parser();
-            waited_ = microseconds(0);
-            reading_since_ = monotonic_now();
-            set_read_timeout(limits_.head_timeout);
+            begin_request();
         }
         const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, -1));
         const result<std::size_t> taken = parser_.feed({data, length});
@@ -115,6 +135,15 @@
         }
         evbuffer_drain(input, taken.value());
         context_.loop.traffic().received += taken.value();
+        request_claim_->record_arrival(monotonic_now(), taken.value());
+        if (!hold_request()) {
+            refuse(shortage_refusal());
+            return;
+        }
+        if (body_.size() > limits_.most_body_bytes) {
+            refuse(status_too_large);
+            return;
+        }
         if (head_is_overdue()) {
             refuse(status_timeout);
             return;
@@ -128,6 +157,66 @@
     }
 }
 
+void ingress_connection::begin_request() {
+    phase_ = phase::reading;
+    limits_ = context_.limits();
+    parser_ = make_parser();
+    head_ = {};
+    waited_ = microseconds(0);
+    reading_since_ = monotonic_now();
+    set_read_timeout(limits_.head_timeout);
+    claim_->set_revocable(false);
+    request_claim_ =
+        std::make_unique<intake_claim>(*intake_, intake_kind::request, reading_since_,
+                                       [this](intake_shortage shortage) { give_way(shortage); });
+    request_claim_->set_revocable(true);
+}
+
+std::size_t ingress_connection::request_bytes() const {
+    const std::size_t body = body_.capacity() > large_body_bytes ? body_.size() : body_.capacity();
+    return request_overhead_bytes + head_copies * parser_.head_memory() + body;
+}
+
+bool ingress_connection::hold_buffers() {
+    const std::size_t read_ahead = evbuffer_get_length(bufferevent_get_input(stream_));
+    return claim_->hold(monotonic_now(), connection_bytes + read_ahead);
+}
+
+bool ingress_connection::hold_request() {
+    return request_claim_->hold(monotonic_now(), request_bytes());
+}
+
+/// A connection whose peer sends ahead of its answers more than there is room for ends.
+void ingress_connection::hold_after_read() {
+    if (open() && phase_ != phase::lingering && !hold_buffers()) {
+        end_for_shortage();
+    }
+}
+
+void ingress_connection::end_for_shortage() {
+    if (phase_ == phase::reading || phase_ == phase::waiting) {
+        refuse_unread(shortage_refusal());
+    } else {
+        peer_gone();
+    }
+}
+
+head_decision ingress_connection::shortage_refusal() const {
+    if (context_.refuse_for_shortage) {
+        return context_.refuse_for_shortage(head_);
+    }
+    return {head_action::refuse, status_unavailable, {}, {}};
+}
+
+/// Gives the memory of a request back that has been read in part only.
+void ingress_connection::give_way(intake_shortage shortage) {
+    const auto self = shared_from_this();
+    refuse_unread(shortage_refusal());
+    if (shortage == intake_shortage::connections) {
+        close();
+    }
+}
+
 /// A peer that sends its head byte by byte never rests long enough for the read timeout.
 bool ingress_connection::head_is_overdue() const {
     return phase_ == phase::reading && !parser_.head_complete() &&
@@ -210,25 +299,28 @@
 }
 
 void ingress_connection::body_arrived(std::string_view piece) {
-    // One byte more than allowed is kept, so that the end of a chunked body can be refused.
+    // One byte more than allowed is kept, which shows that the body is too long.
     const std::size_t room = limits_.most_body_bytes + 1 - body_.size();
-    body_.append(piece.substr(0, std::min(piece.size(), room)));
+    const std::size_t kept = std::min(piece.size(), room);
+    reserve_large_body(body_, body_.size() + kept,
+                       head_.content_length.value_or(limits_.most_body_bytes + 1));
+    body_.append(piece.substr(0, kept));
 }
 
 void ingress_connection::request_complete() {
-    if (body_.size() > limits_.most_body_bytes) {
-        refuse(status_too_large);
-        return;
-    }
     set_read_timeout(microseconds(0));
     bufferevent_setwatermark(stream_, EV_READ, 0, most_unread_bytes);
-    auto exchange = std::make_shared<connection_exchange>(shared_from_this(), std::move(head_),
-                                                          std::exchange(body_, {}));
+    request_claim_->set_revocable(false);
+    auto exchange = std::make_shared<connection_exchange>(
+        shared_from_this(), std::move(head_), std::exchange(body_, {}), std::move(request_claim_));
     context_.handler(exchange);
 }
 
 void ingress_connection::refuse(const head_decision& decision) {
     keep_alive_ = false;
+    free_body(body_);
+    head_ = {};
+    request_claim_.reset();
     std::string text = "HTTP/1.1 " + std::to_string(decision.status) + " ";
     text.append(reason_of(decision.status)).append("\r\n");
     for (const http_header& header : decision.headers) {
@@ -290,6 +382,7 @@
         return;
     }
     phase_ = phase::idle;
+    claim_->set_revocable(true);
     set_read_timeout(limits_.idle_timeout);
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
     // The next request may have arrived already. It is read in a new turn of the loop, since an
@@ -303,6 +396,7 @@
 
 void ingress_connection::linger() {
     phase_ = phase::lingering;
+    claim_->set_revocable(true);
     gone_hook_ = {};
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
     finish_writing(unacknowledged_bytes(), monotonic_now());
@@ -357,6 +451,9 @@
         return;
     }
     bufferevent_free(std::exchange(stream_, nullptr));
+    free_body(body_);
+    request_claim_.reset();
+    claim_.reset();
     context_.on_gone(this);
 }
 
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -23,6 +24,8 @@
     std::function<void(ingress_connection*)> on_gone;
     /// Empty if requests proceed without a decision on their heads.
     ingress_head_hook on_head;
+    std::shared_ptr<intake_memory> intake;
+    shortage_hook refuse_for_shortage;
     bool draining = false;
     /// True while callers should go on over other connections.
     bool sheds = false;
@@ -40,7 +43,8 @@
     ingress_connection(const ingress_connection&) = delete;
     ingress_connection& operator=(const ingress_connection&) = delete;
 
-    void start();
+    /// Begins to read. False if there is no memory for the connection, which then closes.
+    bool start(std::size_t receive_buffer_bytes);
 
     /// Ends the connection if no request is being read or answered: at once, or after what isn't
     /// sent yet of its last answer. True if it does.
@@ -87,6 +91,14 @@
     void continue_with_body();
     bool peer_has_closed() const;
     bool head_is_overdue() const;
+    void begin_request();
+    std::size_t request_bytes() const;
+    bool hold_buffers();
+    bool hold_request();
+    void hold_after_read();
+    void give_way(intake_shortage shortage);
+    void end_for_shortage();
+    head_decision shortage_refusal() const;
     void body_arrived(std::string_view piece);
     void request_complete();
     void refuse(const head_decision& decision);
@@ -100,7 +112,13 @@
     void timed_out();
 
     ingress_context& context_;
+    /// The claims refer to it, also when the server is gone.
+    std::shared_ptr<intake_memory> intake_;
     bufferevent* stream_;
+    /// For the connection and its buffers, until it closes.
+    std::optional<intake_claim> claim_;
+    /// For the request that is read. It goes on to the request's exchange.
+    std::unique_ptr<intake_claim> request_claim_;
     /// Bytes that go out with the next write.
     std::string held_;
     ingress_limits limits_;
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -4,25 +4,35 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <unistd.h>
 
 #include <algorithm>
-#include <limits>
 #include <unordered_map>
 
 #include "drivers/ingress_connection.hpp"
+#include "drivers/listener.hpp"
 
 namespace wrenswitch {
 namespace {
 
 constexpr int listen_backlog = 1024;
 
+std::shared_ptr<intake_memory> intake_of(const ingress_options& options) {
+    return options.intake ? options.intake : std::make_shared<intake_memory>(intake_settings{});
+}
+
 class libevent_ingress final : public ingress_server {
 public:
     libevent_ingress(event_loop& loop, ingress_limits_source limits, ingress_handler handler,
                      ingress_options options)
-        : context_{loop, std::move(limits), std::move(handler),
-                   [this](ingress_connection* gone) { forget(gone); }, std::move(options.on_head)},
-          receive_buffer_bytes_(options.receive_buffer_bytes) {}
+        : context_{loop,
+                   std::move(limits),
+                   std::move(handler),
+                   [this](ingress_connection* gone) { forget(gone); },
+                   std::move(options.on_head),
+                   intake_of(options),
+                   std::move(options.refuse_for_shortage)},
+          max_receive_buffer_(options.receive_buffer_bytes) {}
 
     ~libevent_ingress() override {
         if (listener_ != nullptr) {
@@ -106,6 +116,7 @@
     void stop_listening() override {
         context_.draining = true;
         if (listener_ != nullptr) {
+            accepting_.cancel();
             evconnlistener_free(std::exchange(listener_, nullptr));
         }
         close_idle();
@@ -114,13 +125,11 @@
 private:
     /// Connections inherit the size from the listening socket. Set later, it would not reduce the
     /// window that a caller has been given with the connection.
-    void set_receive_buffer() const {
-        if (receive_buffer_bytes_ > 0) {
-            const int size = static_cast<int>(
-                std::min<std::size_t>(receive_buffer_bytes_, std::numeric_limits<int>::max() / 2));
-            ::setsockopt(evconnlistener_get_fd(listener_), SOL_SOCKET, SO_RCVBUF, &size,
-                         sizeof size);
-        }
+    void set_receive_buffer() {
+        const std::size_t offered = context_.intake->next_receive_buffer();
+        receive_buffer_ =
+            max_receive_buffer_ > 0 ? std::min(offered, max_receive_buffer_) : offered;
+        set_listener_buffer(evconnlistener_get_fd(listener_), receive_buffer_);
     }
 
     void close_idle() {
@@ -135,13 +144,21 @@
     }
 
     void accept(evutil_socket_t socket) {
+        if (!context_.intake->make_room_for_connection(monotonic_now())) {
+            ::close(socket);
+            return;
+        }
         const int on = 1;
         ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         bufferevent* stream =
             bufferevent_socket_new(context_.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
         auto connection = std::make_shared<ingress_connection>(context_, stream);
         connections_.emplace(connection.get(), connection);
-        connection->start();
+        connection->start(receive_buffer_);
+        set_receive_buffer();
+        if (context_.intake->is_full()) {
+            accepting_.pause(context_.loop, listener_);
+        }
     }
 
     /// The connection may still be on the stack, so it is destroyed a turn later.
@@ -156,7 +173,11 @@
     }
 
     ingress_context context_;
-    std::size_t receive_buffer_bytes_;
+    /// The most that a receive buffer may have; zero for no bound of the options.
+    std::size_t max_receive_buffer_;
+    /// What connections inherit that are made now.
+    std::size_t receive_buffer_ = 0;
+    accept_pause accepting_;
     std::unordered_map<ingress_connection*, std::shared_ptr<ingress_connection>> connections_;
     evconnlistener* listener_ = nullptr;
     std::uint16_t port_ = 0;
--- a/src/drivers/message_parser.cpp
+++ b/src/drivers/message_parser.cpp
@@ -15,6 +15,9 @@
 /// What http_parser takes as "this message has no body".
 constexpr int skip_body = 1;
 
+/// What a header takes beside its text, in a list that has grown by doubling.
+constexpr std::size_t header_bytes = 2 * sizeof(http_header);
+
 bool is_token_letter(unsigned char letter) {
     constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
     return std::isalnum(letter) != 0 || marks.find(static_cast<char>(letter)) != marks.npos;
@@ -33,6 +36,7 @@
     message_parser_hooks hooks;
     message_head head;
     std::size_t head_bytes = 0;
+    std::size_t head_memory = 0;
     bool value_was_last = false;
     bool active = false;
     bool head_done = false;
@@ -51,12 +55,14 @@
 
     bool count_head_bytes(std::size_t length) {
         head_bytes += length;
+        head_memory += length;
         return head_bytes <= limits.most_header_bytes;
     }
 
     void reset_message() {
         head = message_head{};
         head_bytes = 0;
+        head_memory = 0;
         value_was_last = false;
         head_done = false;
         trailers = false;
@@ -77,6 +83,7 @@
         }
         if (value_was_last || head.headers.empty()) {
             head.headers.emplace_back();
+            head_memory += header_bytes;
         }
         value_was_last = false;
         head.headers.back().name.append(piece);
@@ -222,6 +229,10 @@
     return state_->active;
 }
 
+std::size_t message_parser::head_memory() const {
+    return state_->head_memory;
+}
+
 bool message_parser::head_complete() const {
     return state_->active && state_->head_done;
 }
--- a/src/drivers/upstream_connection.cpp
+++ b/src/drivers/upstream_connection.cpp
@@ -77,7 +77,7 @@
     socket_->connect(address);
 }
 
-void upstream_connection::begin(std::string bytes, bool bodyless, upstream_hooks hooks) {
+void upstream_connection::begin(outgoing_message message, bool bodyless, upstream_hooks hooks) {
     hooks_ = std::move(hooks);
     parser_.expect_no_body(bodyless);
     skipping_ = false;
@@ -86,7 +86,7 @@
     interim_bytes_ = 0;
     skipped_bytes_ = 0;
     sent_ = false;
-    unsent_ = std::move(bytes);
+    unsent_ = std::move(message);
     if (connected_) {
         connected();
     }
@@ -235,6 +235,7 @@
     if (!std::exchange(open_, false)) {
         return;
     }
+    unsent_ = {};
     socket_->close();
     on_change_(*this);
 }
--- a/src/drivers/upstream_connection.hpp
+++ b/src/drivers/upstream_connection.hpp
@@ -25,8 +25,8 @@
     /// Connects. To be called once, before all else.
     void connect(const http_address& address);
 
-    /// Begins a call: the bytes go out as soon as the connection stands.
-    void begin(std::string bytes, bool bodyless, upstream_hooks hooks);
+    /// Begins a call: the message goes out as soon as the connection stands.
+    void begin(outgoing_message message, bool bodyless, upstream_hooks hooks);
 
     /// Lets the connection carry no other call after this one.
     void close_after_answer() { reusable_ = false; }
@@ -66,7 +66,7 @@
     std::shared_ptr<upstream_socket> socket_;
     message_parser parser_;
     std::optional<upstream_hooks> hooks_;
-    std::string unsent_;
+    outgoing_message unsent_;
     bool open_ = true;
     bool connected_ = false;
     bool sent_ = false;
--- a/src/drivers/upstream_pool.cpp
+++ b/src/drivers/upstream_pool.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "drivers/outgoing_message.hpp"
 #include "drivers/upstream_connection.hpp"
 
 namespace wrenswitch {
@@ -11,8 +12,13 @@
 
 using connection_pointer = std::shared_ptr<upstream_connection>;
 
-std::string text_of(const upstream_request& request) {
-    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+/// Shorter bodies are copied behind the head rather than kept alive.
+constexpr std::size_t min_uncopied_bytes = 16U * 1024U;
+
+outgoing_message message_of(const upstream_request& request) {
+    outgoing_message message;
+    std::string& text = message.text;
+    text = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const http_header& header : request.headers) {
         append_header(text, header.name, header.value);
     }
@@ -22,8 +28,13 @@
         append_header(text, "Content-Length", std::to_string(request.body.size()));
     }
     text += "\r\n";
-    text += request.body;
-    return text;
+    if (request.body_owner && request.body.size() >= min_uncopied_bytes) {
+        message.body = request.body;
+        message.body_owner = request.body_owner;
+    } else {
+        text += request.body;
+    }
+    return message;
 }
 
 class pooled_call final : public upstream_call {
@@ -174,7 +185,7 @@
     if (request.needs_own_connection) {
         connection->close_after_answer();
     }
-    connection->begin(text_of(request), request.method == "HEAD", std::move(hooks));
+    connection->begin(message_of(request), request.method == "HEAD", std::move(hooks));
     return call;
 }
 
--- a/src/drivers/upstream_socket.cpp
+++ b/src/drivers/upstream_socket.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -31,6 +32,24 @@
     return problem == EAGAIN || problem == EWOULDBLOCK || problem == EINTR;
 }
 
+iovec as_vector(std::string_view bytes) {
+    return {const_cast<char*>(bytes.data()), bytes.size()};
+}
+
+/// Sends of a message what comes behind its first `sent` bytes, in one call. Returns what the call
+/// returns.
+ssize_t send_rest(int descriptor, const outgoing_message& message, std::size_t sent) {
+    const std::size_t text_sent = std::min(sent, message.text.size());
+    const std::string_view text = std::string_view(message.text).substr(text_sent, max_write_bytes);
+    const std::string_view body =
+        message.body.substr(sent - text_sent, max_write_bytes - text.size());
+    std::array<iovec, 2> pieces{as_vector(text), as_vector(body)};
+    msghdr header{};
+    header.msg_iov = pieces.data();
+    header.msg_iovlen = pieces.size();
+    return ::sendmsg(descriptor, &header, MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 }  // namespace
 
 upstream_socket::upstream_socket(event_loop& loop, timeouts limits, hooks told)
@@ -94,9 +113,9 @@
     ::setsockopt(descriptor_, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
 }
 
-void upstream_socket::write(std::string bytes) {
-    loop_.traffic().sent += bytes.size();
-    unsent_ = std::move(bytes);
+void upstream_socket::write(outgoing_message message) {
+    loop_.traffic().sent += message.size();
+    unsent_ = std::move(message);
     sent_ = 0;
     flush();
 }
@@ -110,9 +129,7 @@
     if (!open() || failed_ || unsent_bytes() == 0) {
         return;
     }
-    const std::string_view rest = std::string_view(unsent_).substr(sent_, max_write_bytes);
-    const ssize_t taken =
-        ::send(descriptor_, rest.data(), rest.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    const ssize_t taken = send_rest(descriptor_, unsent_, sent_);
     if (taken < 0 && !would_block(errno)) {
         // What the peer sent before the failure can still be read.
         failed_ = true;
@@ -218,6 +235,8 @@
 
 void upstream_socket::close() {
     closed_ = true;
+    unsent_ = {};
+    sent_ = 0;
     connecting_.reset();
     readable_.reset();
     writable_.reset();
--- a/src/drivers/upstream_socket.hpp
+++ b/src/drivers/upstream_socket.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "drivers/outgoing_message.hpp"
 #include "wrenswitch/core/time.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 #include "wrenswitch/drivers/http_client.hpp"
@@ -52,8 +53,8 @@
 
     void connect(const http_address& address);
 
-    /// Sends the bytes, as far as the system takes them at once, and the rest later.
-    void write(std::string bytes);
+    /// Sends a message, as far as the system takes it at once, and the rest later.
+    void write(outgoing_message message);
 
     /// Ends this side of the connection and drops what is not sent yet.
     void half_close();
@@ -93,7 +94,7 @@
     event_pointer connecting_;
     event_pointer readable_;
     event_pointer writable_;
-    std::string unsent_;
+    outgoing_message unsent_;
     /// How many bytes of `unsent_` the system has taken.
     std::size_t sent_ = 0;
     bool closed_ = false;
--- a/src/main/shared/settings_program.cpp
+++ b/src/main/shared/settings_program.cpp
@@ -1,5 +1,6 @@
 #include "main/shared/settings_program.hpp"
 
+#include <malloc.h>
 #include <tclap/CmdLine.h>
 #include <unistd.h>
 
@@ -10,6 +11,13 @@
 #include "wrenswitch/core/settings_reader.hpp"
 
 namespace wrenswitch {
+namespace {
+
+/// Larger blocks have their own pages, which go back to the system when the block is freed. Without
+/// a fixed value the allocator raises it with each large block that it frees.
+constexpr int min_mapped_block_bytes = 128 * 1024;
+
+}  // namespace
 
 int run_program(const settings_program& program, int argc, char** argv) {
     TCLAP::CmdLine command(program.description, ' ', WRENSWITCH_VERSION);
@@ -31,6 +39,7 @@
         std::cout << file.getValue() << ": no findings\n";
         return exit_done;
     }
+    ::mallopt(M_MMAP_THRESHOLD, min_mapped_block_bytes);
     start_logging(program.name);
     // Written before anything that can fail or wait, so that a process that stops there is seen.
     log_event(log_level::information, "process_starting",
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -341,7 +341,7 @@
     const std::string_view copy_from =
         choice.copy_from == nullptr ? std::string_view{} : choice.copy_from->address;
     const upstream_request sent =
-        make_upstream_request(*exchange_, context_.dialect, request_, admitted_, target, copy_from,
+        make_upstream_request(exchange_, context_.dialect, request_, admitted_, target, copy_from,
                               splitter_.last_event_id(), time_left());
     upstream_call_ = context_.pool_of(target).send(sent, hooks_for(history_.attempt_number()));
     if (!engine_request_) {
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -79,6 +79,7 @@
     : loop_(loop),
       settings_(settings),
       dialect_(dialect),
+      caller_memory_(settings.limits, metrics_),
       incarnation_(random_.next_id<incarnation_id>()),
       rate_limited_log_(settings.log_requests_per_second, metrics_),
       allocators_(settings.host, make_allocator_settings(settings)),
@@ -154,6 +155,7 @@
 void gateway::tick() {
     const instant now = monotonic_now();
     flush_log();
+    caller_memory_.tick(now);
     metrics_.counter("log_lines_unread_total") = dropped_log_lines();
     metrics_.gauge("store_generation") = static_cast<double>(log_->generation());
     grants_->set_append_latency(ledger_->append_time());
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -19,6 +19,7 @@
 #include "roles/gateway/suspect_exchange.hpp"
 #include "roles/gateway/target_crash_detector.hpp"
 #include "roles/gateway/target_list.hpp"
+#include "roles/shared/caller_memory.hpp"
 #include "wrenswitch/decision/gateway/isolation_detector.hpp"
 #include "wrenswitch/decision/gateway/region_outage_detector.hpp"
 #include "wrenswitch/decision/gateway/response_time_tracker.hpp"
@@ -63,6 +64,9 @@
     result<void> open_ingress();
     result<void> open_admin();
     void open_metrics();
+    /// Refuses a request because the memory for what callers send is short.
+    head_decision refuse_for_shortage(const message_head& head);
+    ingress_options make_ingress_options();
     ingress_limits current_limits() const;
     bool is_open();
     std::vector<std::string_view> missing_parts();
@@ -101,6 +105,7 @@
     gateway_settings settings_;
     const gateway_dialect& dialect_;
     metrics metrics_;
+    caller_memory caller_memory_;
     random_source random_;
     incarnation_id incarnation_;
     rate_limited_log rate_limited_log_;
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -8,8 +8,12 @@
 #include <algorithm>
 #include <utility>
 
+#include "roles/gateway/caller_response.hpp"
 #include "roles/gateway/gateway.hpp"
 #include "roles/gateway/relay_selection.hpp"
+#include "roles/gateway/request_trace.hpp"
+#include "roles/gateway/retry_after.hpp"
+#include "roles/shared/http_status.hpp"
 #include "wrenswitch/core/log.hpp"
 #include "wrenswitch/drivers/log_call_counts.hpp"
 
@@ -273,7 +277,7 @@
         [this](const ingress_exchange_pointer& exchange) {
             std::make_shared<forwarded_request>(*context_, exchange)->start();
         },
-        sharing_->make_ingress_options());
+        make_ingress_options());
     if (!ingress) {
         return ingress.error();
     }
@@ -282,6 +286,39 @@
     return outcome::success();
 }
 
+ingress_options gateway::make_ingress_options() {
+    ingress_options options = sharing_->make_ingress_options();
+    options.intake = caller_memory_.pool();
+    options.refuse_for_shortage = [this](const message_head& head) {
+        return refuse_for_shortage(head);
+    };
+    return options;
+}
+
+/// Counts and logs the request as one of the gateway, since it never becomes one.
+head_decision gateway::refuse_for_shortage(const message_head& head) {
+    constexpr std::string_view reason = "caller_memory";
+    const instant now = monotonic_now();
+    metrics_.counter("gateway_requests_total") += 1;
+    metrics_.counter("gateway_outcome_caller_memory_total") += 1;
+    const std::string id(head.header(dialect_.request_id));
+    request_trace trace;
+    trace.begin(id, now);
+    trace.add(now, "request_ended",
+              {{"outcome", std::string(reason)},
+               {"status", std::to_string(status_unavailable)},
+               {"announced_bytes", std::to_string(head.content_length.value_or(0))},
+               {"memory_bytes", std::to_string(caller_memory_.pool()->used_bytes())},
+               {"retry_after_ms", millis_text(memory_retry_after)}});
+    rate_limited_log_.log_head_refusal(trace);
+    std::vector<http_header> headers{{"Retry-After", retry_after_text(memory_retry_after)}};
+    if (!id.empty()) {
+        headers.push_back({dialect_.request_id, id});
+    }
+    return {head_action::refuse, status_unavailable, std::move(headers),
+            std::string(reason) + "\n"};
+}
+
 void gateway::abort_quarantined(const digest& fingerprint) {
     const std::vector<std::shared_ptr<forwarded_request>> requests(
         context_->active_requests.begin(), context_->active_requests.end());
--- a/src/roles/gateway/retry_after.hpp
+++ b/src/roles/gateway/retry_after.hpp
@@ -19,6 +19,8 @@
 constexpr microseconds isolated_retry_after = milliseconds(50);
 /// Another gateway takes the request at once; new connections lead there.
 constexpr microseconds stopping_retry_after = milliseconds(50);
+/// Large requests under way end meanwhile, and those that don't move give way.
+constexpr microseconds memory_retry_after = milliseconds(500);
 constexpr microseconds overloaded_retry_after = milliseconds(150);
 
 /// A request that crashes its target does so within about 100 ms, and the crash is known 150 ms
--- a/src/roles/gateway/upstream_request_builder.cpp
+++ b/src/roles/gateway/upstream_request_builder.cpp
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-upstream_request make_upstream_request(const ingress_exchange& exchange,
+upstream_request make_upstream_request(const ingress_exchange_pointer& exchange,
                                        const gateway_dialect& dialect,
                                        const incoming_request& request,
                                        const admitted_request& admitted,
@@ -18,9 +18,9 @@
                                        std::string_view last_event, microseconds time_left) {
     const auto time_left_ms = std::chrono::duration_cast<milliseconds>(time_left).count();
     upstream_request sent;
-    sent.method = exchange.head().method;
-    sent.target = exchange.head().target;
-    sent.headers = forwarded_request_headers(exchange.head(), dialect);
+    sent.method = exchange->head().method;
+    sent.target = exchange->head().target;
+    sent.headers = forwarded_request_headers(exchange->head(), dialect);
     sent.headers.push_back({dialect.deadline_ms, std::to_string(time_left_ms)});
     sent.headers.push_back({dialect.expected_target, target.id});
     if (!admitted.account.empty()) {
@@ -36,7 +36,8 @@
     if (!last_event_id.empty()) {
         sent.headers.push_back({dialect.last_event, std::string(last_event_id)});
     }
-    sent.body = exchange.body();
+    sent.body = exchange->body();
+    sent.body_owner = exchange;
     if (!may_repeat(admitted.route.kind)) {
         sent.longest_rest = max_idle_for_unrepeatable;
     }
