--- a/include/wrenswitch/drivers/http_server.hpp
+++ b/include/wrenswitch/drivers/http_server.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "wrenswitch/core/error.hpp"
+#include "wrenswitch/decision/ingress/intake_memory.hpp"
 #include "wrenswitch/drivers/event_loop.hpp"
 
 namespace wrenswitch {
@@ -33,6 +34,8 @@
     /// The value of a header, or an empty text.
     virtual std::string_view header(std::string_view name) const = 0;
     virtual std::string_view body() const = 0;
+    /// Moves the body out of the exchange, which keeps the claim to its memory.
+    virtual std::string take_body() = 0;
 
     /// Sends a whole reply.
     virtual void reply(unsigned status, const std::vector<http_header>& headers,
@@ -64,6 +67,8 @@
     std::uint16_t port = 0;
     std::size_t most_body_bytes = 4U * 1024U * 1024U;
     std::size_t most_header_bytes = 32U * 1024U;
+    /// How many copies of a body its handler makes at the most, with the body itself.
+    std::size_t body_copies = 1;
     /// PEM files; TLS is used if both are set.
     std::string certificate_file;
     std::string private_key_file;
@@ -72,10 +77,12 @@
 /// An HTTP server on an event loop, by libevhtp.
 class http_server {
 public:
-    /// Binds and serves. An error if the address cannot be bound.
+    /// Binds and serves. An error if the address cannot be bound. The connections share `memory`
+    /// with others of the process; without, nothing limits them together.
     static result<std::unique_ptr<http_server>> start(event_loop& loop,
                                                       const http_server_settings& settings,
-                                                      http_handler handler);
+                                                      http_handler handler,
+                                                      std::shared_ptr<intake_memory> memory = {});
 
     virtual ~http_server() = default;
 
--- a/src/drivers/http_server.cpp
+++ b/src/drivers/http_server.cpp
@@ -10,27 +10,20 @@
 
 #include <algorithm>
 #include <cctype>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 
+#include "drivers/evhtp_intake.hpp"
+#include "drivers/listener.hpp"
 #include "drivers/socket_queue.hpp"
 
 namespace wrenswitch {
 namespace {
 
 constexpr int listen_backlog = 1024;
-constexpr unsigned status_payload_too_large = 413;
-constexpr unsigned status_headers_too_large = 431;
-constexpr unsigned status_bad_request = 400;
 
 using buffer_pointer = std::unique_ptr<evbuffer, decltype(&evbuffer_free)>;
 
-/// evhtp takes hooks of every signature as one type and casts them back.
-template <typename Function>
-evhtp_hook as_hook(Function function) {
-    return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
-}
-
 buffer_pointer buffer_of(std::string_view bytes) {
     buffer_pointer buffer(evbuffer_new(), &evbuffer_free);
     evbuffer_add(buffer.get(), bytes.data(), bytes.size());
@@ -58,14 +51,14 @@
 class evhtp_exchange final : public http_exchange,
                              public std::enable_shared_from_this<evhtp_exchange> {
 public:
-    explicit evhtp_exchange(evhtp_request_t* request) : request_(request) {
+    evhtp_exchange(evhtp_request_t* request, std::shared_ptr<evhtp_intake> intake)
+        : intake_(std::move(intake)), request_(request) {
         method_ = htparser_get_methodstr(request->conn->parser);
         path_ = request->uri->path->full == nullptr ? "/" : request->uri->path->full;
         if (request->uri->query_raw != nullptr) {
             query_ = reinterpret_cast<const char*>(request->uri->query_raw);
         }
-        body_.resize(evbuffer_get_length(request->buffer_in));
-        evbuffer_remove(request->buffer_in, body_.data(), body_.size());
+        body_ = intake_->begin_exchange(claim_);
         evhtp_header_t* header = nullptr;
         TAILQ_FOREACH(header, request->headers_in, next) {
             headers_.push_back(
@@ -77,9 +70,9 @@
     void hold() {
         keep_alive_ = shared_from_this();
         evhtp_request_set_hook(request_, evhtp_hook_on_request_fini,
-                               as_hook(&evhtp_exchange::on_finished), this);
+                               as_evhtp_hook(&evhtp_exchange::on_finished), this);
         evhtp_connection_set_hook(request_->conn, evhtp_hook_on_event,
-                                  as_hook(&evhtp_exchange::on_event), this);
+                                  as_evhtp_hook(&evhtp_exchange::on_event), this);
         evhtp_request_pause(request_);
         // A pause stops all reading, which would hide that the peer went away.
         bufferevent_enable(request_->conn->bev, EV_READ);
@@ -88,6 +81,7 @@
     std::string_view method() const override { return method_; }
     std::string_view path() const override { return path_; }
     std::string_view body() const override { return body_; }
+    std::string take_body() override { return std::move(body_); }
 
     std::string query(std::string_view name) const override {
         std::string_view rest = query_;
@@ -193,6 +187,7 @@
         }
         // evhtp frees a paused connection only once it is resumed.
         evhtp_request_t* request = self->request_;
+        self->intake_->end_exchange();
         self->detach();
         evhtp_request_resume(request);
     }
@@ -210,6 +205,7 @@
         evhtp_connection_unset_hook(request_->conn, evhtp_hook_on_event);
         evhtp_request_t* request = request_;
         request_ = nullptr;
+        intake_->end_exchange();
         evhtp_request_resume(request);
     }
 
@@ -220,6 +216,9 @@
         }
     }
 
+    std::shared_ptr<evhtp_intake> intake_;
+    /// For the head and the body.
+    std::unique_ptr<intake_claim> claim_;
     evhtp_request_t* request_;
     std::string method_;
     std::string path_;
@@ -234,14 +233,15 @@
 
 class evhtp_server final : public http_server {
 public:
-    evhtp_server(event_loop& loop, const http_server_settings& settings, http_handler handler)
+    evhtp_server(event_loop& loop, const http_server_settings& settings, http_handler handler,
+                 std::shared_ptr<intake_memory> memory)
         : loop_(loop),
           handler_(std::move(handler)),
           settings_(settings),
+          memory_(memory ? std::move(memory) : std::make_shared<intake_memory>(intake_settings{})),
           server_(evhtp_new(loop.base(), nullptr)) {
         evhtp_set_gencb(server_, &evhtp_server::on_request, this);
         evhtp_set_post_accept_cb(server_, &evhtp_server::on_accept, this);
-        evhtp_set_max_body_size(server_, settings.most_body_bytes);
         evhtp_enable_flag(server_, EVHTP_FLAG_ENABLE_NODELAY);
     }
 
@@ -270,6 +270,7 @@
                                                        std::to_string(settings_.port) +
                                                        " cannot be bound.");
         }
+        set_receive_buffer();
         listening_ = true;
         return outcome::success();
     }
@@ -284,14 +285,15 @@
 
     void stop_listening() override {
         if (std::exchange(listening_, false)) {
+            accepting_.cancel();
             evhtp_unbind_socket(server_);
         }
     }
 
     std::size_t undelivered_connections() const override {
-        return static_cast<std::size_t>(std::count_if(
-            connections_.begin(), connections_.end(), [](evhtp_connection_t* connection) {
-                bufferevent* stream = connection->bev;
+        return static_cast<std::size_t>(
+            std::count_if(connections_.begin(), connections_.end(), [](const auto& item) {
+                bufferevent* stream = item.first->bev;
                 return stream != nullptr &&
                        (evbuffer_get_length(bufferevent_get_output(stream)) > 0 ||
                         unacknowledged_in_kernel(bufferevent_getfd(stream)) > 0);
@@ -299,9 +301,19 @@
     }
 
 private:
+    /// Sets what connections inherit that are made from now on.
+    void set_receive_buffer() {
+        receive_buffer_ = memory_->next_receive_buffer();
+        set_listener_buffer(evconnlistener_get_fd(server_->server), receive_buffer_);
+    }
+
     static void on_request(evhtp_request_t* request, void* argument) {
         auto* self = static_cast<evhtp_server*>(argument);
-        const auto exchange = std::make_shared<evhtp_exchange>(request);
+        const auto found = self->connections_.find(request->conn);
+        if (found == self->connections_.end() || found->second->refused()) {
+            return;
+        }
+        const auto exchange = std::make_shared<evhtp_exchange>(request, found->second);
         exchange->hold();
         // evhtp drops a connection whose reply begins while the request is still being parsed.
         self->loop_.call_after(microseconds(0), [alive = self->alive_, self, exchange] {
@@ -314,68 +326,40 @@
     static evhtp_res on_accept(evhtp_connection_t* connection, void* argument) {
         const int yes = 1;
         setsockopt(connection->sock, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
-        evhtp_connection_set_hook(connection, evhtp_hook_on_headers,
-                                  as_hook(&evhtp_server::on_headers), argument);
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
-                                  as_hook(&evhtp_server::on_connection_end), argument);
-        static_cast<evhtp_server*>(argument)->connections_.insert(connection);
+                                  as_evhtp_hook(&evhtp_server::on_connection_end), argument);
+        auto* self = static_cast<evhtp_server*>(argument);
+        auto intake =
+            std::make_shared<evhtp_intake>(self->loop_, self->settings_, self->memory_, connection);
+        if (!intake->start(self->receive_buffer_)) {
+            return EVHTP_RES_ERROR;
+        }
+        self->connections_.emplace(connection, std::move(intake));
+        self->set_receive_buffer();
+        if (self->memory_->is_full()) {
+            self->accepting_.pause(self->loop_, self->server_->server);
+        }
         return EVHTP_RES_OK;
     }
 
     static evhtp_res on_connection_end(evhtp_connection_t* connection, void* argument) {
-        static_cast<evhtp_server*>(argument)->connections_.erase(connection);
-        return EVHTP_RES_OK;
-    }
-
-    /// Refuses a request by its head, before its body is taken in.
-    static evhtp_res on_headers(evhtp_request_t* request, evhtp_headers_t* headers,
-                                void* argument) {
-        const auto* self = static_cast<evhtp_server*>(argument);
-        std::size_t bytes = 0;
-        evhtp_header_t* header = nullptr;
-        TAILQ_FOREACH(header, headers, next) {
-            bytes += header->klen + header->vlen;
-        }
-        if (bytes > self->settings_.most_header_bytes) {
-            return refuse(request, status_headers_too_large, "The headers are too large.");
-        }
-        const char* length = evhtp_header_find(headers, "Content-Length");
-        if (length == nullptr) {
-            return EVHTP_RES_OK;
-        }
-        constexpr int decimal = 10;
-        char* end = nullptr;
-        const unsigned long long announced = std::strtoull(length, &end, decimal);
-        if (end == length || *end != '\0') {
-            return refuse(request, status_bad_request, "Content-Length is not a number.");
-        }
-        if (announced > self->settings_.most_body_bytes) {
-            return refuse(request, status_payload_too_large, "The body is too large.");
+        auto found = static_cast<evhtp_server*>(argument)->connections_.extract(connection);
+        if (!found.empty()) {
+            found.mapped()->connection_ended();
         }
         return EVHTP_RES_OK;
     }
 
-    static evhtp_res refuse(evhtp_request_t* request, unsigned status, std::string_view message) {
-        const std::string body = R"({"error":{"message":")" + std::string(message) +
-                                 R"(","type":"invalid_request_error","ran":"not_run"}})";
-        const std::string reply = "HTTP/1.1 " + std::to_string(status) +
-                                  " Refused\r\nConnection: close\r\n"
-                                  "Content-Type: application/json\r\nContent-Length: " +
-                                  std::to_string(body.size()) + "\r\n\r\n" + body;
-        // evhtp drops the connection for any status but OK; what is written now still goes out.
-        bufferevent* stream = request->conn->bev;
-        evbuffer* output = bufferevent_get_output(stream);
-        evbuffer_add(output, reply.data(), reply.size());
-        evbuffer_write(output, bufferevent_getfd(stream));
-        return EVHTP_RES_ERROR;
-    }
-
     event_loop& loop_;
     http_handler handler_;
     http_server_settings settings_;
+    std::shared_ptr<intake_memory> memory_;
     evhtp_ssl_cfg_t tls_{};
     evhtp_t* server_;
-    std::unordered_set<evhtp_connection_t*> connections_;
+    std::unordered_map<evhtp_connection_t*, std::shared_ptr<evhtp_intake>> connections_;
+    /// What connections inherit that are made now.
+    std::size_t receive_buffer_ = 0;
+    accept_pause accepting_;
     bool listening_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
@@ -384,8 +368,10 @@
 
 result<std::unique_ptr<http_server>> http_server::start(event_loop& loop,
                                                         const http_server_settings& settings,
-                                                        http_handler handler) {
-    auto server = std::make_unique<evhtp_server>(loop, settings, std::move(handler));
+                                                        http_handler handler,
+                                                        std::shared_ptr<intake_memory> memory) {
+    auto server =
+        std::make_unique<evhtp_server>(loop, settings, std::move(handler), std::move(memory));
     const result<void> bound = server->bind();
     if (!bound) {
         return bound.error();
--- a/src/roles/entry/caller_request.cpp
+++ b/src/roles/entry/caller_request.cpp
@@ -86,10 +86,10 @@
 }
 
 /// Parses the body of a completion request into `request`.
-std::optional<api_error> parse_completion(const http_exchange& exchange,
-                                          const configuration& config, caller_request& request) {
+std::optional<api_error> parse_completion(http_exchange& exchange, const configuration& config,
+                                          caller_request& request) {
     const bool chat = exchange.path() == "/v1/chat/completions";
-    json body = json::parse(exchange.body(), nullptr, false);
+    json body = json::parse(exchange.take_body(), nullptr, false);
     if (!body.is_object()) {
         return bad_request("bad_json", "The body is not a JSON object.");
     }
@@ -149,8 +149,8 @@
 }
 
 /// Parses a call of a service that is not a model into `request`.
-std::optional<api_error> parse_service_call(const http_exchange& exchange,
-                                            const configuration& config, caller_request& request) {
+std::optional<api_error> parse_service_call(http_exchange& exchange, const configuration& config,
+                                            caller_request& request) {
     std::string_view remainder = exchange.path().substr(services_prefix.size());
     const std::size_t slash = remainder.find('/');
     request.service = remainder.substr(0, slash);
@@ -164,7 +164,7 @@
     request.model = false;
     request.path = slash == std::string_view::npos ? "/" : std::string(remainder.substr(slash));
     request.content_type = exchange.header("Content-Type");
-    request.body = exchange.body();
+    request.body = exchange.take_body();
     request.repeatable = known_service->repeatable;
     request.fixed_cost = known_service->tokens_per_call;
     request.bound = known_service->tokens_per_call;
@@ -223,7 +223,7 @@
     return config.find_by_key(sha256_hex(key));
 }
 
-caller_request_result parse_caller_request(const http_exchange& exchange,
+caller_request_result parse_caller_request(http_exchange& exchange,
                                            const caller_request_context& context) {
     const client_account* account = authenticate(exchange, context.config);
     if (account == nullptr) {
--- a/src/roles/entry/caller_request.hpp
+++ b/src/roles/entry/caller_request.hpp
@@ -55,8 +55,8 @@
     outcome::basic_result<caller_request, api_error, outcome::policy::all_narrow>;
 
 /// Authenticates, parses and validates POST /v1/chat/completions, POST /v1/completions or a request
-/// to /v1/services/SERVICE/PATH.
-caller_request_result parse_caller_request(const http_exchange& exchange,
+/// to /v1/services/SERVICE/PATH. Takes the body out of the exchange.
+caller_request_result parse_caller_request(http_exchange& exchange,
                                            const caller_request_context& context);
 
 /// Returns the client account that the bearer key of a request belongs to, or null if the key is
--- a/src/roles/entry/entry.cpp
+++ b/src/roles/entry/entry.cpp
@@ -45,6 +45,7 @@
 entry::entry(event_loop& loop, const entry_settings& settings)
     : loop_(loop),
       settings_(settings),
+      caller_memory_(settings.process.limits, metrics_),
       timeline_(settings.process.timeline_events),
       retries_(settings.retry_share, retry_window, min_retries) {}
 
@@ -81,14 +82,16 @@
 
     auto callers = http_server::start(
         loop_, settings_.callers,
-        [this](const http_exchange_pointer& exchange) { handle_caller(exchange); });
+        [this](const http_exchange_pointer& exchange) { handle_caller(exchange); },
+        caller_memory_.pool());
     if (!callers) {
         return callers.error();
     }
     caller_server_ = std::move(callers.value());
     auto operators = http_server::start(
         loop_, settings_.operators,
-        [this](const http_exchange_pointer& exchange) { handle_operator(exchange); });
+        [this](const http_exchange_pointer& exchange) { handle_operator(exchange); },
+        caller_memory_.pool());
     if (!operators) {
         return operators.error();
     }
@@ -371,6 +374,7 @@
 
 void entry::tick() {
     const instant now = monotonic_now();
+    caller_memory_.tick(now);
     control_->tick(now);
     allocators_->tick(now);
     if (active_) {
--- a/src/roles/entry/entry.hpp
+++ b/src/roles/entry/entry.hpp
@@ -13,6 +13,7 @@
 #include "roles/entry/entry_settings.hpp"
 #include "roles/entry/operator_api.hpp"
 #include "roles/entry/request_handler.hpp"
+#include "roles/shared/caller_memory.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/timeline.hpp"
@@ -71,6 +72,7 @@
     const entry_settings& settings_;
     random_source random_;
     metrics metrics_;
+    caller_memory caller_memory_;
     timeline timeline_;
     retry_budget retries_;
     std::unique_ptr<log_service> log_;
--- a/src/roles/entry/entry_settings.cpp
+++ b/src/roles/entry/entry_settings.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::int64_t max_port = 65'535;
 constexpr std::int64_t body_bytes_limit = 1LL << 30;
+/// A caller's body as received, as kept for another attempt, and on its way to a guard.
+constexpr std::size_t caller_body_copies = 3;
 constexpr std::int64_t day_ms = 86'400'000;
 constexpr std::size_t sha256_digits = 64;
 constexpr std::array<std::string_view, 2> scope_names{"region", "failure_domain"};
@@ -77,6 +79,7 @@
     settings->callers = parse_server_settings(reader, "caller");
     settings->callers.most_body_bytes = static_cast<std::size_t>(
         reader.integer_or("most_body_bytes", 4LL << 20, 1, body_bytes_limit));
+    settings->callers.body_copies = caller_body_copies;
     settings->operators = parse_server_settings(reader, "operator");
     settings->operator_keys = parse_operator_keys(reader, problems);
     settings->scope = static_cast<allocator_scope>(
--- a/src/roles/gateway/gateway_admin.cpp
+++ b/src/roles/gateway/gateway_admin.cpp
@@ -13,7 +13,8 @@
     admin.address = settings_.admin.host;
     admin.port = settings_.admin.port;
     auto server = http_server::start(
-        loop_, admin, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); });
+        loop_, admin, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); },
+        caller_memory_.pool());
     if (!server) {
         return server.error();
     }
@@ -32,7 +33,8 @@
     settings.address = settings_.admin.host;
     settings.port = settings_.metrics_port;
     auto server = http_server::start(
-        loop_, settings, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); });
+        loop_, settings, [this](const http_exchange_pointer& exchange) { serve_admin(exchange); },
+        caller_memory_.pool());
     if (!server) {
         log_event(log_level::warning, "metrics_port_taken", {{"reason", server.error().message}});
         return;
