--- a/src/roles/entry/caller_request.cpp
+++ b/src/roles/entry/caller_request.cpp
@@ -20,6 +20,7 @@
 constexpr tokens default_max_tokens = 256;
 constexpr tokens max_tokens_limit = 1'000'000;
 constexpr std::int64_t max_deadline_ms = 86'400'000;
+constexpr int max_json_depth = 64;
 
 api_error bad_request(std::string code, std::string message) {
     return {400, std::move(code), std::move(message), execution_status::not_run, microseconds(0)};
@@ -85,11 +86,25 @@
     return std::nullopt;
 }
 
+/// Parses a text, whose values are then handled by recursion. Those of a level that is too deep are
+/// left out.
+json parse_bounded(const std::string& text, bool& too_deep) {
+    const auto is_kept = [&too_deep](int depth, json::parse_event_t, json&) {
+        too_deep = too_deep || depth > max_json_depth;
+        return depth <= max_json_depth;
+    };
+    return json::parse(text, is_kept, false);
+}
+
 /// Parses the body of a completion request into `request`.
 std::optional<api_error> parse_completion(http_exchange& exchange, const configuration& config,
                                           caller_request& request) {
     const bool chat = exchange.path() == "/v1/chat/completions";
-    json body = json::parse(exchange.take_body(), nullptr, false);
+    bool too_deep = false;
+    json body = parse_bounded(exchange.take_body(), too_deep);
+    if (too_deep) {
+        return bad_request("bad_json", "The body is nested too deeply.");
+    }
     if (!body.is_object()) {
         return bad_request("bad_json", "The body is not a JSON object.");
     }
