--- a/src/roles/guard/guard.cpp
+++ b/src/roles/guard/guard.cpp
@@ -28,6 +28,10 @@
 constexpr unsigned failures_until_down = 3;
 constexpr microseconds target_down_duration = seconds(2);
 
+/// An attempt beside its body, and how often it has the body: as received and as kept.
+constexpr std::size_t attempt_overhead_bytes = 4U * 1024U;
+constexpr std::size_t body_copies = 2;
+
 /// The limiter bounds the calls, not the pool.
 constexpr std::size_t max_target_connections = 10'000;
 
@@ -42,6 +46,7 @@
 guard::guard(event_loop& loop, const guard_settings& settings)
     : loop_(loop),
       settings_(settings),
+      caller_memory_(settings.process.limits, metrics_),
       timeline_(settings.process.timeline_events),
       queue_(settings.admission),
       responses_(settings.responses),
@@ -67,7 +72,8 @@
     server_settings.port = settings_.operator_port;
     auto server = http_server::start(
         loop_, server_settings,
-        [this](const http_exchange_pointer& exchange) { handle_http(exchange); });
+        [this](const http_exchange_pointer& exchange) { handle_http(exchange); },
+        caller_memory_.pool());
     if (!server) {
         return server.error();
     }
@@ -153,6 +159,7 @@
 
 void guard::tick() {
     const instant now = monotonic_now();
+    caller_memory_.tick(now);
     control_->tick(now);
     responses_.expire(now);
     charge_reporter_->send_fence_acks();
@@ -222,17 +229,33 @@
     if (attempts_.count(attempt_id{dispatch.attempt()}) > 0) {
         return;
     }
-    const refusal_reason reason = check_dispatch(dispatch);
-    if (reason == refusal_reason::behind && active_) {
-        deferred_.push_back({origin, dispatch, monotonic_now() + deferral_timeout});
+    refusal_reason reason = check_dispatch(dispatch);
+    std::unique_ptr<intake_claim> claim;
+    const bool is_kept =
+        reason == refusal_reason::none || (reason == refusal_reason::behind && active_);
+    if (is_kept) {
+        claim = claim_memory(dispatch);
+        reason = claim ? reason : refusal_reason::queue_full;
+    }
+    if (reason == refusal_reason::none) {
+        enqueue(origin, dispatch, std::move(claim));
         return;
     }
-    if (reason != refusal_reason::none) {
-        replies_->send_refused({origin, dispatch.request(), attempt_id{dispatch.attempt()}},
-                               reason);
+    if (reason == refusal_reason::behind && active_) {
+        deferred_.push_back(
+            {origin, dispatch, monotonic_now() + deferral_timeout, std::move(claim)});
         return;
     }
-    enqueue(origin, dispatch);
+    replies_->send_refused({origin, dispatch.request(), attempt_id{dispatch.attempt()}}, reason);
+}
+
+/// Claims the memory that a dispatch takes until it ends. Null if there is none.
+std::unique_ptr<intake_claim> guard::claim_memory(const wire::Dispatch& dispatch) {
+    const instant now = monotonic_now();
+    auto claim = std::make_unique<intake_claim>(*caller_memory_.pool(), intake_kind::request, now,
+                                                intake_claim::revoke_hook{});
+    const std::size_t bytes = attempt_overhead_bytes + body_copies * dispatch.body().size();
+    return claim->hold(now, bytes) ? std::move(claim) : nullptr;
 }
 
 void guard::retry_deferred() {
@@ -248,12 +271,13 @@
                 {item.origin, item.dispatch.request(), attempt_id{item.dispatch.attempt()}},
                 reason);
         } else {
-            enqueue(item.origin, item.dispatch);
+            enqueue(item.origin, item.dispatch, std::move(item.claim));
         }
     }
 }
 
-void guard::enqueue(const message_origin& origin, const wire::Dispatch& dispatch) {
+void guard::enqueue(const message_origin& origin, const wire::Dispatch& dispatch,
+                    std::unique_ptr<intake_claim> claim) {
     const attempt_id id{dispatch.attempt()};
     const instant now = monotonic_now();
     queued_request request;
@@ -266,6 +290,7 @@
 
     attempt_state state;
     state.dispatch = dispatch;
+    state.claim = std::move(claim);
     state.attempt_ticket = decode_ticket(dispatch.ticket());
     state.listeners.push_back({origin, dispatch.request(), id});
     state.request_id = std::to_string(dispatch.request());
@@ -325,7 +350,7 @@
     request.method = state.dispatch.method();
     request.path = state.dispatch.path();
     request.content_type = state.dispatch.content_type();
-    request.body = state.dispatch.body();
+    request.body = std::make_shared<const std::string>(std::move(*state.dispatch.mutable_body()));
     request.client_account = state.dispatch.client_account();
     request.key = state.attempt_ticket.key.to_hex();
     request.priority = state.dispatch.priority();
@@ -339,7 +364,8 @@
     };
     hooks.on_chunk = [this, id](std::string_view chunk) { on_chunk(id, chunk); };
     hooks.on_end = [this, id](const target_call_result& call_result) { on_end(id, call_result); };
-    state.call = std::make_unique<target_call>(loop_, target_, request, std::move(hooks));
+    state.call =
+        std::make_unique<target_call>(loop_, target_, std::move(request), std::move(hooks));
 }
 
 void guard::on_head(attempt_id id, unsigned status, std::string_view content_type) {
--- a/src/roles/guard/guard.hpp
+++ b/src/roles/guard/guard.hpp
@@ -13,6 +13,7 @@
 #include "roles/guard/guard_settings.hpp"
 #include "roles/guard/target_call.hpp"
 #include "roles/guard/target_load_poller.hpp"
+#include "roles/shared/caller_memory.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/core/timeline.hpp"
@@ -41,6 +42,8 @@
 private:
     /// An attempt that is queued or running.
     struct attempt_state {
+        /// For the body, wherever it is until the attempt has ended.
+        std::unique_ptr<intake_claim> claim;
         wire::Dispatch dispatch;
         ticket attempt_ticket;
         std::vector<response_listener> listeners;
@@ -57,11 +60,14 @@
         message_origin origin;
         wire::Dispatch dispatch;
         instant give_up_at{};
+        std::unique_ptr<intake_claim> claim;
     };
 
     void on_message(const message_origin& origin, const wire::Envelope& message);
     void on_dispatch(const message_origin& origin, const wire::Dispatch& dispatch);
-    void enqueue(const message_origin& origin, const wire::Dispatch& dispatch);
+    void enqueue(const message_origin& origin, const wire::Dispatch& dispatch,
+                 std::unique_ptr<intake_claim> claim);
+    std::unique_ptr<intake_claim> claim_memory(const wire::Dispatch& dispatch);
     refusal_reason check_dispatch(const wire::Dispatch& dispatch) const;
     void on_join(const message_origin& origin, const wire::Join& join);
     void on_cancel(const wire::Cancel& cancel);
@@ -90,6 +96,7 @@
     const guard_settings& settings_;
     random_source random_;
     metrics metrics_;
+    caller_memory caller_memory_;
     timeline timeline_;
     std::unique_ptr<log_service> log_;
     std::unique_ptr<message_bus> bus_;
--- a/src/roles/guard/target_call.cpp
+++ b/src/roles/guard/target_call.cpp
@@ -37,10 +37,10 @@
     return value;
 }
 
-target_call::target_call(event_loop& loop, upstream_pool& pool, const target_request& request,
+target_call::target_call(event_loop& loop, upstream_pool& pool, target_request request,
                          target_call_hooks hooks)
     : loop_(loop),
-      request_(request),
+      request_(std::move(request)),
       hooks_(std::move(hooks)),
       started_at_(monotonic_now()),
       last_activity_at_(started_at_) {
@@ -56,7 +56,8 @@
     upstream_request sent;
     sent.method = request_.method;
     sent.target = request_.path;
-    sent.body = request_.body;
+    sent.body = *request_.body;
+    sent.body_owner = request_.body;
     sent.needs_own_connection = !request_.is_model;
     sent.headers = {{"Host", pool.address().to_text()},
                     {"Content-Type", request_.content_type},
--- a/src/roles/guard/target_call.hpp
+++ b/src/roles/guard/target_call.hpp
@@ -16,7 +16,8 @@
     std::string method;
     std::string path;
     std::string content_type;
-    std::string body;
+    /// Shared with the connection that sends it.
+    std::shared_ptr<const std::string> body;
     std::string client_account;
     /// The idempotency key that is sent to the target.
     std::string key;
@@ -52,7 +53,7 @@
 /// for broken.
 class target_call {
 public:
-    target_call(event_loop& loop, upstream_pool& pool, const target_request& request,
+    target_call(event_loop& loop, upstream_pool& pool, target_request request,
                 target_call_hooks hooks);
     ~target_call();
     target_call(const target_call&) = delete;
