--- a/include/wrenswitch/drivers/message_bus.hpp
+++ b/include/wrenswitch/drivers/message_bus.hpp
@@ -30,6 +30,8 @@
     /// The fleet's key pair in Z85, 40 letters each; both or neither.
     std::string curve_public_key;
     std::string curve_secret_key;
+    /// A peer that announces a larger message is disconnected.
+    std::size_t max_message_bytes = 64U * 1024U * 1024U;
 };
 
 /// Messages between the processes of the fleet, over ZeroMQ with protobuf. Delivery is not
--- a/src/drivers/message_bus.cpp
+++ b/src/drivers/message_bus.cpp
@@ -128,7 +128,9 @@
 private:
     bool encrypted() const { return !settings_.curve_secret_key.empty(); }
 
-    static void set_common_options(zmq::socket_t& socket) {
+    void set_common_options(zmq::socket_t& socket) const {
+        socket.set(zmq::sockopt::maxmsgsize,
+                   static_cast<std::int64_t>(settings_.max_message_bytes));
         socket.set(zmq::sockopt::linger, linger_ms);
         socket.set(zmq::sockopt::sndhwm, high_water_mark);
         socket.set(zmq::sockopt::rcvhwm, high_water_mark);
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -92,6 +92,7 @@
         reader.integer_or("log_served_percent", settings.log_served_percent, 0, max_percent));
     settings.grants = read_grants(reader);
     settings.limits = read_process_limits(reader);
+    settings.bus.max_message_bytes = max_message_bytes(settings.limits);
     reader.finish();
     return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
 }
--- a/src/roles/relay/relay.cpp
+++ b/src/roles/relay/relay.cpp
@@ -150,6 +150,7 @@
     settings.bus.endpoint = reader.text("bus_endpoint");
     settings.service = read_address(reader, "service", problems);
     settings.limits = read_process_limits(reader);
+    settings.bus.max_message_bytes = max_message_bytes(settings.limits);
     reader.finish();
     return problems.empty() ? std::optional(std::move(settings)) : std::nullopt;
 }
--- a/src/roles/shared/process_settings.cpp
+++ b/src/roles/shared/process_settings.cpp
@@ -51,6 +51,11 @@
     return limits;
 }
 
+std::size_t max_message_bytes(const process_limits& limits) {
+    constexpr std::size_t message_divisor = 4;
+    return limits.memory_bytes / message_divisor;
+}
+
 process_settings read_process_settings(settings_reader& reader, findings& problems) {
     process_settings settings;
     settings.host = reader.text("host");
@@ -74,6 +79,7 @@
     settings.max_drain =
         milliseconds(reader.integer_or("longest_drain_ms", 120'000, 0, max_drain_ms));
     settings.limits = read_process_limits(reader);
+    settings.bus.max_message_bytes = max_message_bytes(settings.limits);
     return settings;
 }
 
--- a/src/roles/shared/process_settings.hpp
+++ b/src/roles/shared/process_settings.hpp
@@ -36,6 +36,9 @@
 /// Parses what the process may use of its host.
 process_limits read_process_limits(settings_reader& reader);
 
+/// The largest message that a process takes from another one.
+std::size_t max_message_bytes(const process_limits& limits);
+
 /// Parses a required address. Adds a finding and returns an empty address if it is missing or
 /// malformed.
 http_address read_address(settings_reader& reader, std::string_view name, findings& problems);
