--- a/src/roles/gateway/held_response.hpp
+++ b/src/roles/gateway/held_response.hpp
@@ -46,7 +46,8 @@
 
     void clear() {
         memory_.used_ -= body_.size();
-        body_ = {};
+        // An assignment would keep the memory.
+        std::string().swap(body_);
     }
 
     std::string_view bytes() const { return body_; }
