--- a/include/wrenswitch/drivers/message_head.hpp
+++ b/include/wrenswitch/drivers/message_head.hpp
@@ -31,6 +31,13 @@
     std::size_t count(std::string_view name) const;
 };
 
+/// True for the statuses that an answer may have: 100 to 599.
+constexpr bool is_valid_status(unsigned status) {
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
 /// True if the end of the connection is all that shows where the answer's body ends.
 bool ends_with_connection(const message_head& answer);
 
--- a/src/drivers/http_client.cpp
+++ b/src/drivers/http_client.cpp
@@ -10,6 +10,7 @@
 
 #include "drivers/loop_priorities.hpp"
 #include "drivers/timeval.hpp"
+#include "wrenswitch/drivers/message_head.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -19,6 +20,10 @@
 /// The longest head of a reply.
 constexpr ev_ssize_t max_head_bytes = 64 * 1024;
 
+bool has_valid_status(evhttp_request* request) {
+    return is_valid_status(static_cast<unsigned>(evhttp_request_get_response_code(request)));
+}
+
 /// True if the reply says where its body ends, or can't have one.
 bool is_framed(evhttp_request* request) {
     const int status = evhttp_request_get_response_code(request);
@@ -189,6 +194,9 @@
         auto* self = static_cast<running_call*>(argument);
         const std::shared_ptr<bool> alive = self->alive_;
         const std::string piece = drained(evhttp_request_get_input_buffer(request));
+        if (!has_valid_status(request)) {
+            return;
+        }
         self->pool_->loop.store_traffic().received += piece.size();
         // Avoids copying the headers out of evhttp again for each of the hundreds of pieces of a
         // long reply.
@@ -221,6 +229,13 @@
                                   error_text(self->problem_) + "."));
             return;
         }
+        if (!has_valid_status(request)) {
+            self->free_connection_later();
+            hook(failed(error_code::unavailable, "The status that " +
+                                                     self->pool_->address.to_text() +
+                                                     " sent is not one of a reply."));
+            return;
+        }
         if (!is_framed(request)) {
             self->free_connection_later();
             hook(failed(error_code::unavailable, "The reply of " + self->pool_->address.to_text() +
--- a/src/drivers/message_parser.cpp
+++ b/src/drivers/message_parser.cpp
@@ -112,6 +112,8 @@
         const bool is_request = parser.type == HTTP_REQUEST;
         if (is_request) {
             head.method = http_method_str(static_cast<http_method>(parser.method));
+        } else if (!is_valid_status(parser.status_code)) {
+            return fail(error_code::bad_input, "The status is not one of an answer.");
         } else {
             head.status = parser.status_code;
         }
--- a/tests/drivers/message_parser_test.cpp
+++ b/tests/drivers/message_parser_test.cpp
@@ -49,6 +49,28 @@
     BOOST_TEST(body == "abc");
 }
 
+BOOST_AUTO_TEST_CASE(answer_with_an_invalid_status_is_malformed) {
+    for (const char* status : {"000", "001", "99", "600", "999"}) {
+        message_parser parser = make(message_kind::answer);
+        const auto taken =
+            parser.feed("HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 2\r\n\r\nok");
+        BOOST_REQUIRE(!taken);
+        BOOST_TEST((taken.error().code == error_code::bad_input), "status " << status);
+    }
+    BOOST_TEST(head.headers.empty());
+    BOOST_TEST(ended == 0);
+}
+
+BOOST_AUTO_TEST_CASE(answer_with_a_status_at_the_bounds_is_read) {
+    for (const char* status : {"200", "599"}) {
+        message_parser parser = make(message_kind::answer);
+        BOOST_TEST(
+            parser.feed("HTTP/1.1 " + std::string(status) + " Odd\r\nContent-Length: 2\r\n\r\nok")
+                .has_value());
+    }
+    BOOST_TEST(ended == 2);
+}
+
 BOOST_AUTO_TEST_CASE(pipelined_request_is_left_unread) {
     message_parser parser = make(message_kind::request);
     const std::string one = std::string(line) + "Content-Length: 0\r\n\r\n";
--- a/tests/live/broken_target_test.cpp
+++ b/tests/live/broken_target_test.cpp
@@ -78,6 +78,18 @@
     play_broken_call();
 }
 
+// Guards against an answer without a valid status that reaches a caller as an answer.
+BOOST_AUTO_TEST_CASE(answer_with_an_invalid_status_through_a_guard_is_a_failure) {
+    call_answer = {"HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\ndone", ""};
+    play_broken_call();
+}
+
+BOOST_AUTO_TEST_CASE(streamed_answer_with_an_invalid_status_through_a_guard_is_a_failure) {
+    call_answer = {"HTTP/1.1 999 Odd\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+                   ""};
+    play_broken_call();
+}
+
 // Guards against a health probe whose reply fills the guard's memory or ends it.
 BOOST_AUTO_TEST_CASE(load_reports_without_end_hold_up_no_call) {
     load_answer = {"HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx"};
--- a/tests/support/endless_target.hpp
+++ b/tests/support/endless_target.hpp
@@ -14,10 +14,12 @@
 /// as fast as they are taken, until its peer closes the connection.
 class endless_target {
 public:
-    /// What is sent for a request with this head. Without `repeated` the answer ends.
+    /// What is sent for a request with this head. Without `repeated` the answer ends, and the
+    /// connection with it if `ends_connection` is set.
     struct answer {
         std::string beginning;
         std::string repeated;
+        bool ends_connection = false;
     };
 
     endless_target(event_loop& loop, std::function<answer(const std::string& head)> answers)
@@ -63,6 +65,9 @@
             if (wanted.repeated.empty()) {
                 each.answers = false;
             }
+            if (wanted.ends_connection) {
+                return false;
+            }
         }
         if (each.answers) {
             std::string bytes;
