--- a/src/drivers/evhtp_intake.cpp
+++ b/src/drivers/evhtp_intake.cpp
@@ -265,7 +265,7 @@
     if (connection_ == nullptr || !evhtp_callbacks_) {
         return;
     }
-    const callbacks own = *std::exchange(evhtp_callbacks_, std::nullopt);
+    const stream_callbacks own = *std::exchange(evhtp_callbacks_, std::nullopt);
     bufferevent_setcb(stream(), own.readable, own.written, own.event, own.argument);
     bufferevent_setwatermark(stream(), EV_READ, 0, 0);
     claim_->hold(monotonic_now(), connection_bytes);
@@ -287,7 +287,7 @@
 
 void evhtp_intake::on_written_ahead(bufferevent* stream, void* self) {
     const auto intake = static_cast<evhtp_intake*>(self)->shared_from_this();
-    const callbacks own = *intake->evhtp_callbacks_;
+    const stream_callbacks own = *intake->evhtp_callbacks_;
     if (own.written != nullptr) {
         own.written(stream, own.argument);
     }
@@ -295,7 +295,7 @@
 
 void evhtp_intake::on_event_ahead(bufferevent* stream, short what, void* self) {
     const auto intake = static_cast<evhtp_intake*>(self)->shared_from_this();
-    const callbacks own = *intake->evhtp_callbacks_;
+    const stream_callbacks own = *intake->evhtp_callbacks_;
     if (own.event != nullptr) {
         own.event(stream, what, own.argument);
     }
--- a/src/drivers/evhtp_intake.hpp
+++ b/src/drivers/evhtp_intake.hpp
@@ -21,6 +21,14 @@
     return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
 }
 
+/// The callbacks of a bufferevent.
+struct stream_callbacks {
+    bufferevent_data_cb readable = nullptr;
+    bufferevent_data_cb written = nullptr;
+    bufferevent_event_cb event = nullptr;
+    void* argument = nullptr;
+};
+
 /// What one connection of an evhtp server takes in: bounds its head and its body, and keeps its
 /// claims. Bodies are taken out of evhtp's buffers as they come, since those keep a block of a
 /// kilobyte for each piece.
@@ -82,13 +90,7 @@
     bool refused_ = false;
 
     /// evhtp's own callbacks while others stand in for them.
-    struct callbacks {
-        bufferevent_data_cb readable = nullptr;
-        bufferevent_data_cb written = nullptr;
-        bufferevent_event_cb event = nullptr;
-        void* argument = nullptr;
-    };
-    std::optional<callbacks> evhtp_callbacks_;
+    std::optional<stream_callbacks> evhtp_callbacks_;
 };
 
 }  // namespace wrenswitch
