--- a/src/drivers/http_server.cpp
+++ b/src/drivers/http_server.cpp
@@ -270,7 +270,8 @@
                                                        std::to_string(settings_.port) +
                                                        " cannot be bound.");
         }
-        set_receive_buffer();
+        receive_buffer_.start(evconnlistener_get_fd(server_->server));
+        offer_receive_buffer();
         listening_ = true;
         return outcome::success();
     }
@@ -301,10 +302,9 @@
     }
 
 private:
-    /// Sets what connections inherit that are made from now on.
-    void set_receive_buffer() {
-        receive_buffer_ = memory_->next_receive_buffer();
-        set_listener_buffer(evconnlistener_get_fd(server_->server), receive_buffer_);
+    void offer_receive_buffer() {
+        receive_buffer_.offer(evconnlistener_get_fd(server_->server),
+                              memory_->next_receive_buffer());
     }
 
     static void on_request(evhtp_request_t* request, void* argument) {
@@ -331,11 +331,11 @@
         auto* self = static_cast<evhtp_server*>(argument);
         auto intake =
             std::make_shared<evhtp_intake>(self->loop_, self->settings_, self->memory_, connection);
-        if (!intake->start(self->receive_buffer_)) {
+        if (!intake->start(self->receive_buffer_.bytes())) {
             return EVHTP_RES_ERROR;
         }
         self->connections_.emplace(connection, std::move(intake));
-        self->set_receive_buffer();
+        self->offer_receive_buffer();
         if (self->memory_->is_full()) {
             self->accepting_.pause(self->loop_, self->server_->server);
         }
@@ -357,8 +357,7 @@
     evhtp_ssl_cfg_t tls_{};
     evhtp_t* server_;
     std::unordered_map<evhtp_connection_t*, std::shared_ptr<evhtp_intake>> connections_;
-    /// What connections inherit that are made now.
-    std::size_t receive_buffer_ = 0;
+    listener_buffer receive_buffer_;
     accept_pause accepting_;
     bool listening_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/drivers/ingress_server.cpp
+++ b/src/drivers/ingress_server.cpp
@@ -57,7 +57,8 @@
             return failed(error_code::unavailable,
                           "Address " + host + ":" + std::to_string(port) + " cannot be bound.");
         }
-        set_receive_buffer();
+        receive_buffer_.start(evconnlistener_get_fd(listener_));
+        offer_receive_buffer();
         sockaddr_in bound{};
         socklen_t length = sizeof bound;
         ::getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&bound),
@@ -123,13 +124,11 @@
     }
 
 private:
-    /// Connections inherit the size from the listening socket. Set later, it would not reduce the
-    /// window that a caller has been given with the connection.
-    void set_receive_buffer() {
+    void offer_receive_buffer() {
         const std::size_t offered = context_.intake->next_receive_buffer();
-        receive_buffer_ =
-            max_receive_buffer_ > 0 ? std::min(offered, max_receive_buffer_) : offered;
-        set_listener_buffer(evconnlistener_get_fd(listener_), receive_buffer_);
+        receive_buffer_.offer(
+            evconnlistener_get_fd(listener_),
+            max_receive_buffer_ > 0 ? std::min(offered, max_receive_buffer_) : offered);
     }
 
     void close_idle() {
@@ -154,8 +153,8 @@
             bufferevent_socket_new(context_.loop.base(), socket, BEV_OPT_CLOSE_ON_FREE);
         auto connection = std::make_shared<ingress_connection>(context_, stream);
         connections_.emplace(connection.get(), connection);
-        connection->start(receive_buffer_);
-        set_receive_buffer();
+        connection->start(receive_buffer_.bytes());
+        offer_receive_buffer();
         if (context_.intake->is_full()) {
             accepting_.pause(context_.loop, listener_);
         }
@@ -175,8 +174,7 @@
     ingress_context context_;
     /// The most that a receive buffer may have; zero for no bound of the options.
     std::size_t max_receive_buffer_;
-    /// What connections inherit that are made now.
-    std::size_t receive_buffer_ = 0;
+    listener_buffer receive_buffer_;
     accept_pause accepting_;
     std::unordered_map<ingress_connection*, std::shared_ptr<ingress_connection>> connections_;
     evconnlistener* listener_ = nullptr;
