--- a/include/wrenswitch/decision/ingress/intake_memory.hpp
+++ b/include/wrenswitch/decision/ingress/intake_memory.hpp
@@ -86,7 +86,7 @@
 class intake_claim {
 public:
     /// Asked to give its part back: it has to release its memory before it returns, as far as it
-    /// can. Called while the claim is revocable, and once at the most.
+    /// can. Called while the claim is revocable; the claim no longer is then.
     using revoke_hook = std::function<void(intake_shortage)>;
 
     intake_claim(intake_memory& memory, intake_kind kind, instant now, revoke_hook on_revoked);
--- a/src/decision/ingress/intake_memory.cpp
+++ b/src/decision/ingress/intake_memory.cpp
@@ -160,7 +160,8 @@
 void intake_claim::revoke(intake_shortage shortage) {
     revocable_ = false;
     memory_.count(shortage);
-    const revoke_hook hook = std::exchange(on_revoked_, {});
+    // The hook may end the claim.
+    const revoke_hook hook = on_revoked_;
     if (hook) {
         hook(shortage);
     }
--- a/src/drivers/evhtp_intake.cpp
+++ b/src/drivers/evhtp_intake.cpp
@@ -37,6 +37,9 @@
 constexpr microseconds longest_write = seconds(5);
 constexpr microseconds write_poll_period = milliseconds(10);
 
+/// How long a connection whose reply wasn't written yet is not asked to close again.
+constexpr microseconds revoke_pause = milliseconds(200);
+
 std::string refusal_text(unsigned status, std::string_view code, std::string_view message) {
     const std::string_view type =
         status == status_unavailable ? "server_error" : "invalid_request_error";
@@ -63,7 +66,8 @@
     if (!memory_->make_room_for_connection(now)) {
         return false;
     }
-    claim_.emplace(*memory_, intake_kind::connection, now, [this](intake_shortage) { close(); });
+    claim_.emplace(*memory_, intake_kind::connection, now,
+                   [this](intake_shortage) { close_if_written(); });
     if (!claim_->hold(now, connection_bytes)) {
         return false;
     }
@@ -232,6 +236,21 @@
     }
 }
 
+/// Closes a connection that has given way, unless a reply is still on its way: then it can be asked
+/// again a moment later.
+void evhtp_intake::close_if_written() {
+    if (evbuffer_get_length(bufferevent_get_output(stream())) == 0) {
+        close();
+        return;
+    }
+    loop_.call_after(revoke_pause, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->claim_ && !self->request_claim_ && !self->evhtp_callbacks_) {
+            self->claim_->set_revocable(true);
+        }
+    });
+}
+
 void evhtp_intake::close() {
     if (connection_ != nullptr) {
         const auto self = shared_from_this();
--- a/src/drivers/evhtp_intake.hpp
+++ b/src/drivers/evhtp_intake.hpp
@@ -74,6 +74,7 @@
     void give_way(intake_shortage shortage);
     void read_ahead();
     void finish_writing(microseconds left);
+    void close_if_written();
     void close();
 
     event_loop& loop_;
--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -83,7 +83,7 @@
         return false;
     }
     claim_->record_receive_buffer(receive_buffer_bytes);
-    claim_->set_revocable(true);
+    update_revocable();
     bufferevent_setcb(stream_, &on_readable, &on_written, &on_event, this);
     set_read_timeout(limits_.idle_timeout);
     bufferevent_enable(stream_, EV_READ | EV_WRITE);
@@ -96,7 +96,9 @@
     connection->hold_after_read();
 }
 
-void ingress_connection::on_written(bufferevent*, void*) {}
+void ingress_connection::on_written(bufferevent*, void* self) {
+    static_cast<ingress_connection*>(self)->update_revocable();
+}
 
 void ingress_connection::on_event(bufferevent*, short what, void* self) {
     const auto connection = static_cast<ingress_connection*>(self)->shared_from_this();
@@ -177,6 +179,13 @@
     return request_overhead_bytes + head_copies * parser_.head_memory() + body;
 }
 
+/// A connection may close for another one while it has no request and nothing left to send.
+void ingress_connection::update_revocable() {
+    const bool has_request =
+        phase_ == phase::reading || phase_ == phase::waiting || phase_ == phase::answering;
+    claim_->set_revocable(!has_request && unsent_bytes() == 0);
+}
+
 bool ingress_connection::hold_buffers() {
     const std::size_t read_ahead = evbuffer_get_length(bufferevent_get_input(stream_));
     return claim_->hold(monotonic_now(), connection_bytes + read_ahead);
@@ -382,7 +391,7 @@
         return;
     }
     phase_ = phase::idle;
-    claim_->set_revocable(true);
+    update_revocable();
     set_read_timeout(limits_.idle_timeout);
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
     // The next request may have arrived already. It is read in a new turn of the loop, since an
@@ -396,7 +405,7 @@
 
 void ingress_connection::linger() {
     phase_ = phase::lingering;
-    claim_->set_revocable(true);
+    update_revocable();
     gone_hook_ = {};
     bufferevent_setwatermark(stream_, EV_READ, 0, 0);
     finish_writing(unacknowledged_bytes(), monotonic_now());
--- a/src/drivers/ingress_connection.hpp
+++ b/src/drivers/ingress_connection.hpp
@@ -93,6 +93,7 @@
     bool head_is_overdue() const;
     void begin_request();
     std::size_t request_bytes() const;
+    void update_revocable();
     bool hold_buffers();
     bool hold_request();
     void hold_after_read();
