--- a/src/roles/entry/entry_settings.cpp
+++ b/src/roles/entry/entry_settings.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "roles/shared/caller_memory.hpp"
 #include "wrenswitch/roles/entry.hpp"
 
 namespace wrenswitch {
@@ -80,6 +81,12 @@
     settings->callers.most_body_bytes = static_cast<std::size_t>(
         reader.integer_or("most_body_bytes", 4LL << 20, 1, body_bytes_limit));
     settings->callers.body_copies = caller_body_copies;
+    const std::size_t max_body_bytes =
+        max_request_bytes(settings->process.limits) / caller_body_copies;
+    if (settings->callers.most_body_bytes > max_body_bytes) {
+        problems.add("/most_body_bytes", std::to_string(settings->callers.most_body_bytes),
+                     "at most " + std::to_string(max_body_bytes) + " with this memory_mb");
+    }
     settings->operators = parse_server_settings(reader, "operator");
     settings->operator_keys = parse_operator_keys(reader, problems);
     settings->scope = static_cast<allocator_scope>(
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -74,6 +74,7 @@
     void serve_admin(const http_exchange_pointer& exchange);
 
     void configuration_changed(const keyed_record& record);
+    void warn_of_large_bodies(const gateway_configuration& current) const;
     void apply_evacuation_record(const std::string& failure_domain, const keyed_record& record);
     gateway_rollouts::hooks rollout_hooks();
     rollout_target_counts count_targets(const rollout_order& order);
--- a/src/roles/gateway/gateway_configuration.cpp
+++ b/src/roles/gateway/gateway_configuration.cpp
@@ -38,6 +38,7 @@
     }
     apply_configuration();
     const gateway_configuration& current = configuration_.current();
+    warn_of_large_bodies(current);
     const std::vector<std::string> unreadable = unreadable_region_limits(current);
     metrics_.counter("gateway_limits_unreadable_total") += unreadable.size();
     for (const std::string& place :
@@ -52,6 +53,17 @@
                {"accounts", std::to_string(current.accounts.size())}});
 }
 
+/// Bodies that the operator allows and for which there is no memory even alone are always refused.
+void gateway::warn_of_large_bodies(const gateway_configuration& current) const {
+    const std::size_t most = caller_memory_.pool()->max_claim_bytes();
+    if (current.limits.max_body_bytes > most) {
+        log_event(log_level::error, "body_limit_exceeds_memory",
+                  {{"version", std::to_string(current.version)},
+                   {"limit_bytes", std::to_string(current.limits.max_body_bytes)},
+                   {"memory_bytes", std::to_string(most)}});
+    }
+}
+
 /// Handles an order to evacuate a failure domain, or its withdrawal. A record that can't be read
 /// leaves the previous state in force.
 void gateway::apply_evacuation_record(const std::string& failure_domain,
--- a/src/roles/shared/caller_memory.cpp
+++ b/src/roles/shared/caller_memory.cpp
@@ -39,6 +39,10 @@
 
 }  // namespace
 
+std::size_t max_request_bytes(const process_limits& limits) {
+    return intake_memory(settings_for(limits)).max_claim_bytes();
+}
+
 caller_memory::caller_memory(const process_limits& limits, metrics& counters)
     : counters_(counters), pool_(std::make_shared<intake_memory>(settings_for(limits))) {
     counters_.gauge("caller_memory_max_bytes") = static_cast<double>(pool_->max_bytes());
--- a/src/roles/shared/caller_memory.hpp
+++ b/src/roles/shared/caller_memory.hpp
@@ -10,6 +10,9 @@
 
 namespace wrenswitch {
 
+/// The most that a single request may take of a process with these limits.
+std::size_t max_request_bytes(const process_limits& limits);
+
 /// The memory of a process for what its callers send, with its figures and its log lines.
 class caller_memory {
 public:
