--- a/src/drivers/ingress_connection.cpp
+++ b/src/drivers/ingress_connection.cpp
@@ -175,8 +175,7 @@
 }
 
 std::size_t ingress_connection::request_bytes() const {
-    const std::size_t body = body_.capacity() > large_body_bytes ? body_.size() : body_.capacity();
-    return request_overhead_bytes + head_copies * parser_.head_memory() + body;
+    return request_overhead_bytes + head_copies * parser_.head_memory() + backed_bytes(body_);
 }
 
 /// A connection may close for another one while it has no request and nothing left to send.
--- a/src/drivers/large_body.hpp
+++ b/src/drivers/large_body.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <string>
 
@@ -9,10 +10,13 @@
 /// it with memory as it is written, and no growth copies them.
 constexpr std::size_t large_body_bytes = 128U * 1024U;
 
+/// The most address space that a body gets ahead. Larger ones are copied as they grow.
+constexpr std::size_t max_reserved_bytes = 64U * 1024U * 1024U;
+
 /// Makes room for `length` bytes in a body that won't exceed `most`.
 inline void reserve_large_body(std::string& body, std::size_t length, std::size_t most) {
     if (length > large_body_bytes && length > body.capacity()) {
-        body.reserve(most);
+        body.reserve(std::max(length, std::min(most, max_reserved_bytes)));
     }
 }
 
