Stop using targets soon after they have left the list

Cause: target_pool::candidates fell back to targets that had left the list whenever no listed one fitted, for the 20 s for which they are remembered. The fallback is for targets that can't renew their entries while the store is away; such a target can't be told from one that left.

Change: the fallback lasts 1.6 s from when the entry read the removal: target_drain_ms less 400 ms for the time until it is read. A target that a restored list lost has had its time already and gets nothing. A version isn't held back for the sake of targets that have gone.

--- a/include/wrenswitch/decision/gateway/target_pool.hpp
+++ b/include/wrenswitch/decision/gateway/target_pool.hpp
@@ -70,6 +70,9 @@
     microseconds max_ejection = seconds(8);
     /// How long a load report stays valid.
     microseconds report_lifetime = milliseconds(500);
+    /// How long a target that left the list may still get requests that no listed one can take. It
+    /// keeps serving for a little longer than that, unless it has crashed.
+    microseconds unlisted_use = milliseconds(1600);
     /// Returns the number of gateways that share the rate of a cold target; zero while it isn't
     /// known. If the function isn't set, the number is one.
     std::function<std::size_t()> gateway_count;
@@ -151,7 +154,7 @@
     void orders_read(instant began) { quarantine_.release_before(began); }
 
     /// True if targets are held back until the rollout orders have been read.
-    bool waits_for_orders() const;
+    bool waits_for_orders(instant now) const;
 
     /// True if the service has targets and all known ones, including those that left the list
     /// recently, have this version. Targets of the excluded versions are ignored.
@@ -162,9 +165,12 @@
     version_set versions_of(std::string_view service) const;
 
     /// Handles a target that is no longer in the list because it left, crashed, or was lost by the
-    /// list.
+    /// list. For a short time it is used if no listed target can be.
     void remove(instant now, std::string_view id);
 
+    /// Handles a target that the list lost and that hasn't come back in time: it gets no requests.
+    void remove_lost(instant now, std::string_view id);
+
     /// Handles a target record that can't be parsed: the target gets no requests, not even as a
     /// fallback, until a readable record arrives.
     void mark_unreadable(std::string_view id);
@@ -231,12 +237,12 @@
                                        rendezvous_scope scope = rendezvous_scope::nearest);
 
     /// True if the target currently accepts requests of the service under these constraints.
-    bool is_usable(std::string_view id, std::string_view service,
+    bool is_usable(instant now, std::string_view id, std::string_view service,
                    const candidate_constraints& constraints = {}) const;
 
     /// True if the service has a target in one of these regions, healthy or not: a request that is
     /// restricted to them and finds none available may find one later.
-    bool has_target_in(std::string_view service, const allowed_regions& regions) const;
+    bool has_target_in(instant now, std::string_view service, const allowed_regions& regions) const;
 
     /// True if there is an eligible target besides those already tried.
     bool has_untried(instant now, std::string_view service, std::span<const std::string> tried,
@@ -366,6 +372,8 @@
         /// True once a response since the last restart has said that the target is draining.
         bool announced_draining = false;
         instant unlisted_since{};
+        /// From when on a target that isn't listed gets no requests at all.
+        instant gone_from{};
         unsigned in_flight = 0;
         load_report load;
         instant reported_at{};
@@ -409,14 +417,18 @@
     void remove_address(const gateway_target& target);
     static double failure_rate(const target_state& state, instant now);
     static void record_outcome(target_state& state, instant now, bool succeeded);
-    bool is_eligible(const target_state& state, std::string_view service,
+    static bool has_gone(instant now, const target_state& state);
+    bool is_eligible(instant now, const target_state& state, std::string_view service,
                      const candidate_constraints& constraints) const;
     bool is_in_allowed_region(const target_state& state, const allowed_regions& regions) const;
     std::vector<target_state*> candidates(instant now, std::string_view service,
                                           std::span<const std::string> tried,
                                           const candidate_constraints& constraints,
                                           const state_filter& admits);
-    bool is_held_back(const target_state& state, const version_constraint& constraint) const;
+    bool is_held_back(instant now, const target_state& state,
+                      const version_constraint& constraint) const;
+    bool has_alternative(instant now, const gateway_target& target,
+                         const version_set& excluded) const;
     static void select_group(std::vector<target_state*>& targets,
                              const version_constraint& constraint);
     permitted_candidates candidates_with_permits(instant now, std::string_view service,
--- a/include/wrenswitch/drivers/keyed_follower.hpp
+++ b/include/wrenswitch/drivers/keyed_follower.hpp
@@ -28,6 +28,9 @@
     /// The store was restored from a copy in which these keys are missing or have older records.
     /// Called before caught_up. The values reported for these keys remain valid until they change.
     std::function<void(std::span<const std::string> keys)> restored = {};
+    /// A key that was missing from a restored log wasn't written again within
+    /// `lost_key_timeout`. Reported to `changed`, as a key that is gone, if not set.
+    std::function<void(const std::string& key)> lost = {};
 };
 
 /// Settings of a follower.
@@ -101,6 +104,7 @@
     void on_restored(const keyed_page& page);
     void apply_by_offset(std::vector<keyed_record> records);
     void schedule_lost_key_removal(const std::set<std::string, std::less<>>& present);
+    void report_lost(const std::string& key);
     void read_all_after_pause();
     void drop_missing(const keyed_page& page);
     void failed_once();
--- a/include/wrenswitch/roles/gateway.hpp
+++ b/include/wrenswitch/roles/gateway.hpp
@@ -125,6 +125,9 @@
     bool shares_link = false;
     /// The timing of a graceful shutdown.
     drain_plan drain;
+    /// How long a target that leaves still takes requests, from the moment at which the platform
+    /// acknowledges its leaving.
+    microseconds target_drain = seconds(2);
     /// The share of a service's requests that may go to a version still under evaluation.
     double exposed_share = 0.1;
     /// The retry budget of each service over all gateways, as a ratio of retries to first attempts,
--- a/src/decision/gateway/target_pool.cpp
+++ b/src/decision/gateway/target_pool.cpp
@@ -11,7 +11,8 @@
 /// Size of the random term that breaks ties between equally good targets.
 constexpr double tie_break_jitter = 0.02;
 
-/// How long a target that left the list is kept. It is used only as a fallback.
+/// How long a target that left the list is kept, so that what is known of it is still known if it
+/// is listed again.
 constexpr microseconds unlisted_lifetime = seconds(20);
 
 /// The longest wait for a permit at a cold target if the route has no latency objective. Most
@@ -120,6 +121,15 @@
     if (found != targets_.end() && found->second.listed) {
         found->second.listed = false;
         found->second.unlisted_since = now;
+        found->second.gone_from = now + settings_.unlisted_use;
+    }
+}
+
+void target_pool::remove_lost(instant now, std::string_view id) {
+    remove(now, id);
+    const auto found = targets_.find(id);
+    if (found != targets_.end()) {
+        found->second.gone_from = now;
     }
 }
 
@@ -152,7 +162,11 @@
     const microseconds backoff = backoffs_.remaining(now, id);
     text += backoff > microseconds(0) ? ",rests=" + millis_text(backoff) + "ms" : "";
     text += state.announced_draining ? ",says_it_leaves" : "";
-    return text + (state.listed ? "" : ",unlisted");
+    if (!state.listed) {
+        const auto since = std::chrono::duration_cast<milliseconds>(now - state.unlisted_since);
+        text += ",unlisted_ms=" + std::to_string(since.count());
+    }
+    return text;
 }
 
 std::vector<gateway_target> target_pool::listed() const {
--- a/src/decision/gateway/target_pool_eligibility.cpp
+++ b/src/decision/gateway/target_pool_eligibility.cpp
@@ -25,21 +25,32 @@
 /// The rollout order for this target's version may not have been read yet; until it is, targets of
 /// other versions serve the requests. A known order excludes only the version that it names, so
 /// that the target is still held back if further versions remain.
-bool target_pool::is_held_back(const target_state& state,
+bool target_pool::is_held_back(instant now, const target_state& state,
                                const version_constraint& constraint) const {
     if (constraint.rule == version_rule::only || !quarantine_.contains(state.target.id)) {
         return false;
     }
-    version_set others = constraint.excluded;
+    version_set excluded = constraint.excluded;
     if (constraint.rule == version_rule::other_than) {
-        others.insert(constraint.version);
+        excluded.insert(constraint.version);
     }
-    return !has_only_version(state.target.service, state.target.version, others);
+    return has_alternative(now, state.target, excluded);
 }
 
-bool target_pool::waits_for_orders() const {
-    return std::any_of(targets_.begin(), targets_.end(),
-                       [this](const auto& entry) { return is_held_back(entry.second, {}); });
+/// True if a target of another version can serve the requests in place of this one.
+bool target_pool::has_alternative(instant now, const gateway_target& target,
+                                  const version_set& excluded) const {
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+        const gateway_target& other = entry.second.target;
+        return other.service == target.service && other.version != target.version &&
+               !excluded.contains(other.version) && !has_gone(now, entry.second);
+    });
+}
+
+bool target_pool::waits_for_orders(instant now) const {
+    return std::any_of(targets_.begin(), targets_.end(), [this, now](const auto& entry) {
+        return is_held_back(now, entry.second, {});
+    });
 }
 
 bool target_pool::has_only_version(std::string_view service, std::string_view version,
@@ -67,13 +78,21 @@
     return versions;
 }
 
-bool target_pool::is_eligible(const target_state& state, std::string_view service,
+/// The list loses targets that can't renew their entries while the platform is away, so one that
+/// left it may be needed until it is listed again. Since it may also have left for good, that
+/// doesn't last longer than leaving targets take requests.
+bool target_pool::has_gone(instant now, const target_state& state) {
+    return !state.listed && now >= state.gone_from;
+}
+
+bool target_pool::is_eligible(instant now, const target_state& state, std::string_view service,
                               const candidate_constraints& constraints) const {
-    return state.target.service == service && !state.target.draining && !state.announced_draining &&
-           !state.replaced && !state.unreadable && !is_evacuated(state.target.failure_domain) &&
+    return state.target.service == service && !has_gone(now, state) && !state.target.draining &&
+           !state.announced_draining && !state.replaced && !state.unreadable &&
+           !is_evacuated(state.target.failure_domain) &&
            is_in_allowed_region(state, constraints.regions) &&
            constraints.version.admits(state.target.version) &&
-           !is_held_back(state, constraints.version);
+           !is_held_back(now, state, constraints.version);
 }
 
 bool target_pool::is_in_allowed_region(const target_state& state,
@@ -99,15 +118,14 @@
 }
 
 /// Returns the best class of targets that isn't empty: listed and healthy; listed and ejected; and,
-/// as a fallback, those that left the list, because the list loses healthy targets while the
-/// platform is down.
+/// as a fallback, those that left the list a moment ago.
 std::vector<target_pool::target_state*> target_pool::candidates(
     instant now, std::string_view service, std::span<const std::string> tried,
     const candidate_constraints& constraints, const state_filter& admits) {
     std::vector<target_state*> allowed;
     std::vector<target_state*> unlisted;
     for (auto& [id, state] : targets_) {
-        if (is_eligible(state, service, constraints)) {
+        if (is_eligible(now, state, service, constraints)) {
             (state.listed ? allowed : unlisted).push_back(&state);
         }
     }
@@ -163,19 +181,20 @@
     }
 }
 
-bool target_pool::is_usable(std::string_view id, std::string_view service,
+bool target_pool::is_usable(instant now, std::string_view id, std::string_view service,
                             const candidate_constraints& constraints) const {
     const auto found = targets_.find(id);
     if (found == targets_.end()) {
         return false;
     }
-    return found->second.listed && is_eligible(found->second, service, constraints);
+    return found->second.listed && is_eligible(now, found->second, service, constraints);
 }
 
-bool target_pool::has_target_in(std::string_view service, const allowed_regions& regions) const {
+bool target_pool::has_target_in(instant now, std::string_view service,
+                                const allowed_regions& regions) const {
     return std::any_of(targets_.begin(), targets_.end(), [&](const auto& known) {
         const target_state& state = known.second;
-        return state.target.service == service && !state.replaced &&
+        return state.target.service == service && !state.replaced && !has_gone(now, state) &&
                is_in_allowed_region(state, regions);
     });
 }
--- a/src/decision/gateway/target_pool_permits.cpp
+++ b/src/decision/gateway/target_pool_permits.cpp
@@ -38,7 +38,7 @@
 bool target_pool::has_permit(instant now, std::string_view service, microseconds within) {
     return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
         const auto& [id, state] = each;
-        return is_eligible(state, service, {}) && limits_.limit_of(id) &&
+        return is_eligible(now, state, service, {}) && limits_.limit_of(id) &&
                backoffs_.remaining(now, id) == microseconds(0) && limits_.delay(now, id) <= within;
     });
 }
@@ -47,7 +47,7 @@
                                                                      std::string_view service) {
     std::optional<next_permit> earliest;
     for (const auto& [id, state] : targets_) {
-        if (!is_eligible(state, service, {})) {
+        if (!is_eligible(now, state, service, {})) {
             continue;
         }
         const microseconds backoff = backoffs_.remaining(now, id);
--- a/src/drivers/keyed_follower.cpp
+++ b/src/drivers/keyed_follower.cpp
@@ -159,11 +159,19 @@
                     return;
                 }
                 newest_positions_.erase(found);
-                hooks_.changed({lost, std::nullopt, position_});
+                report_lost(lost);
             });
     }
 }
 
+void keyed_follower::report_lost(const std::string& key) {
+    if (hooks_.lost) {
+        hooks_.lost(key);
+    } else {
+        hooks_.changed({key, std::nullopt, position_});
+    }
+}
+
 void keyed_follower::read_all_after_pause() {
     const std::uint64_t number = ++read_number_;
     loop_.call_after(retry_, [this, number, alive = alive_] {
--- a/src/roles/gateway/forwarded_request.cpp
+++ b/src/roles/gateway/forwarded_request.cpp
@@ -120,7 +120,7 @@
 /// engines are queried.
 bool forwarded_request::check_allowed_regions() {
     if (!admitted_.regions ||
-        context_.targets.has_target_in(admitted_.service, admitted_.regions)) {
+        context_.targets.has_target_in(monotonic_now(), admitted_.service, admitted_.regions)) {
         return true;
     }
     refuse(status_unavailable, "no_target_in_allowed_regions", region_retry_after);
--- a/src/roles/gateway/forwarded_request_routing.cpp
+++ b/src/roles/gateway/forwarded_request_routing.cpp
@@ -186,7 +186,7 @@
 void forwarded_request::on_permit_due() {
     admitted_.regions =
         current_allowed_regions(context_.configuration, admitted_, request_.host, request_.path);
-    if (!context_.targets.is_usable(pending_send_->target, admitted_.service,
+    if (!context_.targets.is_usable(monotonic_now(), pending_send_->target, admitted_.service,
                                     current_constraints())) {
         cancel_pending_send();
         dispatch();
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -15,12 +15,17 @@
 /// The number of gateways is assumed to be at least this, since some may not have joined yet.
 constexpr std::size_t min_gateway_count = 4;
 
+/// How much later than the store's acknowledgement this gateway, or another one before it, may read
+/// that a target has left the list.
+constexpr microseconds max_list_delay = milliseconds(400);
+
 target_pool_settings pool_settings(const gateway_settings& settings,
                                    const token_allocator_selector& members) {
     target_pool_settings pool;
     pool.failure_domain = settings.failure_domain;
     pool.regions = settings.regions;
     pool.far_round_trip = settings.remote_round_trip;
+    pool.unlisted_use = std::max(microseconds(0), settings.target_drain - max_list_delay);
     pool.gateway_count = [&members] {
         // The directory contains this gateway's own record once it has been read. As long as it is
         // empty, the number is unknown.
--- a/src/roles/gateway/gateway_rollout_hooks.cpp
+++ b/src/roles/gateway/gateway_rollout_hooks.cpp
@@ -47,8 +47,9 @@
 /// started beside two versions would have no target at all. Reads that are under way are not
 /// repeated, since each would discard the one before.
 void gateway::on_targets_read() {
-    streams_->note_list_read(monotonic_now());
-    const bool was_waiting = std::exchange(waits_for_orders_, targets_.waits_for_orders());
+    const instant now = monotonic_now();
+    streams_->note_list_read(now);
+    const bool was_waiting = std::exchange(waits_for_orders_, targets_.waits_for_orders(now));
     if (waits_for_orders_ && !was_waiting) {
         configuration_follower_->look_now();
     }
@@ -56,7 +57,7 @@
 
 void gateway::on_orders_read() {
     targets_.orders_read(configuration_follower_->last_read_began());
-    if (targets_.waits_for_orders()) {
+    if (targets_.waits_for_orders(monotonic_now())) {
         configuration_follower_->look_now();
     }
 }
--- a/src/roles/gateway/gateway_settings.cpp
+++ b/src/roles/gateway/gateway_settings.cpp
@@ -70,6 +70,7 @@
         read_ms(reader, "longest_drain_ms", settings.drain.max_duration, max_drain_ms);
     settings.drain.grace_period =
         read_ms(reader, "listen_after_stop_ms", settings.drain.grace_period, max_drain_ms);
+    settings.target_drain = read_ms(reader, "target_drain_ms", settings.target_drain, max_drain_ms);
     settings.capacity = reader.number_or("capacity", settings.capacity, 0.0, max_cores);
     constexpr double bytes_per_megabit = 1e6 / 8.0;
     settings.link_bytes_per_second =
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -107,9 +107,12 @@
         keyed_follower_settings{.log = dialect_.target_log,
                                 .pause = target_read_pause,
                                 .lost_key_timeout = lost_target_timeout},
-        keyed_follower_hooks{[this](const keyed_record& record) { apply_target_record(record); },
-                             [this] { on_targets_read(); },
-                             make_reachable_hook(dialect_.target_log)});
+        keyed_follower_hooks{
+            [this](const keyed_record& record) { apply_target_record(record); },
+            [this] { on_targets_read(); },
+            make_reachable_hook(dialect_.target_log),
+            {},
+            [this](const std::string& id) { target_list_.remove_lost(monotonic_now(), id); }});
     ledger_ = std::make_unique<grant_ledger>(
         loop_, *shared_log_, dialect_.grant_log, metrics_,
         grant_ledger_hooks{
--- a/src/roles/gateway/placement_exchange.cpp
+++ b/src/roles/gateway/placement_exchange.cpp
@@ -226,7 +226,7 @@
         release_offer(offer);
         return;
     }
-    if (!targets_.is_usable(offer.target, pending.service, pending.request.constraints)) {
+    if (!targets_.is_usable(now, offer.target, pending.service, pending.request.constraints)) {
         release_offer(offer);
         choose_locally(offer.attempt, std::move(pending));
         return;
@@ -305,7 +305,8 @@
 
 bool placement_exchange::is_usable_reply(const wire::PlacementAnswer& reply,
                                          const pending_query& pending) const {
-    return targets_.is_usable(reply.target(), pending.service, pending.request.constraints) &&
+    return targets_.is_usable(monotonic_now(), reply.target(), pending.service,
+                              pending.request.constraints) &&
            std::find(pending.tried.begin(), pending.tried.end(), reply.target()) ==
                pending.tried.end();
 }
--- a/src/roles/gateway/target_list.cpp
+++ b/src/roles/gateway/target_list.cpp
@@ -34,9 +34,18 @@
 }
 
 void target_list::remove_target(instant now, const std::string& id) {
-    unreadable_entries_.erase(id);
     targets_.remove(now, id);
-    hooks_.log_change("target_unlisted", {{"target", id}});
+    report_removal(id, "removed");
+}
+
+void target_list::remove_lost(instant now, const std::string& id) {
+    targets_.remove_lost(now, id);
+    report_removal(id, "lost");
+}
+
+void target_list::report_removal(const std::string& id, std::string_view reason) {
+    unreadable_entries_.erase(id);
+    hooks_.log_change("target_unlisted", {{"target", id}, {"reason", std::string(reason)}});
     hooks_.on_unlisted(id);
 }
 
--- a/src/roles/gateway/target_list.hpp
+++ b/src/roles/gateway/target_list.hpp
@@ -37,8 +37,12 @@
     /// Applies the newest entry of a target, or its removal.
     void apply(instant now, const keyed_record& record);
 
+    /// Removes a target that a restored list lacks and that hasn't renewed its entry in time.
+    void remove_lost(instant now, const std::string& id);
+
 private:
     void remove_target(instant now, const std::string& id);
+    void report_removal(const std::string& id, std::string_view reason);
     void report_unreadable(const keyed_record& record, const std::string& why);
     bool is_stale_entry(const gateway_target& target, const gateway_target* known) const;
     bool handle_restart(const gateway_target& target, const gateway_target* known);
--- a/tests/decision/gateway/target_pool_permits_test.cpp
+++ b/tests/decision/gateway/target_pool_permits_test.cpp
@@ -111,7 +111,7 @@
     BOOST_TEST(pool.mark_draining("p2"));
     BOOST_TEST(!pool.mark_draining("p2"));
     pool.apply(make_target("p2"), 9);
-    BOOST_TEST(!pool.is_usable("p2", "plain"));
+    BOOST_TEST(!pool.is_usable(now, "p2", "plain"));
     BOOST_TEST(!pool.may_send(now, "p2", {}));
     for (int attempt = 0; attempt < 20; ++attempt) {
         BOOST_TEST(pool.pick(now, "plain", std::vector<std::string>{"p1"}).target->id == "p3");
@@ -122,7 +122,7 @@
     pool.mark_draining("p2");
     pool.backoffs().add(now, "p2", seconds(3));
     pool.on_restarted("p2");
-    BOOST_TEST(pool.is_usable("p2", "plain"));
+    BOOST_TEST(pool.is_usable(now, "p2", "plain"));
     BOOST_TEST(pool.may_send(now, "p2", {}));
 }
 
--- a/tests/decision/gateway/target_pool_test.cpp
+++ b/tests/decision/gateway/target_pool_test.cpp
@@ -167,6 +167,38 @@
     BOOST_TEST(!pick().empty());
 }
 
+/// A target that had left the list was used for as long as it was remembered.
+BOOST_AUTO_TEST_CASE(unlisted_target_is_not_used_for_longer_than_it_takes_requests) {
+    for (const char* id : {"p1", "p2", "p3"}) {
+        pool->remove(now, id);
+    }
+    const instant last = now + settings.unlisted_use - microseconds(1);
+    BOOST_TEST(!pick("plain", {}, last).empty());
+    BOOST_TEST(pool->has_untried(last, "plain", {}, {}));
+    const instant gone = now + settings.unlisted_use;
+    BOOST_TEST(pick("plain", {}, gone).empty());
+    BOOST_TEST(!pool->has_untried(gone, "plain", {}, {}));
+    pool->apply(target("p2", "plain", "d1"));
+    BOOST_TEST(pick("plain", {}, gone) == "p2");
+}
+
+BOOST_AUTO_TEST_CASE(unlisted_engine_is_not_chosen_for_longer_than_it_takes_requests) {
+    for (const char* id : {"e1", "e2", "e3", "e4"}) {
+        pool->remove(now, id);
+    }
+    const instant gone = now + settings.unlisted_use;
+    BOOST_TEST((choose(*pool, prompt(1, 2)).target != nullptr));
+    BOOST_TEST((choose(*pool, prompt(1, 2), gone).target == nullptr));
+    BOOST_TEST(pool->rendezvous_engine(gone, "engine", prompt(1, 2), {}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(target_that_a_restored_list_lost_is_not_used_at_all) {
+    for (const char* id : {"p1", "p2", "p3"}) {
+        pool->remove_lost(now, id);
+    }
+    BOOST_TEST(pick().empty());
+}
+
 BOOST_AUTO_TEST_CASE(tried_targets_are_skipped) {
     BOOST_TEST(pick("plain", {"p1", "p2"}) == "p3");
     BOOST_TEST(pick("plain", {"p1", "p2", "p3"}).empty());
@@ -347,15 +379,15 @@
 }
 
 BOOST_AUTO_TEST_CASE(draining_unlisted_or_foreign_target_is_not_usable) {
-    BOOST_TEST(pool->is_usable("e1", "engine"));
-    BOOST_TEST(!pool->is_usable("e1", "plain"));
-    BOOST_TEST(!pool->is_usable("unknown", "engine"));
+    BOOST_TEST(pool->is_usable(now, "e1", "engine"));
+    BOOST_TEST(!pool->is_usable(now, "e1", "plain"));
+    BOOST_TEST(!pool->is_usable(now, "unknown", "engine"));
     pool->remove(now, "e1");
-    BOOST_TEST(!pool->is_usable("e1", "engine"));
+    BOOST_TEST(!pool->is_usable(now, "e1", "engine"));
     gateway_target draining = target("e2", "engine", "d1");
     draining.draining = true;
     pool->apply(draining);
-    BOOST_TEST(!pool->is_usable("e2", "engine"));
+    BOOST_TEST(!pool->is_usable(now, "e2", "engine"));
 }
 
 BOOST_AUTO_TEST_CASE(unresponsive_target_gets_only_repeatable_requests) {
@@ -393,7 +425,7 @@
     }
     BOOST_TEST((choose(*pool, prompt(7, 8)).target == nullptr));
     BOOST_TEST(pool->rendezvous_engine(now, "engine", prompt(7, 8), {}).empty());
-    BOOST_TEST(!pool->is_usable("e1", "engine"));
+    BOOST_TEST(!pool->is_usable(now, "e1", "engine"));
     BOOST_TEST(pool->set_evacuated(now, "d1", false));
     BOOST_TEST(!pool->set_evacuated(now, "d1", false));
     BOOST_TEST((choose(*pool, prompt(7, 8)).target != nullptr));
--- a/tests/decision/gateway/target_regions_test.cpp
+++ b/tests/decision/gateway/target_regions_test.cpp
@@ -91,10 +91,10 @@
 BOOST_AUTO_TEST_CASE(request_without_allowed_region_gets_no_target) {
     BOOST_TEST((picked(in({})) == names{""}));
     BOOST_TEST((picked(in({"nowhere", ""})) == names{""}));
-    BOOST_TEST(!pool->has_target_in("plain", in({}).regions));
-    BOOST_TEST(!pool->has_target_in("plain", in({"nowhere", ""}).regions));
-    BOOST_TEST(!pool->has_target_in("unknown", in({"north"}).regions));
-    BOOST_TEST(pool->has_target_in("plain", in({"north"}).regions));
+    BOOST_TEST(!pool->has_target_in(now, "plain", in({}).regions));
+    BOOST_TEST(!pool->has_target_in(now, "plain", in({"nowhere", ""}).regions));
+    BOOST_TEST(!pool->has_target_in(now, "unknown", in({"north"}).regions));
+    BOOST_TEST(pool->has_target_in(now, "plain", in({"north"}).regions));
 }
 
 BOOST_AUTO_TEST_CASE(untried_target_has_to_be_allowed) {
@@ -124,6 +124,15 @@
     BOOST_TEST((picked(in({"north"})) == names{"plain-n1", "plain-n2"}));
 }
 
+/// Where a region allowed it no other target, a request went to one that had left the list.
+BOOST_AUTO_TEST_CASE(restricted_request_is_not_sent_to_target_that_has_gone) {
+    pool->remove(now, "plain-s1");
+    const instant gone = now + seconds(2);
+    BOOST_TEST(pool->has_target_in(now, "plain", in({"south"}).regions));
+    BOOST_TEST(!pool->has_target_in(gone, "plain", in({"south"}).regions));
+    BOOST_TEST((pool->pick(gone, "plain", {}, {}, false, in({"south"})).target == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(restricted_request_whose_region_is_evacuated_gets_no_target) {
     pool->set_evacuated(now, "s1", true);
     BOOST_TEST((picked(in({"south"})) == names{""}));
@@ -137,7 +146,7 @@
     BOOST_TEST(found.size() <= 2U);
     const target_choice last = pool->pick(now, "plain", {}, {}, false, in({"south"}));
     BOOST_TEST(last.all_cold);
-    BOOST_TEST(!pool->is_usable("plain-n1", "plain", in({"south"})));
+    BOOST_TEST(!pool->is_usable(now, "plain-n1", "plain", in({"south"})));
 }
 
 BOOST_AUTO_TEST_CASE(target_listed_again_in_other_domain_has_the_new_region) {
--- a/tests/decision/gateway/target_versions_test.cpp
+++ b/tests/decision/gateway/target_versions_test.cpp
@@ -105,8 +105,8 @@
         BOOST_TEST(pool.rendezvous_engine(now, "app", request, {}).starts_with("v2"));
         pool.begin_attempt(now, choice.target->id, request, 3000, true);
     }
-    BOOST_TEST(!pool.is_usable("v1-1", "app", request.constraints));
-    BOOST_TEST(pool.is_usable("v2-1", "app", request.constraints));
+    BOOST_TEST(!pool.is_usable(now, "v1-1", "app", request.constraints));
+    BOOST_TEST(pool.is_usable(now, "v2-1", "app", request.constraints));
 }
 
 BOOST_AUTO_TEST_CASE(memory_is_copied_from_engines_of_other_version) {
@@ -131,30 +131,30 @@
     pool.quarantine_new_version(now, "v3-1");
     pool.apply(target("v3", 2));
     pool.quarantine_new_version(now + milliseconds(10), "v3-2");
-    BOOST_TEST(pool.waits_for_orders());
+    BOOST_TEST(pool.waits_for_orders(now));
     for (const std::string& id : picked(pool, {})) {
         BOOST_TEST(!id.starts_with("v3"));
     }
     // A read that began before the target was first seen may have missed the order.
     pool.orders_read(now - milliseconds(1));
-    BOOST_TEST(pool.waits_for_orders());
-    BOOST_TEST(!pool.is_usable("v3-1", "app"));
+    BOOST_TEST(pool.waits_for_orders(now));
+    BOOST_TEST(!pool.is_usable(now, "v3-1", "app"));
     pool.orders_read(now + milliseconds(20));
-    BOOST_TEST(!pool.waits_for_orders());
-    BOOST_TEST(pool.is_usable("v3-1", "app"));
+    BOOST_TEST(!pool.waits_for_orders(now));
+    BOOST_TEST(pool.is_usable(now, "v3-1", "app"));
     BOOST_TEST(picked(pool, {}).size() == 14U);
 }
 
 BOOST_AUTO_TEST_CASE(known_or_only_version_is_not_held_back) {
     pool.apply(target("v2", 9));
     pool.quarantine_new_version(now, "v2-9");
-    BOOST_TEST(!pool.waits_for_orders());
+    BOOST_TEST(!pool.waits_for_orders(now));
     target_pool single_version({}, random);
     single_version.apply(target("v5", 1));
     single_version.quarantine_new_version(now, "v5-1");
     single_version.apply(target("v5", 2));
     single_version.quarantine_new_version(now, "v5-2");
-    BOOST_TEST(!single_version.waits_for_orders());
+    BOOST_TEST(!single_version.waits_for_orders(now));
     BOOST_TEST(!pick(single_version, {}).empty());
 }
 
@@ -171,6 +171,19 @@
     BOOST_TEST(!pick(starting, {}).empty());
 }
 
+/// Once the targets that could serve in its place have gone, a new version isn't held back.
+BOOST_AUTO_TEST_CASE(new_version_without_alternative_does_not_wait_for_orders) {
+    target_pool starting({}, random);
+    starting.apply(target("v1", 1));
+    starting.apply(target("v2", 1));
+    starting.quarantine_new_version(now, "v2-1");
+    starting.remove(now, "v1-1");
+    BOOST_TEST(pick(starting, {}) == "v1-1");
+    const instant gone = now + seconds(2);
+    BOOST_TEST(!starting.waits_for_orders(gone));
+    BOOST_TEST((starting.pick(gone, "app", {}, {}, false, {}).target->id == "v2-1"));
+}
+
 /// An order for one version doesn't apply to another version that appeared later.
 BOOST_AUTO_TEST_CASE(version_newer_than_the_known_order_waits_for_the_next_order) {
     pool.apply(target("v3", 1));
--- a/tests/drivers/keyed_follower_test.cpp
+++ b/tests/drivers/keyed_follower_test.cpp
@@ -211,6 +211,27 @@
     BOOST_TEST(reported["back"] == "2");
 }
 
+BOOST_AUTO_TEST_CASE(key_that_stays_lost_is_reported_as_lost_and_not_as_changed) {
+    std::vector<std::string> changed;
+    std::vector<std::string> lost;
+    keyed_follower reader(
+        loop, log, {.log = "l", .hold = milliseconds(50), .lost_key_timeout = milliseconds(50)},
+        {[&changed](const keyed_record& record) { changed.push_back(record.key); },
+         [] {},
+         [](bool) {},
+         {},
+         [&lost](const std::string& key) { lost.push_back(key); }});
+    log.take_copy();
+    reader.start();
+    BOOST_REQUIRE(run_until([&] { return reader.live(); }));
+    log.put("l", "k", "1");
+    BOOST_REQUIRE(run_until([&] { return !changed.empty(); }));
+    log.restore_copy();
+    BOOST_TEST(run_until([&] { return !lost.empty(); }));
+    BOOST_TEST((lost == std::vector<std::string>{"k"}));
+    BOOST_TEST((changed == std::vector<std::string>{"k"}));
+}
+
 BOOST_AUTO_TEST_CASE(page_of_older_generation_changes_nothing) {
     log.store_generation = 5;
     log.put("l", "k", "1");
