Hold records of streams at relays, which outlast all entries

Cause: the record that tells which version began a stream was held at entries only, so it was lost with them.

Change: once the first event of a stream is passed on, which binds it to its version for good, its record also goes to two relays, which run beside the targets; relays are asked beside the entries.

--- a/include/wrenswitch/roles/relay.hpp
+++ b/include/wrenswitch/roles/relay.hpp
@@ -22,9 +22,10 @@
 /// Parses a relay's settings from JSON. Returns nothing if there are findings.
 std::optional<relay_settings> read_relay_settings(std::string_view text, findings& problems);
 
-/// Runs a relay until it receives a stop signal. A relay is a stateless proxy that calls the
-/// platform's service on behalf of peers that cannot reach it themselves. `path` is the settings
-/// file and `text` its current content. Returns the exit code of the process.
+/// Runs a relay until it receives a stop signal. A relay calls the platform's service on behalf of
+/// peers that cannot reach it themselves, and holds records of streams that must outlast the loss
+/// of all entries. `path` is the settings file and `text` its current content. Returns the exit
+/// code of the process.
 int run_relay(const std::string& path, const std::string& text);
 
 }  // namespace wrenswitch
--- a/src/roles/gateway/forwarded_request_response.cpp
+++ b/src/roles/gateway/forwarded_request_response.cpp
@@ -105,6 +105,7 @@
     }
     if (!caller_response_.started()) {
         stream_version_ = target_version_;
+        context_.streams.bind_stream(request_.id, stream_account());
         context_.counters.histogram("gateway_first_event_ms")
             .observe(monotonic_now() - exchange_->received());
         record_first_response();
--- a/src/roles/gateway/forwarded_request_stream.cpp
+++ b/src/roles/gateway/forwarded_request_stream.cpp
@@ -35,7 +35,7 @@
     const microseconds max_age =
         std::max<microseconds>(min_stream_age, admitted_.route.timeout * timeouts_per_stream);
     const instant now = monotonic_now();
-    stream_exchange::question question;
+    stream_question question;
     if (request_.resumed_request.size() <= stream_record::max_request_bytes) {
         question.request = request_.resumed_request;
     }
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -195,7 +195,8 @@
         stream_exchange::hooks{
             [this](std::string_view service) { return targets_.versions_of(service); },
             [this] { return is_target_list_current(); },
-            [this](std::string_view service) { return version_log_->covers(service); }});
+            [this](std::string_view service) { return version_log_->covers(service); },
+            [this] { return relays_in_region(settings_, configuration_, targets_.listed()); }});
     version_log_ = std::make_unique<version_log>(
         loop_, *log_, dialect_.version_log,
         version_log::hooks{[this](const std::string& service, const std::string& version) {
--- a/src/roles/gateway/relay_selection.cpp
+++ b/src/roles/gateway/relay_selection.cpp
@@ -12,21 +12,31 @@
     return std::string(address.substr(0, address.rfind(':')));
 }
 
-}  // namespace
+std::string relay_endpoint(const gateway_settings& settings, const gateway_target& target) {
+    return "tcp://" + host_of(target.address) + ":" + std::to_string(settings.relay_port);
+}
 
-std::vector<std::string> select_relays(const gateway_settings& settings,
-                                       const active_configuration& configuration,
-                                       const std::vector<gateway_target>& listed) {
-    if (settings.relay_port == 0) {
-        return {};
-    }
+/// The targets beside which relays run.
+std::vector<gateway_target> targets_with_relays(const gateway_settings& settings,
+                                                const active_configuration& configuration,
+                                                const std::vector<gateway_target>& listed) {
     std::vector<gateway_target> engine_targets;
     for (const gateway_target& target : listed) {
         const gateway_service* service = configuration.find_service(target.service);
-        if (service != nullptr && service->engine) {
+        if (settings.relay_port != 0 && service != nullptr && service->engine) {
             engine_targets.push_back(target);
         }
     }
+    return engine_targets;
+}
+
+}  // namespace
+
+std::vector<std::string> select_relays(const gateway_settings& settings,
+                                       const active_configuration& configuration,
+                                       const std::vector<gateway_target>& listed) {
+    std::vector<gateway_target> engine_targets =
+        targets_with_relays(settings, configuration, listed);
     const auto rank = [&settings](const gateway_target& target) {
         const bool in_other_domain = target.failure_domain != settings.failure_domain;
         const bool in_other_region =
@@ -41,10 +51,24 @@
     std::vector<std::string> endpoints;
     endpoints.reserve(engine_targets.size());
     for (const gateway_target& target : engine_targets) {
-        endpoints.push_back("tcp://" + host_of(target.address) + ":" +
-                            std::to_string(settings.relay_port));
+        endpoints.push_back(relay_endpoint(settings, target));
     }
     return endpoints;
 }
 
+std::vector<record_relay> relays_in_region(const gateway_settings& settings,
+                                           const active_configuration& configuration,
+                                           const std::vector<gateway_target>& listed) {
+    std::vector<record_relay> relays;
+    for (const gateway_target& target : targets_with_relays(settings, configuration, listed)) {
+        const bool is_near =
+            !settings.regions.has_multiple_regions() ||
+            settings.regions.in_same_region(target.failure_domain, settings.failure_domain);
+        if (is_near) {
+            relays.push_back({relay_endpoint(settings, target), target.failure_domain});
+        }
+    }
+    return relays;
+}
+
 }  // namespace wrenswitch
--- a/src/roles/gateway/relay_selection.hpp
+++ b/src/roles/gateway/relay_selection.hpp
@@ -5,6 +5,7 @@
 
 #include "wrenswitch/decision/gateway/active_configuration.hpp"
 #include "wrenswitch/decision/gateway/target_pool.hpp"
+#include "wrenswitch/decision/streams/record_relays.hpp"
 #include "wrenswitch/roles/gateway.hpp"
 
 namespace wrenswitch {
@@ -16,4 +17,9 @@
                                        const active_configuration& configuration,
                                        const std::vector<gateway_target>& listed);
 
+/// The relays of the gateway's region, which may hold records of streams.
+std::vector<record_relay> relays_in_region(const gateway_settings& settings,
+                                           const active_configuration& configuration,
+                                           const std::vector<gateway_target>& listed);
+
 }  // namespace wrenswitch
--- a/src/roles/gateway/stream_exchange.cpp
+++ b/src/roles/gateway/stream_exchange.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "roles/gateway/stream_codec.hpp"
 #include "wrenswitch/core/log.hpp"
 
 namespace wrenswitch {
@@ -14,9 +13,6 @@
 /// A record takes about 300 bytes here, so this bounds the memory to about 5 MB.
 constexpr std::size_t max_records = 16384;
 
-/// The longest time for which versions are remembered.
-constexpr microseconds versions_kept_for = seconds(600);
-
 /// An entry that hasn't answered by then doesn't hold up the caller any longer.
 constexpr microseconds answer_timeout = milliseconds(60);
 
@@ -24,8 +20,12 @@
 /// gone must not delay what another one knows.
 constexpr microseconds record_settle_time = milliseconds(10);
 
-/// Bounds the size of messages, also of those that other processes send.
-constexpr int max_records_per_message = 256;
+/// How long bound streams are gathered into one message to each relay. What is gathered is lost
+/// with this process.
+constexpr microseconds relay_batch_time = milliseconds(20);
+
+/// How often the records of running streams are sent to relays again, which may have restarted.
+constexpr microseconds relay_refresh_period = seconds(5);
 
 }  // namespace
 
@@ -40,7 +40,7 @@
       hooks_(std::move(callbacks)),
       holders_(members, std::move(failure_domain), std::move(region)),
       table_(max_records),
-      versions_(versions_kept_for) {}
+      versions_(stream_versions_kept_for) {}
 
 stream_exchange::~stream_exchange() {
     *alive_ = false;
@@ -59,11 +59,48 @@
         return;
     }
     begun_stream& stream = begun_[{record.account, record.request}];
-    stream.record = std::move(record);
-    stream.sent_to.clear();
+    stream = {std::move(record), {}, false, {}};
     records_by_endpoint batches;
     add_recipients(now, stream, batches);
-    send_records(now, batches);
+    send_records(now, batches, "records");
+}
+
+void stream_exchange::bind_stream(std::string_view request, std::uint64_t account) {
+    const stream_key key{account, std::string(request)};
+    const auto found = begun_.find(key);
+    if (found == begun_.end() || std::exchange(found->second.is_bound, true) ||
+        relays_.selected().empty()) {
+        return;
+    }
+    newly_bound_.push_back(key);
+    if (newly_bound_.size() == 1) {
+        loop_.call_after(relay_batch_time, [this, alive = alive_] {
+            if (*alive) {
+                flush_bound();
+            }
+        });
+    }
+}
+
+/// Sends the records of streams that were bound a moment ago and haven't ended meanwhile.
+void stream_exchange::flush_bound() {
+    const instant now = monotonic_now();
+    records_by_endpoint batches;
+    for (const stream_key& key : std::exchange(newly_bound_, {})) {
+        const auto found = begun_.find(key);
+        if (found != begun_.end()) {
+            send_to_relays(now, found->second, batches);
+        }
+    }
+    send_records(now, batches, "relay_records");
+}
+
+void stream_exchange::send_to_relays(instant now, begun_stream& stream,
+                                     records_by_endpoint& batches) const {
+    stream.relayed_at = now;
+    for (const std::string& endpoint : relays_.recipients(stream.record.request)) {
+        batches[endpoint].push_back(&stream.record);
+    }
 }
 
 void stream_exchange::end_stream(std::string_view request, std::uint64_t account) {
@@ -83,29 +120,34 @@
     }
 }
 
-void stream_exchange::send_records(instant now, const records_by_endpoint& batches) {
+void stream_exchange::send_records(instant now, const records_by_endpoint& batches,
+                                   std::string_view kind) {
     for (const auto& [endpoint, records] : batches) {
         wire::Envelope message;
         for (const stream_record* record : records) {
             *message.mutable_stream_records()->add_records() = encode_stream_record(now, *record);
             if (message.stream_records().records_size() == max_records_per_message) {
                 bus_.send(endpoint, message);
-                count_message("records", "sent");
+                count_message(kind, "sent");
                 message.clear_stream_records();
             }
         }
         if (message.has_stream_records()) {
             bus_.send(endpoint, message);
-            count_message("records", "sent");
+            count_message(kind, "sent");
         }
     }
 }
 
 void stream_exchange::note_list_read(instant now) {
     list_read_since_ = list_read_since_.value_or(now);
+    if (relays_.selected().empty()) {
+        // A caller may resume a stream before the next tick.
+        update_relays();
+    }
 }
 
-stream_knowledge stream_exchange::knowledge(instant now, const question& asked) const {
+stream_knowledge stream_exchange::knowledge(instant now, const stream_question& asked) const {
     stream_knowledge known;
     known.host = members_.own_host();
     if (const stream_record* record = table_.find(now, asked.request, asked.account)) {
@@ -121,14 +163,15 @@
 }
 
 /// True if no target can have begun the stream at a version that this entry doesn't know.
-bool stream_exchange::knows_all_versions(instant now, const question& asked) const {
-    if (!list_read_since_ || asked.max_age > versions_kept_for || !hooks_.is_list_current()) {
+bool stream_exchange::knows_all_versions(instant now, const stream_question& asked) const {
+    if (!list_read_since_ || asked.max_age > stream_versions_kept_for ||
+        !hooks_.is_list_current()) {
         return false;
     }
     return now - *list_read_since_ >= asked.max_age || hooks_.knows_earlier_versions(asked.service);
 }
 
-std::shared_ptr<stream_exchange::handle> stream_exchange::ask(question asked,
+std::shared_ptr<stream_exchange::handle> stream_exchange::ask(stream_question asked,
                                                               resolution_hook on_resolved) {
     const instant now = monotonic_now();
     const std::uint64_t number = ++last_question_;
@@ -139,20 +182,21 @@
     pending.asked_at = now;
     pending.known.push_back(knowledge(now, asked));
     wire::Envelope message;
-    wire::StreamQuestion& sent = *message.mutable_stream_question();
-    sent.set_number(number);
-    sent.set_request(asked.request);
-    sent.set_account(asked.account);
-    sent.set_service(asked.service);
-    sent.set_window_ms(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(asked.max_age).count()));
+    *message.mutable_stream_question() = encode_stream_question(number, asked);
     microseconds timeout{};
     for (const cluster_member& each : holders_.candidates(asked.request)) {
         bus_.send(each.endpoint, message);
         count_message("question", "sent");
-        pending.asked_count += 1;
+        pending.entries_asked += 1;
         timeout = std::max(timeout, answer_timeout + members_.round_trip(each));
     }
+    pending.asked_count = pending.entries_asked;
+    for (const std::string& endpoint : relays_.candidates(asked.request)) {
+        bus_.send(endpoint, message);
+        count_message("relay_question", "sent");
+        pending.asked_count += 1;
+        timeout = std::max(timeout, answer_timeout);
+    }
     pending.has_record = pending.known.front().record.has_value();
     pending.asked = std::move(asked);
     resolve_after(pending.has_record ? std::min(timeout, record_settle_time) : timeout, number);
@@ -177,7 +221,7 @@
     if (pending.owner.expired()) {
         return;
     }
-    if (pending.asked_count > 0 && pending.answered_count == 0) {
+    if (pending.entries_asked > 0 && pending.entries_answered == 0) {
         // An entry that reaches no other one may have an old list without knowing it.
         pending.known.front().versions_complete = false;
     }
@@ -197,7 +241,7 @@
     } else if (message.has_stream_question()) {
         on_question(now, origin, message);
     } else if (message.has_stream_answer()) {
-        on_answer(message);
+        on_answer(origin, message);
     } else {
         return false;
     }
@@ -206,42 +250,27 @@
 
 void stream_exchange::on_records(instant now, const wire::Envelope& message) {
     count_message("records", "received");
-    if (message.stream_records().records_size() > max_records_per_message) {
-        counters_.counter("gateway_stream_records_refused_total") += 1;
-        log_event(log_level::error, "stream_records_refused",
-                  {{"records", std::to_string(message.stream_records().records_size())}});
-        return;
-    }
-    for (const wire::StreamRecord& each : message.stream_records().records()) {
-        const auto outcome = table_.record(now, decode_stream_record(now, each));
-        if (outcome == stream_record_table::outcome::invalid) {
-            counters_.counter("gateway_stream_records_refused_total") += 1;
-        }
-    }
+    counters_.counter("gateway_stream_records_refused_total") += accept_stream_records(
+        now, message.stream_records(),
+        [this, now](stream_record record) { return table_.record(now, std::move(record)); });
 }
 
 void stream_exchange::on_question(instant now, const message_origin& origin,
                                   const wire::Envelope& message) {
     count_message("question", "received");
-    const wire::StreamQuestion& asked = message.stream_question();
-    if (asked.request().size() > stream_record::max_request_bytes ||
-        asked.service().size() > stream_record::max_name_bytes) {
+    const std::optional<stream_question> asked = decode_stream_question(message.stream_question());
+    if (!asked) {
         counters_.counter("gateway_stream_questions_refused_total") += 1;
         return;
     }
-    constexpr std::uint64_t max_window_ms =
-        std::chrono::duration_cast<milliseconds>(versions_kept_for).count();
-    // A longer window than versions are kept for leaves them incomplete.
-    const milliseconds window(std::min(asked.window_ms(), max_window_ms + 1));
     wire::Envelope answer;
-    *answer.mutable_stream_answer() = encode_stream_answer(
-        now, knowledge(now, {asked.request(), asked.account(), asked.service(), window}));
-    answer.mutable_stream_answer()->set_number(asked.number());
+    *answer.mutable_stream_answer() = encode_stream_answer(now, knowledge(now, *asked));
+    answer.mutable_stream_answer()->set_number(message.stream_question().number());
     bus_.answer(origin, answer);
     count_message("answer", "sent");
 }
 
-void stream_exchange::on_answer(const wire::Envelope& message) {
+void stream_exchange::on_answer(const message_origin& origin, const wire::Envelope& message) {
     count_message("answer", "received");
     const std::uint64_t number = message.stream_answer().number();
     const auto found = pending_.find(number);
@@ -258,6 +287,7 @@
     const bool is_first_record = known.record && !std::exchange(pending.has_record, true);
     pending.known.push_back(std::move(known));
     pending.answered_count += 1;
+    pending.entries_answered += relays_.contains(origin.endpoint) ? 0 : 1;
     if (pending.answered_count >= pending.asked_count) {
         resolve(number);
     } else if (is_first_record) {
@@ -275,7 +305,7 @@
             batches[member.endpoint].push_back(&each);
         }
     }
-    send_records(now, batches);
+    send_records(now, batches, "records");
     log_event(
         log_level::information, "stream_records_handed_over",
         {{"records", std::to_string(records.size())}, {"members", std::to_string(batches.size())}});
@@ -291,7 +321,38 @@
     for (auto& [key, stream] : begun_) {
         add_recipients(now, stream, batches);
     }
-    send_records(now, batches);
+    send_records(now, batches, "records");
+}
+
+/// Connects to relays that are new among those that hold records.
+void stream_exchange::update_relays() {
+    if (!hooks_.relays || !relays_.select(hooks_.relays())) {
+        return;
+    }
+    std::set<std::string> endpoints;
+    for (const record_relay& each : relays_.selected()) {
+        endpoints.insert(each.endpoint);
+        if (!connected_relays_.contains(each.endpoint)) {
+            wire::Envelope message;
+            message.mutable_stream_records();
+            bus_.send(each.endpoint, message);
+        }
+    }
+    connected_relays_ = std::move(endpoints);
+    for (auto& [key, stream] : begun_) {
+        stream.relayed_at = {};
+    }
+}
+
+/// Sends records again that relays may have lost, or that other relays should have now.
+void stream_exchange::refresh_relays(instant now) {
+    records_by_endpoint batches;
+    for (auto& [key, stream] : begun_) {
+        if (stream.is_bound && now - stream.relayed_at >= relay_refresh_period) {
+            send_to_relays(now, stream, batches);
+        }
+    }
+    send_records(now, batches, "relay_records");
 }
 
 /// Opens connections before records need them. A record that waits for its connection may still be
@@ -312,12 +373,14 @@
 
 void stream_exchange::tick(instant now) {
     repair(now);
+    update_relays();
     table_.remove_expired(now);
     versions_.remove_old(now);
     // The table bounds the number of records, also of those of this entry.
     std::erase_if(begun_, [this, now](const auto& entry) {
         return table_.find(now, entry.first.second, entry.first.first) == nullptr;
     });
+    refresh_relays(now);
     counters_.gauge("gateway_streams_begun") = static_cast<double>(begun_.size());
     counters_.gauge("gateway_stream_records") = static_cast<double>(table_.size());
     counters_.gauge("gateway_stream_record_bytes") = static_cast<double>(table_.bytes());
--- a/src/roles/gateway/stream_exchange.hpp
+++ b/src/roles/gateway/stream_exchange.hpp
@@ -12,9 +12,11 @@
 #include <utility>
 #include <vector>
 
+#include "roles/shared/stream_codec.hpp"
 #include "wrenswitch/core/metrics.hpp"
 #include "wrenswitch/decision/grants/token_allocator_selector.hpp"
 #include "wrenswitch/decision/streams/recent_values.hpp"
+#include "wrenswitch/decision/streams/record_relays.hpp"
 #include "wrenswitch/decision/streams/stream_holders.hpp"
 #include "wrenswitch/decision/streams/stream_origin.hpp"
 #include "wrenswitch/decision/streams/stream_record_table.hpp"
@@ -27,9 +29,11 @@
 /// stream at another entry than the one that began it, which by then may be gone.
 ///
 /// A record is sent when the request is sent to its target, so it is on its way before the target
-/// can have sent an event. Delivery isn't guaranteed: a stream whose record nobody holds continues
-/// only if all targets that may have begun it had one version. docs/design/stream-versions.md says
-/// what happens when entries and the links between them fail.
+/// can have sent an event. Once the first event is passed on to the caller, which binds the stream
+/// to its version for good, the record is also sent to relays, where it outlasts the loss of all
+/// entries. Delivery isn't guaranteed: a stream whose record nobody holds continues only if all
+/// targets that may have begun it had one version. docs/design/stream-versions.md says what happens
+/// when entries and the links between them fail.
 class stream_exchange {
 public:
     struct hooks {
@@ -40,17 +44,8 @@
         /// True if the versions that targets of the service had before this process started are
         /// known.
         std::function<bool(std::string_view service)> knows_earlier_versions;
-    };
-
-    /// A stream that a caller resumes.
-    struct question {
-        /// Empty if the caller doesn't name the request that began the stream.
-        std::string request;
-        std::uint64_t account = 0;
-        /// The only service that may have begun the stream, or empty if there are several.
-        std::string service;
-        /// How long ago the stream may have begun.
-        microseconds max_age{};
+        /// The relays of this region. None hold records if the function isn't set.
+        std::function<std::vector<record_relay>()> relays = {};
     };
 
     struct resolution {
@@ -75,12 +70,16 @@
     /// Records a stream that this entry begins, here and at its holders.
     void begin_stream(stream_record record);
 
+    /// Records that the first event of a stream is passed on to its caller: from now on no attempt
+    /// of the request may use another version.
+    void bind_stream(std::string_view request, std::uint64_t account);
+
     /// Forgets a stream that the caller has received whole.
     void end_stream(std::string_view request, std::uint64_t account);
 
     /// Finds out where a stream began. The hook is called within about 60 ms, or later by the round
     /// trip to other regions; never before this call returns.
-    std::shared_ptr<handle> ask(question asked, resolution_hook on_resolved);
+    std::shared_ptr<handle> ask(stream_question asked, resolution_hook on_resolved);
 
     /// Records that a service has targets of a version, or had them until now.
     void note_version(instant now, std::string_view service, std::string_view version) {
@@ -109,30 +108,42 @@
     struct begun_stream {
         stream_record record;
         std::set<holder> sent_to;
+        /// True once the caller has the first event.
+        bool is_bound = false;
+        /// When the record was last sent to relays.
+        instant relayed_at{};
     };
 
     struct pending_question {
-        question asked;
+        stream_question asked;
         std::weak_ptr<handle> owner;
         resolution_hook on_resolved;
         instant asked_at{};
         std::vector<stream_knowledge> known;
         std::size_t asked_count = 0;
         std::size_t answered_count = 0;
+        std::size_t entries_asked = 0;
+        std::size_t entries_answered = 0;
         bool has_record = false;
     };
 
+    using stream_key = std::pair<std::uint64_t, std::string>;
+
     using records_by_endpoint = std::map<std::string, std::vector<const stream_record*>>;
 
-    stream_knowledge knowledge(instant now, const question& asked) const;
-    bool knows_all_versions(instant now, const question& asked) const;
+    stream_knowledge knowledge(instant now, const stream_question& asked) const;
+    bool knows_all_versions(instant now, const stream_question& asked) const;
     void resolve(std::uint64_t number);
     void resolve_after(microseconds delay, std::uint64_t number);
     void add_recipients(instant now, begun_stream& stream, records_by_endpoint& batches);
-    void send_records(instant now, const records_by_endpoint& batches);
+    void send_records(instant now, const records_by_endpoint& batches, std::string_view kind);
+    void send_to_relays(instant now, begun_stream& stream, records_by_endpoint& batches) const;
+    void flush_bound();
+    void update_relays();
+    void refresh_relays(instant now);
     void on_records(instant now, const wire::Envelope& message);
     void on_question(instant now, const message_origin& origin, const wire::Envelope& message);
-    void on_answer(const wire::Envelope& message);
+    void on_answer(const message_origin& origin, const wire::Envelope& message);
     void repair(instant now);
     void connect_to_keepers();
     void count_message(std::string_view kind, std::string_view direction);
@@ -144,7 +155,10 @@
     hooks hooks_;
     stream_holders holders_;
     stream_record_table table_;
-    std::map<std::pair<std::uint64_t, std::string>, begun_stream> begun_;
+    std::map<stream_key, begun_stream> begun_;
+    record_relays relays_;
+    /// Bound streams whose records are about to be sent to relays.
+    std::vector<stream_key> newly_bound_;
     recent_values versions_;
     std::optional<instant> list_read_since_;
     std::map<std::uint64_t, pending_question> pending_;
@@ -152,6 +166,7 @@
     std::uint64_t members_version_ = 0;
     /// The processes to which a connection was opened.
     std::set<holder> connected_;
+    std::set<std::string> connected_relays_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/roles/relay/relay.cpp
+++ b/src/roles/relay/relay.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "roles/relay/stream_record_service.hpp"
 #include "roles/shared/process_settings.hpp"
 #include "wrenswitch/core/exit_codes.hpp"
 #include "wrenswitch/core/log.hpp"
@@ -179,8 +180,11 @@
     const std::unique_ptr<service_channel> service =
         make_direct_channel(loop, settings.service, arrivals);
     call_relay calls(loop, bus, *service);
-    bus.on_message([&calls](const message_origin& origin, const wire::Envelope& message) {
-        calls.on_message(origin, message);
+    stream_record_service records(loop, bus, settings.host);
+    bus.on_message([&](const message_origin& origin, const wire::Envelope& message) {
+        if (!records.on_message(origin, message)) {
+            calls.on_message(origin, message);
+        }
     });
     log_event(log_level::information, "relay_started",
               {{"host", settings.host}, {"endpoint", bus.endpoint()}});
--- a/src/roles/gateway/stream_codec.cpp
+++ b/src/roles/shared/stream_codec.cpp
@@ -1,8 +1,11 @@
-#include "roles/gateway/stream_codec.hpp"
+#include "roles/shared/stream_codec.hpp"
 
 #include <streams.pb.h>
 
 #include <algorithm>
+#include <utility>
+
+#include "wrenswitch/core/log.hpp"
 
 namespace wrenswitch {
 namespace {
@@ -37,6 +40,44 @@
     return record;
 }
 
+std::size_t accept_stream_records(
+    instant now, const wire::StreamRecords& message,
+    const std::function<stream_record_table::outcome(stream_record)>& keep) {
+    if (message.records_size() > max_records_per_message) {
+        log_event(log_level::error, "stream_records_refused",
+                  {{"records", std::to_string(message.records_size())}});
+        return 1;
+    }
+    std::size_t refused = 0;
+    for (const wire::StreamRecord& each : message.records()) {
+        const auto outcome = keep(decode_stream_record(now, each));
+        refused += outcome == stream_record_table::outcome::invalid ? 1 : 0;
+    }
+    return refused;
+}
+
+wire::StreamQuestion encode_stream_question(std::uint64_t number, const stream_question& asked) {
+    wire::StreamQuestion message;
+    message.set_number(number);
+    message.set_request(asked.request);
+    message.set_account(asked.account);
+    message.set_service(asked.service);
+    message.set_window_ms(static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(asked.max_age).count()));
+    return message;
+}
+
+std::optional<stream_question> decode_stream_question(const wire::StreamQuestion& message) {
+    if (message.request().size() > stream_record::max_request_bytes ||
+        message.service().size() > stream_record::max_name_bytes) {
+        return std::nullopt;
+    }
+    constexpr std::uint64_t max_window_ms =
+        std::chrono::duration_cast<milliseconds>(stream_versions_kept_for).count();
+    const milliseconds window(std::min(message.window_ms(), max_window_ms + 1));
+    return stream_question{message.request(), message.account(), message.service(), window};
+}
+
 wire::StreamAnswer encode_stream_answer(instant now, const stream_knowledge& known) {
     wire::StreamAnswer message;
     message.set_host(known.host);
--- a/tests/decision/streams/stream_records_model_test.cpp
+++ b/tests/decision/streams/stream_records_model_test.cpp
@@ -7,6 +7,7 @@
 
 #include "wrenswitch/core/random_source.hpp"
 #include "wrenswitch/decision/streams/recent_values.hpp"
+#include "wrenswitch/decision/streams/record_relays.hpp"
 #include "wrenswitch/decision/streams/stream_holders.hpp"
 #include "wrenswitch/decision/streams/stream_origin.hpp"
 #include "wrenswitch/decision/streams/stream_record_table.hpp"
@@ -26,6 +27,10 @@
     kept_where_begun,
     /// An entry that has just started trusts the versions it sees.
     trusts_short_lists,
+    /// Relays get the record of each attempt when it is sent, though a later one may follow.
+    relays_hold_unbound,
+    /// No relay holds records.
+    no_relays,
 };
 
 /// Entries of one region that keep and ask for records, with faults between them, in virtual time.
@@ -35,8 +40,17 @@
     static constexpr microseconds longest_stream = seconds(15);
     static constexpr microseconds window = seconds(30);
     static constexpr std::size_t entry_count = 6;
-
-    record_model(std::uint64_t seed, rules variant) : random_(seed), variant_(variant) {
+    static constexpr std::size_t relay_count = 6;
+
+    /// With `loses_all`, all entries are lost at once now and then, and some relays.
+    record_model(std::uint64_t seed, rules variant, bool loses_all = false)
+        : random_(seed), variant_(variant), loses_all_(loses_all) {
+        std::vector<record_relay> relays;
+        for (std::size_t number = 0; number < relay_count; ++number) {
+            relays.push_back({"side-" + std::to_string(number), domain_of(number)});
+            relay_tables_.emplace(relays.back().endpoint, stream_record_table(1000));
+        }
+        relays_.select(relays);
         for (std::size_t number = 0; number < entry_count; ++number) {
             entries_.push_back(
                 std::make_unique<entry>("front-" + std::to_string(number), domain_of(number)));
@@ -146,7 +160,35 @@
         return removed == removed_at_.end() || now_ - removed->second <= seconds(5);
     }
 
+    void lose_all() {
+        for (const auto& each : entries_) {
+            start(*each);
+        }
+        change_versions_at_once();
+        // Waves follow one another; some entries stay away for a while.
+        entries_[random_.below(entry_count)]->frozen = true;
+    }
+
+    /// A version may leave, and another one come, while nobody looks.
+    void change_versions_at_once() {
+        if (random_.below(2) == 0) {
+            versions_.insert("v" + std::to_string(++last_version_));
+        }
+        if (versions_.size() > 1 && random_.below(2) == 0) {
+            const std::string removed = any_of(versions_);
+            versions_.erase(removed);
+            removed_at_[removed] = now_;
+        }
+    }
+
     void harm() {
+        if (loses_all_ && random_.below(80) == 0) {
+            lose_all();
+        }
+        if (loses_all_ && random_.below(200) == 0) {
+            relay_tables_.at("side-" + std::to_string(random_.below(relay_count))) =
+                stream_record_table(1000);
+        }
         entry& at = *entries_[random_.below(entry_count)];
         switch (random_.below(120)) {
             case 0:
@@ -196,7 +238,11 @@
         const std::uint32_t attempts = random_.below(4) == 0 ? 2 : 1;
         for (std::uint32_t attempt = 1; attempt <= attempts; ++attempt) {
             version = any_of(at.listed);
-            send(at, {request, "llm", version, 0, attempt, now_ + life});
+            const stream_record record{request, "llm", version, 0, attempt, now_ + life};
+            send(at, record);
+            if (attempt == attempts || variant_ == rules::relays_hold_unbound) {
+                send_to_relays(at, record);
+            }
         }
         if (serves(version)) {
             streams_.push_back({request, version, now_ + life});
@@ -224,6 +270,29 @@
         }
     }
 
+    /// A message to a relay may be lost with the connection.
+    void send_to_relays(const entry& from, const stream_record& record) {
+        if (!loses_all_ || variant_ == rules::no_relays || from.cut_off) {
+            return;
+        }
+        for (const std::string& endpoint : relays_.recipients(record.request)) {
+            if (random_.below(20) != 0) {
+                relay_tables_.at(endpoint).record(now_, record);
+            }
+        }
+    }
+
+    std::vector<stream_knowledge> relay_knowledge(const entry& at, const std::string& request) {
+        std::vector<stream_knowledge> known;
+        for (const std::string& endpoint : relays_.candidates(request)) {
+            const stream_record* record = relay_tables_.at(endpoint).find(now_, request, 0);
+            if (!at.cut_off && record != nullptr) {
+                known.push_back({endpoint, *record, {}, false});
+            }
+        }
+        return known;
+    }
+
     stream_knowledge knowledge(const entry& at, const std::string& request) const {
         stream_knowledge known;
         known.host = at.host;
@@ -253,6 +322,9 @@
         if (known.size() == 1) {
             known.front().versions_complete = false;
         }
+        for (stream_knowledge& each : relay_knowledge(at, taken.request)) {
+            known.push_back(std::move(each));
+        }
         const stream_origin origin = determine_origin(known, "llm");
         resumed += 1;
         if (origin.source == origin_source::unknown) {
@@ -265,6 +337,9 @@
 
     random_source random_;
     rules variant_;
+    bool loses_all_;
+    record_relays relays_;
+    std::map<std::string, stream_record_table> relay_tables_;
     instant now_{seconds(1000)};
     std::vector<std::unique_ptr<entry>> entries_;
     std::set<std::string, std::less<>> versions_{"v1"};
@@ -284,10 +359,10 @@
     std::size_t refused = 0;
 };
 
-model_sums play_all(rules variant) {
+model_sums play_all(rules variant, bool loses_all = false) {
     model_sums sums;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        record_model model(seed, variant);
+        record_model model(seed, variant, loses_all);
         model.play(steps);
         sums.joined += model.joined;
         sums.resumed += model.resumed;
@@ -308,6 +383,19 @@
     BOOST_TEST(sums.refused * 4 < sums.resumed);
 }
 
+/// Without records at relays no stream went on after a loss of all entries beside two versions.
+BOOST_AUTO_TEST_CASE(losses_of_all_entries_join_no_versions_and_lose_few_streams) {
+    const model_sums sums = play_all(rules::as_built, true);
+    BOOST_TEST(sums.resumed > 10000U);
+    BOOST_TEST(sums.joined == 0U);
+    BOOST_TEST(sums.refused * 10 < sums.resumed);
+    BOOST_TEST(play_all(rules::no_relays, true).refused > 3 * sums.refused);
+}
+
+BOOST_AUTO_TEST_CASE(relays_that_hold_records_of_unbound_streams_join_versions) {
+    BOOST_TEST(play_all(rules::relays_hold_unbound, true).joined > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(unknown_streams_that_go_on_join_versions) {
     BOOST_TEST(play_all(rules::unknown_goes_on).joined > 0U);
 }
--- a/tests/roles/stream_exchange_test.cpp
+++ b/tests/roles/stream_exchange_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
+#include "roles/relay/stream_record_service.hpp"
 #include "support/loop_runner.hpp"
 
 namespace {
@@ -21,9 +22,10 @@
         : host("h" + std::to_string(number)),
           bus(message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value()),
           members(host, {}),
-          exchange(loop, *bus, members, "z1", "", counters,
-                   {[this](std::string_view) { return versions; }, [this] { return list_current; },
-                    [this](std::string_view) { return knows_earlier; }}) {
+          exchange(
+              loop, *bus, members, "z1", "", counters,
+              {[this](std::string_view) { return versions; }, [this] { return list_current; },
+               [this](std::string_view) { return knows_earlier; }, [this] { return relays; }}) {
         bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
             if (answers) {
                 exchange.on_message(origin, message);
@@ -53,6 +55,7 @@
     bool list_current = true;
     bool knows_earlier = false;
     bool answers = true;
+    std::vector<record_relay> relays;
     stream_exchange exchange;
 };
 
@@ -203,6 +206,110 @@
     BOOST_TEST(name_of(ask(second, "r1").origin.source) == "unknown");
 }
 
+/// A relay that holds records beside the entries, over a real bus.
+struct record_relay_fixture : stream_exchange_fixture {
+    std::unique_ptr<message_bus> bus =
+        message_bus::open(loop, {"tcp://127.0.0.1:0", {}, {}}).value();
+    stream_record_service service{loop, *bus, "side-1"};
+    std::size_t records = 0;
+
+    record_relay_fixture() {
+        bus->on_message([this](const message_origin& origin, const wire::Envelope& message) {
+            records += static_cast<std::size_t>(message.stream_records().records_size());
+            service.on_message(origin, message);
+        });
+        for (entry_process* each : all) {
+            each->relays = {{bus->endpoint(), "z1"}};
+            each->versions = {"v1", "v2"};
+            each->exchange.tick(monotonic_now());
+        }
+    }
+
+    /// Lets an entry hold a stream's record that no other entry has.
+    void begin_alone(const std::string& request, bool binds) {
+        for (entry_process* each : {&second, &third, &fourth}) {
+            each->answers = false;
+        }
+        first.exchange.begin_stream(record(request));
+        if (binds) {
+            first.exchange.bind_stream(request, account);
+        }
+        run_for(milliseconds(60));
+        for (entry_process* each : {&second, &third, &fourth}) {
+            each->answers = true;
+        }
+        first.answers = false;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(stream_is_known_from_a_relay_after_all_its_entries_are_gone,
+                        record_relay_fixture) {
+    begin_alone("r1", true);
+    const auto found = ask(second, "r1");
+    BOOST_TEST(name_of(found.origin.source) == "record");
+    BOOST_TEST(found.origin.version == "v1");
+    BOOST_TEST(found.origin.host == "side-1");
+    BOOST_TEST(name_of(ask(second, "r1", "llm", account + 1).origin.source) == "unknown");
+}
+
+/// Until its first event is passed on, a stream may yet begin at another version.
+BOOST_FIXTURE_TEST_CASE(relay_gets_no_record_of_a_stream_that_has_no_event, record_relay_fixture) {
+    begin_alone("r1", false);
+    BOOST_TEST(records == 0U);
+    BOOST_TEST(name_of(ask(second, "r1").origin.source) == "unknown");
+}
+
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_at_once_is_not_sent_to_relays, record_relay_fixture) {
+    first.exchange.begin_stream(record("r1"));
+    first.exchange.bind_stream("r1", account);
+    first.exchange.end_stream("r1", account);
+    run_for(milliseconds(60));
+    BOOST_TEST(records == 0U);
+    BOOST_TEST(first.sent("relay_records") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(streams_that_begin_together_reach_a_relay_in_one_message,
+                        record_relay_fixture) {
+    for (int number = 0; number < 20; ++number) {
+        const std::string request = "r" + std::to_string(number);
+        first.exchange.begin_stream(record(request));
+        first.exchange.bind_stream(request, account);
+        first.exchange.bind_stream(request, account);
+    }
+    BOOST_TEST(run_until([this] { return records == 20U; }));
+    BOOST_TEST(first.sent("relay_records") == 1U);
+}
+
+/// What a relay answers doesn't show that this entry's list is up to date.
+BOOST_FIXTURE_TEST_CASE(entry_that_hears_of_a_relay_alone_trusts_no_list, record_relay_fixture) {
+    read_lists();
+    for (entry_process* each : all) {
+        each->versions = {"v1"};
+        each->answers = each == &second;
+    }
+    const auto found = ask(second, "r9");
+    BOOST_TEST(found.answered == 1U);
+    BOOST_TEST(name_of(found.origin.source) == "unknown");
+}
+
+/// All entries have started anew and know one version; a relay has seen streams of another one.
+BOOST_FIXTURE_TEST_CASE(version_that_only_a_relay_has_seen_counts, record_relay_fixture) {
+    begin_alone("r1", true);
+    read_lists();
+    for (entry_process* each : all) {
+        each->versions = {"v2"};
+        each->knows_earlier = true;
+    }
+    const auto found = ask(second, "r9");
+    BOOST_TEST(name_of(found.origin.source) == "only_version");
+    const auto window = seconds(10);
+    std::optional<stream_exchange::resolution> known;
+    const auto question = second.exchange.ask({"r9", account, "llm", window},
+                                              [&known](const auto& result) { known = result; });
+    BOOST_REQUIRE(run_until([&known] { return known.has_value(); }));
+    BOOST_TEST(name_of(known->origin.source) == "unknown");
+}
+
 BOOST_AUTO_TEST_CASE(lists_that_are_not_up_to_date_are_not_trusted) {
     read_lists();
     for (entry_process* each : all) {
