Begin no resumable stream at a version before it is recorded

Cause: an entry that starts takes the version log for complete if it has the service at all. But streams began at a version as soon as its targets were listed, before its record was acknowledged, or while the store refused it; only two entries wrote it, once each had read the log at its start; and a store that was restored from a copy had lost it.

Change: entries follow the version log. A resumable stream begins only at versions that the log has; if nothing else could serve it, it waits up to 200 ms for the record and is then refused with version_not_recorded. A log of a restored store tells nothing about what was before it, and what it lacks is recorded again. An entry is ready once it has read the log.

The model has a version log that is late, dark or restored; its variants that begin streams at unrecorded versions, or trust a restored log, join versions.

--- a/src/roles/gateway/forwarded_request.hpp
+++ b/src/roles/gateway/forwarded_request.hpp
@@ -73,6 +73,10 @@
 
     void dispatch();
     std::optional<version_constraint> choose_versions();
+    version_set unrecorded_versions() const;
+    bool may_wait_for_record() const;
+    std::optional<version_constraint> without_unrecorded(
+        std::optional<version_constraint> versions) const;
     candidate_constraints current_constraints() const;
     bool has_target_of_stream_version();
     void wait_for_versions();
--- a/src/roles/gateway/forwarded_request_routing.cpp
+++ b/src/roles/gateway/forwarded_request_routing.cpp
@@ -17,6 +17,9 @@
 /// The longest wait for a send permit if the route has no objective for its first response.
 constexpr microseconds default_permit_wait = milliseconds(300);
 
+/// A version that isn't recorded by then may not be for long, since the log doesn't take records.
+constexpr microseconds max_record_wait = milliseconds(200);
+
 }  // namespace
 
 void forwarded_request::dispatch() {
@@ -40,7 +43,8 @@
 }
 
 /// Shortly before the deadline of a rollout the old version gets no request that it could not
-/// finish, and the new one no more than its bound allows. This lasts at most about 400 ms.
+/// finish, and the new one no more than its bound allows. This lasts at most about 400 ms. The
+/// record of a version that has just appeared takes some milliseconds.
 void forwarded_request::wait_for_versions() {
     context_.counters.counter("gateway_waits_for_versions_total") += 1;
     context_.loop.call_after(version_poll_period, [self = weak_from_this()] {
@@ -236,15 +240,24 @@
         dispatch();
         return;
     }
-    const auto versions =
-        stream_version_ ? std::nullopt : rollout_.choose_fallback_versions(all_cold);
+    const auto versions = stream_version_
+                              ? std::nullopt
+                              : without_unrecorded(rollout_.choose_fallback_versions(all_cold));
     if (versions) {
         choose_target(*versions);
+    } else if (may_wait_for_record()) {
+        wait_for_versions();
     } else {
         refuse_without_target(all_cold);
     }
 }
 
+/// True if a version may be recorded in a moment that could then serve the request.
+bool forwarded_request::may_wait_for_record() const {
+    return monotonic_now() - exchange_->received() < max_record_wait &&
+           !unrecorded_versions().empty();
+}
+
 /// Refuses a request that no target can serve in time, with the time at which the next permit is
 /// due.
 void forwarded_request::refuse_without_target(bool all_cold) {
@@ -253,6 +266,8 @@
         refuse_interrupted("no_target_of_version", version_retry_after);
     } else if (history_.may_have_run()) {
         fail(status_bad_gateway, "no_target_left");
+    } else if (!unrecorded_versions().empty()) {
+        refuse(status_unavailable, "version_not_recorded", targets_retry_after);
     } else if (all_cold) {
         refuse(status_unavailable, "targets_cold", permit_retry_after);
     } else if (earliest) {
--- a/src/roles/gateway/forwarded_request_stream.cpp
+++ b/src/roles/gateway/forwarded_request_stream.cpp
@@ -118,8 +118,25 @@
     const instant now = monotonic_now();
     const unsigned attempt = history_.attempt_number() + 1;
     const bool suspected = suspicion_.level() != suspicion::none;
-    return stream_version_ ? rollout_.choose_continuation(now, attempt, *stream_version_, suspected)
-                           : rollout_.choose_versions(now, attempt, suspected);
+    if (stream_version_) {
+        return rollout_.choose_continuation(now, attempt, *stream_version_, suspected);
+    }
+    return without_unrecorded(rollout_.choose_versions(now, attempt, suspected));
+}
+
+/// No resumable stream begins at a version that isn't in the version log yet.
+version_set forwarded_request::unrecorded_versions() const {
+    const bool begins_stream =
+        !stream_version_ && admitted_.route.kind == request_kind::resumable_stream;
+    return begins_stream ? context_.unrecorded_versions(admitted_.service) : version_set{};
+}
+
+std::optional<version_constraint> forwarded_request::without_unrecorded(
+    std::optional<version_constraint> versions) const {
+    if (versions) {
+        versions->excluded.merge(unrecorded_versions());
+    }
+    return versions;
 }
 
 /// The constraints that hold for this request whatever a rollout allows.
@@ -128,6 +145,7 @@
     if (stream_version_) {
         constraints.version = {version_rule::only, *stream_version_, 0, 0, {}};
     }
+    constraints.version.excluded = unrecorded_versions();
     return constraints;
 }
 
--- a/src/roles/gateway/gateway.cpp
+++ b/src/roles/gateway/gateway.cpp
@@ -177,7 +177,7 @@
     crashes_.tick(now);
     signals_->tick(now);
     streams_->tick(now);
-    version_log_->update(streams_->versions(), is_target_list_current());
+    update_version_log();
     suspects_->tick(now);
     targets_.refresh_gateway_count(now);
     rollouts_.tick(now);
--- a/src/roles/gateway/gateway.hpp
+++ b/src/roles/gateway/gateway.hpp
@@ -59,6 +59,9 @@
     void open_exchanges();
     void open_streams();
     bool writes_version(std::string_view key) const;
+    bool is_version_log_current() const;
+    void update_version_log();
+    version_set unrecorded_versions(const std::string& service) const;
     bool is_target_list_current() const;
     void apply_target_record(const keyed_record& record);
     result<void> open_ingress();
--- a/src/roles/gateway/gateway_admin.cpp
+++ b/src/roles/gateway/gateway_admin.cpp
@@ -59,6 +59,7 @@
     require(ledger_->live(), "grants");
     require(target_follower_->live(), "targets");
     require(suspects_->ready(), "suspects");
+    require(version_log_->live(), "versions");
     require(!is_isolated(), "contact");
     return missing;
 }
--- a/src/roles/gateway/gateway_context.hpp
+++ b/src/roles/gateway/gateway_context.hpp
@@ -81,6 +81,8 @@
     std::function<bool()> is_isolated;
     /// The connection pool of a target.
     std::function<upstream_pool&(const gateway_target&)> pool_of;
+    /// The present versions of a service at which no resumable stream may begin yet.
+    std::function<version_set(const std::string& service)> unrecorded_versions;
     /// Holds responses until they are complete.
     response_memory& responses;
     /// The requests that have not ended.
--- a/src/roles/gateway/gateway_rollout_hooks.cpp
+++ b/src/roles/gateway/gateway_rollout_hooks.cpp
@@ -49,6 +49,7 @@
 void gateway::on_targets_read() {
     const instant now = monotonic_now();
     streams_->note_list_read(now);
+    update_version_log();
     const bool was_waiting = std::exchange(waits_for_orders_, targets_.waits_for_orders(now));
     if (waits_for_orders_ && !was_waiting) {
         configuration_follower_->look_now();
--- a/src/roles/gateway/gateway_wiring.cpp
+++ b/src/roles/gateway/gateway_wiring.cpp
@@ -194,24 +194,50 @@
         std::string(settings_.regions.region_of(settings_.failure_domain)), metrics_,
         stream_exchange::hooks{
             [this](std::string_view service) { return targets_.versions_of(service); },
-            [this] { return is_target_list_current(); },
+            [this] { return is_target_list_current() && is_version_log_current(); },
             [this](std::string_view service) { return version_log_->covers(service); },
             [this] { return relays_in_region(settings_, configuration_, targets_.listed()); }});
     version_log_ = std::make_unique<version_log>(
-        loop_, *log_, dialect_.version_log,
+        loop_, *shared_log_, dialect_.version_log,
         version_log::hooks{[this](const std::string& service, const std::string& version) {
                                streams_->note_version(monotonic_now(), service, version);
                            },
-                           [this](std::string_view key) { return writes_version(key); }});
+                           [this](std::string_view key) { return writes_version(key); },
+                           [this](const std::string& service, const std::string& version) {
+                               return targets_.versions_of(service).contains(version);
+                           },
+                           [this] { update_version_log(); }});
+}
+
+void gateway::update_version_log() {
+    version_log_->update(monotonic_now(), streams_->versions(), is_target_list_current());
+}
+
+/// The present versions of a service that aren't in the version log. A stream that began at one of
+/// them couldn't be told from one of another version after a loss of all entries.
+version_set gateway::unrecorded_versions(const std::string& service) const {
+    version_set versions = targets_.versions_of(service);
+    std::erase_if(versions, [this, &service](const std::string& version) {
+        return version_log_->contains(service, version);
+    });
+    return versions;
 }
 
 bool gateway::is_target_list_current() const {
     return monotonic_now() - target_follower_->last_answer() <= max_list_age;
 }
 
-/// Two entries write each record of a version, so that one of them may be lost.
+bool gateway::is_version_log_current() const {
+    return monotonic_now() - version_log_->last_answer() <= max_list_age;
+}
+
+/// Two entries write each record of a version, so that one of them may be lost. An entry that knows
+/// no others yet doesn't wait for them.
 bool gateway::writes_version(std::string_view key) const {
     constexpr std::size_t writers = 2;
+    if (allocators_.members() == 0) {
+        return true;
+    }
     const std::vector<cluster_member> first = allocators_.ranked_members(key, writers);
     return std::any_of(first.begin(), first.end(),
                        [this](const cluster_member& each) { return each.host == settings_.host; });
@@ -272,6 +298,7 @@
         [this](const std::string& target) { on_peer_unresponsive(target); },
         [this] { return is_isolated(); },
         [this](const gateway_target& target) -> upstream_pool& { return pool_of(target); },
+        [this](const std::string& service) { return unrecorded_versions(service); },
         response_memory_,
         {},
         {},
--- a/src/roles/gateway/stream_exchange.hpp
+++ b/src/roles/gateway/stream_exchange.hpp
@@ -39,7 +39,7 @@
     struct hooks {
         /// The versions of the targets that may now get requests of the service.
         std::function<recent_values::value_set(std::string_view service)> present_versions;
-        /// True while the list of targets is up to date.
+        /// True while the list of targets and the version log are up to date.
         std::function<bool()> is_list_current;
         /// True if the versions that targets of the service had before this process started are
         /// known.
--- a/tests/decision/streams/stream_records_model_test.cpp
+++ b/tests/decision/streams/stream_records_model_test.cpp
@@ -31,6 +31,20 @@
     relays_hold_unbound,
     /// No relay holds records.
     no_relays,
+    /// Streams begin at versions that aren't in the version log.
+    begins_unrecorded,
+    /// An entry that starts trusts a version log that was restored from a copy.
+    trusts_restored_log,
+};
+
+/// What happens beside kills, freezes and cuts of single entries.
+enum class losses {
+    none,
+    /// All entries are lost at once now and then, and some relays.
+    of_all_entries,
+    /// The same without relays. Entries that start read a version log, which is late, dark or
+    /// restored.
+    beside_version_log,
 };
 
 /// Entries of one region that keep and ask for records, with faults between them, in virtual time.
@@ -42,9 +56,11 @@
     static constexpr std::size_t entry_count = 6;
     static constexpr std::size_t relay_count = 6;
 
-    /// With `loses_all`, all entries are lost at once now and then, and some relays.
-    record_model(std::uint64_t seed, rules variant, bool loses_all = false)
-        : random_(seed), variant_(variant), loses_all_(loses_all) {
+    record_model(std::uint64_t seed, rules variant, losses kind = losses::none)
+        : random_(seed),
+          variant_(variant),
+          loses_all_(kind != losses::none),
+          has_log_(kind == losses::beside_version_log) {
         std::vector<record_relay> relays;
         for (std::size_t number = 0; number < relay_count; ++number) {
             relays.push_back({"side-" + std::to_string(number), domain_of(number)});
@@ -75,6 +91,8 @@
             now_ += step;
             change_versions();
             harm();
+            harm_log();
+            record_versions();
             for (const auto& each : entries_) {
                 note_versions(*each);
             }
@@ -102,6 +120,8 @@
         std::unique_ptr<recent_values> versions;
         std::set<std::string, std::less<>> listed;
         instant started{};
+        /// True if the version log told which versions there had been.
+        bool is_covered = false;
         bool frozen = false;
         bool cut_off = false;
         std::deque<stream_record> queued;
@@ -123,6 +143,8 @@
         at.queued.clear();
         at.started = now_;
         at.frozen = false;
+        const bool is_whole = !is_log_restored_ || variant_ == rules::trusts_restored_log;
+        at.is_covered = has_log_ && is_whole && !is_log_dark() && !logged_.empty();
         note_versions(at);
     }
 
@@ -130,14 +152,56 @@
     void note_versions(entry& at) {
         if (!at.cut_off && !at.frozen) {
             at.listed = versions_;
+            for (const std::string& version : logged_) {
+                at.versions->note(now_, "llm", version);
+            }
         }
         for (const std::string& version : at.listed) {
             at.versions->note(now_, "llm", version);
         }
     }
 
+    bool is_log_dark() const { return now_ < log_dark_until_; }
+
+    /// The version log is dark, or refuses records, or is restored from a copy.
+    void harm_log() {
+        if (has_log_ && random_.below(60) == 0) {
+            log_dark_until_ = now_ + seconds(1 + static_cast<int>(random_.below(8)));
+        }
+    }
+
+    /// The store is restored from a copy that lacks a record.
+    void harm_log_at_once() {
+        if (random_.below(12) == 0 && !logged_.empty()) {
+            is_log_restored_ = true;
+            logged_.erase(any_of(logged_));
+        }
+    }
+
+    /// Records come late, and go once no stream can have begun at their version any more.
+    void record_versions() {
+        std::erase_if(logged_, [this](const std::string& version) {
+            const auto removed = removed_at_.find(version);
+            return removed != removed_at_.end() && now_ - removed->second > 2 * window;
+        });
+        for (const std::string& version : versions_) {
+            if (has_log_ && !is_log_dark() && random_.below(2) == 0) {
+                logged_.insert(version);
+            }
+        }
+    }
+
+    /// The versions at which an entry may begin streams.
+    std::set<std::string, std::less<>> open_versions(const entry& at) const {
+        std::set<std::string, std::less<>> open = at.listed;
+        if (has_log_ && variant_ != rules::begins_unrecorded) {
+            std::erase_if(open, [this](const auto& each) { return !logged_.contains(each); });
+        }
+        return open;
+    }
+
     void change_versions() {
-        if (random_.below(60) != 0) {
+        if (random_.below(has_log_ ? 300 : 60) != 0) {
             return;
         }
         if (versions_.size() < 2) {
@@ -161,10 +225,16 @@
     }
 
     void lose_all() {
+        if (has_log_) {
+            change_versions_at_once();
+            harm_log_at_once();
+        }
         for (const auto& each : entries_) {
             start(*each);
         }
-        change_versions_at_once();
+        if (!has_log_) {
+            change_versions_at_once();
+        }
         // Waves follow one another; some entries stay away for a while.
         entries_[random_.below(entry_count)]->frozen = true;
     }
@@ -229,7 +299,8 @@
 
     void begin_stream() {
         entry& at = *entries_[random_.below(entry_count)];
-        if (at.frozen || at.listed.empty()) {
+        const std::set<std::string, std::less<>> open = open_versions(at);
+        if (at.frozen || open.empty()) {
             return;
         }
         const std::string request = "r" + std::to_string(++last_request_);
@@ -237,7 +308,7 @@
         std::string version;
         const std::uint32_t attempts = random_.below(4) == 0 ? 2 : 1;
         for (std::uint32_t attempt = 1; attempt <= attempts; ++attempt) {
-            version = any_of(at.listed);
+            version = any_of(open);
             const stream_record record{request, "llm", version, 0, attempt, now_ + life};
             send(at, record);
             if (attempt == attempts || variant_ == rules::relays_hold_unbound) {
@@ -272,7 +343,7 @@
 
     /// A message to a relay may be lost with the connection.
     void send_to_relays(const entry& from, const stream_record& record) {
-        if (!loses_all_ || variant_ == rules::no_relays || from.cut_off) {
+        if (!loses_all_ || has_log_ || variant_ == rules::no_relays || from.cut_off) {
             return;
         }
         for (const std::string& endpoint : relays_.recipients(record.request)) {
@@ -301,7 +372,7 @@
         }
         known.versions = at.versions->within(now_, "llm", window);
         const bool long_enough =
-            now_ - at.started >= window || variant_ == rules::trusts_short_lists;
+            now_ - at.started >= window || at.is_covered || variant_ == rules::trusts_short_lists;
         known.versions_complete = long_enough && !at.cut_off;
         return known;
     }
@@ -338,12 +409,17 @@
     random_source random_;
     rules variant_;
     bool loses_all_;
+    bool has_log_;
     record_relays relays_;
     std::map<std::string, stream_record_table> relay_tables_;
     instant now_{seconds(1000)};
     std::vector<std::unique_ptr<entry>> entries_;
     std::set<std::string, std::less<>> versions_{"v1"};
     std::map<std::string, instant> removed_at_;
+    /// The version log.
+    std::set<std::string, std::less<>> logged_;
+    instant log_dark_until_{};
+    bool is_log_restored_ = false;
     std::vector<stream> streams_;
     int last_version_ = 1;
     int last_request_ = 0;
@@ -359,10 +435,10 @@
     std::size_t refused = 0;
 };
 
-model_sums play_all(rules variant, bool loses_all = false) {
+model_sums play_all(rules variant, losses kind = losses::none) {
     model_sums sums;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        record_model model(seed, variant, loses_all);
+        record_model model(seed, variant, kind);
         model.play(steps);
         sums.joined += model.joined;
         sums.resumed += model.resumed;
@@ -385,15 +461,31 @@
 
 /// Without records at relays no stream went on after a loss of all entries beside two versions.
 BOOST_AUTO_TEST_CASE(losses_of_all_entries_join_no_versions_and_lose_few_streams) {
-    const model_sums sums = play_all(rules::as_built, true);
+    const model_sums sums = play_all(rules::as_built, losses::of_all_entries);
     BOOST_TEST(sums.resumed > 10000U);
     BOOST_TEST(sums.joined == 0U);
     BOOST_TEST(sums.refused * 10 < sums.resumed);
-    BOOST_TEST(play_all(rules::no_relays, true).refused > 3 * sums.refused);
+    BOOST_TEST(play_all(rules::no_relays, losses::of_all_entries).refused > 3 * sums.refused);
 }
 
 BOOST_AUTO_TEST_CASE(relays_that_hold_records_of_unbound_streams_join_versions) {
-    BOOST_TEST(play_all(rules::relays_hold_unbound, true).joined > 0U);
+    BOOST_TEST(play_all(rules::relays_hold_unbound, losses::of_all_entries).joined > 0U);
+}
+
+/// Streams went on at the only version that a restarted entry knew, which hadn't begun them.
+BOOST_AUTO_TEST_CASE(losses_beside_a_late_dark_or_restored_version_log_join_no_versions) {
+    const model_sums sums = play_all(rules::as_built, losses::beside_version_log);
+    BOOST_TEST(sums.resumed > 10000U);
+    BOOST_TEST(sums.joined == 0U);
+    BOOST_TEST(sums.resumed - sums.refused > 10000U);
+}
+
+BOOST_AUTO_TEST_CASE(streams_that_begin_before_their_version_is_recorded_join_versions) {
+    BOOST_TEST(play_all(rules::begins_unrecorded, losses::beside_version_log).joined > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(version_logs_that_are_trusted_after_they_were_restored_join_versions) {
+    BOOST_TEST(play_all(rules::trusts_restored_log, losses::beside_version_log).joined > 0U);
 }
 
 BOOST_AUTO_TEST_CASE(unknown_streams_that_go_on_join_versions) {
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -111,7 +111,11 @@
     }
     const std::string topic = parameter(exchange, "topic");
     const std::string path = exchange->head().target.substr(0, exchange->head().target.find('?'));
-    if (path == "/-/log-append") {
+    if (topic == dark_topic) {
+        unanswered_.push_back(exchange);
+    } else if (path == "/-/log-append" && topic == refused_topic) {
+        reply(exchange, 503, "");
+    } else if (path == "/-/log-append") {
         append(exchange, topic);
     } else if (path == "/-/log-read") {
         read(exchange, topic);
--- a/tests/platform/store_standin.hpp
+++ b/tests/platform/store_standin.hpp
@@ -41,6 +41,10 @@
     bool silent = false;
     /// Does appends and cuts their connections in place of an answer.
     bool lose_append_answers = false;
+    /// Answers appends to this topic with 503.
+    std::string refused_topic;
+    /// Takes calls about this topic and never answers them.
+    std::string dark_topic;
     std::size_t calls = 0;
 
 private:
