--- a/src/drivers/version_log.cpp
+++ b/src/drivers/version_log.cpp
@@ -12,7 +12,8 @@
 /// How long to wait after an append that failed.
 constexpr microseconds retry_delay = milliseconds(500);
 
-/// How long a read is held open, which bounds how late a connection that has gone silent is noticed.
+/// How long a read is held open, which bounds how late a connection that has gone silent is
+/// noticed.
 constexpr microseconds read_hold = seconds(1);
 
 /// A version that its writers haven't recorded by then is recorded by any process that sees it.
--- a/tests/soak/resumed_streams.cpp
+++ b/tests/soak/resumed_streams.cpp
@@ -12,10 +12,20 @@
 /// From the end of all faults until the fleet is in touch again.
 constexpr microseconds recovery_time = seconds(3);
 
+/// After this a target that has left the list gets no requests.
+constexpr microseconds target_drain = seconds(2);
+
 }  // namespace
 
-resumed_streams::resumed_streams(std::uint64_t seed)
-    : stream_fleet(entry_count), random_(seed), paused_(entry_count, false) {
+resumed_streams::resumed_streams(std::uint64_t seed, bool with_losses)
+    : stream_fleet(entry_count),
+      random_(seed),
+      with_losses_(with_losses),
+      paused_(entry_count, false) {
+    if (with_losses_) {
+        more_settings += R"(,"relay_port":)" + std::to_string(relay_port_);
+        start_relay();
+    }
     for (std::size_t index = 0; index < entry_count; ++index) {
         entry& each = entries[index];
         links_.push_back(std::make_unique<loopback_proxy>(loop, each.bus));
@@ -30,6 +40,20 @@
     run_for(seconds(1));
 }
 
+resumed_streams::~resumed_streams() {
+    relay_.reset();
+    std::remove(relay_file_.c_str());
+}
+
+void resumed_streams::start_relay() {
+    relay_.reset();
+    std::ofstream(relay_file_) << R"({"host":"side-1","bus_endpoint":"tcp://127.0.0.1:)"
+                               << relay_port_ << R"(","service":")" << store.address() << R"("})";
+    relay_ = std::make_unique<test::child_process>(
+        std::vector<std::string>{WRENSWITCH_BINARIES "/wrenrelay", "--settings", relay_file_},
+        relay_file_ + ".log");
+}
+
 void resumed_streams::begin_stream() {
     callers_.push_back({&begin(random_.below(2) == 0 ? "/plain/" : "/engine/",
                                entries[random_.below(entry_count)]),
@@ -105,7 +129,75 @@
     }
 }
 
+void resumed_streams::inject_loss() {
+    switch (random_.below(6)) {
+        case 0:
+            faults_.push_back("refuse the records of versions");
+            store.refused_topic = "keyed.versions";
+            break;
+        case 1:
+            faults_.push_back("restart the relay");
+            start_relay();
+            break;
+        case 2:
+        case 3:
+            leave_silently();
+            break;
+        default:
+            lose_all_entries();
+            break;
+    }
+}
+
+/// A version may come, and a target leave, while no entry looks.
+void resumed_streams::lose_all_entries() {
+    faults_.push_back("kill all entries");
+    for (entry& each : entries) {
+        each.process->signal(SIGKILL);
+    }
+    last_away_ = monotonic_now();
+    if (random_.below(2) == 0) {
+        harm_target();
+    }
+    if (random_.below(2) == 0) {
+        leave_silently();
+    }
+}
+
+/// A target leaves without saying so: its entry goes, and it serves for some seconds more.
+void resumed_streams::leave_silently() {
+    std::vector<stream_target*> running;
+    for (const auto& each : targets) {
+        if (each->runs() && store.newest("keyed.servers", each->worker.id())) {
+            running.push_back(each.get());
+        }
+    }
+    stream_target& old = *running[random_.below(running.size())];
+    add_target(old.service, "i-" + old.service + "-new-" + std::to_string(++last_target_),
+               "v" + std::to_string(last_version_ - static_cast<int>(random_.below(2))));
+    faults_.push_back("unlist " + old.worker.id());
+    store.put("keyed.servers", old.worker.id(), std::nullopt);
+    loop.call_after(target_drain,
+                    [this, &old, left = monotonic_now()] { check_gone_target(old, left); });
+}
+
+/// From now on the target gets nothing from an entry that has read of its leaving.
+void resumed_streams::check_gone_target(const stream_target& gone, instant left) {
+    const std::size_t seen = gone.worker.seen.size();
+    loop.call_after(seconds(1), [this, &gone, left, seen] {
+        const bool may_not_know = last_away_ >= left - seconds(1);
+        if (!may_not_know && gone.worker.seen.size() > seen) {
+            late_requests_.push_back(std::to_string(gone.worker.seen.size() - seen) + " at " +
+                                     gone.worker.id());
+        }
+    });
+}
+
 void resumed_streams::inject_fault() {
+    if (with_losses_ && random_.below(3) == 0) {
+        inject_loss();
+        return;
+    }
     switch (random_.below(8)) {
         case 0:
         case 1:
@@ -119,6 +211,7 @@
         case 5:
             faults_.push_back("lose the store");
             store.silent = true;
+            last_away_ = monotonic_now();
             break;
         default:
             harm_target();
@@ -140,6 +233,7 @@
         default:
             faults_.push_back("pause" + name);
             entries[index].process->signal(SIGSTOP);
+            last_away_ = monotonic_now();
             paused_[index] = true;
             break;
     }
@@ -205,7 +299,11 @@
 }
 
 void resumed_streams::end_faults() {
+    const bool was_away =
+        store.silent || std::find(paused_.begin(), paused_.end(), true) != paused_.end();
+    last_away_ = was_away ? monotonic_now() : last_away_;
     store.silent = false;
+    store.refused_topic.clear();
     for (std::size_t index = 0; index < entry_count; ++index) {
         links_[index]->heal();
         if (paused_[index]) {
@@ -265,13 +363,15 @@
     return static_cast<double>(whole_streams) / static_cast<double>(streams);
 }
 
-/// What the entry that got the request has logged of its stream.
+/// What the entry that got the request has logged of its stream, or of its end.
 std::string resumed_streams::logged_resumption(const std::string& id) const {
-    for (const entry& each : entries) {
-        const std::string output = each.process->output();
-        const std::size_t begin = output.find("event=stream_resumed request=" + id + " ");
-        if (begin != std::string::npos) {
-            return output.substr(begin, output.find('\n', begin) - begin);
+    for (const char* event : {"event=stream_resumed request=", "event=request_ended request="}) {
+        for (const entry& each : entries) {
+            const std::string output = each.process->output();
+            const std::size_t begin = output.find(event + id + " ");
+            if (begin != std::string::npos) {
+                return output.substr(begin, output.find('\n', begin) - begin);
+            }
         }
     }
     return "not logged";
@@ -305,6 +405,9 @@
             all.push_back("a stream ends whole without its events: " + call.begun_by);
         }
     }
+    for (const std::string& each : late_requests_) {
+        all.push_back("requests to a target that left two seconds before: " + each);
+    }
     for (const std::string& id : refused_) {
         if (has_run(id)) {
             all.push_back("refused as not run, and ran: " + id);
--- a/tests/soak/resumed_streams.hpp
+++ b/tests/soak/resumed_streams.hpp
@@ -13,11 +13,16 @@
 /// streams at any entry, while a seed injects faults: entries are killed, stopped and paused, the
 /// links between them are cut, the store is lost, and targets crash, leave and are replaced by
 /// other versions. It counts what callers and targets see.
+///
+/// With losses, a relay runs beside the targets; all entries are killed at once, at times while
+/// versions come and go, targets leave without saying so, the relay restarts, and the store refuses
+/// the records of versions.
 class resumed_streams : public stream_fleet {
 public:
     static constexpr std::size_t entry_count = 4;
 
-    explicit resumed_streams(std::uint64_t seed);
+    explicit resumed_streams(std::uint64_t seed, bool with_losses = false);
+    ~resumed_streams();
 
     /// Streams and faults for so long, then all faults end and the streams are brought to their
     /// ends.
@@ -47,6 +52,11 @@
     void retry(caller& each);
     void check_attempt(const resumable_call& call);
     void inject_fault();
+    void inject_loss();
+    void lose_all_entries();
+    void start_relay();
+    void leave_silently();
+    void check_gone_target(const stream_target& gone, instant left);
     void harm_entry(std::size_t index);
     void harm_link(std::size_t index);
     void harm_target();
@@ -57,6 +67,13 @@
     bool has_run(const std::string& id) const;
 
     random_source random_;
+    bool with_losses_;
+    std::uint16_t relay_port_ = fixed_port();
+    std::string relay_file_ = "/tmp/wrenrelay_soak_" + std::to_string(relay_port_) + ".json";
+    std::unique_ptr<test::child_process> relay_;
+    /// When the store or an entry was last away, so that an entry may not have read a removal.
+    instant last_away_{};
+    std::vector<std::string> late_requests_;
     std::vector<std::unique_ptr<loopback_proxy>> links_;
     std::vector<bool> paused_;
     std::vector<caller> callers_;
