Answer calls without a topic in the stand-in of the store

With no topic set dark, the stand-in took calls that name no topic for calls about the dark one and never answered them: the probe of the direct way.

--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -111,7 +111,7 @@
     }
     const std::string topic = parameter(exchange, "topic");
     const std::string path = exchange->head().target.substr(0, exchange->head().target.find('?'));
-    if (topic == dark_topic) {
+    if (!topic.empty() && topic == dark_topic) {
         unanswered_.push_back(exchange);
     } else if (path == "/-/log-append" && topic == refused_topic) {
         reply(exchange, 503, "");
